Lay out the workspace with the model, the pure decisions, HTTP and Thrift

Cause: an empty repository; the thin whole path needs its lowest layers first. Change: Maven workspace with formatter, checkstyle and Error Prone failing the build; resources, problems and events; next-step rules, ledger, fair queue and server choice without I/O; an HTTP server and client on one loop; Thrift links.

--- /dev/null
+++ b/decide/src/main/java/org/snowwind/decide/choice/RoundRobin.java
@@ -0,0 +1,22 @@
+package org.snowwind.decide.choice;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Takes each server in turn: the plain baseline.
+ */
+public final class RoundRobin implements ServerChooser {
+
+	private int next;
+
+	@Override
+	public Optional<ServerView> choose(List<ServerView> candidates, long affinityHash) {
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		this.next = (this.next + 1) % candidates.size();
+		return Optional.of(candidates.get(this.next));
+	}
+
+}
--- /dev/null
+++ b/decide/src/main/java/org/snowwind/decide/choice/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which server takes a request.
+ */
+package org.snowwind.decide.choice;
--- /dev/null
+++ b/decide/src/main/java/org/snowwind/decide/ledger/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What began at an agent, and what never will.
+ */
+package org.snowwind.decide.ledger;
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/DataLoop.java
@@ -0,0 +1,82 @@
+package org.snowwind.http;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
+
+/**
+ * The one thread that owns all requests of a process.
+ *
+ * <p>
+ * Servers and clients share it, so that the state of a request and the decisions about it
+ * are confined to one thread and need no locks. At the size that is designed for, an
+ * entry carries ten requests and some thousands of tokens a second, which one thread does
+ * with ease.
+ */
+public final class DataLoop implements AutoCloseable {
+
+	private static final long STOP_MILLIS = 2000;
+
+	private final NioEventLoopGroup group;
+
+	private final EventLoop loop;
+
+	/**
+	 * Starts the thread.
+	 * @param name the thread's name
+	 */
+	public DataLoop(String name) {
+		this.group = new NioEventLoopGroup(1, new DefaultThreadFactory(name, true));
+		this.loop = this.group.next();
+	}
+
+	/**
+	 * Returns the group for Netty's bootstraps.
+	 * @return a group of one thread
+	 */
+	public NioEventLoopGroup group() {
+		return this.group;
+	}
+
+	/**
+	 * Runs a task on the thread, at once if the caller is on it.
+	 * @param task the task
+	 */
+	public void run(Runnable task) {
+		if (this.loop.inEventLoop()) {
+			task.run();
+		}
+		else {
+			this.loop.execute(task);
+		}
+	}
+
+	/**
+	 * Runs a task on the thread later.
+	 * @param task the task
+	 * @param delayMillis how much later, in milliseconds
+	 * @return a handle that can cancel it
+	 */
+	public Future<?> later(Runnable task, long delayMillis) {
+		return this.loop.schedule(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Runs a task on the thread again and again.
+	 * @param task the task
+	 * @param periodMillis how often, in milliseconds
+	 * @return a handle that can cancel it
+	 */
+	public Future<?> every(Runnable task, long periodMillis) {
+		return this.loop.scheduleAtFixedRate(task, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void close() {
+		this.group.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(STOP_MILLIS);
+	}
+
+}
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/client/JsonClient.java
@@ -0,0 +1,113 @@
+package org.snowwind.http.client;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.ListenableFuture;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+import org.snowwind.model.Json;
+
+/**
+ * Blocking calls with JSON, for threads that may wait.
+ */
+public final class JsonClient implements AutoCloseable {
+
+	private final AsyncHttpClient client;
+
+	private final Map<String, String> headers;
+
+	/**
+	 * Creates a client with a thread of its own.
+	 * @param headers sent with every call
+	 * @param connectTimeoutMillis how long a connection may take, in milliseconds
+	 */
+	public JsonClient(Map<String, String> headers, long connectTimeoutMillis) {
+		this.headers = Map.copyOf(headers);
+		this.client = Dsl.asyncHttpClient(Dsl.config()
+			.setIoThreadsCount(1)
+			.setThreadPoolName("snowwind-json")
+			.setConnectTimeout(Duration.ofMillis(connectTimeoutMillis))
+			.setReadTimeout(Duration.ofMillis(-1))
+			.setRequestTimeout(Duration.ofMillis(-1))
+			.setMaxRequestRetry(0)
+			.setFollowRedirect(false)
+			.setCookieStore(null));
+	}
+
+	/**
+	 * Calls and waits.
+	 * @param method the HTTP method
+	 * @param url the absolute URL
+	 * @param extraHeaders further headers
+	 * @param body sent as JSON, {@code null} for none
+	 * @param timeoutMillis how long to wait, in milliseconds
+	 * @return the answer
+	 * @throws IOException if no whole answer came in time; the call may have had its
+	 * effect
+	 */
+	public JsonAnswer call(String method, String url, Map<String, String> extraHeaders, Object body, long timeoutMillis)
+			throws IOException {
+		RequestBuilder builder = new RequestBuilder(method, true).setUrl(url);
+		this.headers.forEach(builder::setHeader);
+		extraHeaders.forEach(builder::setHeader);
+		if (body != null) {
+			builder.setHeader("Content-Type", "application/json");
+			builder.setBody(Json.MAPPER.writeValueAsBytes(body));
+		}
+		ListenableFuture<Response> future = this.client.executeRequest(builder.build());
+		return answerOf(await(future, timeoutMillis));
+	}
+
+	private static Response await(ListenableFuture<Response> future, long timeoutMillis) throws IOException {
+		try {
+			return future.get(timeoutMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			future.abort(ex);
+			Thread.currentThread().interrupt();
+			throw new IOException("interrupted", ex);
+		}
+		catch (TimeoutException ex) {
+			future.abort(ex);
+			throw new IOException("no answer within " + timeoutMillis + " ms", ex);
+		}
+		catch (ExecutionException ex) {
+			throw new IOException(String.valueOf(ex.getCause().getMessage()), ex.getCause());
+		}
+	}
+
+	private static JsonAnswer answerOf(Response response) throws IOException {
+		byte[] bytes = response.getResponseBodyAsBytes();
+		JsonNode json = (bytes.length > 0) ? Json.MAPPER.readTree(bytes) : Json.MAPPER.missingNode();
+		return new JsonAnswer(response.getStatusCode(), json);
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.client.close();
+		}
+		catch (IOException ex) {
+			throw new java.io.UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * An answer.
+	 *
+	 * @param status the HTTP status
+	 * @param body the body, a missing node if there is none
+	 */
+	public record JsonAnswer(int status, JsonNode body) {
+
+	}
+
+}
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
@@ -0,0 +1,75 @@
+package org.snowwind.http.client;
+
+import java.time.Duration;
+
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.RequestBuilder;
+import org.snowwind.http.DataLoop;
+
+/**
+ * Sends requests through AsyncHttpClient on the shared loop.
+ *
+ * <p>
+ * The library's own retries, redirects and time-outs are off: when to try again is
+ * decided elsewhere.
+ */
+public final class UpstreamClient implements AutoCloseable {
+
+	private static final Duration NEVER = Duration.ofMillis(-1);
+
+	private final DataLoop loop;
+
+	private final AsyncHttpClient client;
+
+	/**
+	 * Creates a client.
+	 * @param loop the thread that carries it
+	 * @param connectTimeoutMillis how long a connection may take, in milliseconds
+	 */
+	public UpstreamClient(DataLoop loop, long connectTimeoutMillis) {
+		this.loop = loop;
+		DefaultAsyncHttpClientConfig.Builder config = Dsl.config()
+			.setEventLoopGroup(loop.group())
+			.setConnectTimeout(Duration.ofMillis(connectTimeoutMillis))
+			.setRequestTimeout(NEVER)
+			.setReadTimeout(NEVER)
+			.setMaxRequestRetry(0)
+			.setFollowRedirect(false)
+			.setKeepAlive(true)
+			.setPooledConnectionIdleTimeout(Duration.ofSeconds(20))
+			.setTcpNoDelay(true)
+			.setCookieStore(null)
+			.setUserAgent("snowwind");
+		this.client = Dsl.asyncHttpClient(config);
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @param listener is told how it fares
+	 * @return the call
+	 */
+	public UpstreamCall send(UpstreamRequest request, UpstreamListener listener) {
+		RequestBuilder builder = new RequestBuilder(request.method(), true).setUrl(request.url());
+		request.headers().forEach(builder::setHeader);
+		if (request.body().length > 0) {
+			builder.setBody(request.body());
+		}
+		UpstreamCall call = new UpstreamCall(this.loop, listener);
+		this.client.executeRequest(builder.build(), call);
+		return call;
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.client.close();
+		}
+		catch (java.io.IOException ex) {
+			throw new java.io.UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The loop that carries all HTTP of a process.
+ */
+package org.snowwind.http;
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
@@ -0,0 +1,153 @@
+package org.snowwind.http.server;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+import org.snowwind.model.outcome.Problem;
+import org.snowwind.model.outcome.ProblemKind;
+
+/**
+ * Splits one connection into exchanges, one at a time.
+ *
+ * <p>
+ * While a request waits for its answer, one further read is allowed, which is how a
+ * caller's hanging up is seen. What that read brings is held until its turn, so a caller
+ * that pipelines cannot fill memory.
+ */
+final class ConnectionHandler extends ChannelInboundHandlerAdapter {
+
+	private final HttpHandler handler;
+
+	/** What one read brought beyond the request that is being answered. */
+	private final Deque<Object> held = new ArrayDeque<>();
+
+	private NettyExchange current;
+
+	private boolean replaying;
+
+	ConnectionHandler(HttpHandler handler) {
+		this.handler = handler;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		if (busy() || !this.held.isEmpty()) {
+			this.held.add(message);
+			return;
+		}
+		process(context, message);
+	}
+
+	private boolean busy() {
+		return this.current != null && this.current.owesAnswer();
+	}
+
+	private void process(ChannelHandlerContext context, Object message) {
+		try {
+			if (message instanceof HttpRequest request) {
+				onHead(context, request);
+			}
+			if (message instanceof HttpContent content) {
+				onContent(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void nextRequest(ChannelHandlerContext context) {
+		if (this.replaying) {
+			return;
+		}
+		this.replaying = true;
+		while (!this.held.isEmpty() && !busy()) {
+			process(context, this.held.removeFirst());
+		}
+		this.replaying = false;
+		if (!busy()) {
+			context.channel().config().setAutoRead(true);
+		}
+	}
+
+	private void onHead(ChannelHandlerContext context, HttpRequest request) {
+		this.current = new NettyExchange(context, request, () -> nextRequest(context));
+		DecoderResult decoded = request.decoderResult();
+		if (decoded.isFailure()) {
+			this.current.closeAfterAnswer();
+			Responses.problem(this.current, problemOf(decoded.cause()));
+			return;
+		}
+		try {
+			this.handler.handle(this.current);
+		}
+		catch (RuntimeException ex) {
+			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "http handler");
+			this.current.abort();
+		}
+	}
+
+	private void onContent(HttpContent content) {
+		if (this.current == null) {
+			return;
+		}
+		if (content.decoderResult().isFailure()) {
+			this.current.bodyMalformed();
+			return;
+		}
+		this.current.bodyPart(content.content(), content instanceof LastHttpContent);
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (this.current != null) {
+			this.current.writableChanged();
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.held.forEach(ReferenceCountUtil::release);
+		this.held.clear();
+		if (this.current != null) {
+			this.current.gone();
+		}
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		boolean waitsForCaller = this.current == null || this.current.waitsForCaller();
+		if (event instanceof IdleStateEvent && waitsForCaller) {
+			context.close();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+	}
+
+	private static Problem problemOf(Throwable cause) {
+		if (cause instanceof TooLongHttpLineException) {
+			return Problem.notRun(ProblemKind.URI_TOO_LONG, "the request line is too long");
+		}
+		if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongFrameException) {
+			return Problem.notRun(ProblemKind.HEADERS_TOO_LARGE, "the headers are too large");
+		}
+		return Problem.notRun(ProblemKind.MALFORMED_HTTP, "the message is not valid HTTP");
+	}
+
+}
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/server/HttpExchange.java
@@ -0,0 +1,98 @@
+package org.snowwind.http.server;
+
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * One request and its answer, confined to the server's loop.
+ */
+public interface HttpExchange {
+
+	/**
+	 * Returns the method.
+	 * @return the method, upper case
+	 */
+	String method();
+
+	/**
+	 * Returns the path without its query.
+	 * @return the raw path
+	 */
+	String path();
+
+	/**
+	 * Returns path and query as sent.
+	 * @return the raw request target
+	 */
+	String target();
+
+	/**
+	 * Returns a header.
+	 * @param name the name in any case
+	 * @return the first value, or {@code null}
+	 */
+	String header(String name);
+
+	/**
+	 * Reads the whole body.
+	 * @param maxBytes the most that is taken, in bytes; a longer one is answered with 413
+	 * @param whenRead gets the body
+	 */
+	void readBody(int maxBytes, Consumer<byte[]> whenRead);
+
+	/**
+	 * Begins a streamed answer.
+	 * @param status the HTTP status
+	 * @param headers further headers
+	 */
+	void begin(int status, Map<String, String> headers);
+
+	/**
+	 * Sends a part of a streamed answer.
+	 * @param bytes the part
+	 */
+	void write(byte[] bytes);
+
+	/**
+	 * Ends a streamed answer cleanly.
+	 */
+	void end();
+
+	/**
+	 * Sends a whole answer.
+	 * @param status the HTTP status
+	 * @param headers further headers
+	 * @param body the body
+	 */
+	void respond(int status, Map<String, String> headers, byte[] body);
+
+	/**
+	 * Breaks the connection, so that the caller sees that the answer is not whole.
+	 */
+	void abort();
+
+	/**
+	 * Tells whether the answer has begun.
+	 * @return true if a status was sent
+	 */
+	boolean begun();
+
+	/**
+	 * Tells whether the caller takes more bytes now.
+	 * @return false while too much waits to be sent
+	 */
+	boolean writable();
+
+	/**
+	 * Asks to be told when {@link #writable()} changes.
+	 * @param whenChanged called on the loop
+	 */
+	void onWritableChange(Runnable whenChanged);
+
+	/**
+	 * Asks to be told when the caller goes away before the answer has ended.
+	 * @param whenGone called on the loop, once
+	 */
+	void onGone(Runnable whenGone);
+
+}
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/server/HttpServer.java
@@ -0,0 +1,115 @@
+package org.snowwind.http.server;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.snowwind.http.DataLoop;
+
+/**
+ * Listens for HTTP/1.1 on one address.
+ */
+public final class HttpServer implements AutoCloseable {
+
+	private static final int LOW_WATER_BYTES = 16 * 1024;
+
+	private static final int HIGH_WATER_BYTES = 64 * 1024;
+
+	private static final int BACKLOG = 1024;
+
+	private final DataLoop loop;
+
+	private final HttpLimits limits;
+
+	private final HttpHandler handler;
+
+	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
+	private Channel listener;
+
+	/**
+	 * Creates a server that does not listen yet.
+	 * @param loop the thread that carries it
+	 * @param limits its bounds
+	 * @param handler takes the requests
+	 */
+	public HttpServer(DataLoop loop, HttpLimits limits, HttpHandler handler) {
+		this.loop = loop;
+		this.limits = limits;
+		this.handler = handler;
+	}
+
+	/**
+	 * Begins to listen.
+	 * @param address where; port 0 takes any free port
+	 * @return the address that it listens on
+	 */
+	public InetSocketAddress start(InetSocketAddress address) {
+		ServerBootstrap bootstrap = new ServerBootstrap();
+		bootstrap.group(this.loop.group());
+		bootstrap.channel(NioServerSocketChannel.class);
+		bootstrap.option(ChannelOption.SO_BACKLOG, BACKLOG);
+		bootstrap.option(ChannelOption.SO_REUSEADDR, true);
+		bootstrap.childOption(ChannelOption.TCP_NODELAY, true);
+		bootstrap.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
+				new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES));
+		bootstrap.childHandler(new ChannelInitializer<SocketChannel>() {
+			@Override
+			protected void initChannel(SocketChannel channel) {
+				initConnection(channel);
+			}
+		});
+		this.listener = bootstrap.bind(address).syncUninterruptibly().channel();
+		return (InetSocketAddress) this.listener.localAddress();
+	}
+
+	/**
+	 * Counts the open connections.
+	 * @return how many are open
+	 */
+	public int connections() {
+		return this.connections.size();
+	}
+
+	/**
+	 * Takes no more connections; the open ones go on.
+	 */
+	public void stopListening() {
+		if (this.listener != null) {
+			this.listener.close().awaitUninterruptibly(TimeUnit.SECONDS.toMillis(1));
+		}
+	}
+
+	@Override
+	public void close() {
+		stopListening();
+		this.connections.close().awaitUninterruptibly(TimeUnit.SECONDS.toMillis(1));
+	}
+
+	private void initConnection(SocketChannel channel) {
+		if (this.connections.size() >= this.limits.maxConnections()) {
+			channel.close();
+			return;
+		}
+		this.connections.add(channel);
+		HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxInitialLineLength(this.limits.maxUriBytes())
+			.setMaxHeaderSize(this.limits.maxHeaderBytes());
+		channel.pipeline()
+			.addLast(new IdleStateHandler(this.limits.readTimeoutMillis(), 0, 0, TimeUnit.MILLISECONDS))
+			.addLast(new HttpServerCodec(decoder))
+			.addLast(new ConnectionHandler(this.handler));
+	}
+
+}
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/server/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * An HTTP server over Netty that streams answers and keeps memory bounded.
+ */
+package org.snowwind.http.server;
--- /dev/null
+++ b/model/src/main/java/org/snowwind/model/event/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Numbered log events.
+ */
+package org.snowwind.model.event;
--- /dev/null
+++ b/model/src/main/java/org/snowwind/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Time, problems and settings faults shared by every module.
+ */
+package org.snowwind.model;
--- /dev/null
+++ b/model/src/main/java/org/snowwind/model/resource/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The resources that operators declare.
+ */
+package org.snowwind.model.resource;
--- /dev/null
+++ b/wire/snowwind.thrift
@@ -0,0 +1,97 @@
+// Messages between snowwind's own processes. Generate with the Thrift compiler 0.17.0:
+//   thrift --gen java:generated_annotations=suppress,private-members -out wire-generated/src/main/java wire/snowwind.thrift
+namespace java org.snowwind.wire.generated
+
+/** What an entry tells an agent with each heartbeat. */
+struct EntryHeartbeat {
+  1: string credential
+  2: string entryName
+  3: i64 entryIncarnation
+  /** No attempt below this sequence number is outstanding or will be sent. */
+  4: i64 sequenceFloor
+}
+
+/** What an agent tells an entry about itself. */
+struct AgentReport {
+  1: string agentName
+  2: i64 incarnation
+  3: bool draining
+  4: i32 running
+  5: i32 queued
+  6: i32 concurrencyLimit
+  7: i64 queueDelayMicros
+  8: i64 configRevision
+}
+
+enum RevokeVerdict {
+  /** The attempt had begun. */
+  BEGAN = 0
+  /** The attempt had not begun and never will. */
+  NEVER_WILL_BEGIN = 1
+  /** The agent has been restarted since; it cannot say. */
+  CANNOT_SAY = 2
+}
+
+struct RevokeRequest {
+  1: string credential
+  2: i64 agentIncarnation
+  3: i64 entryIncarnation
+  4: i64 sequence
+}
+
+struct ConfigPush {
+  1: string credential
+  2: i64 revision
+  3: binary document
+}
+
+/** A call carried a wrong credential or a value that is not allowed. */
+exception Refused {
+  1: string code
+  2: string message
+}
+
+service AgentControl {
+  AgentReport heartbeat(1: EntryHeartbeat heartbeat) throws (1: Refused refused)
+  RevokeVerdict revoke(1: RevokeRequest request) throws (1: Refused refused)
+  /** Returns the revision in force afterwards. */
+  i64 configure(1: ConfigPush push) throws (1: Refused refused)
+  AgentReport drain(1: string credential, 2: string reason) throws (1: Refused refused)
+}
+
+/** How far the nodes of one data centre have come. */
+struct DataCentreProgress {
+  1: string dataCentre
+  2: i64 revision
+  3: i64 ageMillis
+  4: string waitsFor
+}
+
+struct PeerReport {
+  1: string credential
+  2: string entryName
+  3: i64 incarnation
+  4: string dataCentre
+  5: string controlAddress
+  6: bool draining
+  7: i64 configRevision
+  /** The lowest revision among the agents that this entry observes, and the name of that agent. */
+  8: i64 agentsRevision
+  9: string agentsWaitFor
+  10: list<DataCentreProgress> progress
+  /** Control addresses of entries that this entry knows to live. */
+  11: list<string> knownEntries
+  /** How long ago the sender last heard from the platform; -1 for never. */
+  12: i64 platformAgeMillis
+}
+
+struct ConfigDocument {
+  1: i64 revision
+  2: binary document
+}
+
+service EntryControl {
+  PeerReport exchange(1: PeerReport report) throws (1: Refused refused)
+  /** Returns the configuration in force if it is newer than the caller's, else a document of the caller's revision. */
+  ConfigDocument fetchConfig(1: string credential, 2: i64 haveRevision) throws (1: Refused refused)
+}
--- /dev/null
+++ b/wire/src/main/java/org/snowwind/wire/ThriftCalls.java
@@ -0,0 +1,99 @@
+package org.snowwind.wire;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+
+import org.apache.thrift.TException;
+import org.apache.thrift.async.AsyncMethodCallback;
+import org.apache.thrift.async.TAsyncClient;
+import org.apache.thrift.async.TAsyncClientManager;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocolFactory;
+import org.apache.thrift.transport.TNonblockingSocket;
+import org.apache.thrift.transport.TNonblockingTransport;
+
+/**
+ * The one thread that carries all control calls that a process makes.
+ */
+public final class ThriftCalls implements AutoCloseable {
+
+	private final TAsyncClientManager manager;
+
+	private final TProtocolFactory protocols = new TCompactProtocol.Factory();
+
+	/**
+	 * Starts the thread.
+	 */
+	public ThriftCalls() {
+		try {
+			this.manager = new TAsyncClientManager();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Returns a link to one process.
+	 * @param <C> the type of the generated client
+	 * @param address the process's control address
+	 * @param factory creates the generated client
+	 * @param timeoutMillis how long a call may take, in milliseconds
+	 * @return a link that connects when it is first used
+	 */
+	public <C extends TAsyncClient> ThriftLink<C> link(InetSocketAddress address, ClientFactory<C> factory,
+			long timeoutMillis) {
+		return new ThriftLink<>(() -> {
+			TNonblockingTransport transport = new TNonblockingSocket(address.getAddress().getHostAddress(),
+					address.getPort());
+			C client = factory.create(this.protocols, this.manager, transport);
+			client.setTimeout(timeoutMillis);
+			return new ThriftLink.Connected<>(client, transport);
+		});
+	}
+
+	@Override
+	public void close() {
+		this.manager.stop();
+	}
+
+	/**
+	 * Creates a generated client.
+	 *
+	 * @param <C> its type
+	 */
+	@FunctionalInterface
+	public interface ClientFactory<C> {
+
+		/**
+		 * Creates the client.
+		 * @param protocols the encoding
+		 * @param manager the calls' thread
+		 * @param transport the connection
+		 * @return the client
+		 */
+		C create(TProtocolFactory protocols, TAsyncClientManager manager, TNonblockingTransport transport);
+
+	}
+
+	/**
+	 * One call on a generated client.
+	 *
+	 * @param <C> the client's type
+	 * @param <T> the answer's type
+	 */
+	@FunctionalInterface
+	public interface Call<C, T> {
+
+		/**
+		 * Makes the call.
+		 * @param client the client
+		 * @param callback takes the answer
+		 * @throws TException if the call cannot be made
+		 */
+		void make(C client, AsyncMethodCallback<T> callback) throws TException;
+
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/snowwind/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Thrift calls between snowwind's own processes.
+ */
+package org.snowwind.wire;
