--- a/agent/src/main/java/org/snowwind/agent/admission/RunningWork.java
+++ b/agent/src/main/java/org/snowwind/agent/admission/RunningWork.java
@@ -108,10 +108,8 @@
 		}
 	}
 
-	/**
-	 * Repeatable work is cancelled. Other work goes on to its end, because its effect may
-	 * have begun and cutting it off would make it half an effect.
-	 */
+	// Repeatable work is cancelled. Other work goes on to its end, because its effect may
+	// have begun and cutting it off would make it half an effect.
 	private void callerGone() {
 		this.callerGone = true;
 		if (this.work.repeatable()) {
--- /dev/null
+++ b/entry/src/main/java/org/snowwind/entry/api/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The resource API for operators.
+ */
+package org.snowwind.entry.api;
--- /dev/null
+++ b/entry/src/main/java/org/snowwind/entry/config/ConfigHolder.java
@@ -0,0 +1,107 @@
+package org.snowwind.entry.config;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+import org.snowwind.config.snapshot.Snapshot;
+import org.snowwind.config.snapshot.SnapshotCodec;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+
+/**
+ * Holds the configuration in force; its revision never falls.
+ */
+public final class ConfigHolder {
+
+	private final String name;
+
+	private final List<Consumer<Snapshot>> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile Snapshot current = Snapshot.NONE;
+
+	private byte[] encoded = new byte[0];
+
+	private long encodedRevision;
+
+	/**
+	 * Creates a holder without configuration.
+	 * @param name the process's name, for the log
+	 */
+	public ConfigHolder(String name) {
+		this.name = name;
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the snapshot, {@link Snapshot#NONE} before the first
+	 */
+	public Snapshot current() {
+		return this.current;
+	}
+
+	/**
+	 * Asks to be told of each new configuration, on the thread that brings it.
+	 * @param listener is told
+	 */
+	public void onChange(Consumer<Snapshot> listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Puts a configuration in force unless it is older than the present one.
+	 * @param next the configuration
+	 * @return true if it is in force now
+	 */
+	public boolean offer(Snapshot next) {
+		synchronized (this) {
+			if (next.revision() <= this.current.revision()) {
+				noteStale(next.revision());
+				return false;
+			}
+			this.current = next;
+		}
+		EventLog.log(Event.CONFIG_APPLIED, "entry", this.name, "revision", next.revision(), "resources",
+				next.resources().all().size());
+		this.listeners.forEach((listener) -> listener.accept(next));
+		return true;
+	}
+
+	private void noteStale(long revision) {
+		if (revision < this.current.revision()) {
+			EventLog.log(Event.CONFIG_STALE_IGNORED, "entry", this.name, "revision", revision, "inForce",
+					this.current.revision());
+		}
+	}
+
+	/**
+	 * Offers a configuration that a peer encoded.
+	 * @param revision its revision
+	 * @param bytes the encoded snapshot, empty if the peer had none that is newer
+	 */
+	public void offerEncoded(long revision, byte[] bytes) {
+		if (bytes.length == 0 || revision <= this.current.revision()) {
+			return;
+		}
+		try {
+			offer(SnapshotCodec.decode(bytes));
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.CONFIG_REJECTED, "entry", this.name, "revision", revision, "reason", ex.getMessage());
+		}
+	}
+
+	/**
+	 * Returns the configuration in force as peers take it.
+	 * @return the encoded snapshot
+	 */
+	public synchronized byte[] encodedCurrent() {
+		if (this.encodedRevision != this.current.revision()) {
+			this.encoded = SnapshotCodec.encode(this.current);
+			this.encodedRevision = this.current.revision();
+		}
+		return this.encoded;
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/snowwind/entry/member/ServerTable.java
@@ -0,0 +1,201 @@
+package org.snowwind.entry.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.snowwind.config.snapshot.ResourceSet.Named;
+import org.snowwind.config.snapshot.Snapshot;
+import org.snowwind.decide.choice.Candidates;
+import org.snowwind.decide.choice.PrefixAffinity;
+import org.snowwind.decide.choice.RoundRobin;
+import org.snowwind.decide.choice.ServerChooser;
+import org.snowwind.decide.choice.ServerView;
+import org.snowwind.decide.choice.TwoChoices;
+import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+import org.snowwind.model.resource.BackendServerSpec;
+import org.snowwind.model.resource.RoutingPolicySpec.Choice;
+import org.snowwind.wire.generated.AgentReport;
+
+/**
+ * The backend servers that this entry observes, and the choice among them. Confined to
+ * the loop.
+ */
+public final class ServerTable {
+
+	private static final double PANIC_SHARE = 0.4;
+
+	private static final double SPILL_FULLNESS = 1;
+
+	private static final double AFFINITY_LOAD_BOUND = 1.5;
+
+	private final String dataCentre;
+
+	private final MonotonicClock clock;
+
+	private final long suspectAfterMillis;
+
+	private final Map<String, Server> servers = new LinkedHashMap<>();
+
+	private final Map<Choice, ServerChooser> choosers = new EnumMap<>(Choice.class);
+
+	/**
+	 * Creates a table without servers.
+	 * @param dataCentre the entry's data centre
+	 * @param clock tells the time
+	 * @param random the source of randomness
+	 * @param suspectAfterMillis a server silent for so long is suspected, in milliseconds
+	 */
+	public ServerTable(String dataCentre, MonotonicClock clock, RandomGenerator random, long suspectAfterMillis) {
+		this.dataCentre = dataCentre;
+		this.clock = clock;
+		this.suspectAfterMillis = suspectAfterMillis;
+		ServerChooser twoChoices = new TwoChoices(random);
+		this.choosers.put(Choice.TWO_CHOICES, twoChoices);
+		this.choosers.put(Choice.ROUND_ROBIN, new RoundRobin());
+		this.choosers.put(Choice.PREFIX_AFFINITY, new PrefixAffinity(AFFINITY_LOAD_BOUND, twoChoices));
+	}
+
+	/**
+	 * Takes over the servers of a configuration.
+	 * @param snapshot the configuration in force
+	 */
+	public void use(Snapshot snapshot) {
+		List<String> declared = new ArrayList<>();
+		for (Named<BackendServerSpec> server : snapshot.servers()) {
+			declared.add(server.name());
+			this.servers.computeIfAbsent(server.name(), (name) -> newServer(server)).spec(server.spec());
+		}
+		this.servers.keySet().retainAll(declared);
+	}
+
+	private Server newServer(Named<BackendServerSpec> server) {
+		return new Server(server.name(), server.spec(), server.spec().dataCentre().equals(this.dataCentre));
+	}
+
+	/**
+	 * Chooses a server for an attempt.
+	 * @param target the name of the service or model group
+	 * @param choice how to choose
+	 * @param affinityHash a hash of what the request shares with others
+	 * @param excluded servers that were tried already
+	 * @return the server, if there is one
+	 */
+	public Optional<Server> choose(String target, Choice choice, long affinityHash, Set<String> excluded) {
+		long nowMillis = this.clock.nowMillis();
+		List<ServerView> views = new ArrayList<>();
+		for (Server server : this.servers.values()) {
+			boolean serves = server.spec().targets().contains(target);
+			if (serves && server.reachable() && !excluded.contains(server.name())) {
+				views.add(server.view(nowMillis));
+			}
+		}
+		List<ServerView> healthy = Candidates.healthyUnlessPanic(views,
+				(view) -> this.servers.get(view.name()).healthy(nowMillis), PANIC_SHARE);
+		List<ServerView> near = Candidates.nearUnlessFull(healthy, SPILL_FULLNESS);
+		return this.choosers.get(choice).choose(near, affinityHash).map((view) -> this.servers.get(view.name()));
+	}
+
+	/**
+	 * Tells whether a target has a server that was not tried yet.
+	 * @param target the name of the service or model group
+	 * @param excluded servers that were tried already
+	 * @return true if it has
+	 */
+	public boolean anyLeft(String target, Set<String> excluded) {
+		return this.servers.values()
+			.stream()
+			.anyMatch((server) -> server.reachable() && server.spec().targets().contains(target)
+					&& !excluded.contains(server.name()));
+	}
+
+	/**
+	 * Takes note of an agent's report.
+	 * @param name the server's name
+	 * @param report the report
+	 */
+	public void heard(String name, AgentReport report) {
+		Server server = this.servers.get(name);
+		if (server == null) {
+			return;
+		}
+		switch (server.heard(report, this.clock.nowMillis())) {
+			case RESTARTED -> {
+				EventLog.log(Event.SERVER_RESTARTED, "server", name);
+				loseWaiting(server);
+			}
+			case TRUSTED -> EventLog.log(Event.SERVER_TRUSTED, "server", name);
+			case NONE -> {
+			}
+		}
+	}
+
+	/**
+	 * Suspects servers that have been silent for too long; what waits for their answer is
+	 * told.
+	 */
+	public void suspectSilent() {
+		long silentSinceMillis = this.clock.nowMillis() - this.suspectAfterMillis;
+		for (Server server : List.copyOf(this.servers.values())) {
+			if (server.suspectIfSilent(silentSinceMillis)) {
+				EventLog.log(Event.SERVER_SUSPECTED, "server", server.name());
+				loseWaiting(server);
+			}
+		}
+	}
+
+	private static void loseWaiting(Server server) {
+		server.takeWaiting().forEach(Runnable::run);
+	}
+
+	/**
+	 * Finds the agent of this data centre that is furthest behind in configuration.
+	 * @return its name and revision; empty if no agent here lives
+	 */
+	public Optional<AgentProgress> furthestBehind() {
+		AgentProgress behind = null;
+		for (Server server : this.servers.values()) {
+			boolean counts = server.sameDataCentre() && !server.suspected();
+			if (counts && (behind == null || server.configRevision() < behind.revision())) {
+				behind = new AgentProgress(server.name(), server.configRevision());
+			}
+		}
+		return Optional.ofNullable(behind);
+	}
+
+	/**
+	 * Returns the servers.
+	 * @return all of them
+	 */
+	public Collection<Server> servers() {
+		return List.copyOf(this.servers.values());
+	}
+
+	/**
+	 * Counts the servers that look healthy.
+	 * @return how many do
+	 */
+	public long healthyCount() {
+		long nowMillis = this.clock.nowMillis();
+		return this.servers.values().stream().filter((server) -> server.healthy(nowMillis)).count();
+	}
+
+	/**
+	 * How far an agent has come.
+	 *
+	 * @param name the server's name
+	 * @param revision the revision of its configuration
+	 */
+	public record AgentProgress(String name, long revision) {
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/snowwind/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The process on an entry VM.
+ */
+package org.snowwind.entry;
--- /dev/null
+++ b/entry/src/main/java/org/snowwind/entry/request/AnswerTracker.java
@@ -0,0 +1,37 @@
+package org.snowwind.entry.request;
+
+/**
+ * Follows an answer on its way to the caller.
+ */
+interface AnswerTracker {
+
+	/** No bytes. */
+	byte[] NOTHING = new byte[0];
+
+	/**
+	 * Takes bytes from the back end.
+	 * @param bytes the bytes
+	 * @return what may go to the caller now
+	 */
+	byte[] take(byte[] bytes);
+
+	/**
+	 * Tells whether everything that belongs to the answer has come, by what it says
+	 * itself.
+	 * @return true if nothing is missing
+	 */
+	boolean complete();
+
+	/**
+	 * Tells whether a clean end of the transfer is a whole answer.
+	 * @return true if it is
+	 */
+	boolean wholeAtEnd();
+
+	/**
+	 * Returns where the answer would be continued, and forgets what was held back.
+	 * @return a token's place
+	 */
+	int resumeAt();
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
@@ -0,0 +1,307 @@
+package org.snowwind.entry.request;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.util.concurrent.Future;
+import org.snowwind.decide.admission.RetryBudget;
+import org.snowwind.decide.outcome.AttemptEnd;
+import org.snowwind.decide.outcome.NextStep;
+import org.snowwind.decide.outcome.NextStepRules;
+import org.snowwind.decide.outcome.Situation;
+import org.snowwind.entry.member.Server;
+import org.snowwind.http.server.HttpExchange;
+import org.snowwind.http.server.Responses;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+import org.snowwind.model.outcome.Disclosure;
+import org.snowwind.model.outcome.Problem;
+import org.snowwind.model.outcome.ProblemKind;
+
+/**
+ * Carries one request from its first attempt to its one end. Confined to the loop.
+ *
+ * <p>
+ * What to do after each attempt is decided by {@link NextStepRules}; this class only does
+ * it.
+ */
+final class RequestFlow implements AttemptObserver, NextStep.Cases {
+
+	private static final int OK = 200;
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final long RETRY_AFTER_MILLIS = 1000;
+
+	private static final long RETRY_SPREAD_MILLIS = 2000;
+
+	/** Kept back from the budget, so that a lost attempt can still be revoked in time. */
+	private static final long REVOKE_RESERVE_MILLIS = 200;
+
+	private static final int RESERVE_SHARE = 10;
+
+	private final RequestContext context;
+
+	private final CallerRequest request;
+
+	private final HttpExchange exchange;
+
+	private final EndListener whenEnded;
+
+	private AnswerTracker tracker = new PlainAnswer();
+
+	private final Set<String> refusedBy = new HashSet<>();
+
+	private final Set<String> tried = new HashSet<>();
+
+	private final long startMillis;
+
+	private final long deadlineMillis;
+
+	private Future<?> deadlineTimer;
+
+	private Attempt attempt;
+
+	private int attemptsUsed;
+
+	private long bytesDelivered;
+
+	private boolean revoking;
+
+	private boolean finished;
+
+	RequestFlow(RequestContext context, CallerRequest request, HttpExchange exchange, EndListener whenEnded) {
+		this.context = context;
+		this.request = request;
+		this.exchange = exchange;
+		this.whenEnded = whenEnded;
+		this.startMillis = context.clock().nowMillis();
+		long reserveMillis = Math.min(REVOKE_RESERVE_MILLIS, request.budgetMillis() / RESERVE_SHARE);
+		this.deadlineMillis = this.startMillis + request.budgetMillis() - reserveMillis;
+	}
+
+	void start() {
+		this.exchange.onGone(this::callerGone);
+		this.exchange.onWritableChange(this::adjustReading);
+		this.deadlineTimer = this.context.loop().later(this::deadlinePassed, remainingMillis());
+		retryBudget().firstAttempt();
+		send();
+	}
+
+	private RetryBudget retryBudget() {
+		return this.context.gates().retries(this.request.organisation());
+	}
+
+	private long remainingMillis() {
+		return this.deadlineMillis - this.context.clock().nowMillis();
+	}
+
+	// ---- the steps
+
+	@Override
+	public void send() {
+		sendAttempt(0);
+	}
+
+	@Override
+	public void resume() {
+		EventLog.log(Event.STREAM_RESUMED, "attempt", this.attempt.id(), "server", this.attempt.server().name());
+		sendAttempt(this.tracker.resumeAt());
+	}
+
+	private void sendAttempt(int resumeAt) {
+		Optional<Server> server = chooseServer();
+		if (server.isEmpty()) {
+			finish(Disclosure.NOT_RUN, ProblemKind.NO_SERVER);
+			return;
+		}
+		if (this.attemptsUsed > 0) {
+			retryBudget().retried();
+		}
+		endSequence();
+		this.attemptsUsed++;
+		this.tried.add(server.get().name());
+		this.attempt = new Attempt(this.context, this.request, server.get(), this);
+		this.attempt.send(remainingMillis(), headWithinMillis(), resumeAt);
+	}
+
+	// Lets the floor of outstanding attempts pass the last one. Not before its agent was
+	// asked about it, for below the floor an agent no longer knows.
+	private void endSequence() {
+		if (this.attempt != null) {
+			this.context.sequence().end(this.attempt.id());
+		}
+	}
+
+	private Optional<Server> chooseServer() {
+		Optional<Server> untried = choose(this.tried);
+		return untried.isPresent() ? untried : choose(this.refusedBy);
+	}
+
+	private Optional<Server> choose(Set<String> excluded) {
+		return this.context.servers()
+			.choose(this.request.target(), this.request.policy().choice(), this.request.affinityHash(), excluded);
+	}
+
+	private long headWithinMillis() {
+		if (!this.request.repeatable()) {
+			return remainingMillis();
+		}
+		int attemptsLeft = this.request.policy().maxAttempts() - this.attemptsUsed + 1;
+		return remainingMillis() / Math.max(1, attemptsLeft);
+	}
+
+	@Override
+	public void revoke() {
+		this.revoking = true;
+		Attempt lost = this.attempt;
+		this.context.revoker()
+			.revoke(lost.server().spec().controlAddress(), lost.agentIncarnation(), lost.id(), (end) -> {
+				this.revoking = false;
+				if (!this.finished) {
+					decide(end);
+				}
+			});
+	}
+
+	@Override
+	public void finish(Disclosure disclosure, ProblemKind kind) {
+		close(disclosure, kind);
+		if (kind == null) {
+			this.exchange.end();
+			return;
+		}
+		if (disclosure == Disclosure.UNKNOWN) {
+			EventLog.log(Event.OUTCOME_UNKNOWN, "attempt", this.attempt.id(), "server", this.attempt.server().name(),
+					"organisation", this.request.organisation(), "target", this.request.target());
+		}
+		if (this.exchange.begun()) {
+			this.exchange.abort();
+			return;
+		}
+		Responses.problem(this.exchange, problemOf(disclosure, kind));
+	}
+
+	private Problem problemOf(Disclosure disclosure, ProblemKind kind) {
+		Problem problem = new Problem(kind, detailOf(disclosure), disclosure, 0);
+		if (disclosure != Disclosure.NOT_RUN) {
+			return problem;
+		}
+		return problem.retryAfter(RETRY_AFTER_MILLIS + this.context.random().nextLong(RETRY_SPREAD_MILLIS));
+	}
+
+	private static String detailOf(Disclosure disclosure) {
+		return switch (disclosure) {
+			case ANSWERED -> "the request was answered";
+			case NOT_RUN -> "the request did not run and will not";
+			case FAILED -> "the request ran and failed";
+			case UNKNOWN -> "the request may have run; nobody can tell";
+		};
+	}
+
+	private void close(Disclosure disclosure, ProblemKind kind) {
+		this.finished = true;
+		this.deadlineTimer.cancel(false);
+		if (this.attempt != null) {
+			this.attempt.abandon();
+		}
+		endSequence();
+		this.context.meters().ended(this.request, disclosure, kind);
+		this.whenEnded.ended(disclosure);
+	}
+
+	// ---- what happens
+
+	@Override
+	public void answerBegins(int status, Map<String, String> headers) {
+		boolean engineFailed = this.request.engine() && status >= SERVER_ERROR;
+		boolean cannotContinue = this.exchange.begun() && status != OK;
+		if (engineFailed || cannotContinue) {
+			this.attempt.fail();
+			return;
+		}
+		if (this.exchange.begun()) {
+			return;
+		}
+		this.tracker = (status == OK) ? this.request.newTracker() : new PlainAnswer();
+		this.context.meters().firstByte(this.request, this.context.clock().nowMillis() - this.startMillis);
+		this.exchange.begin(status, headers);
+	}
+
+	@Override
+	public void answerBytes(byte[] bytes) {
+		byte[] deliverable = this.tracker.take(bytes);
+		if (deliverable.length > 0) {
+			this.bytesDelivered += deliverable.length;
+			this.exchange.write(deliverable);
+			adjustReading();
+		}
+	}
+
+	@Override
+	public void attemptEnded(AttemptEnd end) {
+		if (!this.finished) {
+			decide(trueEnd(end));
+		}
+	}
+
+	// An answer that says it is done is whole; one that does not is not.
+	private AttemptEnd trueEnd(AttemptEnd end) {
+		if (end == AttemptEnd.BEGAN_THEN_BROKE && this.tracker.complete()) {
+			return AttemptEnd.ANSWERED;
+		}
+		if (end == AttemptEnd.ANSWERED && !this.tracker.wholeAtEnd()) {
+			return AttemptEnd.BEGAN_THEN_BROKE;
+		}
+		return end;
+	}
+
+	private void decide(AttemptEnd end) {
+		if (end == AttemptEnd.REFUSED) {
+			this.refusedBy.add(this.attempt.server().name());
+		}
+		boolean serverLeft = this.context.servers().anyLeft(this.request.target(), this.refusedBy);
+		Situation situation = new Situation(end, this.request.repeatable(), this.request.engine(), this.bytesDelivered,
+				this.attemptsUsed, this.request.policy().maxAttempts(), remainingMillis(), retryBudget().allows(),
+				serverLeft, this.attempt.refusal());
+		NextStepRules.decide(situation).perform(this);
+	}
+
+	private void deadlinePassed() {
+		if (this.finished || this.revoking || this.attempt == null) {
+			return;
+		}
+		boolean began = this.attempt.headArrived();
+		this.attempt.abandon();
+		decide(began ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.SENT_THEN_LOST);
+	}
+
+	private void callerGone() {
+		if (!this.finished) {
+			close(Disclosure.UNKNOWN, null);
+		}
+	}
+
+	private void adjustReading() {
+		if (!this.finished && this.attempt != null) {
+			this.attempt.reading(this.exchange.writable());
+		}
+	}
+
+	/**
+	 * Is told that a request has ended.
+	 */
+	@FunctionalInterface
+	interface EndListener {
+
+		/**
+		 * The request has ended.
+		 * @param disclosure what its caller is told
+		 */
+		void ended(Disclosure disclosure);
+
+	}
+
+}
--- a/http/src/main/java/org/snowwind/http/server/HttpExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/HttpExchange.java
@@ -43,8 +43,19 @@
 	 * Reads the whole body.
 	 * @param maxBytes the most that is taken, in bytes; a longer one is answered with 413
 	 * @param whenRead gets the body
+	 * @param whenRefused told instead if the body was answered with a 4xx
 	 */
-	void readBody(int maxBytes, Consumer<byte[]> whenRead);
+	void readBody(int maxBytes, Consumer<byte[]> whenRead, Runnable whenRefused);
+
+	/**
+	 * Reads the whole body where nobody needs to know of a refused one.
+	 * @param maxBytes the most that is taken, in bytes; a longer one is answered with 413
+	 * @param whenRead gets the body
+	 */
+	default void readBody(int maxBytes, Consumer<byte[]> whenRead) {
+		readBody(maxBytes, whenRead, () -> {
+		});
+	}
 
 	/**
 	 * Begins a streamed answer.
--- a/http/src/main/java/org/snowwind/http/server/NettyExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/NettyExchange.java
@@ -73,6 +73,8 @@
 
 	private Runnable whenGone = NOTHING;
 
+	private Runnable whenRefused = NOTHING;
+
 	private Runnable whenWritableChanges = NOTHING;
 
 	NettyExchange(ChannelHandlerContext context, HttpRequest request, Runnable whenFinished) {
@@ -113,7 +115,8 @@
 	}
 
 	@Override
-	public void readBody(int maxBytes, Consumer<byte[]> whenRead) {
+	public void readBody(int maxBytes, Consumer<byte[]> whenRead, Runnable refused) {
+		this.whenRefused = refused;
 		if (announcedBytes() > maxBytes) {
 			refuseBody(maxBytes);
 			return;
@@ -140,6 +143,7 @@
 
 	private void refuseBody(int maxBytes) {
 		this.bodyReader = null;
+		this.whenRefused.run();
 		closeAfterAnswer();
 		Responses.problem(this,
 				Problem.notRun(ProblemKind.BODY_TOO_LARGE, "the body is larger than " + maxBytes + " bytes"));
@@ -202,7 +206,9 @@
 
 	void bodyMalformed() {
 		closeAfterAnswer();
+		this.bodyReader = null;
 		if (!this.begun) {
+			this.whenRefused.run();
 			Responses.problem(this, Problem.notRun(ProblemKind.MALFORMED_HTTP, "the body is not valid HTTP"));
 		}
 	}
@@ -269,7 +275,7 @@
 		}
 	}
 
-	/** Closing on unread bytes would reset the connection and lose the answer. */
+	// Closing on unread bytes would reset the connection and lose the answer.
 	private void closeOnceRead() {
 		this.context.executor().schedule((Runnable) this.context::close, LINGER_MILLIS, TimeUnit.MILLISECONDS);
 	}
