--- /dev/null
+++ b/app/src/main/java/org/snowwind/app/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The subcommands.
+ */
+package org.snowwind.app.command;
--- /dev/null
+++ b/app/src/main/java/org/snowwind/app/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Callers that check every answer they get.
+ */
+package org.snowwind.app.load;
--- /dev/null
+++ b/app/src/main/java/org/snowwind/app/logging/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How log lines look.
+ */
+package org.snowwind.app.logging;
--- /dev/null
+++ b/app/src/main/java/org/snowwind/app/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The one binary.
+ */
+package org.snowwind.app;
--- /dev/null
+++ b/operator/src/main/java/org/snowwind/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The client side of the resource API.
+ */
+package org.snowwind.operator;
