--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/harness/SnowwindProcess.java
@@ -0,0 +1,115 @@
+package org.snowwind.app.harness;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One real process of the packaged binary.
+ */
+public final class SnowwindProcess implements AutoCloseable {
+
+	private static final Path BINARY = Path.of(System.getProperty("snowwind.root"), "app/target/snowwind");
+
+	private static final long STOP_SECONDS = 30;
+
+	private final Process process;
+
+	private final Path log;
+
+	/**
+	 * Starts a process.
+	 * @param log where its output goes
+	 * @param arguments the arguments
+	 * @throws IOException if it cannot be started
+	 */
+	public SnowwindProcess(Path log, String... arguments) throws IOException {
+		List<String> command = new ArrayList<>();
+		command.add(BINARY.toString());
+		command.addAll(List.of(arguments));
+		this.log = log;
+		this.process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+	}
+
+	/**
+	 * Kills the process as a failing VM would.
+	 * @throws InterruptedException if the waiting thread is interrupted
+	 */
+	public void kill() throws InterruptedException {
+		this.process.destroyForcibly();
+		this.process.waitFor(STOP_SECONDS, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Asks the process to stop.
+	 */
+	public void terminate() {
+		this.process.destroy();
+	}
+
+	/**
+	 * Waits for the process to end.
+	 * @return true if it has ended
+	 * @throws InterruptedException if the waiting thread is interrupted
+	 */
+	public boolean awaitEnd() throws InterruptedException {
+		return this.process.waitFor(STOP_SECONDS, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Returns the exit code of an ended process.
+	 * @return the code
+	 */
+	public int exitCode() {
+		return this.process.exitValue();
+	}
+
+	/**
+	 * Stops the process from running, as a paused VM.
+	 * @throws IOException if the signal cannot be sent
+	 * @throws InterruptedException if the waiting thread is interrupted
+	 */
+	public void freeze() throws IOException, InterruptedException {
+		signal("STOP");
+	}
+
+	/**
+	 * Lets a frozen process run on.
+	 * @throws IOException if the signal cannot be sent
+	 * @throws InterruptedException if the waiting thread is interrupted
+	 */
+	public void thaw() throws IOException, InterruptedException {
+		signal("CONT");
+	}
+
+	private void signal(String name) throws IOException, InterruptedException {
+		new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).start().waitFor();
+	}
+
+	/**
+	 * Returns what the process has printed.
+	 * @return its output
+	 * @throws IOException if it cannot be read
+	 */
+	public String output() throws IOException {
+		return Files.readString(this.log);
+	}
+
+	@Override
+	public void close() throws IOException {
+		if (!this.process.isAlive()) {
+			return;
+		}
+		try {
+			thaw();
+			kill();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/decide/src/test/java/org/snowwind/decide/admission/LimitTests.java
@@ -0,0 +1,59 @@
+package org.snowwind.decide.admission;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LimitTests {
+
+	@Test
+	void aBucketGivesItsBurstAndThenItsRate() {
+		TokenBucket bucket = new TokenBucket(10, 2, 0);
+		assertThat(bucket.tryTake(0)).isTrue();
+		assertThat(bucket.tryTake(0)).isTrue();
+		assertThat(bucket.tryTake(0)).isFalse();
+		assertThat(bucket.nextTokenMillis()).isEqualTo(100);
+		assertThat(bucket.tryTake(100)).isTrue();
+		assertThat(bucket.tryTake(100)).isFalse();
+	}
+
+	@Test
+	void retriesAreAFractionOfFirstAttempts() {
+		RetryBudget budget = new RetryBudget(0.5, 1);
+		assertThat(budget.allows()).isTrue();
+		budget.retried();
+		budget.firstAttempt();
+		assertThat(budget.allows()).isFalse();
+		budget.firstAttempt();
+		assertThat(budget.allows()).isTrue();
+	}
+
+	@Test
+	void theConcurrencyLimitGrowsWhileItIsFeltAndDelaysAreLow() {
+		ConcurrencyLimit limit = new ConcurrencyLimit(4, 1, 100, 2);
+		for (int i = 0; i < 50; i++) {
+			limit.sample(10, 10);
+		}
+		assertThat(limit.current()).isGreaterThan(6);
+	}
+
+	@Test
+	void theConcurrencyLimitShrinksWhenDelaysRise() {
+		ConcurrencyLimit limit = new ConcurrencyLimit(40, 2, 100, 2);
+		limit.sample(10, 40);
+		for (int i = 0; i < 200; i++) {
+			limit.sample(100, 40);
+		}
+		assertThat(limit.current()).isBetween(2, 30);
+	}
+
+	@Test
+	void anIdleLimitStaysAsItIs() {
+		ConcurrencyLimit limit = new ConcurrencyLimit(40, 2, 100, 2);
+		for (int i = 0; i < 50; i++) {
+			limit.sample(10, 1);
+		}
+		assertThat(limit.current()).isEqualTo(40);
+	}
+
+}
--- /dev/null
+++ b/decide/src/test/java/org/snowwind/decide/choice/ChoiceTests.java
@@ -0,0 +1,99 @@
+package org.snowwind.decide.choice;
+
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.snowwind.decide.choice.Breaker.BreakerSettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ChoiceTests {
+
+	private static ServerView server(String name, int inFlight) {
+		return new ServerView(name, true, inFlight, 0, 10, 1);
+	}
+
+	private static ServerView far(String name, int inFlight) {
+		return new ServerView(name, false, inFlight, 0, 10, 1);
+	}
+
+	@Test
+	void twoChoicesAvoidTheFullServer() {
+		ServerChooser chooser = new TwoChoices(new Random(1));
+		List<ServerView> servers = List.of(server("full", 9), server("idle", 0));
+		long full = IntStream.range(0, 1000)
+			.filter((i) -> "full".equals(chooser.choose(servers, 0).orElseThrow().name()))
+			.count();
+		assertThat(full).isBetween(200L, 300L);
+	}
+
+	@Test
+	void roundRobinTakesTurns() {
+		ServerChooser chooser = new RoundRobin();
+		List<ServerView> servers = List.of(server("a", 9), server("b", 0));
+		assertThat(chooser.choose(servers, 0)).isNotEqualTo(chooser.choose(servers, 0));
+		assertThat(chooser.choose(List.of(), 0)).isEmpty();
+	}
+
+	@Test
+	void affinityKeepsToOneServerUnlessItIsTooFull() {
+		ServerChooser chooser = new PrefixAffinity(1.5, new TwoChoices(new Random(1)));
+		List<ServerView> servers = List.of(server("a", 1), server("b", 1), server("c", 1));
+		String preferred = chooser.choose(servers, 42).orElseThrow().name();
+		assertThat(chooser.choose(servers, 42).orElseThrow().name()).isEqualTo(preferred);
+		List<ServerView> loaded = servers.stream()
+			.map((view) -> view.name().equals(preferred) ? server(preferred, 20) : view)
+			.toList();
+		assertThat(chooser.choose(loaded, 42).orElseThrow().name()).isNotEqualTo(preferred);
+	}
+
+	@Test
+	void whenMostLookDeadAllAreTried() {
+		List<ServerView> servers = List.of(server("a", 0), server("b", 0), server("c", 0));
+		assertThat(Candidates.healthyUnlessPanic(servers, (view) -> !"a".equals(view.name()), 0.4)).hasSize(2);
+		assertThat(Candidates.healthyUnlessPanic(servers, (view) -> "a".equals(view.name()), 0.4)).hasSize(3);
+	}
+
+	@Test
+	void workStaysNearUntilNearServersAreFull() {
+		List<ServerView> roomy = List.of(server("near", 1), far("far", 0));
+		assertThat(Candidates.nearUnlessFull(roomy, 1)).extracting(ServerView::name).containsExactly("near");
+		List<ServerView> full = List.of(server("near", 30), far("far", 0));
+		assertThat(Candidates.nearUnlessFull(full, 1)).extracting(ServerView::name).containsExactly("far");
+		List<ServerView> allFull = List.of(server("near", 30), far("far", 30));
+		assertThat(Candidates.nearUnlessFull(allFull, 1)).extracting(ServerView::name).containsExactly("near");
+	}
+
+	@Test
+	void aBreakerOpensProbesAndStartsSlowly() {
+		Breaker breaker = new Breaker(new BreakerSettings(2, 100, 1000, 0.1));
+		breaker.failed(0);
+		assertThat(breaker.allows(0)).isTrue();
+		breaker.failed(0);
+		assertThat(breaker.allows(50)).isFalse();
+		assertThat(breaker.allows(100)).isTrue();
+		breaker.sent(100);
+		assertThat(breaker.allows(101)).isFalse();
+		breaker.succeeded(150);
+		assertThat(breaker.allows(150)).isTrue();
+		assertThat(breaker.startFactor(150)).isEqualTo(0.1);
+		assertThat(breaker.startFactor(650)).isEqualTo(0.5);
+		assertThat(breaker.startFactor(5000)).isEqualTo(1);
+	}
+
+	@Test
+	void rendezvousMovesOnlyTheShareOfWhatLeft() {
+		List<String> three = List.of("a", "b", "c");
+		List<String> two = List.of("a", "b");
+		for (int key = 0; key < 100; key++) {
+			String before = Rendezvous.first(three, (name) -> name, "key" + key, 1).get(0);
+			String after = Rendezvous.first(two, (name) -> name, "key" + key, 1).get(0);
+			if (!"c".equals(before)) {
+				assertThat(after).isEqualTo(before);
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/decide/src/test/java/org/snowwind/decide/outcome/DeliveredBytesAreOnlyContinuedTests.java
@@ -0,0 +1,33 @@
+package org.snowwind.decide.outcome;
+
+import org.junit.jupiter.api.Test;
+import org.snowwind.model.outcome.Disclosure;
+import org.snowwind.model.outcome.ProblemKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DeliveredBytesAreOnlyContinuedTests {
+
+	private final NextStepRule rule = new DeliveredBytesAreOnlyContinued();
+
+	@Test
+	void repeatableStreamIsResumed() {
+		assertThat(this.rule.decide(Situations.delivered(AttemptEnd.BEGAN_THEN_BROKE, true, true)))
+			.isSameAs(NextStep.RESUME);
+	}
+
+	@Test
+	void otherStreamIsBrokenOff() {
+		NextStep brokenOff = NextStep.finish(Disclosure.FAILED, ProblemKind.BACKEND_FAILED);
+		assertThat(this.rule.decide(Situations.delivered(AttemptEnd.BEGAN_THEN_BROKE, true, false)))
+			.isEqualTo(brokenOff);
+		assertThat(this.rule.decide(Situations.delivered(AttemptEnd.BEGAN_THEN_BROKE, false, true)))
+			.isEqualTo(brokenOff);
+	}
+
+	@Test
+	void nothingDeliveredIsNotItsBusiness() {
+		assertThat(this.rule.decide(Situations.after(AttemptEnd.BEGAN_THEN_BROKE, true))).isSameAs(NextStep.NO_OPINION);
+	}
+
+}
--- /dev/null
+++ b/decide/src/test/java/org/snowwind/decide/outcome/NextStepRulesTests.java
@@ -0,0 +1,52 @@
+package org.snowwind.decide.outcome;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.snowwind.model.outcome.Disclosure;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class NextStepRulesTests {
+
+	@Property(seed = "20261202")
+	void workThatMayHaveBegunIsSentAgainOnlyIfRepeatable(@ForAll AttemptEnd end, @ForAll boolean resumable,
+			@ForAll @LongRange(min = 0, max = 2) long bytes, @ForAll @IntRange(min = 1, max = 4) int attempts,
+			@ForAll @LongRange(min = -1, max = 1) long remaining, @ForAll boolean budget, @ForAll boolean server) {
+		Situation situation = new Situation(end, false, resumable, bytes, attempts, 3, remaining, budget, server, null);
+		NextStep step = NextStepRules.decide(situation);
+		if (!end.provesNotRun()) {
+			assertThat(step).isNotSameAs(NextStep.SEND).isNotSameAs(NextStep.RESUME);
+		}
+	}
+
+	@Property(seed = "20261202")
+	void notRunIsSaidOnlyOnProof(@ForAll AttemptEnd end, @ForAll boolean repeatable, @ForAll boolean resumable,
+			@ForAll @LongRange(min = 0, max = 2) long bytes, @ForAll @IntRange(min = 1, max = 4) int attempts,
+			@ForAll @LongRange(min = -1, max = 1) long remaining, @ForAll boolean budget, @ForAll boolean server) {
+		Situation situation = new Situation(end, repeatable, resumable, bytes, attempts, 3, remaining, budget, server,
+				null);
+		NextStep step = NextStepRules.decide(situation);
+		if (step instanceof NextStep.Finish finish && finish.disclosure() == Disclosure.NOT_RUN) {
+			assertThat(end.provesNotRun()).isTrue();
+		}
+	}
+
+	@Property(seed = "20261202")
+	void deliveredBytesAreNeverFollowedByARestart(@ForAll AttemptEnd end, @ForAll boolean repeatable,
+			@ForAll boolean resumable, @ForAll @IntRange(min = 1, max = 4) int attempts,
+			@ForAll @LongRange(min = -1, max = 1) long remaining, @ForAll boolean budget, @ForAll boolean server) {
+		Situation situation = new Situation(end, repeatable, resumable, 1, attempts, 3, remaining, budget, server,
+				null);
+		assertThat(NextStepRules.decide(situation)).isNotSameAs(NextStep.SEND);
+	}
+
+	@Property(seed = "20261202")
+	void withoutTimeNothingIsSent(@ForAll AttemptEnd end, @ForAll boolean repeatable, @ForAll boolean resumable,
+			@ForAll @LongRange(min = 0, max = 2) long bytes) {
+		Situation situation = new Situation(end, repeatable, resumable, bytes, 1, 3, 0, true, true, null);
+		assertThat(NextStepRules.decide(situation)).isNotSameAs(NextStep.SEND).isNotSameAs(NextStep.RESUME);
+	}
+
+}
--- /dev/null
+++ b/decide/src/test/java/org/snowwind/decide/outcome/Situations.java
@@ -0,0 +1,25 @@
+package org.snowwind.decide.outcome;
+
+import org.snowwind.model.outcome.ProblemKind;
+
+/**
+ * Situations for tests, each a small change of a common one.
+ */
+final class Situations {
+
+	private Situations() {
+	}
+
+	static Situation after(AttemptEnd end, boolean repeatable) {
+		return new Situation(end, repeatable, true, 0, 1, 3, 1000, true, true, null);
+	}
+
+	static Situation delivered(AttemptEnd end, boolean repeatable, boolean resumable) {
+		return new Situation(end, repeatable, resumable, 100, 1, 3, 1000, true, true, null);
+	}
+
+	static Situation spent(AttemptEnd end, boolean repeatable, long remainingMillis, ProblemKind refusal) {
+		return new Situation(end, repeatable, true, 0, 3, 3, remainingMillis, true, true, refusal);
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
@@ -0,0 +1,163 @@
+package org.snowwind.entry.config;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.Test;
+import org.snowwind.config.check.BuiltInChecks;
+import org.snowwind.config.check.ResourceChecks;
+import org.snowwind.config.snapshot.SnapshotBuilder;
+import org.snowwind.model.Json;
+import org.snowwind.model.ManualClock;
+import org.snowwind.model.resource.StoredResource;
+import org.snowwind.store.GetResult;
+import org.snowwind.store.ListResult;
+import org.snowwind.store.ObjectStore;
+import org.snowwind.store.StoredObject;
+import org.snowwind.store.WatchResult;
+import org.snowwind.store.WriteResult;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PlatformWatcherTests {
+
+	private final ManualClock clock = new ManualClock(0);
+
+	private final ScriptedStore store = new ScriptedStore();
+
+	private final ConfigHolder config = new ConfigHolder("test");
+
+	private boolean onDuty = true;
+
+	private long platformAgeMillis;
+
+	private final PlatformWatcher watcher = new PlatformWatcher(this.store,
+			new SnapshotBuilder(new ResourceChecks(BuiltInChecks.ALL)), this.config, () -> this.onDuty, this.clock,
+			new Random(1), (age) -> this.platformAgeMillis = age);
+
+	private static StoredObject service(long revision, String name) {
+		JsonNode value = Json.MAPPER
+			.valueToTree(new StoredResource("Service", name, 1, null, Json.MAPPER.createObjectNode()));
+		return new StoredObject("resources/Service/" + name, revision, value);
+	}
+
+	private static ListResult listed(long revision, StoredObject... objects) {
+		return new ListResult.Listed(revision, List.of(objects));
+	}
+
+	private static WatchResult changed(StoredObject... objects) {
+		return new WatchResult.Changes(List.of(objects));
+	}
+
+	@Test
+	void whoIsNotOnDutyCallsNobody() {
+		this.onDuty = false;
+		this.watcher.round();
+		assertThat(this.store.calls).isEmpty();
+	}
+
+	@Test
+	void aListingAndThenChangesComeInForce() {
+		this.store.lists.add(listed(3, service(3, "desk")));
+		this.store.watches.add(changed(service(4, "shop")));
+		this.watcher.round();
+		this.watcher.round();
+		assertThat(this.config.current().revision()).isEqualTo(4);
+		assertThat(this.config.current().hasService("shop")).isTrue();
+		assertThat(this.store.calls).containsExactly("list", "watch after 3");
+	}
+
+	@Test
+	void afterAGapEverythingIsListedAgain() {
+		this.store.lists.add(listed(3, service(3, "desk")));
+		this.store.watches.add(new WatchResult.Gap());
+		this.store.lists.add(listed(9, service(9, "shop")));
+		for (int i = 0; i < 3; i++) {
+			this.watcher.round();
+		}
+		assertThat(this.config.current().revision()).isEqualTo(9);
+		assertThat(this.config.current().hasService("desk")).isFalse();
+	}
+
+	@Test
+	void anOldListingNeverDisplacesANewerConfiguration() {
+		this.store.lists.add(listed(9, service(9, "shop")));
+		this.watcher.round();
+		this.onDuty = false;
+		this.watcher.round();
+		this.onDuty = true;
+		this.store.lists.add(listed(3, service(3, "desk")));
+		this.watcher.round();
+		assertThat(this.config.current().revision()).isEqualTo(9);
+		assertThat(this.config.current().hasService("shop")).isTrue();
+	}
+
+	@Test
+	void duringAnHourOfOutageCallsAreFewAndTheConfigurationStays() {
+		this.store.lists.add(listed(3, service(3, "desk")));
+		this.watcher.round();
+		this.store.calls.clear();
+		for (int i = 0; i < 36_000; i++) {
+			this.watcher.round();
+			this.clock.advance(100);
+		}
+		assertThat(this.store.calls.size()).isBetween(100, 2000);
+		assertThat(this.config.current().hasService("desk")).isTrue();
+		assertThat(this.platformAgeMillis).isGreaterThan(3_500_000);
+	}
+
+	@Test
+	void afterAnOutageEverythingIsListedAgain() {
+		this.store.lists.add(listed(3, service(3, "desk")));
+		this.watcher.round();
+		this.watcher.round();
+		this.clock.advance(60_000);
+		this.store.watches.add(changed());
+		this.store.lists.add(listed(5, service(5, "shop")));
+		this.watcher.round();
+		this.watcher.round();
+		assertThat(this.config.current().revision()).isEqualTo(5);
+	}
+
+	private static final class ScriptedStore implements ObjectStore {
+
+		private final List<String> calls = new ArrayList<>();
+
+		private final Deque<ListResult> lists = new ArrayDeque<>();
+
+		private final Deque<WatchResult> watches = new ArrayDeque<>();
+
+		@Override
+		public ListResult list(String prefix) {
+			this.calls.add("list");
+			return this.lists.isEmpty() ? new ListResult.Away("script") : this.lists.removeFirst();
+		}
+
+		@Override
+		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
+			this.calls.add("watch after " + afterRevision);
+			return this.watches.isEmpty() ? new WatchResult.Away("script") : this.watches.removeFirst();
+		}
+
+		@Override
+		public GetResult get(String key) {
+			return new GetResult.Away("script");
+		}
+
+		@Override
+		public WriteResult put(String key, long expectedRevision, JsonNode value) {
+			return new WriteResult.NotWritten("script");
+		}
+
+		@Override
+		public WriteResult delete(String key, long expectedRevision) {
+			return new WriteResult.NotWritten("script");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/http/src/test/java/org/snowwind/http/RawHttpTests.java
@@ -0,0 +1,105 @@
+package org.snowwind.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.snowwind.http.server.HttpExchange;
+import org.snowwind.http.server.HttpLimits;
+import org.snowwind.http.server.HttpServer;
+import org.snowwind.http.server.Responses;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RawHttpTests {
+
+	private static final int MAX_BODY_BYTES = 16;
+
+	private final DataLoop loop = new DataLoop("test");
+
+	private final AtomicInteger handled = new AtomicInteger();
+
+	private final HttpServer server = new HttpServer(this.loop, HttpLimits.DEFAULT, this::handle);
+
+	private InetSocketAddress address;
+
+	@BeforeEach
+	void start() {
+		this.address = this.server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.close();
+		this.loop.close();
+	}
+
+	private void handle(HttpExchange exchange) {
+		exchange.readBody(MAX_BODY_BYTES, (body) -> {
+			this.handled.incrementAndGet();
+			Responses.text(exchange, 200, exchange.path() + " " + body.length + "\n");
+		});
+	}
+
+	private String talk(String sent) throws IOException {
+		try (Socket socket = new Socket(this.address.getAddress(), this.address.getPort())) {
+			socket.setSoTimeout(5000);
+			socket.getOutputStream().write(sent.getBytes(StandardCharsets.ISO_8859_1));
+			socket.shutdownOutput();
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+		}
+	}
+
+	@Test
+	void whatIsNotHttpGetsATyped400() throws IOException {
+		assertThat(talk("nonsense\r\n\r\n")).startsWith("HTTP/1.1 400").contains("malformed-http");
+		assertThat(this.handled).hasValue(0);
+	}
+
+	@Test
+	void anOverlongRequestLineGetsATyped414() throws IOException {
+		assertThat(talk("GET /" + "x".repeat(5000) + " HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 414")
+			.contains("uri-too-long");
+	}
+
+	@Test
+	void overlongHeadersGetATyped431() throws IOException {
+		String header = "X-Long: " + "x".repeat(20_000) + "\r\n";
+		assertThat(talk("GET / HTTP/1.1\r\n" + header + "\r\n")).startsWith("HTTP/1.1 431")
+			.contains("headers-too-large");
+	}
+
+	@Test
+	void anOverlongBodyGetsATyped413BeforeItIsRead() throws IOException {
+		assertThat(talk("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n")).startsWith("HTTP/1.1 413")
+			.contains("body-too-large");
+	}
+
+	@Test
+	void anOverlongChunkedBodyGetsATyped413() throws IOException {
+		assertThat(
+				talk("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n" + "x".repeat(32) + "\r\n0\r\n\r\n"))
+			.startsWith("HTTP/1.1 413");
+		assertThat(this.handled).hasValue(0);
+	}
+
+	@Test
+	void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+		String answers = talk("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+		assertThat(answers.indexOf("/a 0")).isBetween(0, answers.indexOf("/b 0"));
+		assertThat(this.handled).hasValue(2);
+	}
+
+	@Test
+	void aBodyThatNeverEndsReachesNobody() throws IOException {
+		assertThat(talk("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf")).isEmpty();
+		assertThat(this.handled).hasValue(0);
+	}
+
+}
--- /dev/null
+++ b/store/src/test/java/org/snowwind/store/VerifiedWritesTests.java
@@ -0,0 +1,121 @@
+package org.snowwind.store;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class VerifiedWritesTests {
+
+	private static final JsonNode MINE = TextNode.valueOf("mine");
+
+	private final FakeStore store = new FakeStore();
+
+	private final VerifiedWrites writes = new VerifiedWrites(this.store, (millis) -> this.store.pauses++);
+
+	@Test
+	void aWriteThatIsAnsweredIsNotReadBack() {
+		assertThat(this.writes.write("k", 0, MINE)).isEqualTo(new WriteResult.Written(1));
+		assertThat(this.store.reads).isZero();
+	}
+
+	@Test
+	void aLostAnswerAfterTheEffectIsFoundOut() {
+		this.store.loseAnswer = true;
+		assertThat(this.writes.write("k", 0, MINE)).isEqualTo(new WriteResult.Written(1));
+		assertThat(this.store.writes).isEqualTo(1);
+	}
+
+	@Test
+	void aLostAnswerBeforeTheEffectIsNeverRepeatedBlind() {
+		this.store.loseWrite = true;
+		assertThat(this.writes.write("k", 0, MINE)).isInstanceOf(WriteResult.Uncertain.class);
+		assertThat(this.store.writes).isEqualTo(1);
+	}
+
+	@Test
+	void anothersWriteFoundInPlaceOfOursIsAConflict() {
+		this.store.loseWrite = true;
+		this.store.values.put("k", new StoredObject("k", 9, TextNode.valueOf("theirs")));
+		assertThat(this.writes.write("k", 0, MINE)).isEqualTo(new WriteResult.Conflict(9));
+	}
+
+	@Test
+	void aLostDeletionIsFoundOut() {
+		this.store.put("k", 0, MINE);
+		this.store.loseAnswer = true;
+		assertThat(this.writes.write("k", 1, null)).isInstanceOf(WriteResult.Written.class);
+	}
+
+	@Test
+	void whileThePlatformIsAwayItStaysUncertain() {
+		this.store.loseAnswer = true;
+		this.store.readsFail = true;
+		assertThat(this.writes.write("k", 0, MINE)).isInstanceOf(WriteResult.Uncertain.class);
+		assertThat(this.store.pauses).isEqualTo(4);
+	}
+
+	private static final class FakeStore implements ObjectStore {
+
+		private final Map<String, StoredObject> values = new HashMap<>();
+
+		private long revision;
+
+		private int reads;
+
+		private int writes;
+
+		private int pauses;
+
+		private boolean loseAnswer;
+
+		private boolean loseWrite;
+
+		private boolean readsFail;
+
+		@Override
+		public ListResult list(String prefix) {
+			return new ListResult.Listed(this.revision, List.copyOf(this.values.values()));
+		}
+
+		@Override
+		public GetResult get(String key) {
+			this.reads++;
+			if (this.readsFail) {
+				return new GetResult.Away("fake");
+			}
+			StoredObject object = this.values.get(key);
+			return (object != null) ? new GetResult.Found(object) : new GetResult.Absent();
+		}
+
+		@Override
+		public WriteResult put(String key, long expectedRevision, JsonNode value) {
+			this.writes++;
+			if (this.loseWrite) {
+				return new WriteResult.Uncertain("fake");
+			}
+			this.revision++;
+			this.values.put(key, new StoredObject(key, this.revision, value));
+			return this.loseAnswer ? new WriteResult.Uncertain("fake") : new WriteResult.Written(this.revision);
+		}
+
+		@Override
+		public WriteResult delete(String key, long expectedRevision) {
+			this.revision++;
+			this.values.remove(key);
+			return this.loseAnswer ? new WriteResult.Uncertain("fake") : new WriteResult.Written(this.revision);
+		}
+
+		@Override
+		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
+			return new WatchResult.Changes(List.of());
+		}
+
+	}
+
+}
