--- a/app/src/main/java/org/snowwind/app/command/SnowwindCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/SnowwindCommand.java
@@ -10,7 +10,7 @@
 @Command(name = "snowwind", description = "A load balancer for expert-parallel model groups.",
 		subcommands = { EntryCommand.class, AgentCommand.class, ApplyCommand.class, GetCommand.class,
 				WatchCommand.class, DescribeCommand.class, DeleteCommand.class, DrainCommand.class, TryCommand.class,
-				StandInCommand.class, VersionCommand.class, CommandLine.HelpCommand.class,
+				MeasureCommand.class, StandInCommand.class, VersionCommand.class, CommandLine.HelpCommand.class,
 				AutoComplete.GenerateCompletion.class },
 		mixinStandardHelpOptions = true, versionProvider = VersionCommand.Provider.class,
 		exitCodeListHeading = "%nExit codes:%n",
--- /dev/null
+++ b/app/src/main/java/org/snowwind/app/measure/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements: each prints its figures beside their baselines and targets.
+ */
+package org.snowwind.app.measure;
