--- a/agent/src/main/java/org/snowwind/agent/admission/BackendLane.java
+++ b/agent/src/main/java/org/snowwind/agent/admission/BackendLane.java
@@ -8,6 +8,7 @@
 import org.snowwind.agent.backend.BackendProtocol;
 import org.snowwind.decide.admission.ConcurrencyLimit;
 import org.snowwind.decide.admission.FairQueue;
+import org.snowwind.decide.admission.WaitEstimate;
 import org.snowwind.decide.ledger.Ledger;
 import org.snowwind.http.client.UpstreamClient;
 import org.snowwind.model.MonotonicClock;
@@ -38,6 +39,8 @@
 
 	private final ConcurrencyLimit limit;
 
+	private final WaitEstimate estimate = new WaitEstimate();
+
 	private final Set<RunningWork> running = new HashSet<>();
 
 	/**
@@ -65,6 +68,15 @@
 	 * @param work the work
 	 */
 	public void offer(Work work) {
+		long waitMillis = this.estimate.waitMillis(this.running.size(), this.limit.current(),
+				this.queue.ahead(work.organisation()));
+		long neededMillis = waitMillis + this.estimate.serviceMillis();
+		if (waitMillis > 0 && this.clock.nowMillis() + neededMillis > work.deadlineMillis()) {
+			Refusals.tell(work.exchange(),
+					Problem.notRun(ProblemKind.OVERLOADED, "it could not end within its time here")
+						.retryAfter(waitMillis));
+			return;
+		}
 		if (!this.queue.offer(work.organisation(), work, work.cost(), work.deadlineMillis())) {
 			Refusals.tell(work.exchange(),
 					Problem.notRun(ProblemKind.OVERLOADED, "the organisation's queue is full here")
@@ -170,6 +182,10 @@
 		this.ledger.neverReachedBackend(work.id());
 	}
 
+	void answered(RunningWork work) {
+		this.estimate.ended(this.clock.nowMillis() - work.startMillis());
+	}
+
 	void ended(RunningWork work) {
 		if (this.running.remove(work)) {
 			pump();
--- a/agent/src/main/java/org/snowwind/agent/admission/RunningWork.java
+++ b/agent/src/main/java/org/snowwind/agent/admission/RunningWork.java
@@ -45,6 +45,10 @@
 		this.call = sent;
 	}
 
+	long startMillis() {
+		return this.startMillis;
+	}
+
 	int runningThen() {
 		return this.runningThen;
 	}
@@ -70,6 +74,7 @@
 
 	@Override
 	public void onEnd() {
+		this.lane.answered(this);
 		if (!this.callerGone) {
 			this.exchange.end();
 		}
--- a/app/src/main/java/org/snowwind/app/measure/MeasureFleet.java
+++ b/app/src/main/java/org/snowwind/app/measure/MeasureFleet.java
@@ -17,7 +17,7 @@
 /**
  * Starts fleets for measurements and declares their resources.
  */
-final class MeasureFleet {
+public final class MeasureFleet {
 
 	private static final long IN_FORCE_TIMEOUT_MILLIS = 30_000;
 
@@ -33,7 +33,7 @@
 	 * @throws MeasurementFailed if it does not come up
 	 * @throws InterruptedException if the waiting thread is interrupted
 	 */
-	static TrialFleet start(TrialSettings settings, List<Caller> callers, OrganisationSpec limits)
+	public static TrialFleet start(TrialSettings settings, List<Caller> callers, OrganisationSpec limits)
 			throws MeasurementFailed, InterruptedException {
 		try {
 			TrialFleet fleet = new TrialFleet(settings);
@@ -64,7 +64,7 @@
 	 * @param entry the entry's name
 	 * @return a client to be closed
 	 */
-	static OperatorClient operator(TrialFleet fleet, String entry) {
+	public static OperatorClient operator(TrialFleet fleet, String entry) {
 		String address = Addresses.render(fleet.entries().get(entry).addresses().operators());
 		return new OperatorClient(address, TrialFleet.OPERATOR_TOKEN);
 	}
@@ -74,7 +74,7 @@
 	 * @param count how many organisations
 	 * @return a caller of each
 	 */
-	static List<Caller> callers(int count) {
+	public static List<Caller> callers(int count) {
 		List<Caller> callers = new ArrayList<>();
 		for (int i = 1; i <= count; i++) {
 			callers.add(new Caller("organisation-" + i, "key-" + i));
@@ -86,7 +86,7 @@
 	 * Limits that are in nobody's way.
 	 * @return the limits
 	 */
-	static OrganisationSpec generous() {
+	public static OrganisationSpec generous() {
 		return new OrganisationSpec(List.of(), 1, 1_000_000, 1_000_000, 100_000, 1 << 20);
 	}
 
--- a/app/src/main/java/org/snowwind/app/measure/Measurements.java
+++ b/app/src/main/java/org/snowwind/app/measure/Measurements.java
@@ -3,13 +3,16 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.snowwind.app.measure.overload.OverloadMeasurement;
+
 /**
  * The registry of all measurements.
  */
 public final class Measurements {
 
 	/** All measurements. */
-	public static final List<Measurement> ALL = List.of(new FootprintMeasurement(), new PathMeasurement());
+	public static final List<Measurement> ALL = List.of(new FootprintMeasurement(), new PathMeasurement(),
+			new OverloadMeasurement());
 
 	private Measurements() {
 	}
--- a/app/src/main/java/org/snowwind/app/trial/TrialFleet.java
+++ b/app/src/main/java/org/snowwind/app/trial/TrialFleet.java
@@ -116,7 +116,24 @@
 				this.settings.maxWaitingPerOrganisation(), this.settings.drainMillis(),
 				List.of(new AgentSettings.Backend(target, kind, backend)), LogFormat.TEXT);
 		AgentDaemon daemon = new AgentDaemon(agentSettings);
-		this.agents.put(name, new RunningAgent(daemon, dataCentre, target, daemon.start()));
+		this.agents.put(name, new RunningAgent(daemon, agentSettings, dataCentre, target, daemon.start()));
+	}
+
+	/**
+	 * Cuts an agent off, as a crash would, and starts it anew on its addresses.
+	 * @param name the server's name
+	 * @throws TTransportException if an address cannot be had again
+	 */
+	public void crashAndRestartAgent(String name) throws TTransportException {
+		RunningAgent old = this.agents.get(name);
+		old.daemon().close();
+		AgentSettings before = old.settings();
+		AgentSettings again = new AgentSettings(before.name(), before.dataCentre(), old.addresses().requests(),
+				old.addresses().control(), anyPort(), before.fleetCredential(), before.startConcurrency(),
+				before.maxConcurrency(), before.maxWaitingPerOrganisation(), before.drainMillis(), before.backends(),
+				before.logFormat());
+		AgentDaemon daemon = new AgentDaemon(again);
+		this.agents.put(name, new RunningAgent(daemon, again, old.dataCentre(), old.target(), daemon.start()));
 	}
 
 	private void startEntries(String dataCentre) throws TTransportException, IOException {
@@ -225,6 +242,20 @@
 		return Map.copyOf(this.services);
 	}
 
+	/**
+	 * Returns where the back ends of a target listen, behind their agents.
+	 * @param target the name of the service or model group
+	 * @return the addresses
+	 */
+	public List<InetSocketAddress> backendAddresses(String target) {
+		return this.agents.values()
+			.stream()
+			.flatMap((agent) -> agent.settings().backends().stream())
+			.filter((backend) -> backend.target().equals(target))
+			.map(AgentSettings.Backend::address)
+			.toList();
+	}
+
 	/**
 	 * Returns the platform.
 	 * @return the stand-in
@@ -288,11 +319,12 @@
 	 * An agent that runs.
 	 *
 	 * @param daemon the agent
+	 * @param settings its settings
 	 * @param dataCentre where it stands
 	 * @param target what it serves
 	 * @param addresses where it listens
 	 */
-	public record RunningAgent(AgentDaemon daemon, String dataCentre, String target,
+	public record RunningAgent(AgentDaemon daemon, AgentSettings settings, String dataCentre, String target,
 			AgentDaemon.BoundAddresses addresses) {
 
 	}
--- a/decide/src/main/java/org/snowwind/decide/admission/FairQueue.java
+++ b/decide/src/main/java/org/snowwind/decide/admission/FairQueue.java
@@ -130,6 +130,19 @@
 		return removed;
 	}
 
+	/**
+	 * Counts what would be served before new work of an organisation: its own, and as
+	 * much of each other backlogged organisation, but never more than waits at all.
+	 * @param organisation the organisation's name
+	 * @return a number of pieces of work
+	 */
+	public int ahead(String organisation) {
+		Lane<T> own = this.lanes.get(organisation);
+		int ownWaiting = (own != null) ? own.waiting.size() : 0;
+		int others = this.active.size() - ((own != null) ? 1 : 0);
+		return Math.min(this.size, ownWaiting + (ownWaiting + 1) * others);
+	}
+
 	/**
 	 * Counts what waits.
 	 * @return a number of pieces of work
