Add the burn report, planner and switch of expert maps, config and outage measures

Change: good and bad requests kept in the platform and 'report burn' in three forms; a cost-aware planner with three baselines; a two-phase switch of maps as pure state machines with a property over losses, doubles, delays and two owners; members in one process for 'measure config'; an entry goes on for a grace time at a stop; each entry observes a bounded part of the servers.

--- a/app/src/main/java/org/snowwind/app/command/EntryOptions.java
+++ b/app/src/main/java/org/snowwind/app/command/EntryOptions.java
@@ -44,7 +44,7 @@
 		}
 	}
 
-	private static int refused(OperatorAnswer.Refused refused) {
+	static int refused(OperatorAnswer.Refused refused) {
 		System.err.println(refused.code() + ": " + refused.message() + ". " + refused.remedy());
 		return switch (refused.code()) {
 			case "bad-credential" -> ExitCodes.REFUSED;
--- a/app/src/main/java/org/snowwind/app/measure/Measurements.java
+++ b/app/src/main/java/org/snowwind/app/measure/Measurements.java
@@ -3,6 +3,10 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.snowwind.app.measure.balance.BalanceMeasurement;
+import org.snowwind.app.measure.balance.PlanMeasurement;
+import org.snowwind.app.measure.fleet.ConfigMeasurement;
+import org.snowwind.app.measure.fleet.OutageMeasurement;
 import org.snowwind.app.measure.overload.OverloadMeasurement;
 
 /**
@@ -12,7 +16,8 @@
 
 	/** All measurements. */
 	public static final List<Measurement> ALL = List.of(new FootprintMeasurement(), new PathMeasurement(),
-			new OverloadMeasurement());
+			new OverloadMeasurement(), new ConfigMeasurement(), new OutageMeasurement(), new BalanceMeasurement(),
+			new PlanMeasurement());
 
 	private Measurements() {
 	}
--- /dev/null
+++ b/app/src/main/java/org/snowwind/app/report/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Pages for operators, rendered here.
+ */
+package org.snowwind.app.report;
--- a/app/src/main/java/org/snowwind/app/trial/TrialFleet.java
+++ b/app/src/main/java/org/snowwind/app/trial/TrialFleet.java
@@ -7,9 +7,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.ChannelException;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.apache.thrift.transport.TTransportException;
 import org.snowwind.agent.AgentDaemon;
@@ -50,6 +52,14 @@
 
 	private static final String CREDENTIAL = "trial-fleet";
 
+	private static final long BURN_WRITE_MILLIS = 2000;
+
+	private static final int MAX_STARTS = 50;
+
+	private static final long RESTART_PAUSE_NANOS = 100_000_000;
+
+	private static final long GRACE_MILLIS = 500;
+
 	private static final long PLATFORM_TIMEOUT_MILLIS = 1000;
 
 	private final TrialSettings settings;
@@ -132,8 +142,25 @@
 				old.addresses().control(), anyPort(), before.fleetCredential(), before.startConcurrency(),
 				before.maxConcurrency(), before.maxWaitingPerOrganisation(), before.drainMillis(), before.backends(),
 				before.logFormat());
-		AgentDaemon daemon = new AgentDaemon(again);
-		this.agents.put(name, new RunningAgent(daemon, again, old.dataCentre(), old.target(), daemon.start()));
+		startAgain(name, again, old);
+	}
+
+	// An address is free again only when the old process's last connection is gone.
+	private void startAgain(String name, AgentSettings again, RunningAgent old) throws TTransportException {
+		for (int attempt = 1;; attempt++) {
+			AgentDaemon daemon = new AgentDaemon(again);
+			try {
+				this.agents.put(name, new RunningAgent(daemon, again, old.dataCentre(), old.target(), daemon.start()));
+				return;
+			}
+			catch (TTransportException | ChannelException ex) {
+				daemon.close();
+				if (attempt == MAX_STARTS) {
+					throw new TTransportException("agent " + name + " cannot be started again", ex);
+				}
+				LockSupport.parkNanos(RESTART_PAUSE_NANOS);
+			}
+		}
 	}
 
 	private void startEntries(String dataCentre) throws TTransportException, IOException {
@@ -156,8 +183,8 @@
 			.toList();
 		EntrySettings entrySettings = new EntrySettings(name, dataCentre, anyPort(), anyPort(), anyPort(), anyPort(),
 				"http://" + Addresses.render(this.platformAddress), PLATFORM_TIMEOUT_MILLIS, CREDENTIAL, OPERATOR_TOKEN,
-				seeds, this.settings.heartbeatMillis(), this.settings.drainMillis(), this.settings.streamStallMillis(),
-				4096, LogFormat.TEXT);
+				seeds, this.settings.heartbeatMillis(), GRACE_MILLIS, this.settings.drainMillis(),
+				this.settings.streamStallMillis(), BURN_WRITE_MILLIS, 4096, LogFormat.TEXT);
 		EntryDaemon daemon = new EntryDaemon(entrySettings);
 		EntryDaemon.BoundAddresses addresses = daemon.start();
 		this.entries.put(name, new RunningEntry(daemon, dataCentre, addresses));
--- a/app/src/test/java/org/snowwind/app/harness/ProcessFleet.java
+++ b/app/src/test/java/org/snowwind/app/harness/ProcessFleet.java
@@ -162,6 +162,7 @@
 				seed_entries = [%s]
 				[timing]
 				heartbeat_millis = 200
+				balancer_grace_millis = 1000
 				stream_stall_millis = 1500
 				""".formatted(name, callers, operators, control, admin, this.platformLink.address(),
 				String.join(", ", seedAddresses));
--- /dev/null
+++ b/balance/src/main/java/org/snowwind/balance/plan/MapPlanner.java
@@ -0,0 +1,18 @@
+package org.snowwind.balance.plan;
+
+/**
+ * Plans the next placement of a group's experts.
+ */
+@FunctionalInterface
+public interface MapPlanner {
+
+	/**
+	 * Plans.
+	 * @param current the placement in force
+	 * @param demand the expected tokens by layer and expert
+	 * @param maxMoves how many experts the weight store can deliver until the next plan
+	 * @return the next placement, the same object if nothing should be moved
+	 */
+	ExpertPlacement plan(ExpertPlacement current, double[][] demand, int maxMoves);
+
+}
--- /dev/null
+++ b/balance/src/main/java/org/snowwind/balance/plan/NeverMove.java
@@ -0,0 +1,13 @@
+package org.snowwind.balance.plan;
+
+/**
+ * The baseline that never moves anything.
+ */
+public final class NeverMove implements MapPlanner {
+
+	@Override
+	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, int maxMoves) {
+		return current;
+	}
+
+}
--- /dev/null
+++ b/balance/src/main/java/org/snowwind/balance/plan/ThresholdReplan.java
@@ -0,0 +1,25 @@
+package org.snowwind.balance.plan;
+
+/**
+ * The baseline that plans anew whenever the skew exceeds a threshold.
+ */
+public final class ThresholdReplan implements MapPlanner {
+
+	private final double threshold;
+
+	private final MapPlanner replan = new FullReplan();
+
+	/**
+	 * Creates the planner.
+	 * @param threshold the skew above which it plans anew
+	 */
+	public ThresholdReplan(double threshold) {
+		this.threshold = threshold;
+	}
+
+	@Override
+	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, int maxMoves) {
+		return (current.skew(demand) > this.threshold) ? this.replan.plan(current, demand, maxMoves) : current;
+	}
+
+}
--- /dev/null
+++ b/balance/src/test/java/org/snowwind/balance/handover/SwitchTests.java
@@ -0,0 +1,176 @@
+package org.snowwind.balance.handover;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SwitchTests {
+
+	private static final int RANKS = 3;
+
+	@Test
+	void aRankStallsAtABoundStepUntilItIsConfirmed() {
+		RankSwitch rank = new RankSwitch(0, 1);
+		rank.on(new RankOrder.Bind(5, 2, 1));
+		assertThat(rank.runStep()).isEqualTo(1);
+		assertThat(rank.generationOfNextStep()).isEqualTo(RankSwitch.STALL);
+		rank.on(new RankOrder.Confirm(5, 5));
+		assertThat(rank.runStep()).isEqualTo(2);
+	}
+
+	@Test
+	void aRankRefusesLowerBallots() {
+		RankSwitch rank = new RankSwitch(0, 1);
+		rank.on(new RankOrder.Bind(5, 2, 3));
+		rank.on(new RankOrder.Ask(6));
+		rank.on(new RankOrder.Confirm(5, 5));
+		assertThat(rank.state().confirmed()).isFalse();
+	}
+
+	@Test
+	void aBindThatComesTooLateIsNotTaken() {
+		RankSwitch rank = new RankSwitch(0, 1);
+		rank.runStep();
+		rank.runStep();
+		rank.on(new RankOrder.Bind(5, 2, 2));
+		assertThat(rank.state().boundBallot()).isZero();
+	}
+
+	@Test
+	void whatIsConfirmedIsNeverAborted() {
+		RankSwitch rank = new RankSwitch(0, 1);
+		rank.on(new RankOrder.Bind(5, 2, 3));
+		rank.on(new RankOrder.Confirm(5, 5));
+		rank.on(new RankOrder.Abort(9));
+		assertThat(rank.state().confirmed()).isTrue();
+	}
+
+	@Property(seed = "20261202", tries = 4000)
+	void noStepMixesMapsAndTheGroupGoesOnOnceFaultsEnd(@ForAll long seed) {
+		Group group = new Group(seed);
+		for (int i = 0; i < 200; i++) {
+			group.anything();
+		}
+		group.faultsEnd();
+		assertThat(group.mixedSteps()).isEmpty();
+		assertThat(group.ranks).allMatch((rank) -> rank.state().generation() == 2);
+	}
+
+	/**
+	 * Ranks in lock-step, two owners, and a network that loses, doubles, delays and
+	 * reorders.
+	 */
+	private static final class Group {
+
+		private final Random random;
+
+		private final List<RankSwitch> ranks = new ArrayList<>();
+
+		private final List<SwitchOwner> owners = new ArrayList<>();
+
+		private final List<Runnable> underWay = new ArrayList<>();
+
+		private final Map<Long, List<Long>> generationsOfStep = new HashMap<>();
+
+		private Group(long seed) {
+			this.random = new Random(seed);
+			for (int rank = 0; rank < RANKS; rank++) {
+				this.ranks.add(new RankSwitch(rank, 1));
+			}
+			this.owners.add(new SwitchOwner(RANKS, 1, 2, 1 + this.random.nextInt(3)));
+		}
+
+		private void anything() {
+			switch (this.random.nextInt(8)) {
+				case 0, 1, 2 -> send(pick(this.owners));
+				case 3, 4, 5 -> deliver();
+				case 6 -> step(this.random.nextInt(RANKS));
+				default -> rareEvent();
+			}
+		}
+
+		private void rareEvent() {
+			int dice = this.random.nextInt(10);
+			if (dice == 0 && this.owners.size() < 3) {
+				this.owners.add(new SwitchOwner(RANKS, this.owners.size() + 1, 2, 1 + this.random.nextInt(3)));
+			}
+			else if (dice == 1) {
+				pick(this.owners).tryAgain();
+			}
+			else {
+				step(this.random.nextInt(RANKS));
+			}
+		}
+
+		private void send(SwitchOwner owner) {
+			int rank = this.random.nextInt(RANKS);
+			owner.orderFor(rank).ifPresent((order) -> this.underWay.add(() -> arrive(owner, rank, order)));
+		}
+
+		private void arrive(SwitchOwner owner, int rank, RankOrder order) {
+			RankState answer = this.ranks.get(rank).on(order);
+			this.underWay.add(() -> owner.on(answer));
+		}
+
+		private void deliver() {
+			if (this.underWay.isEmpty()) {
+				return;
+			}
+			int place = this.random.nextInt(this.underWay.size());
+			switch (this.random.nextInt(6)) {
+				case 0 -> this.underWay.remove(place);
+				case 1 -> this.underWay.get(place).run();
+				default -> this.underWay.remove(place).run();
+			}
+		}
+
+		// A rank runs a step only when all ranks have ended the one before.
+		private void step(int number) {
+			RankSwitch rank = this.ranks.get(number);
+			long next = rank.state().nextStep();
+			boolean othersThere = this.ranks.stream().allMatch((other) -> other.state().nextStep() >= next);
+			if (othersThere && rank.generationOfNextStep() != RankSwitch.STALL) {
+				this.generationsOfStep.computeIfAbsent(next, (key) -> new ArrayList<>()).add(rank.runStep());
+			}
+		}
+
+		private void faultsEnd() {
+			this.underWay.clear();
+			SwitchOwner last = new SwitchOwner(RANKS, 9, 2, 2);
+			for (int round = 0; round < 400; round++) {
+				for (int rank = 0; rank < RANKS; rank++) {
+					int target = rank;
+					last.orderFor(rank).ifPresent((order) -> last.on(this.ranks.get(target).on(order)));
+				}
+				if (round % 20 == 19) {
+					last.tryAgain();
+				}
+				for (int rank = 0; rank < RANKS; rank++) {
+					step(rank);
+				}
+			}
+		}
+
+		private List<Long> mixedSteps() {
+			return this.generationsOfStep.entrySet()
+				.stream()
+				.filter((entry) -> entry.getValue().stream().distinct().count() > 1)
+				.map(Map.Entry::getKey)
+				.toList();
+		}
+
+		private <T> T pick(List<T> from) {
+			return from.get(this.random.nextInt(from.size()));
+		}
+
+	}
+
+}
--- a/config/src/main/java/org/snowwind/config/check/BuiltInChecks.java
+++ b/config/src/main/java/org/snowwind/config/check/BuiltInChecks.java
@@ -14,7 +14,7 @@
 			new ModelGroupExpertMapExists(), new ModelGroupShapeIsPossible(), new ModelIsServedByOneGroup(),
 			new NameIsDnsLabel(), new OrganisationHasKey(), new OrganisationLimitsAreInRange(),
 			new RoutingPolicyIsUniquePerTarget(), new RoutingPolicyLimitsAreInRange(), new RoutingPolicyTargetExists(),
-			new TargetNameIsUnambiguous());
+			new ServiceLevelIsInRange(), new TargetNameIsUnambiguous());
 
 	private BuiltInChecks() {
 	}
--- a/config/src/main/java/org/snowwind/config/settings/EntrySettings.java
+++ b/config/src/main/java/org/snowwind/config/settings/EntrySettings.java
@@ -18,15 +18,20 @@
  * @param operatorToken what operators show
  * @param seeds control addresses of other entries, for a start without the platform
  * @param heartbeatMillis how often agents and peers are asked, in milliseconds
+ * @param graceMillis how long requests are still taken at a stop, while readiness already
+ * tells the balancer to go elsewhere, in milliseconds
  * @param drainMillis how long running requests may take at a stop, in milliseconds
  * @param streamStallMillis an answer that pauses so long is broken, in milliseconds
+ * @param burnWriteMillis how often counts of good and bad requests are written to the
+ * platform, in milliseconds
  * @param maxConnections how many connections of callers may be open
  * @param logFormat how log lines look
  */
 public record EntrySettings(String name, String dataCentre, InetSocketAddress callers, InetSocketAddress operators,
 		InetSocketAddress control, InetSocketAddress admin, String platformUrl, long platformTimeoutMillis,
 		String fleetCredential, String operatorToken, List<InetSocketAddress> seeds, long heartbeatMillis,
-		long drainMillis, long streamStallMillis, int maxConnections, LogFormat logFormat) {
+		long graceMillis, long drainMillis, long streamStallMillis, long burnWriteMillis, int maxConnections,
+		LogFormat logFormat) {
 
 	/**
 	 * Reads settings.
@@ -39,8 +44,10 @@
 				reader.text("platform.url"), reader.number("platform.timeout_millis", 1000, 10, 60_000),
 				reader.text("fleet.credential"), reader.text("fleet.operator_token"),
 				reader.addresses("fleet.seed_entries"), reader.number("timing.heartbeat_millis", 500, 50, 10_000),
+				reader.number("timing.balancer_grace_millis", 3000, 0, 60_000),
 				reader.number("timing.drain_millis", 30_000, 0, 600_000),
 				reader.number("timing.stream_stall_millis", 5000, 100, 600_000),
+				reader.number("timing.burn_write_millis", 60_000, 1000, 600_000),
 				(int) reader.number("limits.max_connections", 4096, 1, 100_000),
 				reader.oneOf("log.format", LogFormat.TEXT));
 	}
--- /dev/null
+++ b/decide/src/main/java/org/snowwind/decide/burn/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How fast a service-level budget is used up.
+ */
+package org.snowwind.decide.burn;
--- a/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
@@ -1,6 +1,7 @@
 package org.snowwind.entry;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -17,16 +18,21 @@
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.config.settings.EntrySettings;
 import org.snowwind.config.snapshot.SnapshotBuilder;
+import org.snowwind.entry.api.BurnReading;
 import org.snowwind.entry.api.DrainOrders;
 import org.snowwind.entry.api.ResourceApi;
 import org.snowwind.entry.api.ResourceWriter;
 import org.snowwind.entry.api.StatusBoard;
+import org.snowwind.entry.burn.BurnCounter;
+import org.snowwind.entry.burn.BurnLine;
+import org.snowwind.entry.burn.BurnWriter;
 import org.snowwind.entry.claim.ClaimDuty;
 import org.snowwind.entry.config.ConfigHolder;
 import org.snowwind.entry.config.PlatformWatcher;
 import org.snowwind.entry.limit.OrganisationGates;
 import org.snowwind.entry.member.AttemptSequence;
 import org.snowwind.entry.member.EntryControlService;
+import org.snowwind.entry.member.LateService;
 import org.snowwind.entry.member.Membership;
 import org.snowwind.entry.member.ServerTable;
 import org.snowwind.entry.request.CallerHandler;
@@ -95,6 +101,10 @@
 
 	private final OrganisationGates gates = new OrganisationGates(this.clock);
 
+	private final BurnCounter burn = new BurnCounter(EntryDaemon::minuteNow);
+
+	private final BurnWriter burnWriter;
+
 	private final ClaimDuty claims;
 
 	private final CallerHandler callers;
@@ -115,6 +125,8 @@
 
 	private DutyThread vmThread;
 
+	private DutyThread burnThread;
+
 	private volatile boolean draining;
 
 	/**
@@ -129,6 +141,8 @@
 		this.servers = new ServerTable(settings.dataCentre(), this.clock, this.random,
 				settings.heartbeatMillis() * SUSPECT_HEARTBEATS);
 		this.claims = new ClaimDuty(this.store);
+		this.burnWriter = new BurnWriter(this.store, settings.dataCentre(),
+				settings.name() + "-" + Long.toHexString(this.sequence.incarnation()));
 		this.admin = new AdminServer(this.loop, this::readiness);
 		this.callers = new CallerHandler(newContext(), this.config, this.claims);
 		HttpLimits limits = new HttpLimits(HttpLimits.DEFAULT.maxUriBytes(), HttpLimits.DEFAULT.maxHeaderBytes(),
@@ -141,7 +155,7 @@
 		ThriftRevoker revoker = new ThriftRevoker(this.calls, this.loop, this.settings.fleetCredential());
 		RequestMeters meters = new RequestMeters(this.admin.registry());
 		return new RequestContext(this.loop, this.client, this.servers, this.gates, this.sequence, revoker, meters,
-				this.clock, this.random, this.settings.fleetCredential(), this.settings.streamStallMillis());
+				this.burn, this.clock, this.random, this.settings.fleetCredential(), this.settings.streamStallMillis());
 	}
 
 	private AdminServer.Readiness readiness() {
@@ -197,16 +211,33 @@
 		VerifiedWrites writes = new VerifiedWrites(this.store, EntryDaemon::pause);
 		ResourceWriter writer = new ResourceWriter(this.store, writes, checks, this.config);
 		DrainOrders drains = new DrainOrders(this.config, this.calls, this.settings.fleetCredential());
-		this.api = new ResourceApi(this.settings.operatorToken(), this.loop, status, writer, drains);
+		this.api = new ResourceApi(this.settings.operatorToken(), this.loop, status, writer, drains,
+				new BurnReading(this.store, this.config));
 		this.operatorServer = new HttpServer(this.loop, HttpLimits.DEFAULT, this.api);
 		this.configThread.start();
 		this.vmThread.start();
+		this.burnThread = new DutyThread("burn", SMALL_RING, this.settings.burnWriteMillis(), this::writeBurn);
+		this.burnThread.start();
 		this.claims.start();
 		this.api.start();
 		this.loop.every(() -> this.gates.liveEntries(this.membership.view().liveEntries()),
 				this.settings.heartbeatMillis());
 	}
 
+	private static long minuteNow() {
+		return TimeUnit.MILLISECONDS.toMinutes(System.currentTimeMillis());
+	}
+
+	private void writeBurn() {
+		this.loop.run(() -> {
+			List<BurnLine> lines = this.burn.take();
+			boolean taken = this.burnThread.offer(() -> this.burnWriter.write(lines, minuteNow()));
+			if (!taken) {
+				EventLog.log(Event.RING_FULL, "thread", "burn", "lost", lines.size());
+			}
+		});
+	}
+
 	// Only relays read the list; the others hear of its entries from them.
 	private void readVmList() {
 		if (!this.membership.view().relay()) {
@@ -229,12 +260,14 @@
 	}
 
 	/**
-	 * Refuses new requests, lets open ones end up to the drain bound, and stops.
+	 * Says that it is not ready, gives the balancer time to go elsewhere, refuses new
+	 * requests, lets open ones end up to the drain bound, and stops.
 	 */
 	public void drainAndStop() {
 		this.draining = true;
 		EventLog.log(Event.ENTRY_DRAINING, "entry", this.settings.name());
 		this.membership.drain();
+		pause(this.settings.graceMillis());
 		this.callerServer.stopListening();
 		this.loop.run(this.callers::drain);
 		long boundMillis = this.clock.nowMillis() + this.settings.drainMillis();
@@ -277,6 +310,7 @@
 	public void close() {
 		this.configThread.close();
 		this.vmThread.close();
+		this.burnThread.close();
 		this.claims.close();
 		this.api.close();
 		this.membership.close();
--- a/entry/src/main/java/org/snowwind/entry/api/ResourceApi.java
+++ b/entry/src/main/java/org/snowwind/entry/api/ResourceApi.java
@@ -20,8 +20,8 @@
 import org.snowwind.wire.Credentials;
 
 /**
- * The resource API over HTTP: {@code /apis/v1/KIND/NAME}, {@code /apis/v1/apply} and
- * {@code /apis/v1/drain/NAME}.
+ * The resource API over HTTP: {@code /apis/v1/KIND/NAME}, {@code /apis/v1/apply},
+ * {@code /apis/v1/drain/NAME} and {@code /apis/v1/burn}.
  *
  * <p>
  * Reads are answered from memory and cost the platform nothing. Writes wait for the
@@ -51,6 +51,8 @@
 
 	private final DrainOrders drains;
 
+	private final BurnReading burn;
+
 	private final DutyThread thread = new DutyThread("operators", RING_SIZE, TICK_MILLIS, () -> {
 	});
 
@@ -61,14 +63,16 @@
 	 * @param status shows resources
 	 * @param writer writes resources
 	 * @param drains orders agents to drain
+	 * @param burn makes the burn report
 	 */
 	public ResourceApi(String operatorToken, DataLoop loop, StatusBoard status, ResourceWriter writer,
-			DrainOrders drains) {
+			DrainOrders drains, BurnReading burn) {
 		this.operatorToken = operatorToken;
 		this.loop = loop;
 		this.status = status;
 		this.writer = writer;
 		this.drains = drains;
+		this.burn = burn;
 	}
 
 	/**
@@ -107,6 +111,11 @@
 				.run(() -> result.match((report) -> tell(exchange, report), (problem) -> refuse(exchange, problem))));
 			return;
 		}
+		if ("burn".equals(parts[0]) && "GET".equals(exchange.method())) {
+			onWriter(exchange, () -> this.burn.read((report) -> later(() -> tell(exchange, report)),
+					(problem) -> later(() -> refuse(exchange, problem))));
+			return;
+		}
 		Optional<ResourceKind> kind = ResourceKind.parse(parts[0]);
 		if (kind.isEmpty()) {
 			Responses.problem(exchange, Problem.notRun(ProblemKind.UNKNOWN_RESOURCE, "no such kind of resource"));
@@ -175,6 +184,11 @@
 		}
 	}
 
+	private Void later(Runnable work) {
+		this.loop.run(work);
+		return null;
+	}
+
 	private static Void tell(HttpExchange exchange, Object value) {
 		Responses.json(exchange, OK, value);
 		return null;
--- a/entry/src/main/java/org/snowwind/entry/LateService.java
+++ b/entry/src/main/java/org/snowwind/entry/member/LateService.java
@@ -1,4 +1,4 @@
-package org.snowwind.entry;
+package org.snowwind.entry.member;
 
 import java.util.concurrent.CompletableFuture;
 
@@ -11,11 +11,15 @@
  * Stands in for the control service until it exists: the port must be bound before the
  * entry can tell its peers where it listens.
  */
-final class LateService implements EntryControl.Iface {
+public final class LateService implements EntryControl.Iface {
 
 	private final CompletableFuture<EntryControl.Iface> service = new CompletableFuture<>();
 
-	void is(EntryControl.Iface real) {
+	/**
+	 * Names the service.
+	 * @param real takes the calls from now on
+	 */
+	public void is(EntryControl.Iface real) {
 		this.service.complete(real);
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/member/Membership.java
+++ b/entry/src/main/java/org/snowwind/entry/member/Membership.java
@@ -15,7 +15,6 @@
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.config.settings.EntrySettings;
 import org.snowwind.config.snapshot.AgentDocument;
-import org.snowwind.config.snapshot.ResourceSet.Named;
 import org.snowwind.config.snapshot.Snapshot;
 import org.snowwind.entry.config.ConfigHolder;
 import org.snowwind.http.DataLoop;
@@ -179,10 +178,11 @@
 		all.add(own);
 		this.view = new MembershipView(this.peers.relay(), this.peers.liveEntries(), all, agents,
 				this.view.silentServers(), namedEntries());
+		Set<String> observed = Set.copyOf(this.agentLinks.keySet());
 		this.loop.run(() -> {
 			this.servers.suspectSilent();
 			Optional<ServerTable.AgentProgress> behind = this.servers.furthestBehind();
-			Set<String> silent = this.servers.silent();
+			Set<String> silent = this.servers.silent(observed);
 			this.thread.offer(() -> this.view = this.view.withServers(behind, silent));
 		});
 	}
@@ -235,13 +235,11 @@
 	// ---- agents
 
 	private void beatAgents() {
-		Snapshot snapshot = this.config.current();
-		Set<String> names = new HashSet<>();
-		for (Named<BackendServerSpec> server : snapshot.servers()) {
-			names.add(server.name());
-			Addresses.parse(server.spec().controlAddress()).ifPresent((address) -> beat(server.name(), address));
-		}
-		retain(this.agentLinks, names);
+		Map<String, BackendServerSpec> observed = ObservedServers.of(this.config.current().servers(),
+				this.settings.name(), this.settings.dataCentre());
+		observed.forEach(
+				(name, server) -> Addresses.parse(server.controlAddress()).ifPresent((address) -> beat(name, address)));
+		retain(this.agentLinks, observed.keySet());
 	}
 
 	private void beat(String name, InetSocketAddress address) {
--- a/entry/src/main/java/org/snowwind/entry/member/ServerTable.java
+++ b/entry/src/main/java/org/snowwind/entry/member/ServerTable.java
@@ -172,13 +172,14 @@
 	}
 
 	/**
-	 * Returns the servers that do not answer this entry.
-	 * @return their names
+	 * Returns the servers that this entry observes and that do not answer it.
+	 * @param observed the names of the servers that it observes
+	 * @return the names of the silent ones
 	 */
-	public Set<String> silent() {
+	public Set<String> silent(Set<String> observed) {
 		return this.servers.values()
 			.stream()
-			.filter(Server::suspected)
+			.filter((server) -> server.suspected() && observed.contains(server.name()))
 			.map(Server::name)
 			.collect(Collectors.toUnmodifiableSet());
 	}
--- a/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
+++ b/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
@@ -14,6 +14,7 @@
 import org.snowwind.model.outcome.Problem;
 import org.snowwind.model.outcome.ProblemKind;
 import org.snowwind.model.resource.OrganisationSpec;
+import org.snowwind.model.resource.ServiceLevel;
 
 /**
  * Takes callers' requests: who is it, where to, may it come in. Confined to the loop.
@@ -98,7 +99,7 @@
 			turnAway(exchange, refused);
 			return;
 		}
-		OpenRequest open = new OpenRequest(organisation.name());
+		OpenRequest open = new OpenRequest(organisation.name(), organisation.spec().serviceLevel());
 		exchange.onGone(open::leave);
 		exchange.readBody(organisation.spec().maxBodyBytes(), (body) -> read(exchange, target, body, open),
 				open::leave);
@@ -106,7 +107,7 @@
 
 	private void read(HttpExchange exchange, Target target, byte[] body, OpenRequest open) {
 		RequestReader.Read<CallerRequest> read = RequestReader.request(exchange, target, open.organisation,
-				this.config.current().policy(target.name()), body);
+				open.serviceLevel, this.config.current().policy(target.name()), body);
 		if (read.problem() != null) {
 			open.leave();
 			turnAway(exchange, read.problem());
@@ -172,10 +173,13 @@
 
 		private final String organisation;
 
+		private final ServiceLevel serviceLevel;
+
 		private boolean left;
 
-		private OpenRequest(String organisation) {
+		private OpenRequest(String organisation, ServiceLevel serviceLevel) {
 			this.organisation = organisation;
+			this.serviceLevel = serviceLevel;
 		}
 
 		private void leave() {
--- a/entry/src/main/java/org/snowwind/entry/request/CallerRequest.java
+++ b/entry/src/main/java/org/snowwind/entry/request/CallerRequest.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 
 import org.snowwind.model.resource.RoutingPolicySpec;
+import org.snowwind.model.resource.ServiceLevel;
 
 /**
  * A caller's request, checked and ready to be sent.
@@ -18,11 +19,12 @@
  * @param cost what it costs, for fairness
  * @param affinityHash a hash of what it shares with other requests
  * @param budgetMillis the time it may take, in milliseconds
+ * @param serviceLevel what its organisation is promised
  * @param policy how it is routed
  */
 record CallerRequest(String organisation, String target, boolean engine, String method, String pathAndQuery,
 		Map<String, String> headers, byte[] body, boolean repeatable, double cost, long affinityHash, long budgetMillis,
-		RoutingPolicySpec policy) {
+		ServiceLevel serviceLevel, RoutingPolicySpec policy) {
 
 	AnswerTracker newTracker() {
 		return this.engine ? new EngineAnswer() : new PlainAnswer();
--- a/entry/src/main/java/org/snowwind/entry/request/RequestContext.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestContext.java
@@ -2,6 +2,7 @@
 
 import java.util.random.RandomGenerator;
 
+import org.snowwind.entry.burn.BurnCounter;
 import org.snowwind.entry.limit.OrganisationGates;
 import org.snowwind.entry.member.AttemptSequence;
 import org.snowwind.entry.member.ServerTable;
@@ -19,13 +20,14 @@
  * @param sequence gives out attempt ids
  * @param revoker asks agents about lost attempts
  * @param meters counts
+ * @param burn counts good and bad requests
  * @param clock tells the time
  * @param random spreads the times to come back
  * @param fleetCredential shared by all processes of the fleet
  * @param streamStallMillis an answer that pauses so long is broken, in milliseconds
  */
 public record RequestContext(DataLoop loop, UpstreamClient client, ServerTable servers, OrganisationGates gates,
-		AttemptSequence sequence, Revoker revoker, RequestMeters meters, MonotonicClock clock, RandomGenerator random,
-		String fleetCredential, long streamStallMillis) {
+		AttemptSequence sequence, Revoker revoker, RequestMeters meters, BurnCounter burn, MonotonicClock clock,
+		RandomGenerator random, String fleetCredential, long streamStallMillis) {
 
 }
--- a/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
@@ -11,6 +11,7 @@
 import org.snowwind.decide.outcome.NextStep;
 import org.snowwind.decide.outcome.NextStepRules;
 import org.snowwind.decide.outcome.Situation;
+import org.snowwind.entry.burn.BurnCounter;
 import org.snowwind.entry.member.Server;
 import org.snowwind.http.server.HttpExchange;
 import org.snowwind.http.server.Responses;
@@ -68,6 +69,8 @@
 
 	private long bytesDelivered;
 
+	private long firstByteMillis;
+
 	private boolean revoking;
 
 	private boolean finished;
@@ -219,6 +222,10 @@
 		}
 		endSequence();
 		this.context.meters().ended(this.request, disclosure, kind);
+		long tookMillis = this.context.clock().nowMillis() - this.startMillis;
+		this.context.burn()
+			.ended(this.request.organisation(), this.request.target(), this.request.serviceLevel(),
+					new BurnCounter.Fared(disclosure, kind, this.firstByteMillis, tookMillis));
 		this.whenEnded.ended(disclosure);
 	}
 
@@ -236,7 +243,8 @@
 			return;
 		}
 		this.tracker = (status == OK) ? this.request.newTracker() : new PlainAnswer();
-		this.context.meters().firstByte(this.request, this.context.clock().nowMillis() - this.startMillis);
+		this.firstByteMillis = this.context.clock().nowMillis() - this.startMillis;
+		this.context.meters().firstByte(this.request, this.firstByteMillis);
 		this.exchange.begin(status, headers);
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/request/RequestReader.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestReader.java
@@ -16,6 +16,7 @@
 import org.snowwind.model.outcome.Problem;
 import org.snowwind.model.outcome.ProblemKind;
 import org.snowwind.model.resource.RoutingPolicySpec;
+import org.snowwind.model.resource.ServiceLevel;
 
 /**
  * Turns what a caller sent into a request, or says what is wrong with it. Nothing that is
@@ -94,12 +95,13 @@
 	 * @param exchange the request
 	 * @param target where it leads
 	 * @param organisation whose it is
+	 * @param serviceLevel what its organisation is promised
 	 * @param policy how it is routed
 	 * @param body the body
 	 * @return the request, or what is wrong
 	 */
 	static Read<CallerRequest> request(HttpExchange exchange, Target target, String organisation,
-			RoutingPolicySpec policy, byte[] body) {
+			ServiceLevel serviceLevel, RoutingPolicySpec policy, byte[] body) {
 		Read<Long> budget = budget(exchange, policy);
 		Read<Boolean> repeatable = repeatable(exchange, target, policy);
 		Read<Prompt> prompt = target.engine() ? prompt(body) : Read.value(Prompt.NONE);
@@ -110,7 +112,7 @@
 		Prompt read = prompt.value();
 		return Read.value(new CallerRequest(organisation, target.name(), target.engine(), exchange.method(),
 				target.pathAndQuery(), backendHeaders(exchange), body, repeatable.value(), read.cost(),
-				read.affinityHash(), budget.value(), policy));
+				read.affinityHash(), budget.value(), serviceLevel, policy));
 	}
 
 	private static Problem firstProblem(Read<?>... reads) {
--- a/model/src/main/java/org/snowwind/model/resource/OrganisationSpec.java
+++ b/model/src/main/java/org/snowwind/model/resource/OrganisationSpec.java
@@ -12,9 +12,10 @@
  * @param burstRequests how many requests it may send at once
  * @param maxOpenRequests how many requests it may have open at one entry
  * @param maxBodyBytes the largest request body, in bytes
+ * @param serviceLevel what it is promised
  */
 public record OrganisationSpec(List<String> keyDigests, double weight, double requestsPerSecond, int burstRequests,
-		int maxOpenRequests, int maxBodyBytes) implements ResourceSpec {
+		int maxOpenRequests, int maxBodyBytes, ServiceLevel serviceLevel) implements ResourceSpec {
 
 	private static final double DEFAULT_WEIGHT = 1;
 
@@ -36,6 +37,21 @@
 		burstRequests = (burstRequests != 0) ? burstRequests : DEFAULT_BURST_REQUESTS;
 		maxOpenRequests = (maxOpenRequests != 0) ? maxOpenRequests : DEFAULT_OPEN_REQUESTS;
 		maxBodyBytes = (maxBodyBytes != 0) ? maxBodyBytes : DEFAULT_BODY_BYTES;
+		serviceLevel = (serviceLevel != null) ? serviceLevel : ServiceLevel.DEFAULT;
+	}
+
+	/**
+	 * Creates an organisation with the default service level.
+	 * @param keyDigests the digests of its keys
+	 * @param weight its share of a contended server
+	 * @param requestsPerSecond its rate over all entries
+	 * @param burstRequests how many requests it may send at once
+	 * @param maxOpenRequests how many requests it may have open at one entry
+	 * @param maxBodyBytes the largest request body, in bytes
+	 */
+	public OrganisationSpec(List<String> keyDigests, double weight, double requestsPerSecond, int burstRequests,
+			int maxOpenRequests, int maxBodyBytes) {
+		this(keyDigests, weight, requestsPerSecond, burstRequests, maxOpenRequests, maxBodyBytes, null);
 	}
 
 }
