Send only changes and fewer exchanges; follow demand by a tracking signal

The planner stopped where a displaced replica's siblings became the hottest, and chased noise. Change: of two entries the one with the lower address calls; others' progress is told by representatives only; peers that are behind get changes; loads of a displaced expert's other ranks count; packing anew is one more link of the chain, renumbered to move little; the estimate's memory follows the Trigg-Leach signal.

--- a/app/src/main/java/org/snowwind/app/measure/balance/PlanMeasurement.java
+++ b/app/src/main/java/org/snowwind/app/measure/balance/PlanMeasurement.java
@@ -61,7 +61,7 @@
 		List<Double> times = new ArrayList<>();
 		for (int i = 0; i < WARM_UP + repeats; i++) {
 			long startNanos = System.nanoTime();
-			planner.plan(start, demand, Integer.MAX_VALUE);
+			planner.plan(start, demand, 0, Integer.MAX_VALUE);
 			if (i >= WARM_UP) {
 				times.add((System.nanoTime() - startNanos) / NANOS_PER_MILLI);
 			}
--- a/app/src/main/java/org/snowwind/app/measure/balance/TraceRun.java
+++ b/app/src/main/java/org/snowwind/app/measure/balance/TraceRun.java
@@ -19,10 +19,6 @@
 	/** How long a period lasts, in seconds. */
 	static final double PERIOD_SECONDS = 30;
 
-	private static final double LEVEL_SHARE = 0.15;
-
-	private static final double TREND_SHARE = 0.05;
-
 	private static final double GAP_SHARE = 0.05;
 
 	private static final double GIGABYTES_PER_SECOND = 2;
@@ -50,8 +46,7 @@
 
 	private void run(DemandTrace trace, MapPlanner planner, Random random) {
 		double[][] firstDemand = trace.demandAt(0);
-		DemandEstimate estimate = new DemandEstimate(firstDemand.length, firstDemand[0].length, LEVEL_SHARE,
-				TREND_SHARE);
+		DemandEstimate estimate = new DemandEstimate(firstDemand.length, firstDemand[0].length);
 		Deque<double[][]> late = new ArrayDeque<>();
 		int maxMoves = (int) (PERIOD_SECONDS * GIGABYTES_PER_SECOND / this.cost.expertGigabytes());
 		ExpertPlacement coming = this.inForce;
@@ -62,7 +57,7 @@
 			late.add(withGaps(demand, random));
 			if (late.size() > 1) {
 				estimate.observe(late.removeFirst());
-				coming = planner.plan(this.inForce, estimate.ahead(2), maxMoves);
+				coming = planner.plan(this.inForce, estimate.expected(), estimate.relativeError(), maxMoves);
 				note(coming.movesFrom(this.inForce), period);
 			}
 		}
--- a/balance/src/main/java/org/snowwind/balance/plan/Change.java
+++ b/balance/src/main/java/org/snowwind/balance/plan/Change.java
@@ -51,6 +51,33 @@
 		return search.best;
 	}
 
+	/**
+	 * A replica that leaves a rank: the expert's other replicas take over its share.
+	 *
+	 * @param expert the expert, {@link #NONE} for nobody
+	 * @param share what it takes off the rank it leaves
+	 * @param extraOnHot what the hot rank takes over of it
+	 * @param highestOther the highest load of the other ranks that take over
+	 */
+	private record Leaving(int expert, double share, double extraOnHot, double highestOther) {
+
+		private static final Leaving NOBODY = new Leaving(NONE, 0, 0, 0);
+
+		private static Leaving of(LayerPlacement placement, int expert, int from, int hot) {
+			int replicas = placement.replicas(expert);
+			double share = placement.shareOf(expert);
+			double extra = share / (replicas - 1);
+			double highest = 0;
+			for (int rank = 0; rank < placement.ranks(); rank++) {
+				if (rank != from && rank != hot && placement.holds(expert, rank)) {
+					highest = Math.max(highest, placement.load(rank) + extra);
+				}
+			}
+			return new Leaving(expert, share, placement.holds(expert, hot) ? extra : 0, highest);
+		}
+
+	}
+
 	private static final class Search {
 
 		private final LayerPlacement placement;
@@ -71,56 +98,49 @@
 
 		private void consider(int expert, int cold) {
 			if (!this.placement.full(cold)) {
-				considerMove(expert, cold, NONE, 0);
-				considerReplica(expert, cold, NONE, 0);
+				considerMove(expert, cold, Leaving.NOBODY);
+				considerReplica(expert, cold, Leaving.NOBODY);
 				return;
 			}
 			for (int displaced : this.placement.expertsOn(cold)) {
-				double share = this.placement.shareOf(displaced);
 				if (!this.placement.holds(displaced, this.hot)) {
-					considerSwap(expert, cold, displaced, share);
+					considerSwap(expert, cold, displaced);
 				}
 				if (this.placement.replicas(displaced) > 1) {
-					considerMove(expert, cold, displaced, share);
-					considerReplica(expert, cold, displaced, share);
+					Leaving leaving = Leaving.of(this.placement, displaced, cold, this.hot);
+					considerMove(expert, cold, leaving);
+					considerReplica(expert, cold, leaving);
 				}
 			}
 		}
 
-		private void considerMove(int expert, int cold, int displaced, double displacedShare) {
+		private void considerMove(int expert, int cold, Leaving leaving) {
 			double share = this.placement.shareOf(expert);
-			double hotAfter = this.hotLoad - share + extraOnHot(displaced);
-			offer(new Change(expert, this.hot, cold, true, displaced, false), hotAfter,
-					this.placement.load(cold) + share - displacedShare);
+			double hotAfter = this.hotLoad - share + leaving.extraOnHot();
+			double coldAfter = this.placement.load(cold) + share - leaving.share();
+			offer(new Change(expert, this.hot, cold, true, leaving.expert(), false), hotAfter,
+					Math.max(coldAfter, leaving.highestOther()));
 		}
 
-		private void considerReplica(int expert, int cold, int displaced, double displacedShare) {
+		private void considerReplica(int expert, int cold, Leaving leaving) {
 			int replicas = this.placement.replicas(expert);
 			double before = this.placement.shareOf(expert);
 			double after = before * replicas / (replicas + 1);
-			double hotAfter = this.hotLoad - before + after + extraOnHot(displaced);
-			offer(new Change(expert, this.hot, cold, false, displaced, false), hotAfter,
-					this.placement.load(cold) + after - displacedShare);
-		}
-
-		// A displaced expert's other replicas take over its share, on the hot rank
-		// perhaps.
-		private double extraOnHot(int displaced) {
-			if (displaced == NONE || !this.placement.holds(displaced, this.hot)) {
-				return 0;
-			}
-			int replicas = this.placement.replicas(displaced);
-			return this.placement.shareOf(displaced) / (replicas - 1);
+			double hotAfter = this.hotLoad - before + after + leaving.extraOnHot();
+			double coldAfter = this.placement.load(cold) + after - leaving.share();
+			offer(new Change(expert, this.hot, cold, false, leaving.expert(), false), hotAfter,
+					Math.max(coldAfter, leaving.highestOther()));
 		}
 
-		private void considerSwap(int expert, int cold, int displaced, double displacedShare) {
+		private void considerSwap(int expert, int cold, int displaced) {
 			double share = this.placement.shareOf(expert);
+			double displacedShare = this.placement.shareOf(displaced);
 			offer(new Change(expert, this.hot, cold, true, displaced, true), this.hotLoad - share + displacedShare,
 					this.placement.load(cold) + share - displacedShare);
 		}
 
-		private void offer(Change change, double hotAfter, double coldAfter) {
-			double relief = (this.hotLoad - Math.max(hotAfter, coldAfter)) / change.moves();
+		private void offer(Change change, double hotAfter, double othersAfter) {
+			double relief = (this.hotLoad - Math.max(hotAfter, othersAfter)) / change.moves();
 			if (relief > this.bestRelief) {
 				this.bestRelief = relief;
 				this.best = change;
--- a/balance/src/main/java/org/snowwind/balance/plan/CostAwarePlanner.java
+++ b/balance/src/main/java/org/snowwind/balance/plan/CostAwarePlanner.java
@@ -19,6 +19,9 @@
 
 	private static final int MAX_CHAIN = 48;
 
+	/** A relief must exceed so many standard errors of the hottest rank's load. */
+	private static final double NOISE_SIGMAS = 4;
+
 	private static final double NOTHING = 1e-9;
 
 	private final BalanceCost cost;
@@ -32,7 +35,7 @@
 	}
 
 	@Override
-	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, int maxMoves) {
+	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, double relativeError, int maxMoves) {
 		double meanOfAll = 0;
 		List<LayerPlacement> layers = new ArrayList<>();
 		for (int layer = 0; layer < demand.length; layer++) {
@@ -44,16 +47,15 @@
 			return current;
 		}
 		List<List<List<Integer>>> planned = new ArrayList<>(current.ranksOf());
-		boolean changed = take(layers, meanOfAll, maxMoves, planned);
+		boolean changed = take(layers, new Scale(meanOfAll, relativeError), maxMoves, planned);
 		return changed ? new ExpertPlacement(current.ranks(), current.slotsPerRank(), planned) : current;
 	}
 
-	private boolean take(List<LayerPlacement> layers, double meanOfAll, int maxMoves,
-			List<List<List<Integer>>> planned) {
+	private boolean take(List<LayerPlacement> layers, Scale scale, int maxMoves, List<List<List<Integer>>> planned) {
 		PriorityQueue<Stretch> best = new PriorityQueue<>(
 				Comparator.comparingDouble((stretch) -> -stretch.gainPerMove()));
 		for (int layer = 0; layer < layers.size(); layer++) {
-			addStretches(best, layer, layers.get(layer), meanOfAll);
+			addStretches(best, layer, layers.get(layer), scale);
 		}
 		int movesLeft = maxMoves;
 		boolean changed = false;
@@ -73,7 +75,8 @@
 	}
 
 	// Cuts a layer's chain into stretches of falling gain per move, each of which pays.
-	private void addStretches(PriorityQueue<Stretch> into, int layer, LayerPlacement placement, double meanOfAll) {
+	private void addStretches(PriorityQueue<Stretch> into, int layer, LayerPlacement placement, Scale scale) {
+		double noise = scale.noiseOf(placement);
 		List<Link> chain = chain(placement);
 		int from = 0;
 		int number = 0;
@@ -83,9 +86,10 @@
 				return;
 			}
 			int moves = chain.get(to).moves() - chain.get(from).moves();
-			double lessSkew = (chain.get(from).maxLoad() - chain.get(to).maxLoad()) / meanOfAll;
-			double net = this.cost.gainOf(lessSkew) - this.cost.costOf(moves);
-			if (net <= 0) {
+			double relief = chain.get(from).maxLoad() - chain.get(to).maxLoad();
+			double net = this.cost.gainOf(relief / scale.meanOfAll()) - this.cost.costOf(moves);
+			boolean seen = chain.get(0).maxLoad() - chain.get(to).maxLoad() > noise;
+			if (net <= 0 || !seen) {
 				return;
 			}
 			into.add(new Stretch(layer, number, moves, net / moves, chain.get(to).result()));
@@ -111,19 +115,53 @@
 	private static List<Link> chain(LayerPlacement placement) {
 		List<Link> chain = new ArrayList<>();
 		chain.add(new Link(0, placement.maxLoad(), placement.toLists()));
+		addPackedAnew(chain, placement);
 		int moves = 0;
 		for (int i = 0; i < MAX_CHAIN; i++) {
 			Change change = Change.bestFor(placement);
 			if (change == null) {
-				return chain;
+				break;
 			}
 			change.apply(placement);
 			moves += change.moves();
 			chain.add(new Link(moves, placement.maxLoad(), placement.toLists()));
 		}
+		chain.sort(Comparator.comparingInt(Link::moves));
 		return chain;
 	}
 
+	// Packing anew escapes where no single change helps; it is one more link of the
+	// chain.
+	private static void addPackedAnew(List<Link> chain, LayerPlacement placement) {
+		List<List<Integer>> before = placement.toLists();
+		List<List<Integer>> packed = RankMatching.closest(before, FullReplan.pack(placement), placement.ranks());
+		int moves = RankMatching.moves(before, packed);
+		LayerPlacement loaded = placement.placed(packed);
+		if (moves > 0) {
+			chain.add(new Link(moves, loaded.maxLoad(), packed));
+		}
+	}
+
+	/**
+	 * What loads are compared with.
+	 *
+	 * @param meanOfAll the mean rank's load over all layers
+	 * @param relativeError how far an expert's demand may be off
+	 */
+	private record Scale(double meanOfAll, double relativeError) {
+
+		// The hottest rank is the highest of many, each off by some experts' errors.
+		private double noiseOf(LayerPlacement placement) {
+			int hot = placement.hottestRank();
+			double squares = 0;
+			for (int expert : placement.expertsOn(hot)) {
+				squares += Math.pow(placement.shareOf(expert), 2);
+			}
+			return NOISE_SIGMAS * this.relativeError * Math.sqrt(squares);
+		}
+
+	}
+
 	private record Link(int moves, double maxLoad, List<List<Integer>> result) {
 	}
 
--- a/balance/src/main/java/org/snowwind/balance/plan/FullReplan.java
+++ b/balance/src/main/java/org/snowwind/balance/plan/FullReplan.java
@@ -13,7 +13,7 @@
 public final class FullReplan implements MapPlanner {
 
 	@Override
-	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, int maxMoves) {
+	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, double relativeError, int maxMoves) {
 		List<List<List<Integer>>> layers = new ArrayList<>();
 		for (double[] layerDemand : demand) {
 			layers.add(pack(layerDemand, current.ranks(), current.slotsPerRank()));
@@ -21,6 +21,10 @@
 		return new ExpertPlacement(current.ranks(), current.slotsPerRank(), layers);
 	}
 
+	static List<List<Integer>> pack(LayerPlacement layer) {
+		return pack(layer.demand(), layer.ranks(), layer.slots());
+	}
+
 	private static List<List<Integer>> pack(double[] demand, int ranks, int slots) {
 		int[] replicas = replicate(demand, ranks, slots);
 		List<Integer> order = new ArrayList<>();
--- a/balance/src/main/java/org/snowwind/balance/plan/LayerPlacement.java
+++ b/balance/src/main/java/org/snowwind/balance/plan/LayerPlacement.java
@@ -44,6 +44,23 @@
 		}
 	}
 
+	/**
+	 * Loads another placement with the same demand.
+	 * @param ranksOfExpert for each expert its ranks
+	 * @return the other placement
+	 */
+	LayerPlacement placed(List<List<Integer>> ranksOfExpert) {
+		return new LayerPlacement(ranksOfExpert, this.loads.length, this.slots, this.demand);
+	}
+
+	int slots() {
+		return this.slots;
+	}
+
+	double[] demand() {
+		return this.demand.clone();
+	}
+
 	/**
 	 * Puts a replica on a rank.
 	 * @param expert the expert
--- a/balance/src/main/java/org/snowwind/balance/plan/NeverMove.java
+++ b/balance/src/main/java/org/snowwind/balance/plan/NeverMove.java
@@ -6,7 +6,7 @@
 public final class NeverMove implements MapPlanner {
 
 	@Override
-	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, int maxMoves) {
+	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, double relativeError, int maxMoves) {
 		return current;
 	}
 
--- a/balance/src/main/java/org/snowwind/balance/plan/ThresholdReplan.java
+++ b/balance/src/main/java/org/snowwind/balance/plan/ThresholdReplan.java
@@ -18,8 +18,9 @@
 	}
 
 	@Override
-	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, int maxMoves) {
-		return (current.skew(demand) > this.threshold) ? this.replan.plan(current, demand, maxMoves) : current;
+	public ExpertPlacement plan(ExpertPlacement current, double[][] demand, double relativeError, int maxMoves) {
+		return (current.skew(demand) > this.threshold) ? this.replan.plan(current, demand, relativeError, maxMoves)
+				: current;
 	}
 
 }
--- a/balance/src/test/java/org/snowwind/balance/plan/PlannerTests.java
+++ b/balance/src/test/java/org/snowwind/balance/plan/PlannerTests.java
@@ -44,14 +44,14 @@
 	@Property(seed = "20261202")
 	void aPlanNeverCostsMoreThanDoingNothing(@ForAll long seed, @ForAll @IntRange(min = 1, max = 5000) int moveWeight) {
 		BalanceCost cost = cost(moveWeight);
-		ExpertPlacement plan = new CostAwarePlanner(cost).plan(START, demand(seed), 1000);
+		ExpertPlacement plan = new CostAwarePlanner(cost).plan(START, demand(seed), 0, 1000);
 		assertThat(total(cost, plan, demand(seed))).isLessThanOrEqualTo(total(cost, START, demand(seed)) + 1e-6);
 	}
 
 	@Property(seed = "20261202")
 	void everyExpertHasAReplicaAndNoRankTooMany(@ForAll long seed) {
 		for (MapPlanner planner : List.of(new CostAwarePlanner(cost(1)), new FullReplan())) {
-			ExpertPlacement plan = planner.plan(START, demand(seed), 1000);
+			ExpertPlacement plan = planner.plan(START, demand(seed), 0, 1000);
 			for (List<List<Integer>> layer : plan.ranksOf()) {
 				int[] used = new int[RANKS];
 				assertThat(layer).allMatch((ranks) -> !ranks.isEmpty());
@@ -63,26 +63,37 @@
 
 	@Property(seed = "20261202")
 	void noMoreIsMovedThanTheWeightStoreDelivers(@ForAll long seed, @ForAll @IntRange(max = 10) int maxMoves) {
-		ExpertPlacement plan = new CostAwarePlanner(cost(0.001)).plan(START, demand(seed), maxMoves);
+		ExpertPlacement plan = new CostAwarePlanner(cost(0.001)).plan(START, demand(seed), 0, maxMoves);
 		assertThat(plan.movesFrom(START)).isLessThanOrEqualTo(maxMoves);
 	}
 
 	@Test
 	void whenMovesAreDearNothingMoves() {
-		assertThat(new CostAwarePlanner(cost(1e9)).plan(START, demand(1), 1000)).isSameAs(START);
+		assertThat(new CostAwarePlanner(cost(1e9)).plan(START, demand(1), 0, 1000)).isSameAs(START);
 	}
 
 	@Test
 	void whenMovesAreCheapTheSkewComesNearTheFullReplans() {
 		double[][] demand = demand(1);
-		double ours = new CostAwarePlanner(cost(1e-6)).plan(START, demand, 1000).skew(demand);
-		double full = new FullReplan().plan(START, demand, 1000).skew(demand);
+		double ours = new CostAwarePlanner(cost(1e-6)).plan(START, demand, 0, 1000).skew(demand);
+		double full = new FullReplan().plan(START, demand, 0, 1000).skew(demand);
 		assertThat(ours).isLessThan(START.skew(demand) / 2).isLessThan(full * 1.5 + 0.1);
 	}
 
+	@Test
+	void whatCannotBeToldFromNoiseIsNotChased() {
+		ExpertPlacement settled = new CostAwarePlanner(cost(1e-6)).plan(START, demand(1), 0, 1000);
+		double[][] noisy = demand(1);
+		for (double[] layer : noisy) {
+			layer[0] *= 1.05;
+			layer[1] *= 0.95;
+		}
+		assertThat(new CostAwarePlanner(cost(1e-6)).plan(settled, noisy, 0.1, 1000)).isSameAs(settled);
+	}
+
 	@Test
 	void noDemandMovesNothing() {
-		assertThat(new CostAwarePlanner(cost(1)).plan(START, new double[LAYERS][EXPERTS], 1000)).isSameAs(START);
+		assertThat(new CostAwarePlanner(cost(1)).plan(START, new double[LAYERS][EXPERTS], 0, 1000)).isSameAs(START);
 	}
 
 }
--- a/config/src/main/java/org/snowwind/config/snapshot/SnapshotCodec.java
+++ b/config/src/main/java/org/snowwind/config/snapshot/SnapshotCodec.java
@@ -52,13 +52,20 @@
 	}
 
 	/**
-	 * Encodes a snapshot for another process.
+	 * Encodes what a process must learn to come to a snapshot.
 	 * @param snapshot the snapshot
+	 * @param haveRevision the revision that the process has; 0 for none
+	 * @param removals resources removed since that revision, {@code null} if that is not
+	 * known, so that the whole is sent
 	 * @return the JSON text
 	 */
-	public static byte[] encode(Snapshot snapshot) {
-		Document document = new Document(snapshot.revision(), entriesOf(snapshot.resources()),
-				entriesOf(snapshot.pending()));
+	public static byte[] encode(Snapshot snapshot, long haveRevision, List<ResourceKey> removals) {
+		boolean whole = removals == null || haveRevision == 0;
+		long base = whole ? 0 : haveRevision;
+		List<RemovedKey> removed = whole ? List.of()
+				: removals.stream().map((key) -> new RemovedKey(key.kind().title(), key.name())).toList();
+		Document document = new Document(snapshot.revision(), base, entriesOf(snapshot.resources(), base),
+				entriesOf(snapshot.pending(), 0), removed);
 		try {
 			return Json.MAPPER.writeValueAsBytes(document);
 		}
@@ -67,22 +74,36 @@
 		}
 	}
 
-	private static List<Entry> entriesOf(ResourceSet resources) {
+	private static List<Entry> entriesOf(ResourceSet resources, long afterRevision) {
 		return resources.all()
 			.stream()
+			.filter((resource) -> resource.revision() > afterRevision)
 			.map((resource) -> new Entry(resource.revision(), Json.MAPPER.valueToTree(encode(resource, null))))
 			.toList();
 	}
 
 	/**
-	 * Decodes a snapshot that another process encoded.
+	 * Decodes what another process encoded.
 	 * @param bytes the JSON text
-	 * @return the snapshot, without the findings about what is pending
+	 * @param last the snapshot in force here, to which changes are applied
+	 * @return the snapshot, without the findings about what is pending; the last one if
+	 * the changes start from a revision that is not here yet
 	 * @throws IOException if the bytes are not a snapshot
 	 */
-	public static Snapshot decode(byte[] bytes) throws IOException {
+	public static Snapshot decode(byte[] bytes, Snapshot last) throws IOException {
 		Document document = Json.MAPPER.readValue(bytes, Document.class);
-		return new Snapshot(document.revision(), resourcesOf(document.resources()), resourcesOf(document.pending()),
+		if (document.base() > last.revision()) {
+			return last;
+		}
+		ResourceSet resources = (document.base() == 0) ? ResourceSet.EMPTY : last.resources();
+		for (RemovedKey removed : document.removed()) {
+			ResourceKind kind = ResourceKind.parse(removed.kind())
+				.orElseThrow(() -> new UnreadableResource("unknown kind " + removed.kind()));
+			resources = resources.without(new ResourceKey(kind, removed.name()));
+		}
+		List<Resource> all = new ArrayList<>(resources.all());
+		all.addAll(resourcesOf(document.resources()).all());
+		return new Snapshot(document.revision(), ResourceSet.of(all), resourcesOf(document.pending()),
 				java.util.Map.of());
 	}
 
@@ -94,7 +115,11 @@
 		return ResourceSet.of(resources);
 	}
 
-	private record Document(long revision, List<Entry> resources, List<Entry> pending) {
+	private record Document(long revision, long base, List<Entry> resources, List<Entry> pending,
+			List<RemovedKey> removed) {
+	}
+
+	private record RemovedKey(String kind, String name) {
 	}
 
 	private record Entry(long revision, JsonNode value) {
--- a/config/src/test/java/org/snowwind/config/snapshot/SnapshotBuilderTests.java
+++ b/config/src/test/java/org/snowwind/config/snapshot/SnapshotBuilderTests.java
@@ -1,6 +1,7 @@
 package org.snowwind.config.snapshot;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -13,6 +14,7 @@
 import org.snowwind.config.check.ResourceChecks;
 import org.snowwind.config.snapshot.SnapshotBuilder.RawValue;
 import org.snowwind.model.Json;
+import org.snowwind.model.resource.ResourceKey;
 import org.snowwind.model.resource.ResourceKind;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -114,12 +116,31 @@
 	void aSnapshotSurvivesItsJourneyToAPeer() throws IOException {
 		Snapshot good = this.builder.fromListing(Snapshot.NONE, 3,
 				List.of(service(1, "desk"), server(2, "s", "80", "desk"), server(3, "lost", "81", "nowhere")));
-		Snapshot copy = SnapshotCodec.decode(SnapshotCodec.encode(good));
+		Snapshot copy = SnapshotCodec.decode(SnapshotCodec.encode(good, 0, null), Snapshot.NONE);
 		assertThat(copy.revision()).isEqualTo(3);
 		assertThat(copy.resources().all()).isEqualTo(good.resources().all());
 		assertThat(copy.pending().all()).isEqualTo(good.pending().all());
 	}
 
+	@Test
+	void aPeerThatIsBehindGetsOnlyTheChanges() throws IOException {
+		Snapshot old = this.builder.fromListing(Snapshot.NONE, 2, List.of(service(1, "desk"), service(2, "shop")));
+		Snapshot next = this.builder.fromChanges(old, List.of(service(3, "club"), deleted(4, "Service", "shop")));
+		List<ResourceKey> removals = List.of(new ResourceKey(ResourceKind.SERVICE, "shop"));
+		byte[] changes = SnapshotCodec.encode(next, 2, removals);
+		assertThat(new String(changes, StandardCharsets.UTF_8)).doesNotContain("desk");
+		Snapshot copy = SnapshotCodec.decode(changes, old);
+		assertThat(copy.revision()).isEqualTo(4);
+		assertThat(copy.resources().all()).containsExactlyInAnyOrderElementsOf(next.resources().all());
+	}
+
+	@Test
+	void changesThatStartFromWhatIsNotHereYetAreNotTaken() throws IOException {
+		Snapshot next = this.builder.fromListing(Snapshot.NONE, 5, List.of(service(5, "desk")));
+		byte[] changes = SnapshotCodec.encode(next, 4, List.of());
+		assertThat(SnapshotCodec.decode(changes, Snapshot.NONE)).isSameAs(Snapshot.NONE);
+	}
+
 	@Property(seed = "20261202")
 	void inAnyOrderTheRevisionNeverFallsAndADeclaredServiceIsNeverDisplacedByABadOne(
 			@ForAll @Size(max = 12) List<Boolean> goodOrBad, @ForAll @Size(max = 12) List<Boolean> repeats) {
--- a/entry/src/main/java/org/snowwind/entry/config/ConfigHolder.java
+++ b/entry/src/main/java/org/snowwind/entry/config/ConfigHolder.java
@@ -21,9 +21,7 @@
 
 	private volatile Snapshot current = Snapshot.NONE;
 
-	private byte[] encoded = new byte[0];
-
-	private long encodedRevision;
+	private final Removals removals = new Removals();
 
 	/**
 	 * Creates a holder without configuration.
@@ -60,6 +58,7 @@
 				noteStale(next.revision());
 				return false;
 			}
+			this.removals.note(this.current, next);
 			this.current = next;
 		}
 		EventLog.log(Event.CONFIG_APPLIED, "entry", this.name, "revision", next.revision(), "resources",
@@ -85,7 +84,7 @@
 			return;
 		}
 		try {
-			offer(SnapshotCodec.decode(bytes));
+			offer(SnapshotCodec.decode(bytes, this.current));
 		}
 		catch (IOException ex) {
 			EventLog.log(Event.CONFIG_REJECTED, "entry", this.name, "revision", revision, "reason", ex.getMessage());
@@ -93,15 +92,12 @@
 	}
 
 	/**
-	 * Returns the configuration in force as peers take it.
-	 * @return the encoded snapshot
+	 * Returns what a peer must learn to come to the configuration in force.
+	 * @param haveRevision the revision that the peer has
+	 * @return the changes since then, or the whole if they are no longer known
 	 */
-	public synchronized byte[] encodedCurrent() {
-		if (this.encodedRevision != this.current.revision()) {
-			this.encoded = SnapshotCodec.encode(this.current);
-			this.encodedRevision = this.current.revision();
-		}
-		return this.encoded;
+	public synchronized byte[] encodedSince(long haveRevision) {
+		return SnapshotCodec.encode(this.current, haveRevision, this.removals.since(haveRevision));
 	}
 
 }
--- a/entry/src/main/java/org/snowwind/entry/member/EntryControlService.java
+++ b/entry/src/main/java/org/snowwind/entry/member/EntryControlService.java
@@ -46,7 +46,7 @@
 		ConfigDocument document = new ConfigDocument();
 		document.setRevision(snapshot.revision());
 		boolean newer = snapshot.revision() > haveRevision;
-		document.setDocument(newer ? this.config.encodedCurrent() : NOTHING);
+		document.setDocument(newer ? this.config.encodedSince(haveRevision) : NOTHING);
 		return document;
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/member/Membership.java
+++ b/entry/src/main/java/org/snowwind/entry/member/Membership.java
@@ -47,6 +47,9 @@
 
 	private static final int NAMED_ENTRIES = 8;
 
+	/** Entries are named in one of so many reports. */
+	private static final int NAMING_TURNS = 8;
+
 	private final EntrySettings settings;
 
 	private final String controlAddress;
@@ -73,6 +76,11 @@
 
 	private volatile MembershipView view = MembershipView.ALONE;
 
+	/** What peers are told: others' progress only by those who hear it first-hand. */
+	private volatile List<DataCentreProgress> toldProgress = List.of();
+
+	private volatile List<String> namedEntries = List.of();
+
 	private volatile boolean draining;
 
 	private volatile long platformAgeMillis = -1;
@@ -110,7 +118,7 @@
 	 */
 	public void start() {
 		this.thread.start();
-		this.config.onChange((snapshot) -> this.thread.offer(this::tick));
+		this.config.onChange((snapshot) -> this.thread.offer(this::tellAll));
 	}
 
 	/**
@@ -126,7 +134,7 @@
 	 */
 	public void drain() {
 		this.draining = true;
-		this.thread.offer(this::tick);
+		this.thread.offer(this::tellAll);
 	}
 
 	/**
@@ -166,9 +174,15 @@
 		publish();
 		beatAgents();
 		PeerReport report = ownReport();
-		List<String> partners = this.peers.partners();
-		retain(this.peerLinks, new HashSet<>(partners));
-		partners.forEach((address) -> exchange(address, report));
+		retain(this.peerLinks, new HashSet<>(this.peers.partners()));
+		this.peers.callees(this.controlAddress).forEach((address) -> exchange(address, report));
+	}
+
+	private void tellAll() {
+		publish();
+		beatAgents();
+		PeerReport report = ownReport();
+		this.peers.partners().forEach((address) -> exchange(address, report));
 	}
 
 	private void publish() {
@@ -176,8 +190,10 @@
 		DataCentreProgress own = ownProgress(agents);
 		List<DataCentreProgress> all = new ArrayList<>(this.peers.otherDataCentres());
 		all.add(own);
+		this.toldProgress = this.peers.representative() ? all : List.of(own);
+		this.namedEntries = (this.random.nextInt(NAMING_TURNS) == 0) ? namedEntries() : List.of();
 		this.view = new MembershipView(this.peers.relay(), this.peers.liveEntries(), all, agents,
-				this.view.silentServers(), namedEntries());
+				this.view.silentServers());
 		Set<String> observed = Set.copyOf(this.agentLinks.keySet());
 		this.loop.run(() -> {
 			this.servers.suspectSilent();
@@ -226,8 +242,8 @@
 		report.setConfigRevision(revision);
 		report.setAgentsRevision(now.agentsBehind().map(ServerTable.AgentProgress::revision).orElse(revision));
 		report.setAgentsWaitFor(now.agentsBehind().map(ServerTable.AgentProgress::name).orElse(""));
-		report.setProgress(now.dataCentres());
-		report.setKnownEntries(now.namedEntries());
+		report.setProgress(this.toldProgress);
+		report.setKnownEntries(this.namedEntries);
 		report.setPlatformAgeMillis(this.platformAgeMillis);
 		return report;
 	}
--- a/entry/src/main/java/org/snowwind/entry/member/MembershipView.java
+++ b/entry/src/main/java/org/snowwind/entry/member/MembershipView.java
@@ -14,17 +14,15 @@
  * @param dataCentres how far each data centre has come
  * @param agentsBehind the agent here that is furthest behind
  * @param silentServers the servers that do not answer this entry
- * @param namedEntries some entries that live
  */
 public record MembershipView(boolean relay, int liveEntries, List<DataCentreProgress> dataCentres,
-		Optional<ServerTable.AgentProgress> agentsBehind, Set<String> silentServers, List<String> namedEntries) {
+		Optional<ServerTable.AgentProgress> agentsBehind, Set<String> silentServers) {
 
 	/** Nobody else is known. */
-	public static final MembershipView ALONE = new MembershipView(true, 1, List.of(), Optional.empty(), Set.of(),
-			List.of());
+	public static final MembershipView ALONE = new MembershipView(true, 1, List.of(), Optional.empty(), Set.of());
 
 	MembershipView withServers(Optional<ServerTable.AgentProgress> behind, Set<String> silent) {
-		return new MembershipView(this.relay, this.liveEntries, this.dataCentres, behind, silent, this.namedEntries);
+		return new MembershipView(this.relay, this.liveEntries, this.dataCentres, behind, silent);
 	}
 
 }
--- a/entry/src/main/java/org/snowwind/entry/member/PeerTable.java
+++ b/entry/src/main/java/org/snowwind/entry/member/PeerTable.java
@@ -29,6 +29,8 @@
 
 	private static final int RELAYS = 2;
 
+	private static final String REPRESENTATIVE_SEED = "representative";
+
 	private static final String RELAY_SEED = "relay";
 
 	private final String ownName;
@@ -128,12 +130,33 @@
 		}
 	}
 
+	/**
+	 * Returns the addresses that this entry calls by turns. An exchange tells both sides,
+	 * so of two entries that know each other only the one with the lower address calls.
+	 * @param ownAddress this entry's control address
+	 * @return control addresses
+	 */
+	public List<String> callees(String ownAddress) {
+		return partners().stream().filter((address) -> {
+			boolean knowsMe = this.peers.containsKey(address) && this.peers.get(address).live;
+			return !knowsMe || ownAddress.compareTo(address) < 0;
+		}).toList();
+	}
+
+	/**
+	 * Tells whether this entry speaks for its data centre to others.
+	 * @return true if it is among the first-ranked live entries of its data centre
+	 */
+	public boolean representative() {
+		return rankedHere(REPRESENTATIVE_SEED, REPRESENTATIVES);
+	}
+
 	/**
 	 * Returns the addresses that this entry talks to.
 	 * @return control addresses
 	 */
 	public List<String> partners() {
-		boolean representative = rankedHere("representative", REPRESENTATIVES);
+		boolean representative = representative();
 		List<String> partners = new ArrayList<>();
 		Map<String, List<Peer>> abroad = new HashMap<>();
 		for (Peer peer : this.peers.values()) {
--- a/entry/src/test/java/org/snowwind/entry/member/PeerTableTests.java
+++ b/entry/src/test/java/org/snowwind/entry/member/PeerTableTests.java
@@ -77,6 +77,17 @@
 		assertThat(table.otherDataCentres()).isEmpty();
 	}
 
+	@Test
+	void ofTwoThatKnowEachOtherOnlyOneCalls() {
+		PeerTable table = table("a");
+		table.heard(report("b", "casa", 2));
+		assertThat(table.callees("10.0.0.1:1")).containsExactly("10.0.0.2:1");
+		assertThat(table.callees("10.0.0.3:1")).isEmpty();
+		this.clock.advance(101);
+		table.suspectSilent();
+		assertThat(table.callees("10.0.0.3:1")).containsExactly("10.0.0.2:1");
+	}
+
 	@Test
 	void betweenDataCentresOnlyTheFirstRankedTalk() {
 		int talkers = 0;
