--- a/app/src/main/java/org/snowwind/app/command/SnowwindCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/SnowwindCommand.java
@@ -9,9 +9,9 @@
  */
 @Command(name = "snowwind", description = "A load balancer for expert-parallel model groups.",
 		subcommands = { EntryCommand.class, AgentCommand.class, ApplyCommand.class, GetCommand.class,
-				WatchCommand.class, DescribeCommand.class, DeleteCommand.class, DrainCommand.class, TryCommand.class,
-				MeasureCommand.class, StandInCommand.class, VersionCommand.class, CommandLine.HelpCommand.class,
-				AutoComplete.GenerateCompletion.class },
+				WatchCommand.class, DescribeCommand.class, DeleteCommand.class, DrainCommand.class, ReportCommand.class,
+				TryCommand.class, MeasureCommand.class, StandInCommand.class, VersionCommand.class,
+				CommandLine.HelpCommand.class, AutoComplete.GenerateCompletion.class },
 		mixinStandardHelpOptions = true, versionProvider = VersionCommand.Provider.class,
 		exitCodeListHeading = "%nExit codes:%n",
 		exitCodeList = { "0:done", "1:a promise broken, a target missed, or a condition not reached in time",
--- a/app/src/main/java/org/snowwind/app/measure/ThreadCpu.java
+++ b/app/src/main/java/org/snowwind/app/measure/ThreadCpu.java
@@ -7,7 +7,7 @@
 /**
  * Reads the CPU time of this process's threads by their names.
  */
-final class ThreadCpu {
+public final class ThreadCpu {
 
 	private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
@@ -19,7 +19,7 @@
 	 * @param namePrefix how their names begin
 	 * @return nanoseconds so far
 	 */
-	static long nanos(String namePrefix) {
+	public static long nanos(String namePrefix) {
 		long sum = 0;
 		for (long id : THREADS.getAllThreadIds()) {
 			ThreadInfo info = THREADS.getThreadInfo(id);
--- a/app/src/main/java/org/snowwind/app/measure/fleet/MemberFleet.java
+++ b/app/src/main/java/org/snowwind/app/measure/fleet/MemberFleet.java
@@ -1,23 +1,19 @@
 package org.snowwind.app.measure.fleet;
 
-import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.sun.management.OperatingSystemMXBean;
 import org.apache.thrift.transport.TTransportException;
+import org.snowwind.app.measure.LoopbackDevice;
 import org.snowwind.app.measure.MeasurementFailed;
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.http.DataLoop;
@@ -167,37 +163,21 @@
 	 * @param millis for how long, in milliseconds
 	 * @return the cost of one member
 	 * @throws InterruptedException if the measuring thread is interrupted
+	 * @throws MeasurementFailed if the counters cannot be read
 	 */
-	Cost idleCost(long millis) throws InterruptedException {
+	Cost idleCost(long millis) throws InterruptedException, MeasurementFailed {
 		long calls = -this.platform.calls();
 		double cpuNanos = -SYSTEM.getProcessCpuTime();
-		double bytes = -loopbackBytes();
+		double bytes = -LoopbackDevice.receivedBytes();
 		TimeUnit.MILLISECONDS.sleep(millis);
 		calls += this.platform.calls();
 		cpuNanos += SYSTEM.getProcessCpuTime();
-		bytes += loopbackBytes();
+		bytes += LoopbackDevice.receivedBytes();
 		double seconds = millis / 1000.0;
 		return new Cost(calls / seconds, cpuNanos / 1e7 / seconds / this.members.size(),
 				bytes / 1024 / seconds / this.members.size());
 	}
 
-	/**
-	 * Reads what the loopback device has received so far; right only while no other
-	 * process uses it.
-	 * @return bytes, headers included
-	 */
-	private static double loopbackBytes() {
-		try (Stream<String> lines = Files.lines(Path.of("/proc/net/dev"))) {
-			return lines.filter((line) -> line.trim().startsWith("lo:"))
-				.mapToDouble((line) -> Double.parseDouble(Arrays.asList(line.trim().split("\\s+")).get(1)))
-				.findFirst()
-				.orElse(0);
-		}
-		catch (IOException ex) {
-			return 0;
-		}
-	}
-
 	@Override
 	public void close() {
 		this.members.forEach(ConfigMember::close);
--- a/decide/src/main/java/org/snowwind/decide/outcome/DeliveredBytesAreOnlyContinued.java
+++ b/decide/src/main/java/org/snowwind/decide/outcome/DeliveredBytesAreOnlyContinued.java
@@ -21,7 +21,8 @@
 		if (mayContinue && situation.anotherAttemptAffordable()) {
 			return NextStep.RESUME;
 		}
-		return NextStep.finish(Disclosure.FAILED, ProblemKind.BACKEND_FAILED);
+		ProblemKind problem = situation.inTime() ? ProblemKind.BACKEND_FAILED : ProblemKind.DEADLINE;
+		return NextStep.finish(Disclosure.FAILED, problem);
 	}
 
 }
--- a/decide/src/test/java/org/snowwind/decide/outcome/DeliveredBytesAreOnlyContinuedTests.java
+++ b/decide/src/test/java/org/snowwind/decide/outcome/DeliveredBytesAreOnlyContinuedTests.java
@@ -25,6 +25,12 @@
 			.isEqualTo(brokenOff);
 	}
 
+	@Test
+	void whatBreaksOffAtTheDeadlineSaysSo() {
+		Situation late = new Situation(AttemptEnd.BEGAN_THEN_BROKE, true, true, 100, 1, 3, 0, true, true, null);
+		assertThat(this.rule.decide(late)).isEqualTo(NextStep.finish(Disclosure.FAILED, ProblemKind.DEADLINE));
+	}
+
 	@Test
 	void nothingDeliveredIsNotItsBusiness() {
 		assertThat(this.rule.decide(Situations.after(AttemptEnd.BEGAN_THEN_BROKE, true))).isSameAs(NextStep.NO_OPINION);
