Call a server degraded until it is heard of; split membership; fold doubled code

Cause: a test of frozen agents met no server at once: an entry that had just learnt a BackendServer did not yet count it as silent, so it looked ready; one run in three. Ruled out: the freeze itself; the calls were refused within 60 ms, before it. Change: a server is degraded until it answers; heartbeats to agents in a class of their own, the choice of observed servers made once for each configuration; one base for HTTP stand-ins, one pause, one connection option for operators' commands.

--- a/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
@@ -23,6 +23,7 @@
 import org.snowwind.http.server.HttpLimits;
 import org.snowwind.http.server.HttpServer;
 import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.duty.Pause;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 import org.snowwind.wire.ThriftServer;
@@ -141,10 +142,10 @@
 		this.loop.run(() -> this.state.drain("stop"));
 		long boundMillis = this.clock.nowMillis() + this.settings.drainMillis();
 		while (running() > 0 && this.clock.nowMillis() < boundMillis) {
-			pause();
+			Pause.millis(DRAIN_POLL_MILLIS);
 		}
 		this.loop.run(this.state::cutOff);
-		pause();
+		Pause.millis(DRAIN_POLL_MILLIS);
 		close();
 		EventLog.log(Event.AGENT_STOPPED, "agent", this.settings.name());
 	}
@@ -165,15 +166,6 @@
 		}
 	}
 
-	private static void pause() {
-		try {
-			TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	@Override
 	public void close() {
 		if (this.control != null) {
--- a/app/src/main/java/org/snowwind/app/command/EntryOptions.java
+++ b/app/src/main/java/org/snowwind/app/command/EntryOptions.java
@@ -4,6 +4,7 @@
 
 import org.snowwind.operator.OperatorAnswer;
 import org.snowwind.operator.OperatorClient;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -11,14 +12,8 @@
  */
 public final class EntryOptions {
 
-	@Option(names = "--entry", paramLabel = "IP:PORT",
-			description = "Operator address of any entry; default: $SNOWWIND_ENTRY, else ${DEFAULT-VALUE}.",
-			defaultValue = "${env:SNOWWIND_ENTRY:-127.0.0.1:7101}")
-	private String entry;
-
-	@Option(names = "--token", description = "Operator token; default: $SNOWWIND_TOKEN.",
-			defaultValue = "${env:SNOWWIND_TOKEN:-}")
-	private String token;
+	@Mixin
+	private EntryConnection connection;
 
 	@Option(names = "--output", description = "${COMPLETION-CANDIDATES}; default: ${DEFAULT-VALUE}.",
 			defaultValue = "table")
@@ -39,25 +34,7 @@
 	 * @return the exit code
 	 */
 	int call(Function<OperatorClient, OperatorAnswer> call, Function<OperatorAnswer.Done, Integer> onDone) {
-		try (OperatorClient client = new OperatorClient(this.entry, this.token)) {
-			return call.apply(client).match(onDone, EntryOptions::refused, this::unreachable);
-		}
-	}
-
-	static int refused(OperatorAnswer.Refused refused) {
-		System.err.println(refused.code() + ": " + refused.message() + ". " + refused.remedy());
-		return switch (refused.code()) {
-			case "bad-credential" -> ExitCodes.REFUSED;
-			case "conflict" -> ExitCodes.CONFLICT;
-			case "no-server", "platform-away", "overloaded" -> ExitCodes.UNREACHABLE;
-			default -> ExitCodes.INVALID;
-		};
-	}
-
-	private int unreachable(OperatorAnswer.Unreachable unreachable) {
-		System.err.println("entry " + this.entry + " does not answer: " + unreachable.reason()
-				+ ". Name another with --entry; a change may have been made, so look before you repeat it.");
-		return ExitCodes.UNREACHABLE;
+		return this.connection.call(call, onDone);
 	}
 
 	/**
--- a/app/src/main/java/org/snowwind/app/command/ReportBurnCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/ReportBurnCommand.java
@@ -6,9 +6,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.app.report.BurnPage;
-import org.snowwind.operator.OperatorAnswer;
 import org.snowwind.operator.OperatorClient;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -21,14 +21,8 @@
 
 	private static final String NO_ALERT = "NONE";
 
-	@Option(names = "--entry", paramLabel = "IP:PORT",
-			description = "Operator address of any entry; default: $SNOWWIND_ENTRY, else ${DEFAULT-VALUE}.",
-			defaultValue = "${env:SNOWWIND_ENTRY:-127.0.0.1:7101}")
-	private String entry;
-
-	@Option(names = "--token", description = "Operator token; default: $SNOWWIND_TOKEN.",
-			defaultValue = "${env:SNOWWIND_TOKEN:-}")
-	private String token;
+	@Mixin
+	private EntryConnection connection;
 
 	@Option(names = "--output", description = "${COMPLETION-CANDIDATES}; default: ${DEFAULT-VALUE}.",
 			defaultValue = "table")
@@ -36,15 +30,7 @@
 
 	@Override
 	public Integer call() {
-		try (OperatorClient client = new OperatorClient(this.entry, this.token)) {
-			return client.burn().match((done) -> print(done.body()), EntryOptions::refused, this::unreachable);
-		}
-	}
-
-	private int unreachable(OperatorAnswer.Unreachable unreachable) {
-		System.err.println(
-				"entry " + this.entry + " does not answer: " + unreachable.reason() + ". Name another with --entry.");
-		return ExitCodes.UNREACHABLE;
+		return this.connection.call(OperatorClient::burn, (done) -> print(done.body()));
 	}
 
 	private int print(JsonNode report) {
--- a/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
@@ -47,6 +47,7 @@
 import org.snowwind.http.server.HttpServer;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.DutyThread;
+import org.snowwind.model.duty.Pause;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 import org.snowwind.store.HttpObjectStore;
@@ -208,7 +209,7 @@
 		this.configThread = new DutyThread("config", SMALL_RING, WATCH_TICK_MILLIS, watcher::round);
 		this.vmThread = new DutyThread("vm-list", SMALL_RING, VM_LIST_MILLIS, this::readVmList);
 		StatusBoard status = new StatusBoard(this.config, this.membership::view);
-		VerifiedWrites writes = new VerifiedWrites(this.store, EntryDaemon::pause);
+		VerifiedWrites writes = new VerifiedWrites(this.store, Pause::millis);
 		ResourceWriter writer = new ResourceWriter(this.store, writes, checks, this.config);
 		DrainOrders drains = new DrainOrders(this.config, this.calls, this.settings.fleetCredential());
 		this.api = new ResourceApi(this.settings.operatorToken(), this.loop, status, writer, drains,
@@ -267,12 +268,12 @@
 		this.draining = true;
 		EventLog.log(Event.ENTRY_DRAINING, "entry", this.settings.name());
 		this.membership.drain();
-		pause(this.settings.graceMillis());
+		Pause.millis(this.settings.graceMillis());
 		this.callerServer.stopListening();
 		this.loop.run(this.callers::drain);
 		long boundMillis = this.clock.nowMillis() + this.settings.drainMillis();
 		while (openRequests() > 0 && this.clock.nowMillis() < boundMillis) {
-			pause(DRAIN_POLL_MILLIS);
+			Pause.millis(DRAIN_POLL_MILLIS);
 		}
 		int left = openRequests();
 		if (left > 0) {
@@ -297,15 +298,6 @@
 		}
 	}
 
-	private static void pause(long millis) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	@Override
 	public void close() {
 		this.configThread.close();
--- a/entry/src/main/java/org/snowwind/entry/api/StatusBoard.java
+++ b/entry/src/main/java/org/snowwind/entry/api/StatusBoard.java
@@ -118,7 +118,7 @@
 
 	private static Condition degraded(ResourceKey key, MembershipView members, List<DataCentreStatus> dataCentres) {
 		boolean server = key.kind() == ResourceKind.BACKEND_SERVER;
-		if (server && members.silentServers().contains(key.name())) {
+		if (server && members.silent(key.name())) {
 			return new Condition(Condition.Type.DEGRADED, true, "its agent does not answer this entry",
 					"look at its VM, its agent's log and the addresses of the resource");
 		}
--- a/entry/src/main/java/org/snowwind/entry/claim/ClaimDuty.java
+++ b/entry/src/main/java/org/snowwind/entry/claim/ClaimDuty.java
@@ -1,12 +1,12 @@
 package org.snowwind.entry.claim;
 
 import java.util.UUID;
-import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.snowwind.model.Json;
 import org.snowwind.model.duty.DutyThread;
+import org.snowwind.model.duty.Pause;
 import org.snowwind.model.outcome.Disclosure;
 import org.snowwind.model.outcome.Problem;
 import org.snowwind.model.outcome.ProblemKind;
@@ -44,7 +44,7 @@
 	 */
 	public ClaimDuty(ObjectStore store) {
 		this.store = store;
-		this.writes = new VerifiedWrites(store, ClaimDuty::pause);
+		this.writes = new VerifiedWrites(store, Pause::millis);
 	}
 
 	/**
@@ -118,15 +118,6 @@
 		});
 	}
 
-	private static void pause(long millis) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	@Override
 	public void close() {
 		this.thread.close();
--- a/entry/src/main/java/org/snowwind/entry/member/Membership.java
+++ b/entry/src/main/java/org/snowwind/entry/member/Membership.java
@@ -10,27 +10,18 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Consumer;
 
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.config.settings.EntrySettings;
-import org.snowwind.config.snapshot.AgentDocument;
-import org.snowwind.config.snapshot.Snapshot;
 import org.snowwind.entry.config.ConfigHolder;
 import org.snowwind.http.DataLoop;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.DutyThread;
-import org.snowwind.model.resource.BackendServerSpec;
-import org.snowwind.wire.Reply;
 import org.snowwind.wire.ThriftCalls;
 import org.snowwind.wire.ThriftLink;
-import org.snowwind.wire.generated.AgentControl;
-import org.snowwind.wire.generated.AgentReport;
 import org.snowwind.wire.generated.ConfigDocument;
-import org.snowwind.wire.generated.ConfigPush;
 import org.snowwind.wire.generated.DataCentreProgress;
 import org.snowwind.wire.generated.EntryControl;
-import org.snowwind.wire.generated.EntryHeartbeat;
 import org.snowwind.wire.generated.PeerReport;
 
 /**
@@ -64,14 +55,14 @@
 
 	private final ThriftCalls calls;
 
+	private final AgentHeartbeats agents;
+
 	private final PeerTable peers;
 
 	private final DutyThread thread;
 
 	private final Random random;
 
-	private final Map<String, AgentLinks> agentLinks = new HashMap<>();
-
 	private final Map<String, PeerLinks> peerLinks = new HashMap<>();
 
 	private volatile MembershipView view = MembershipView.ALONE;
@@ -107,6 +98,7 @@
 		this.config = config;
 		this.calls = calls;
 		this.random = random;
+		this.agents = new AgentHeartbeats(settings, loop, servers, sequence, config, calls);
 		long suspectAfterMillis = settings.heartbeatMillis() * SUSPECT_HEARTBEATS;
 		this.peers = new PeerTable(settings.name(), settings.dataCentre(), clock, suspectAfterMillis, FORGET_MILLIS);
 		settings.seeds().forEach((seed) -> this.peers.seed(Addresses.render(seed)));
@@ -172,15 +164,15 @@
 	private void tick() {
 		this.peers.suspectSilent();
 		publish();
-		beatAgents();
+		this.agents.beat();
 		PeerReport report = ownReport();
-		retain(this.peerLinks, new HashSet<>(this.peers.partners()));
+		retain(new HashSet<>(this.peers.partners()));
 		this.peers.callees(this.controlAddress).forEach((address) -> exchange(address, report));
 	}
 
 	private void tellAll() {
 		publish();
-		beatAgents();
+		this.agents.beat();
 		PeerReport report = ownReport();
 		this.peers.partners().forEach((address) -> exchange(address, report));
 	}
@@ -193,13 +185,13 @@
 		this.toldProgress = this.peers.representative() ? all : List.of(own);
 		this.namedEntries = (this.random.nextInt(NAMING_TURNS) == 0) ? namedEntries() : List.of();
 		this.view = new MembershipView(this.peers.relay(), this.peers.liveEntries(), all, agents,
-				this.view.silentServers());
-		Set<String> observed = Set.copyOf(this.agentLinks.keySet());
+				this.view.answeringServers(), this.view.unobservedServers());
+		Set<String> unobserved = this.agents.unobserved();
 		this.loop.run(() -> {
 			this.servers.suspectSilent();
 			Optional<ServerTable.AgentProgress> behind = this.servers.furthestBehind();
-			Set<String> silent = this.servers.silent(observed);
-			this.thread.offer(() -> this.view = this.view.withServers(behind, silent));
+			Set<String> answering = this.servers.answering();
+			this.thread.offer(() -> this.view = this.view.withServers(behind, answering, unobserved));
 		});
 	}
 
@@ -248,59 +240,6 @@
 		return report;
 	}
 
-	// ---- agents
-
-	private void beatAgents() {
-		Map<String, BackendServerSpec> observed = ObservedServers.of(this.config.current().servers(),
-				this.settings.name(), this.settings.dataCentre());
-		observed.forEach(
-				(name, server) -> Addresses.parse(server.controlAddress()).ifPresent((address) -> beat(name, address)));
-		retain(this.agentLinks, observed.keySet());
-	}
-
-	private void beat(String name, InetSocketAddress address) {
-		AgentLinks links = this.agentLinks.get(name);
-		if (links == null || !links.address().equals(address)) {
-			links = newAgentLinks(address);
-			AgentLinks old = this.agentLinks.put(name, links);
-			if (old != null) {
-				old.close();
-			}
-		}
-		EntryHeartbeat heartbeat = new EntryHeartbeat(this.settings.fleetCredential(), this.settings.name(),
-				this.sequence.incarnation(), this.sequence.floor());
-		AgentLinks used = links;
-		links.heartbeats()
-			.<AgentReport>call((client, callback) -> client.heartbeat(heartbeat, callback),
-					onAnswer((report) -> heardAgent(name, used, report)));
-	}
-
-	private AgentLinks newAgentLinks(InetSocketAddress address) {
-		long timeoutMillis = this.settings.heartbeatMillis() * 2;
-		ThriftCalls.ClientFactory<AgentControl.AsyncClient> factory = AgentControl.AsyncClient::new;
-		return new AgentLinks(address, this.calls.link(address, factory, timeoutMillis),
-				this.calls.link(address, factory, timeoutMillis));
-	}
-
-	private void heardAgent(String name, AgentLinks links, AgentReport report) {
-		this.loop.run(() -> this.servers.heard(name, report));
-		Snapshot snapshot = this.config.current();
-		if (report.getConfigRevision() >= snapshot.revision()) {
-			return;
-		}
-		ConfigPush push = new ConfigPush();
-		push.setCredential(this.settings.fleetCredential());
-		push.setRevision(snapshot.revision());
-		push.setDocument(AgentDocument.of(snapshot).encode());
-		links.pushes().<Long>call((client, callback) -> client.configure(push, callback), onAnswer((revision) -> {
-			AgentReport updated = new AgentReport(report);
-			updated.setConfigRevision(revision);
-			this.loop.run(() -> this.servers.heard(name, updated));
-		}));
-	}
-
-	// ---- entries
-
 	private void exchange(String address, PeerReport report) {
 		PeerLinks links = this.peerLinks.get(address);
 		if (links == null) {
@@ -309,7 +248,7 @@
 		}
 		links.exchanges()
 			.<PeerReport>call((client, callback) -> client.exchange(report, callback),
-					onAnswer((answer) -> this.thread.offer(() -> heardPeer(answer))));
+					Replies.onAnswer((answer) -> this.thread.offer(() -> heardPeer(answer))));
 	}
 
 	private PeerLinks newPeerLinks(String address) {
@@ -330,12 +269,12 @@
 		PeerLinks links = this.peerLinks.computeIfAbsent(report.getControlAddress(), this::newPeerLinks);
 		String credential = this.settings.fleetCredential();
 		links.fetches()
-			.<ConfigDocument>call((client, callback) -> client.fetchConfig(credential, have, callback),
-					onAnswer((document) -> this.config.offerEncoded(document.getRevision(), document.getDocument())));
+			.<ConfigDocument>call((client, callback) -> client.fetchConfig(credential, have, callback), Replies
+				.onAnswer((document) -> this.config.offerEncoded(document.getRevision(), document.getDocument())));
 	}
 
-	private static <T extends AutoCloseableLinks> void retain(Map<String, T> links, Set<String> wanted) {
-		links.entrySet().removeIf((entry) -> {
+	private void retain(Set<String> wanted) {
+		this.peerLinks.entrySet().removeIf((entry) -> {
 			boolean unwanted = !wanted.contains(entry.getKey());
 			if (unwanted) {
 				entry.getValue().close();
@@ -344,52 +283,17 @@
 		});
 	}
 
-	private static <T> Reply<T> onAnswer(Consumer<T> then) {
-		return new Reply<>() {
-			@Override
-			public void received(T answer) {
-				then.accept(answer);
-			}
-
-			@Override
-			public void failed(Exception cause) {
-				// Silence is noticed by its length, so a failed heartbeat needs no note.
-			}
-		};
-	}
-
 	@Override
 	public void close() {
 		this.thread.close();
-		this.agentLinks.values().forEach(AgentLinks::close);
+		this.agents.close();
 		this.peerLinks.values().forEach(PeerLinks::close);
 	}
 
-	/**
-	 * Links that can be closed.
-	 */
-	private interface AutoCloseableLinks {
-
-		void close();
-
-	}
-
-	private record AgentLinks(InetSocketAddress address, ThriftLink<AgentControl.AsyncClient> heartbeats,
-			ThriftLink<AgentControl.AsyncClient> pushes) implements AutoCloseableLinks {
-
-		@Override
-		public void close() {
-			this.heartbeats.close();
-			this.pushes.close();
-		}
-
-	}
-
 	private record PeerLinks(ThriftLink<EntryControl.AsyncClient> exchanges,
-			ThriftLink<EntryControl.AsyncClient> fetches) implements AutoCloseableLinks {
+			ThriftLink<EntryControl.AsyncClient> fetches) {
 
-		@Override
-		public void close() {
+		private void close() {
 			this.exchanges.close();
 			this.fetches.close();
 		}
--- a/entry/src/main/java/org/snowwind/entry/member/ServerTable.java
+++ b/entry/src/main/java/org/snowwind/entry/member/ServerTable.java
@@ -172,14 +172,13 @@
 	}
 
 	/**
-	 * Returns the servers that this entry observes and that do not answer it.
-	 * @param observed the names of the servers that it observes
-	 * @return the names of the silent ones
+	 * Returns the servers that answer this entry.
+	 * @return their names
 	 */
-	public Set<String> silent(Set<String> observed) {
+	public Set<String> answering() {
 		return this.servers.values()
 			.stream()
-			.filter((server) -> server.suspected() && observed.contains(server.name()))
+			.filter((server) -> !server.suspected())
 			.map(Server::name)
 			.collect(Collectors.toUnmodifiableSet());
 	}
--- a/standin/src/main/java/org/snowwind/standin/StandInEngine.java
+++ b/standin/src/main/java/org/snowwind/standin/StandInEngine.java
@@ -1,7 +1,6 @@
 package org.snowwind.standin;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -16,8 +15,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.server.HttpExchange;
-import org.snowwind.http.server.HttpLimits;
-import org.snowwind.http.server.HttpServer;
 import org.snowwind.http.server.Responses;
 import org.snowwind.model.Json;
 
@@ -31,7 +28,7 @@
  * {@code GET /v1/load} reports late. Orders carry a fencing number that is honoured or
  * ignored.
  */
-public final class StandInEngine implements StandIn {
+public final class StandInEngine extends HttpStandIn {
 
 	private static final int OK = 200;
 
@@ -47,10 +44,6 @@
 
 	private static final int REMEMBERED_PROMPTS = 4096;
 
-	private final DataLoop loop;
-
-	private final HttpServer server;
-
 	private final EngineSettings settings;
 
 	private final PriorityQueue<Generation> waiting = new PriorityQueue<>();
@@ -83,9 +76,8 @@
 	 * @param settings how it behaves
 	 */
 	public StandInEngine(DataLoop loop, EngineSettings settings) {
-		this.loop = loop;
+		super(loop);
 		this.settings = settings;
-		this.server = new HttpServer(loop, HttpLimits.DEFAULT, this::handle);
 		this.cachedPrefixes = new LinkedHashMap<>(16, 0.75f, true) {
 			private static final long serialVersionUID = 1L;
 
@@ -96,16 +88,6 @@
 		};
 	}
 
-	@Override
-	public InetSocketAddress start(InetSocketAddress address) {
-		return this.server.start(address);
-	}
-
-	@Override
-	public void close() {
-		this.server.close();
-	}
-
 	/**
 	 * Switches faults.
 	 * @param next what is wrong from now on
@@ -153,7 +135,8 @@
 		return this.cancelled.get();
 	}
 
-	private void handle(HttpExchange exchange) {
+	@Override
+	void handle(HttpExchange exchange) {
 		switch (exchange.path()) {
 			case "/v1/generate" -> exchange.readBody(MAX_BODY_BYTES, (body) -> generate(exchange, body));
 			case "/v1/load" -> Responses.json(exchange, OK, Map.of("load", this.reportedLoad));
@@ -183,7 +166,7 @@
 		reportLater();
 		if (!this.stepping) {
 			this.stepping = true;
-			this.loop.later(this::step, this.settings.stepMillis());
+			loop().later(this::step, this.settings.stepMillis());
 		}
 	}
 
@@ -200,7 +183,7 @@
 		}
 		this.stepping = !this.batch.isEmpty() || !this.waiting.isEmpty();
 		if (this.stepping) {
-			this.loop.later(this::step, this.settings.stepMillis());
+			loop().later(this::step, this.settings.stepMillis());
 		}
 	}
 
@@ -272,7 +255,7 @@
 
 	private void reportLater() {
 		int load = this.batch.size() + this.waiting.size();
-		this.loop.later(() -> this.reportedLoad = load, this.settings.loadLagMillis());
+		loop().later(() -> this.reportedLoad = load, this.settings.loadLagMillis());
 	}
 
 	private static String prefixOf(String prompt) {
--- a/standin/src/main/java/org/snowwind/standin/StandInPlainService.java
+++ b/standin/src/main/java/org/snowwind/standin/StandInPlainService.java
@@ -1,7 +1,6 @@
 package org.snowwind.standin;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -10,15 +9,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.server.HttpExchange;
-import org.snowwind.http.server.HttpLimits;
-import org.snowwind.http.server.HttpServer;
 import org.snowwind.http.server.Responses;
 import org.snowwind.model.Json;
 
 /**
  * A plain service that counts each effect it made, by the tag that the caller gave.
  */
-public final class StandInPlainService implements StandIn {
+public final class StandInPlainService extends HttpStandIn {
 
 	/** The header by which a caller tags its request. */
 	public static final String TAG = "X-Tag";
@@ -29,10 +26,6 @@
 
 	private static final int MAX_BODY_BYTES = 8 << 20;
 
-	private final DataLoop loop;
-
-	private final HttpServer server;
-
 	private final ConcurrentMap<String, Integer> effects = new ConcurrentHashMap<>();
 
 	private volatile PlainFaults faults = PlainFaults.NONE;
@@ -42,18 +35,7 @@
 	 * @param loop the thread that carries it
 	 */
 	public StandInPlainService(DataLoop loop) {
-		this.loop = loop;
-		this.server = new HttpServer(loop, HttpLimits.DEFAULT, this::handle);
-	}
-
-	@Override
-	public InetSocketAddress start(InetSocketAddress address) {
-		return this.server.start(address);
-	}
-
-	@Override
-	public void close() {
-		this.server.close();
+		super(loop);
 	}
 
 	/**
@@ -72,7 +54,8 @@
 		return Map.copyOf(this.effects);
 	}
 
-	private void handle(HttpExchange exchange) {
+	@Override
+	void handle(HttpExchange exchange) {
 		if ("/effects".equals(exchange.path())) {
 			Responses.json(exchange, OK, this.effects);
 			return;
@@ -87,7 +70,7 @@
 				exchange.abort();
 				return;
 			}
-			this.loop.later(() -> act(exchange, body, now), now.delayMillis());
+			loop().later(() -> act(exchange, body, now), now.delayMillis());
 		});
 	}
 
@@ -117,7 +100,7 @@
 	private void breakAnswer(HttpExchange exchange, String sent) {
 		exchange.begin(OK, Map.of("Content-Type", "application/json"));
 		exchange.write(sent.getBytes(StandardCharsets.UTF_8));
-		this.loop.later(exchange::abort, 1);
+		loop().later(exchange::abort, 1);
 	}
 
 	private static String answer(HttpExchange exchange, byte[] body) {
--- a/standin/src/main/java/org/snowwind/standin/StandInPlatform.java
+++ b/standin/src/main/java/org/snowwind/standin/StandInPlatform.java
@@ -1,7 +1,6 @@
 package org.snowwind.standin;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -15,8 +14,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.server.HttpExchange;
-import org.snowwind.http.server.HttpLimits;
-import org.snowwind.http.server.HttpServer;
 import org.snowwind.http.server.Responses;
 import org.snowwind.model.Json;
 
@@ -28,7 +25,7 @@
  * limit, outage, slowness, and answers lost after the effect. {@code PUT /faults}
  * switches faults.
  */
-public final class StandInPlatform implements StandIn {
+public final class StandInPlatform extends HttpStandIn {
 
 	private static final int OK = 200;
 
@@ -50,10 +47,6 @@
 
 	private static final String VMS = "/v1/vms";
 
-	private final DataLoop loop;
-
-	private final HttpServer server;
-
 	private final ObjectTable table = new ObjectTable();
 
 	private final List<Watcher> watchers = new ArrayList<>();
@@ -75,18 +68,7 @@
 	 * @param loop the thread that carries it
 	 */
 	public StandInPlatform(DataLoop loop) {
-		this.loop = loop;
-		this.server = new HttpServer(loop, HttpLimits.DEFAULT, this::handle);
-	}
-
-	@Override
-	public InetSocketAddress start(InetSocketAddress address) {
-		return this.server.start(address);
-	}
-
-	@Override
-	public void close() {
-		this.server.close();
+		super(loop);
 	}
 
 	/**
@@ -95,9 +77,9 @@
 	 */
 	public void faults(PlatformFaults next) {
 		this.faults = next;
-		this.loop.run(() -> this.table.forget(next.historySize()));
+		loop().run(() -> this.table.forget(next.historySize()));
 		if (next.outage()) {
-			this.loop.run(this::breakWatches);
+			loop().run(this::breakWatches);
 		}
 	}
 
@@ -125,7 +107,8 @@
 		this.vmLagMillis = millis;
 	}
 
-	private void handle(HttpExchange exchange) {
+	@Override
+	void handle(HttpExchange exchange) {
 		if ("/faults".equals(exchange.path())) {
 			changeFaults(exchange);
 			return;
@@ -140,7 +123,7 @@
 			return;
 		}
 		if (this.faults.slowMillis() > 0) {
-			this.loop.later(() -> route(exchange), this.faults.slowMillis());
+			loop().later(() -> route(exchange), this.faults.slowMillis());
 			return;
 		}
 		route(exchange);
@@ -222,7 +205,7 @@
 		}
 		this.watchers.add(watcher);
 		exchange.onGone(() -> this.watchers.remove(watcher));
-		this.loop.later(() -> {
+		loop().later(() -> {
 			if (this.watchers.remove(watcher)) {
 				answerWatch(watcher, true);
 			}
@@ -258,7 +241,7 @@
 		}
 		String name = path.substring(Math.min(path.length(), VMS.length() + 1));
 		exchange.readBody(MAX_VALUE_BYTES, (body) -> parse(exchange, body).ifPresent((vm) -> {
-			this.loop.later(() -> showVm(name, vm), this.vmLagMillis);
+			loop().later(() -> showVm(name, vm), this.vmLagMillis);
 			Responses.json(exchange, OK, Map.of());
 		}));
 	}
--- a/standin/src/main/java/org/snowwind/standin/StandInWeightStore.java
+++ b/standin/src/main/java/org/snowwind/standin/StandInWeightStore.java
@@ -1,29 +1,22 @@
 package org.snowwind.standin;
 
-import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.server.HttpExchange;
-import org.snowwind.http.server.HttpLimits;
-import org.snowwind.http.server.HttpServer;
 import org.snowwind.http.server.Responses;
 
 /**
  * A weight store with a rate limit: {@code GET /v1/weights/LAYER/EXPERT} takes as long as
  * the bytes of one expert need behind those of earlier readers.
  */
-public final class StandInWeightStore implements StandIn {
+public final class StandInWeightStore extends HttpStandIn {
 
 	private static final int OK = 200;
 
 	private static final double MILLIS_PER_SECOND = 1000;
 
-	private final DataLoop loop;
-
-	private final HttpServer server;
-
 	private final long expertBytes;
 
 	private final AtomicLong servedBytes = new AtomicLong();
@@ -39,20 +32,9 @@
 	 * @param bytesPerSecond the rate limit, in bytes a second
 	 */
 	public StandInWeightStore(DataLoop loop, long expertBytes, double bytesPerSecond) {
-		this.loop = loop;
+		super(loop);
 		this.expertBytes = expertBytes;
 		this.bytesPerSecond = bytesPerSecond;
-		this.server = new HttpServer(loop, HttpLimits.DEFAULT, this::handle);
-	}
-
-	@Override
-	public InetSocketAddress start(InetSocketAddress address) {
-		return this.server.start(address);
-	}
-
-	@Override
-	public void close() {
-		this.server.close();
 	}
 
 	/**
@@ -71,11 +53,12 @@
 		return this.servedBytes.get();
 	}
 
-	private void handle(HttpExchange exchange) {
+	@Override
+	void handle(HttpExchange exchange) {
 		double nowMillis = System.nanoTime() / 1e6;
 		double busyMillis = this.expertBytes / this.bytesPerSecond * MILLIS_PER_SECOND;
 		this.freeAtMillis = Math.max(this.freeAtMillis, nowMillis) + busyMillis;
-		this.loop.later(() -> {
+		loop().later(() -> {
 			this.servedBytes.addAndGet(this.expertBytes);
 			Responses.json(exchange, OK, Map.of("bytes", this.expertBytes));
 		}, (long) (this.freeAtMillis - nowMillis));
