Switch maps of stand-in ranks over real sockets, and measure it

Cause: lock-step ranks and the weight store had no stand-in behind an interface of ours, and the switch had only been run as pure code.

--- /dev/null
+++ b/agent/src/main/java/org/snowwind/agent/rank/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Orders to ranks and to the weight store, behind narrow interfaces.
+ */
+package org.snowwind.agent.rank;
--- a/app/src/main/java/org/snowwind/app/measure/Measurements.java
+++ b/app/src/main/java/org/snowwind/app/measure/Measurements.java
@@ -5,6 +5,7 @@
 
 import org.snowwind.app.measure.balance.BalanceMeasurement;
 import org.snowwind.app.measure.balance.PlanMeasurement;
+import org.snowwind.app.measure.balance.SwitchMeasurement;
 import org.snowwind.app.measure.fleet.CapacityMeasurement;
 import org.snowwind.app.measure.fleet.ConfigMeasurement;
 import org.snowwind.app.measure.fleet.OutageMeasurement;
@@ -18,7 +19,7 @@
 	/** All measurements. */
 	public static final List<Measurement> ALL = List.of(new FootprintMeasurement(), new PathMeasurement(),
 			new OverloadMeasurement(), new ConfigMeasurement(), new OutageMeasurement(), new CapacityMeasurement(),
-			new BalanceMeasurement(), new PlanMeasurement());
+			new BalanceMeasurement(), new PlanMeasurement(), new SwitchMeasurement());
 
 	private Measurements() {
 	}
