Keep callers from setting an engine's priority

Cause: read as a newcomer: a caller's X-Priority went to the engine, which honours it, so one organisation could pass before the others inside an engine. Conclusion: priority within an organisation belongs into the agent's queue, later.

--- a/agent/src/main/java/org/snowwind/agent/backend/EngineProtocol.java
+++ b/agent/src/main/java/org/snowwind/agent/backend/EngineProtocol.java
@@ -7,13 +7,15 @@
 
 /**
  * The protocol of model engines: JSON in, lines of tokens out.
+ *
+ * <p>
+ * Callers' headers stay here. An engine honours priorities, and a caller that could set
+ * one would pass before other organisations.
  */
 public final class EngineProtocol implements BackendProtocol {
 
 	private static final String RESUME_AT = "X-Resume-At";
 
-	private static final String PRIORITY = "x-priority";
-
 	private final String baseUrl;
 
 	/**
@@ -29,9 +31,6 @@
 		Map<String, String> headers = new HashMap<>();
 		headers.put("Content-Type", "application/json");
 		headers.put(RESUME_AT, Integer.toString(call.resumeAt()));
-		if (call.headers().containsKey(PRIORITY)) {
-			headers.put(PRIORITY, call.headers().get(PRIORITY));
-		}
 		return new UpstreamRequest("POST", this.baseUrl + "/v1/generate", headers, call.body());
 	}
 
