Count the time of a claim against the request's budget

Change: the budget counts from arrival; a request whose time runs out while its key is being claimed is answered at once, not run, and a claim granted later is given back.

--- a/app/src/test/java/org/snowwind/app/proof/CallersTests.java
+++ b/app/src/test/java/org/snowwind/app/proof/CallersTests.java
@@ -128,6 +128,21 @@
 		}
 	}
 
+	@Test
+	void theTimeThatAClaimTakesCountsAgainstTheBudget() throws IOException, InterruptedException {
+		try (ProcessFleet fleet = new ProcessFleet(this.folder)) {
+			StandInPlainService service = fleet.service("desk-1");
+			fleet.entry("entry-1");
+			fleet.declare("entry-1");
+			fleet.platform().faults(new PlatformFaults(false, 700, 0, 0, 10_000));
+			Map<String, String> headers = Map.of("Idempotency-Key", "slow", "X-Snowwind-Budget-Millis", "400",
+					StandInPlainService.TAG, "slow");
+			assertThat(code(call(fleet, "entry-1", "POST", "/v1/services/desk/charge", headers, Map.of())))
+				.isEqualTo("503 deadline-not-run");
+			assertThat(service.effects()).isEmpty();
+		}
+	}
+
 	@Test
 	void anEntryIsKilledAndItsCallersSeeIt() throws IOException, InterruptedException {
 		try (ProcessFleet fleet = new ProcessFleet(this.folder)) {
--- a/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
+++ b/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import io.netty.util.concurrent.Future;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.snowwind.config.snapshot.ResourceSet.Named;
 import org.snowwind.config.snapshot.Snapshot;
@@ -27,6 +28,8 @@
 
 	private static final int MAX_KEY_CHARS = 200;
 
+	private static final long CLAIM_RETRY_MILLIS = 2000;
+
 	private final RequestContext context;
 
 	private final ConfigHolder config;
@@ -99,7 +102,8 @@
 			turnAway(exchange, refused);
 			return;
 		}
-		OpenRequest open = new OpenRequest(organisation.name(), organisation.spec().serviceLevel());
+		OpenRequest open = new OpenRequest(organisation.name(), organisation.spec().serviceLevel(),
+				this.context.clock().nowMillis());
 		exchange.onGone(open::leave);
 		exchange.readBody(organisation.spec().maxBodyBytes(), (body) -> read(exchange, target, body, open),
 				open::leave);
@@ -116,7 +120,7 @@
 		String key = exchange.header(IDEMPOTENCY_KEY);
 		boolean claimed = key != null && !read.value().repeatable();
 		if (!claimed) {
-			begin(exchange, read.value(), (disclosure) -> open.leave());
+			begin(exchange, read.value(), open.arrivedMillis, (disclosure) -> open.leave());
 			return;
 		}
 		if (key.isBlank() || key.length() > MAX_KEY_CHARS) {
@@ -130,35 +134,55 @@
 	private void claim(HttpExchange exchange, CallerRequest request, String key, OpenRequest open) {
 		String digest = DigestUtils.sha256Hex(request.method() + ' ' + request.pathAndQuery() + '\n')
 				+ DigestUtils.sha256Hex(request.body());
+		long leftMillis = open.arrivedMillis + request.budgetMillis() - this.context.clock().nowMillis();
+		Future<?> deadline = this.context.loop().later(() -> giveUp(exchange, open), leftMillis);
 		this.claims.claim(request.organisation(), key, digest, new ClaimDuty.Decision() {
 			@Override
 			public void granted(ClaimDuty.Claim claim) {
-				CallerHandler.this.context.loop().run(() -> runClaimed(exchange, request, claim, open));
+				CallerHandler.this.context.loop().run(() -> {
+					deadline.cancel(false);
+					runClaimed(exchange, request, claim, open);
+				});
 			}
 
 			@Override
 			public void refused(Problem problem) {
 				CallerHandler.this.context.loop().run(() -> {
-					open.leave();
-					turnAway(exchange, problem);
+					deadline.cancel(false);
+					giveUp(exchange, open, problem);
 				});
 			}
 		});
 	}
 
+	// The claim may still be granted; then it is given back, for the request has not run.
+	private void giveUp(HttpExchange exchange, OpenRequest open) {
+		giveUp(exchange, open,
+				Problem.notRun(ProblemKind.DEADLINE_NOT_RUN, "its time ran out while its key was being claimed")
+					.retryAfter(CLAIM_RETRY_MILLIS));
+	}
+
+	private void giveUp(HttpExchange exchange, OpenRequest open, Problem problem) {
+		if (!open.left) {
+			open.leave();
+			turnAway(exchange, problem);
+		}
+	}
+
 	private void runClaimed(HttpExchange exchange, CallerRequest request, ClaimDuty.Claim claim, OpenRequest open) {
 		if (open.left) {
 			this.claims.settle(claim, Disclosure.NOT_RUN);
 			return;
 		}
-		begin(exchange, request, (disclosure) -> {
+		begin(exchange, request, open.arrivedMillis, (disclosure) -> {
 			open.leave();
 			this.claims.settle(claim, disclosure);
 		});
 	}
 
-	private void begin(HttpExchange exchange, CallerRequest request, RequestFlow.EndListener whenEnded) {
-		new RequestFlow(this.context, request, exchange, whenEnded).start();
+	private void begin(HttpExchange exchange, CallerRequest request, long arrivedMillis,
+			RequestFlow.EndListener whenEnded) {
+		new RequestFlow(this.context, request, exchange, arrivedMillis, whenEnded).start();
 	}
 
 	private void turnAway(HttpExchange exchange, Problem problem) {
@@ -175,9 +199,12 @@
 
 		private final ServiceLevel serviceLevel;
 
+		private final long arrivedMillis;
+
 		private boolean left;
 
-		private OpenRequest(String organisation, ServiceLevel serviceLevel) {
+		private OpenRequest(String organisation, ServiceLevel serviceLevel, long arrivedMillis) {
+			this.arrivedMillis = arrivedMillis;
 			this.organisation = organisation;
 			this.serviceLevel = serviceLevel;
 		}
--- a/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
@@ -75,12 +75,22 @@
 
 	private boolean finished;
 
-	RequestFlow(RequestContext context, CallerRequest request, HttpExchange exchange, EndListener whenEnded) {
+	/**
+	 * Creates the flow of a request.
+	 * @param context what requests work with
+	 * @param request the request
+	 * @param exchange the way to answer
+	 * @param arrivedMillis when the request arrived, from which its budget counts, in
+	 * milliseconds
+	 * @param whenEnded is told that it has ended
+	 */
+	RequestFlow(RequestContext context, CallerRequest request, HttpExchange exchange, long arrivedMillis,
+			EndListener whenEnded) {
 		this.context = context;
 		this.request = request;
 		this.exchange = exchange;
 		this.whenEnded = whenEnded;
-		this.startMillis = context.clock().nowMillis();
+		this.startMillis = arrivedMillis;
 		long reserveMillis = Math.min(REVOKE_RESERVE_MILLIS, request.budgetMillis() / RESERVE_SHARE);
 		this.deadlineMillis = this.startMillis + request.budgetMillis() - reserveMillis;
 	}
@@ -89,6 +99,10 @@
 		this.exchange.onGone(this::callerGone);
 		this.exchange.onWritableChange(this::adjustReading);
 		this.deadlineTimer = this.context.loop().later(this::deadlinePassed, remainingMillis());
+		if (remainingMillis() <= 0) {
+			finish(Disclosure.NOT_RUN, ProblemKind.DEADLINE_NOT_RUN);
+			return;
+		}
 		retryBudget().firstAttempt();
 		send();
 	}
