--- a/agent/src/main/java/org/snowwind/agent/AttemptHandler.java
+++ b/agent/src/main/java/org/snowwind/agent/AttemptHandler.java
@@ -24,7 +24,7 @@
 	private static final String TARGETS = "/targets/";
 
 	/** What part of the time to the first byte may be spent in the queue. */
-	private static final double QUEUE_SHARE = 0.5;
+	private static final double QUEUE_SHARE = 0.65;
 
 	private static final int MAX_BODY_BYTES = 8 << 20;
 
--- a/agent/src/main/java/org/snowwind/agent/admission/BackendLane.java
+++ b/agent/src/main/java/org/snowwind/agent/admission/BackendLane.java
@@ -27,7 +27,7 @@
 	private static final double TOLERATED_MULTIPLE = 4;
 
 	/** Waits are taken for so much longer than estimated. */
-	private static final double SAFETY = 1.4;
+	private static final double SAFETY = 2.6;
 
 	private static final double PEAK_HALF_LIFE_MILLIS = 30_000;
 
