Use a server's address as it is declared

Cause: each attempt parsed and rendered the address of its server again, on the loop; a check has already held every accepted server to IP:PORT. Change: the declared address goes into the URL as it stands. Conclusion: one parse less on the hot path, same requests.

--- a/entry/src/main/java/org/snowwind/entry/request/Attempt.java
+++ b/entry/src/main/java/org/snowwind/entry/request/Attempt.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 
 import io.netty.util.concurrent.Future;
-import org.snowwind.config.settings.Addresses;
 import org.snowwind.decide.ledger.AttemptId;
 import org.snowwind.decide.outcome.AttemptEnd;
 import org.snowwind.entry.member.Server;
@@ -82,8 +81,8 @@
 		headers.put(AttemptHeaders.RESUME_AT, Integer.toString(resumeAt));
 		headers.put(AttemptHeaders.COST, Double.toString(this.request.cost()));
 		headers.remove("content-length");
-		String address = Addresses.parse(this.server.spec().address()).map(Addresses::render).orElse("");
-		String url = "http://" + address + "/targets/" + this.request.target() + this.request.pathAndQuery();
+		String url = "http://" + this.server.spec().address() + "/targets/" + this.request.target()
+				+ this.request.pathAndQuery();
 		this.call = this.context.client()
 			.send(new UpstreamRequest(this.request.method(), url, headers, this.request.body()), this);
 	}
