--- a/app/src/main/java/org/snowwind/app/Main.java
+++ b/app/src/main/java/org/snowwind/app/Main.java
@@ -8,6 +8,9 @@
  */
 public final class Main {
 
+	/** The exit code after an error that no command handles. */
+	private static final int FAULT = 70;
+
 	private Main() {
 	}
 
@@ -17,7 +20,14 @@
 	 */
 	public static void main(String[] args) {
 		System.setProperty("java.util.logging.manager", LastingLogManager.class.getName());
-		System.exit(SnowwindCommand.newCommandLine().execute(args));
+		int exitCode = FAULT;
+		try {
+			exitCode = SnowwindCommand.newCommandLine().execute(args);
+		}
+		finally {
+			// Threads of a half-started daemon must not keep the process alive.
+			System.exit(exitCode);
+		}
 	}
 
 }
--- a/app/src/main/java/org/snowwind/app/command/SnowwindCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/SnowwindCommand.java
@@ -8,9 +8,9 @@
  * The command without a subcommand.
  */
 @Command(name = "snowwind", description = "A load balancer for expert-parallel model groups.",
-		subcommands = { EntryCommand.class, AgentCommand.class, ApplyCommand.class, GetCommand.class,
-				WatchCommand.class, DescribeCommand.class, DeleteCommand.class, DrainCommand.class, ReportCommand.class,
-				TryCommand.class, MeasureCommand.class, StandInCommand.class, VersionCommand.class,
+		subcommands = { EntryCommand.class, AgentCommand.class, GatewayCommand.class, ApplyCommand.class,
+				GetCommand.class, WatchCommand.class, DescribeCommand.class, DeleteCommand.class, DrainCommand.class,
+				ReportCommand.class, TryCommand.class, MeasureCommand.class, StandInCommand.class, VersionCommand.class,
 				CommandLine.HelpCommand.class, AutoComplete.GenerateCompletion.class },
 		mixinStandardHelpOptions = true, versionProvider = VersionCommand.Provider.class,
 		exitCodeListHeading = "%nExit codes:%n",
--- a/app/src/main/java/org/snowwind/app/logging/LogSetup.java
+++ b/app/src/main/java/org/snowwind/app/logging/LogSetup.java
@@ -16,27 +16,49 @@
 	/** Kept so that the level of chatty libraries is not forgotten with their loggers. */
 	private static final Logger LIBRARIES = Logger.getLogger("org.apache.thrift");
 
+	/**
+	 * A gateway at its planned peak logs some hundred lines a second; the ring holds some
+	 * seconds of them.
+	 */
+	private static final int RING_LINES = 2048;
+
 	private LogSetup() {
 	}
 
 	/**
-	 * Takes over logging.
+	 * Takes over logging to standard error.
 	 * @param format how lines look
 	 */
 	public static void use(LogFormat format) {
+		Handler handler = new FlushingHandler();
+		handler.setFormatter(linesOf(format));
+		use(handler);
+	}
+
+	/**
+	 * Takes over logging to standard output through a bounded ring that never makes the
+	 * logging thread wait.
+	 * @param format how lines look
+	 */
+	public static void useRing(LogFormat format) {
+		use(new RingHandler(System.out, linesOf(format), RING_LINES));
+	}
+
+	private static void use(Handler handler) {
 		Logger root = Logger.getLogger("");
 		for (Handler standing : root.getHandlers()) {
 			root.removeHandler(standing);
 		}
 		LIBRARIES.setLevel(Level.OFF);
-		Handler handler = new FlushingHandler();
 		handler.setLevel(Level.INFO);
-		Formatter lines = switch (format) {
+		root.addHandler(handler);
+	}
+
+	private static Formatter linesOf(LogFormat format) {
+		return switch (format) {
 			case TEXT -> new TextLines();
 			case JSON -> new JsonLines();
 		};
-		handler.setFormatter(lines);
-		root.addHandler(handler);
 	}
 
 	/**
--- a/config/src/main/java/org/snowwind/config/settings/SettingsReader.java
+++ b/config/src/main/java/org/snowwind/config/settings/SettingsReader.java
@@ -110,6 +110,26 @@
 		return node.asLong();
 	}
 
+	/**
+	 * Reads a number that may have a fraction.
+	 * @param key the key with its tables
+	 * @param defaultValue taken when the key is absent
+	 * @param least the least that is allowed
+	 * @param most the most that is allowed
+	 * @return the number
+	 */
+	public double decimal(String key, double defaultValue, double least, double most) {
+		JsonNode node = find(key);
+		if (node.isMissingNode()) {
+			return defaultValue;
+		}
+		if (!node.isNumber() || node.asDouble() < least || node.asDouble() > most) {
+			fault(key, node, "a number from " + least + " to " + most, "the default is " + defaultValue);
+			return defaultValue;
+		}
+		return node.asDouble();
+	}
+
 	/**
 	 * Reads an address that must be there.
 	 * @param key the key with its tables
--- a/entry/src/main/java/org/snowwind/entry/config/PlatformWatcher.java
+++ b/entry/src/main/java/org/snowwind/entry/config/PlatformWatcher.java
@@ -145,9 +145,7 @@
 		if (!changes.objects().isEmpty()) {
 			Snapshot last = this.config.current();
 			offer(this.builder.fromChanges(last, rawValues(changes.objects())));
-			for (StoredObject object : changes.objects()) {
-				this.watchedRevision = Math.max(this.watchedRevision, object.revision());
-			}
+			this.watchedRevision = changes.revision();
 		}
 		return true;
 	}
--- a/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
+++ b/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
@@ -50,7 +50,7 @@
 	}
 
 	private static WatchResult changed(StoredObject... objects) {
-		return new WatchResult.Changes(List.of(objects));
+		return new WatchResult.Changes(List.of(objects), objects[objects.length - 1].revision());
 	}
 
 	@Test
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayAdapters.java
@@ -0,0 +1,18 @@
+package org.snowwind.gateway;
+
+import org.snowwind.gateway.registry.RegistryDecoder;
+import org.snowwind.gateway.request.BackendDialect;
+import org.snowwind.gateway.table.TableDecoder;
+import org.snowwind.store.ObjectStore;
+
+/**
+ * What translates between a gateway and the platform that it runs on.
+ *
+ * @param store the platform's object API
+ * @param tables reads route tables
+ * @param servers reads backend servers
+ * @param dialect names what is said in headers
+ */
+public record GatewayAdapters(ObjectStore store, TableDecoder tables, RegistryDecoder servers, BackendDialect dialect) {
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -0,0 +1,362 @@
+package org.snowwind.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import org.apache.thrift.transport.TTransportException;
+import org.snowwind.config.settings.Addresses;
+import org.snowwind.config.settings.GatewaySettings;
+import org.snowwind.gateway.backend.Backend;
+import org.snowwind.gateway.backend.BackendTable;
+import org.snowwind.gateway.peer.GatewayControlService;
+import org.snowwind.gateway.peer.GatewayDirectory;
+import org.snowwind.gateway.peer.PeerDocuments;
+import org.snowwind.gateway.peer.PeerMesh;
+import org.snowwind.gateway.peer.PeerTable;
+import org.snowwind.gateway.registry.RegistryHolder;
+import org.snowwind.gateway.registry.RegistryView;
+import org.snowwind.gateway.registry.RegistryWatcher;
+import org.snowwind.gateway.request.GatewayHandler;
+import org.snowwind.gateway.request.GatewayMeters;
+import org.snowwind.gateway.request.RequestContext;
+import org.snowwind.gateway.request.RetryBudgets;
+import org.snowwind.gateway.table.TableHolder;
+import org.snowwind.gateway.table.TableWatcher;
+import org.snowwind.http.DataLoop;
+import org.snowwind.http.admin.AdminServer;
+import org.snowwind.http.client.UpstreamClient;
+import org.snowwind.http.server.HttpExchange;
+import org.snowwind.http.server.HttpLimits;
+import org.snowwind.http.server.HttpServer;
+import org.snowwind.http.server.Responses;
+import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.duty.DutyThread;
+import org.snowwind.model.duty.Pause;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+import org.snowwind.store.StoreWatch;
+import org.snowwind.wire.ThriftCalls;
+import org.snowwind.wire.ThriftServer;
+import org.snowwind.wire.generated.GatewayControl;
+import org.snowwind.wire.generated.GatewayReport;
+
+/**
+ * One gateway: wires the parts, starts them and stops them in order.
+ */
+public final class GatewayDaemon implements AutoCloseable {
+
+	/** A connection to a live server on the same continent takes a few milliseconds. */
+	private static final long CONNECT_MILLIS = 300;
+
+	/** How long one call waits for a change, in milliseconds: 12 calls a minute. */
+	private static final long WATCH_MILLIS = 5000;
+
+	/** The same while a lapsed server must be dropped in time. */
+	private static final long SHORT_WATCH_MILLIS = 500;
+
+	private static final long WATCH_TICK_MILLIS = 40;
+
+	/** How often registered gateways are looked up, in milliseconds: 4 calls a minute. */
+	private static final long DIRECTORY_MILLIS = 15_000;
+
+	/** Live servers are registered again two seconds after the platform's return. */
+	private static final long LAPSE_GRACE_MILLIS = 2200;
+
+	/** How often the loop tells other threads what it has in flight, in milliseconds. */
+	private static final long REPORT_MILLIS = 100;
+
+	/** The balancer notices within two questions, a second apart, that we stop. */
+	private static final long LEAVE_ROTATION_MILLIS = 2600;
+
+	/** What is kept of the grace for closing down, in milliseconds. */
+	private static final long CLOSING_MILLIS = 700;
+
+	private static final long DRAIN_POLL_MILLIS = 20;
+
+	private static final int MAX_URI_BYTES = 16 * 1024;
+
+	private static final int MAX_HEADER_BYTES = 64 * 1024;
+
+	private static final int MAX_CONNECTIONS = 3000;
+
+	private static final int SMALL_RING = 16;
+
+	private static final int OK = 200;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final GatewaySettings settings;
+
+	private final GatewayAdapters adapters;
+
+	private final MonotonicClock clock = MonotonicClock.system();
+
+	private final Random random = new Random();
+
+	private final long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+
+	private final DataLoop loop = new DataLoop("gateway-loop");
+
+	private final UpstreamClient client = new UpstreamClient(this.loop, CONNECT_MILLIS,
+			UpstreamClient.Connections.FRESH, UpstreamClient.Answers.FRAMED_OR_CLOSED);
+
+	private final ThriftCalls calls = new ThriftCalls();
+
+	private final TableHolder tables = new TableHolder();
+
+	private final RegistryHolder registries = new RegistryHolder();
+
+	private final RegistryView registryView = new RegistryView(LAPSE_GRACE_MILLIS);
+
+	private final TableWatcher tableWatcher;
+
+	private final RegistryWatcher registryWatcher;
+
+	private final BackendTable backends = new BackendTable(this.clock, this.random);
+
+	private final AdminServer admin;
+
+	private final GatewayHandler handler;
+
+	private final HttpServer callerServer;
+
+	private final HttpServer readinessServer;
+
+	private final PeerDocuments documents;
+
+	private final PeerMesh mesh;
+
+	private final DutyThread tableThread;
+
+	private final DutyThread registryThread;
+
+	private final DutyThread directoryThread;
+
+	private ThriftServer control;
+
+	private volatile Map<String, Integer> inFlight = Map.of();
+
+	private volatile List<String> leavingServers = List.of();
+
+	private volatile boolean draining;
+
+	private boolean ready;
+
+	/**
+	 * Creates a gateway that does not listen yet.
+	 * @param settings its settings
+	 * @param adapters translate between it and the platform
+	 */
+	public GatewayDaemon(GatewaySettings settings, GatewayAdapters adapters) {
+		this.settings = settings;
+		this.adapters = adapters;
+		this.tableWatcher = new TableWatcher(adapters.tables(), this.tables);
+		this.registryWatcher = new RegistryWatcher(adapters.servers(), this.registryView, this.registries, this.clock);
+		this.admin = new AdminServer(this.loop, this::adminReadiness);
+		this.handler = new GatewayHandler(newContext(), this.tables);
+		HttpLimits limits = new HttpLimits(MAX_URI_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
+				HttpLimits.DEFAULT.readTimeoutMillis());
+		this.callerServer = new HttpServer(this.loop, limits, this.handler);
+		this.readinessServer = new HttpServer(this.loop, HttpLimits.DEFAULT, this::answerReadiness);
+		this.documents = new PeerDocuments(this.tables, this.tableWatcher, this.registries);
+		String ownAddress = Addresses.render(settings.peers());
+		this.mesh = new PeerMesh(new PeerTable(ownAddress), this.documents, this.calls, this::ownReport,
+				new LoopConsumers(), this.clock);
+		this.tableThread = watchThread("table-watch", watch(adapters.tables().key(), this.tableWatcher, false));
+		this.registryThread = watchThread("registry-watch",
+				watch(adapters.servers().prefix(), this.registryWatcher, true));
+		GatewayDirectory directory = new GatewayDirectory(adapters.store(), settings.name(), ownAddress,
+				this.mesh::mayBeAt);
+		this.directoryThread = new DutyThread("directory", SMALL_RING, DIRECTORY_MILLIS, directory::round);
+		registerMeters(this.admin.registry());
+	}
+
+	private RequestContext newContext() {
+		RetryBudgets.RetryBound bound = new RetryBudgets.RetryBound(this.settings.retryFraction(),
+				this.settings.retryExtra(), this.settings.retryWindowMillis());
+		RetryBudgets budgets = new RetryBudgets(bound, () -> this.mesh.view().known() + 1, this.clock);
+		return new RequestContext(this.loop, this.client, this.adapters.dialect(), this.backends, budgets,
+				new GatewayMeters(this.admin.registry()), this.clock, this.random);
+	}
+
+	private StoreWatch watch(String prefix, StoreWatch.Listener listener, boolean keepsLapsed) {
+		return new StoreWatch(this.adapters.store(), prefix.substring(0, prefix.indexOf('/') + 1),
+				() -> (keepsLapsed && this.registryView.keepsLapsed()) ? SHORT_WATCH_MILLIS : WATCH_MILLIS, listener,
+				this.clock, this.random);
+	}
+
+	private static DutyThread watchThread(String name, StoreWatch watch) {
+		return new DutyThread(name, SMALL_RING, WATCH_TICK_MILLIS, watch::round);
+	}
+
+	private void registerMeters(MeterRegistry registry) {
+		Gauge.builder("snowwind.gateway.open.requests", this.handler, GatewayHandler::open).register(registry);
+		Gauge.builder("snowwind.gateway.table.version", this.tables, (holder) -> holder.current().version())
+			.register(registry);
+		Gauge.builder("snowwind.gateway.servers", this.registries, (holder) -> holder.current().servers().size())
+			.register(registry);
+		Gauge.builder("snowwind.gateway.connections", () -> this.callerServer.connections()).register(registry);
+		Gauge.builder("snowwind.gateway.peers.live", () -> this.mesh.view().liveNames().size()).register(registry);
+	}
+
+	/**
+	 * Begins to listen and takes up all duties.
+	 * @throws TTransportException if the address for peers cannot be had
+	 */
+	public void start() throws TTransportException {
+		this.registries.onChange((registry) -> this.loop.run(() -> this.backends.use(registry)));
+		this.tableThread.start();
+		this.registryThread.start();
+		this.control = new ThriftServer(this.settings.peers(),
+				new GatewayControl.Processor<>(new GatewayControlService(this.mesh, this.documents, this::ownReport)),
+				"peer-control");
+		this.readinessServer.start(this.settings.readiness());
+		this.callerServer.start(this.settings.callers());
+		this.admin.start(this.settings.admin());
+		this.loop.every(this::tell, REPORT_MILLIS);
+		this.mesh.start(this.settings.seeds());
+		this.directoryThread.start();
+		EventLog.log(Event.GATEWAY_STARTED, "gateway", this.settings.name(), "dataCentre", this.settings.dataCentre(),
+				"callers", Addresses.render(this.settings.callers()), "incarnation", this.incarnation);
+	}
+
+	/**
+	 * Returns where callers send requests.
+	 * @return the address
+	 */
+	public InetSocketAddress callers() {
+		return this.settings.callers();
+	}
+
+	private void tell() {
+		this.inFlight = this.backends.inFlight();
+		this.leavingServers = this.registries.current()
+			.servers()
+			.keySet()
+			.stream()
+			.filter((id) -> this.backends.find(id).filter(Backend::takesNewWork).isEmpty())
+			.toList();
+	}
+
+	private GatewayReport ownReport() {
+		return new GatewayReport(this.settings.name(), this.incarnation, Addresses.render(this.settings.peers()),
+				this.draining, this.tables.current().version(), this.registries.current().revision(), this.inFlight,
+				List.of(), this.leavingServers);
+	}
+
+	// ---- readiness
+
+	private boolean readyNow() {
+		boolean nowReady = !this.draining && this.tables.current().version() > 0 && this.backends.anyTakesNewWork();
+		if (nowReady != this.ready) {
+			this.ready = nowReady;
+			EventLog.log(Event.GATEWAY_READINESS, "ready", nowReady, "draining", this.draining, "table",
+					this.tables.current().version(), "registry", this.registries.current().revision());
+		}
+		return nowReady;
+	}
+
+	private void answerReadiness(HttpExchange exchange) {
+		boolean nowReady = readyNow();
+		Responses.text(exchange, nowReady ? OK : UNAVAILABLE, nowReady ? "ready\n" : "not ready\n");
+	}
+
+	private AdminServer.Readiness adminReadiness() {
+		return readyNow() ? AdminServer.Readiness.READY
+				: new AdminServer.Readiness(false, this.draining ? "draining" : "no configuration or no server known");
+	}
+
+	// ---- the end
+
+	/**
+	 * Says that it is not ready, goes on serving until the balancer has noticed and open
+	 * requests have ended, and stops.
+	 */
+	public void drainAndStop() {
+		this.draining = true;
+		long beganMillis = this.clock.nowMillis();
+		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.settings.name(), "graceMillis",
+				this.settings.graceMillis());
+		this.loop.run(this.handler::drain);
+		long mostMillis = beganMillis + this.settings.graceMillis() - CLOSING_MILLIS;
+		long leastMillis = Math.min(mostMillis, beganMillis + LEAVE_ROTATION_MILLIS);
+		while (this.clock.nowMillis() < leastMillis) {
+			Pause.millis(DRAIN_POLL_MILLIS);
+		}
+		this.callerServer.stopListening();
+		while (openRequests() > 0 && this.clock.nowMillis() < mostMillis) {
+			Pause.millis(DRAIN_POLL_MILLIS);
+		}
+		int left = openRequests();
+		if (left > 0) {
+			EventLog.log(Event.DRAIN_BOUND_PASSED, "gateway", this.settings.name(), "cutOff", left);
+		}
+		EventLog.log(Event.GATEWAY_STOPPED, "gateway", this.settings.name(), "tookMillis",
+				this.clock.nowMillis() - beganMillis);
+		this.callerServer.close();
+	}
+
+	private int openRequests() {
+		CompletableFuture<Integer> count = new CompletableFuture<>();
+		this.loop.run(() -> count.complete(this.handler.open()));
+		try {
+			return count.get(1, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return 0;
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "counting open requests");
+			return 1;
+		}
+	}
+
+	@Override
+	public void close() {
+		this.tableThread.close();
+		this.registryThread.close();
+		this.directoryThread.close();
+		this.mesh.close();
+		if (this.control != null) {
+			this.control.close();
+		}
+		this.callerServer.close();
+		this.readinessServer.close();
+		this.admin.close();
+		this.calls.close();
+		this.client.close();
+		this.loop.close();
+	}
+
+	/**
+	 * Hands what peers say to the loop.
+	 */
+	private final class LoopConsumers implements PeerMesh.Consumers {
+
+		@Override
+		public boolean platformAway() {
+			return GatewayDaemon.this.registryWatcher.away() || GatewayDaemon.this.tables.current().version() == 0;
+		}
+
+		@Override
+		public void peersChanged(Map<String, Integer> peersInFlight, Set<String> leaving) {
+			GatewayDaemon.this.loop.run(() -> {
+				GatewayDaemon.this.backends.peersInFlight(peersInFlight);
+				leaving.forEach((id) -> GatewayDaemon.this.backends.find(id).ifPresent(Backend::refusesNewWork));
+			});
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -0,0 +1,174 @@
+package org.snowwind.gateway.backend;
+
+import org.snowwind.decide.choice.Breaker;
+import org.snowwind.gateway.registry.BackendEntry;
+
+/**
+ * One run of a backend server as this process sees it. Confined to the loop.
+ */
+public final class Backend {
+
+	/** The part of a new answer in the mean of answer times. */
+	private static final double ANSWER_SHARE = 0.2;
+
+	/** The part of a new outcome in the failure rate. */
+	private static final double FAILURE_SHARE = 0.2;
+
+	/** Within this time a failure rate halves if nothing is sent, in milliseconds. */
+	private static final double FAILURE_HALF_LIFE_MILLIS = 3000;
+
+	/**
+	 * Two failures in a row eject a server for half a second, since a server that crashed
+	 * is gone for seconds; it comes back within a second.
+	 */
+	private static final Breaker.BreakerSettings EJECTION = new Breaker.BreakerSettings(2, 500, 1000, 0.3);
+
+	private final Breaker breaker = new Breaker(EJECTION);
+
+	private BackendEntry entry;
+
+	private boolean gone;
+
+	private boolean refusesNewWork;
+
+	private int inFlight;
+
+	private int peersInFlight;
+
+	private double answerMillis;
+
+	private double failureRate;
+
+	private long failureMillis;
+
+	Backend(BackendEntry entry) {
+		this.entry = entry;
+	}
+
+	/**
+	 * Returns the id of this run.
+	 * @return the id
+	 */
+	public String id() {
+		return this.entry.id();
+	}
+
+	/**
+	 * Returns what the server has registered.
+	 * @return the entry
+	 */
+	public BackendEntry entry() {
+		return this.entry;
+	}
+
+	void entry(BackendEntry next) {
+		this.entry = next;
+	}
+
+	void remove() {
+		this.gone = true;
+	}
+
+	/**
+	 * Takes note that the server takes no new work, whatever its entry says.
+	 */
+	public void refusesNewWork() {
+		this.refusesNewWork = true;
+	}
+
+	/**
+	 * Tells whether the server may be sent new work.
+	 * @return false if it is leaving or gone
+	 */
+	public boolean takesNewWork() {
+		return !this.gone && !this.refusesNewWork && !this.entry.draining();
+	}
+
+	/**
+	 * Tells whether its recent answers allow it new work.
+	 * @param nowMillis the time, in milliseconds
+	 * @return false while it is ejected
+	 */
+	public boolean trusted(long nowMillis) {
+		return this.breaker.allows(nowMillis);
+	}
+
+	/**
+	 * Counts the requests that it has, as far as is known.
+	 * @return those of this process and those that peers have told of
+	 */
+	public int load() {
+		return this.inFlight + this.peersInFlight;
+	}
+
+	/**
+	 * Counts the requests that this process has there.
+	 * @return a number of requests
+	 */
+	public int inFlight() {
+		return this.inFlight;
+	}
+
+	void peersInFlight(int requests) {
+		this.peersInFlight = requests;
+	}
+
+	/**
+	 * Takes note of a request that is sent there.
+	 */
+	public void sent() {
+		this.inFlight++;
+		this.breaker.sent();
+	}
+
+	/**
+	 * Takes note that a request was answered.
+	 * @param tookMillis how long the answer took, in milliseconds
+	 * @param nowMillis the time, in milliseconds
+	 */
+	public void answered(long tookMillis, long nowMillis) {
+		this.inFlight--;
+		this.breaker.succeeded(nowMillis);
+		this.answerMillis += ((this.answerMillis == 0) ? 1 : ANSWER_SHARE) * (tookMillis - this.answerMillis);
+		noteOutcome(0, nowMillis);
+	}
+
+	/**
+	 * Takes note that a request failed in a way that speaks against the server.
+	 * @param nowMillis the time, in milliseconds
+	 */
+	public void failed(long nowMillis) {
+		this.inFlight--;
+		this.breaker.failed(nowMillis);
+		noteOutcome(1, nowMillis);
+	}
+
+	/**
+	 * Takes note that a request ended in a way that says nothing of the server.
+	 */
+	public void withdrawn() {
+		this.inFlight--;
+		this.breaker.withdrawn();
+	}
+
+	private void noteOutcome(double failure, long nowMillis) {
+		this.failureRate = failureRate(nowMillis);
+		this.failureRate += FAILURE_SHARE * (failure - this.failureRate);
+		this.failureMillis = nowMillis;
+	}
+
+	private double failureRate(long nowMillis) {
+		return this.failureRate * Math.pow(0.5, (nowMillis - this.failureMillis) / FAILURE_HALF_LIFE_MILLIS);
+	}
+
+	/**
+	 * Returns what is known of the server when one is chosen.
+	 * @param nowMillis the time, in milliseconds
+	 * @return a view as of now
+	 */
+	public BackendView view(long nowMillis) {
+		return new BackendView(id(), load(), this.entry.slots(), this.answerMillis, failureRate(nowMillis),
+				this.breaker.startFactor(nowMillis));
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -0,0 +1,179 @@
+package org.snowwind.gateway.backend;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.Registry;
+import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+
+/**
+ * The backend servers and the choice among them. Confined to the loop.
+ */
+public final class BackendTable {
+
+	private final MonotonicClock clock;
+
+	private final RandomGenerator random;
+
+	private final Map<String, Backend> byId = new LinkedHashMap<>();
+
+	private long revision;
+
+	/**
+	 * Creates a table without servers.
+	 * @param clock tells the time
+	 * @param random breaks ties
+	 */
+	public BackendTable(MonotonicClock clock, RandomGenerator random) {
+		this.clock = clock;
+		this.random = random;
+	}
+
+	/**
+	 * Takes over a registry.
+	 * @param registry the registry
+	 */
+	public void use(Registry registry) {
+		this.revision = registry.revision();
+		List<String> removed = new ArrayList<>(this.byId.keySet());
+		removed.removeAll(registry.servers().keySet());
+		removed.forEach(this::remove);
+		registry.list().forEach(this::put);
+	}
+
+	private void remove(String id) {
+		this.byId.remove(id).remove();
+		EventLog.log(Event.SERVER_REMOVED, "server", id, "registry", this.revision);
+	}
+
+	private void put(BackendEntry entry) {
+		Backend standing = this.byId.get(entry.id());
+		if (standing == null) {
+			this.byId.put(entry.id(), new Backend(entry));
+			EventLog.log(Event.SERVER_ADDED, "server", entry.id(), "service", entry.service(), "address",
+					entry.address(), "dataCentre", entry.dataCentre(), "draining", entry.draining(), "registry",
+					this.revision);
+			return;
+		}
+		if (entry.draining() && !standing.entry().draining()) {
+			EventLog.log(Event.SERVER_DRAINING, "server", entry.id(), "source", "registry", "registry", this.revision);
+		}
+		standing.entry(entry);
+	}
+
+	/**
+	 * Returns the revision of the registry.
+	 * @return the platform's revision
+	 */
+	public long revision() {
+		return this.revision;
+	}
+
+	/**
+	 * Finds a server.
+	 * @param id its id
+	 * @return the server, empty if it is gone
+	 */
+	public Optional<Backend> find(String id) {
+		return Optional.ofNullable(this.byId.get(id));
+	}
+
+	/**
+	 * Lists the servers of a service.
+	 * @param service the service's name
+	 * @return its servers, those that are leaving included
+	 */
+	public List<Backend> of(String service) {
+		return this.byId.values().stream().filter((backend) -> backend.entry().service().equals(service)).toList();
+	}
+
+	/**
+	 * Tells whether any server may be sent new work.
+	 * @return true if one may
+	 */
+	public boolean anyTakesNewWork() {
+		return this.byId.values().stream().anyMatch(Backend::takesNewWork);
+	}
+
+	/**
+	 * Tells whether a service has another server to try.
+	 * @param service the service's name
+	 * @param tried ids of servers that are not wanted
+	 * @return true if it has
+	 */
+	public boolean anyLeft(String service, Set<String> tried) {
+		return this.byId.values().stream().anyMatch((backend) -> eligible(backend, service, tried));
+	}
+
+	/**
+	 * Chooses a server that has room.
+	 * @param service the service's name
+	 * @param tried ids of servers that are not wanted
+	 * @param mayWait how many requests may wait at a server beyond those that run
+	 * @return the least full one, empty if none has room
+	 */
+	public Optional<Backend> choose(String service, Set<String> tried, int mayWait) {
+		long nowMillis = this.clock.nowMillis();
+		Optional<Backend> trusted = leastFull(service, tried, mayWait, nowMillis, true);
+		return trusted.isPresent() ? trusted : leastFull(service, tried, mayWait, nowMillis, false);
+	}
+
+	private Optional<Backend> leastFull(String service, Set<String> tried, int mayWait, long nowMillis,
+			boolean trustedOnly) {
+		Backend best = null;
+		double bestFullness = Double.MAX_VALUE;
+		int ties = 0;
+		for (Backend backend : this.byId.values()) {
+			boolean wanted = eligible(backend, service, tried) && (!trustedOnly || backend.trusted(nowMillis));
+			BackendView view = backend.view(nowMillis);
+			if (!wanted || view.room(mayWait) <= 0) {
+				continue;
+			}
+			double fullness = view.fullness();
+			ties = (fullness == bestFullness) ? ties + 1 : 1;
+			boolean better = fullness < bestFullness;
+			boolean drawn = fullness == bestFullness && this.random.nextInt(ties) == 0;
+			if (better || drawn) {
+				best = backend;
+				bestFullness = fullness;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	private static boolean eligible(Backend backend, String service, Set<String> tried) {
+		return backend.takesNewWork() && backend.entry().service().equals(service) && !tried.contains(backend.id());
+	}
+
+	/**
+	 * Takes over how many requests peers have at each server.
+	 * @param byServer the sum over all peers, by server id
+	 */
+	public void peersInFlight(Map<String, Integer> byServer) {
+		this.byId.forEach((id, backend) -> backend.peersInFlight(byServer.getOrDefault(id, 0)));
+	}
+
+	/**
+	 * Returns how many requests this process has at each server.
+	 * @return numbers of requests by server id, zeros left out
+	 */
+	public Map<String, Integer> inFlight() {
+		Map<String, Integer> counts = new HashMap<>();
+		this.byId.forEach((id, backend) -> {
+			if (backend.inFlight() > 0) {
+				counts.put(id, backend.inFlight());
+			}
+		});
+		return counts;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Backend servers as this process sees them, and the choice among them.
+ */
+package org.snowwind.gateway.backend;
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerDocuments.java
@@ -0,0 +1,98 @@
+package org.snowwind.gateway.peer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+import org.snowwind.gateway.registry.Registry;
+import org.snowwind.gateway.registry.RegistryHolder;
+import org.snowwind.gateway.table.RouteTable;
+import org.snowwind.gateway.table.TableHolder;
+import org.snowwind.gateway.table.TableWatcher;
+import org.snowwind.model.Json;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+import org.snowwind.wire.generated.ConfigDocument;
+import org.snowwind.wire.generated.GatewayDocument;
+
+/**
+ * The documents that gateways give each other when one of them cannot reach the platform.
+ */
+public final class PeerDocuments {
+
+	private static final ConfigDocument NOTHING_NEWER = new ConfigDocument(0, ByteBuffer.allocate(0));
+
+	private final TableHolder tables;
+
+	private final TableWatcher tableReader;
+
+	private final RegistryHolder registries;
+
+	/**
+	 * Creates the documents.
+	 * @param tables holds the table in force
+	 * @param tableReader reads tables of peers
+	 * @param registries holds the newest registry
+	 */
+	public PeerDocuments(TableHolder tables, TableWatcher tableReader, RegistryHolder registries) {
+		this.tables = tables;
+		this.tableReader = tableReader;
+		this.registries = registries;
+	}
+
+	long revisionOf(GatewayDocument kind) {
+		return (kind == GatewayDocument.TABLE) ? this.tables.current().version() : this.registries.current().revision();
+	}
+
+	/**
+	 * Gives a document to a peer.
+	 * @param kind which
+	 * @param haveRevision the revision that the peer has
+	 * @return the document, an empty one if the peer's is as new
+	 */
+	ConfigDocument give(GatewayDocument kind, long haveRevision) {
+		if (revisionOf(kind) <= haveRevision) {
+			return NOTHING_NEWER.deepCopy();
+		}
+		if (kind == GatewayDocument.TABLE) {
+			RouteTable table = this.tables.current();
+			return new ConfigDocument(table.version(), ByteBuffer.wrap(table.document()));
+		}
+		Registry registry = this.registries.current();
+		return new ConfigDocument(registry.revision(), ByteBuffer.wrap(encode(registry)));
+	}
+
+	private static byte[] encode(Registry registry) {
+		try {
+			return Json.MAPPER.writeValueAsBytes(registry);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("texts and numbers always serialize", ex);
+		}
+	}
+
+	/**
+	 * Takes a document of a peer, unless it is empty or not newer than ours.
+	 * @param kind which
+	 * @param document the document
+	 * @param peer the peer's address, for the log
+	 */
+	void take(GatewayDocument kind, ConfigDocument document, String peer) {
+		if (document.getDocument().length == 0) {
+			return;
+		}
+		try {
+			if (kind == GatewayDocument.TABLE) {
+				this.tableReader.offer(Json.MAPPER.readTree(document.getDocument()), "peer " + peer);
+				return;
+			}
+			Registry registry = Json.MAPPER.readValue(document.getDocument(), Registry.class);
+			if (this.registries.offer(registry)) {
+				EventLog.log(Event.REGISTRY_FROM_PEER, "registry", registry.revision(), "peer", peer);
+			}
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "document of peer " + peer);
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -0,0 +1,219 @@
+package org.snowwind.gateway.peer;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import org.snowwind.config.settings.Addresses;
+import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.duty.DutyThread;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+import org.snowwind.wire.Reply;
+import org.snowwind.wire.ThriftCalls;
+import org.snowwind.wire.ThriftLink;
+import org.snowwind.wire.generated.ConfigDocument;
+import org.snowwind.wire.generated.GatewayControl;
+import org.snowwind.wire.generated.GatewayDocument;
+import org.snowwind.wire.generated.GatewayReport;
+
+/**
+ * Exchanges reports with all other gateways, and fetches what they know and this process
+ * does not.
+ */
+public final class PeerMesh implements AutoCloseable {
+
+	/** How long a call to a peer may take, in milliseconds. */
+	private static final long CALL_MILLIS = 800;
+
+	/** The shortest time between reports to one peer, in milliseconds. */
+	private static final long LEAST_PERIOD_MILLIS = 250;
+
+	/** What each further peer adds to that time, so that calls stay bounded. */
+	private static final long PERIOD_PER_PEER_MILLIS = 20;
+
+	private static final int RING_SIZE = 1024;
+
+	private final PeerTable peers;
+
+	private final PeerDocuments documents;
+
+	private final ThriftCalls calls;
+
+	private final Supplier<GatewayReport> ownReport;
+
+	private final MonotonicClock clock;
+
+	private final Consumers consumers;
+
+	private final Map<String, ThriftLink<GatewayControl.AsyncClient>> links = new HashMap<>();
+
+	private final DutyThread thread;
+
+	private long nextRoundMillis = Long.MIN_VALUE;
+
+	private volatile View view = new View(0, Set.of());
+
+	/**
+	 * Creates a mesh that calls nobody yet.
+	 * @param peers keeps what peers say
+	 * @param documents gives and takes documents
+	 * @param calls carries the calls
+	 * @param ownReport makes the own report
+	 * @param consumers take what peers say
+	 * @param clock tells the time
+	 */
+	public PeerMesh(PeerTable peers, PeerDocuments documents, ThriftCalls calls, Supplier<GatewayReport> ownReport,
+			Consumers consumers, MonotonicClock clock) {
+		this.peers = peers;
+		this.documents = documents;
+		this.calls = calls;
+		this.ownReport = ownReport;
+		this.consumers = consumers;
+		this.clock = clock;
+		this.thread = new DutyThread("peers", RING_SIZE, LEAST_PERIOD_MILLIS / 2, this::round);
+	}
+
+	/**
+	 * Begins to call peers.
+	 * @param seeds addresses at which peers may be
+	 */
+	public void start(List<InetSocketAddress> seeds) {
+		long nowMillis = this.clock.nowMillis();
+		seeds.forEach((seed) -> this.peers.mayBeAt(Addresses.render(seed), nowMillis));
+		this.thread.start();
+	}
+
+	/**
+	 * Returns what is known of peers.
+	 * @return the view as of the last round
+	 */
+	public View view() {
+		return this.view;
+	}
+
+	/**
+	 * Takes a report that a peer has sent.
+	 * @param report the report
+	 */
+	void received(GatewayReport report) {
+		this.thread.offer(() -> heard(report));
+	}
+
+	private void round() {
+		long nowMillis = this.clock.nowMillis();
+		if (nowMillis < this.nextRoundMillis) {
+			return;
+		}
+		this.nextRoundMillis = nowMillis + LEAST_PERIOD_MILLIS + PERIOD_PER_PEER_MILLIS * this.peers.known();
+		this.peers.age(nowMillis);
+		GatewayReport report = this.ownReport.get();
+		report.setKnownGateways(this.peers.liveAddresses());
+		this.peers.addresses().forEach((address) -> exchange(address, report));
+		this.links.keySet().retainAll(Set.copyOf(this.peers.addresses()));
+		publish(nowMillis);
+	}
+
+	private void exchange(String address, GatewayReport report) {
+		ThriftLink<GatewayControl.AsyncClient> link = this.links.computeIfAbsent(address, this::connect);
+		link.<GatewayReport>call((client, callback) -> client.exchange(report, callback), new Reply<>() {
+			@Override
+			public void received(GatewayReport answer) {
+				PeerMesh.this.received(answer);
+			}
+
+			@Override
+			public void failed(Exception cause) {
+				// A silent peer is suspected by its age; nothing else follows from one
+				// lost call.
+			}
+		});
+	}
+
+	private ThriftLink<GatewayControl.AsyncClient> connect(String address) {
+		Optional<InetSocketAddress> parsed = Addresses.parse(address);
+		return this.calls.link(parsed.orElseThrow(), GatewayControl.AsyncClient::new, CALL_MILLIS);
+	}
+
+	private void heard(GatewayReport report) {
+		this.peers.heard(report, this.clock.nowMillis());
+		fetchIfNewer(GatewayDocument.TABLE, report.getTableVersion(), report.getControlAddress());
+		fetchIfNewer(GatewayDocument.REGISTRY, report.getRegistryRevision(), report.getControlAddress());
+		publish(this.clock.nowMillis());
+	}
+
+	// The platform tells most news itself and sooner; a peer is asked only for what the
+	// platform has not told.
+	private void fetchIfNewer(GatewayDocument kind, long theirRevision, String address) {
+		long own = this.documents.revisionOf(kind);
+		if (theirRevision <= own || !this.consumers.platformAway()) {
+			return;
+		}
+		ThriftLink<GatewayControl.AsyncClient> link = this.links.computeIfAbsent(address, this::connect);
+		link.<ConfigDocument>call((client, callback) -> client.fetchDocument(kind, own, callback), new Reply<>() {
+			@Override
+			public void received(ConfigDocument document) {
+				PeerMesh.this.thread.offer(() -> PeerMesh.this.documents.take(kind, document, address));
+			}
+
+			@Override
+			public void failed(Exception cause) {
+				EventLog.log(Event.PEER_FETCH_FAILED, "peer", address, "document", kind, "reason", cause.getMessage());
+			}
+		});
+	}
+
+	private void publish(long nowMillis) {
+		this.view = new View(this.peers.known(), this.peers.liveNames());
+		this.consumers.peersChanged(this.peers.inFlight(nowMillis), this.peers.leavingServers());
+	}
+
+	/**
+	 * Takes note of addresses at which peers may be.
+	 * @param addresses control addresses
+	 */
+	public void mayBeAt(List<String> addresses) {
+		this.thread.offer(() -> addresses.forEach((address) -> this.peers.mayBeAt(address, this.clock.nowMillis())));
+	}
+
+	@Override
+	public void close() {
+		this.thread.close();
+		this.links.values().forEach(ThriftLink::close);
+	}
+
+	/**
+	 * What is known of other gateways.
+	 *
+	 * @param known how many there are, those out of reach included
+	 * @param liveNames the names of those that answer and do not leave
+	 */
+	public record View(int known, Set<String> liveNames) {
+
+	}
+
+	/**
+	 * Takes what peers say.
+	 */
+	public interface Consumers {
+
+		/**
+		 * Tells whether the platform does not answer this process.
+		 * @return true if its last call failed
+		 */
+		boolean platformAway();
+
+		/**
+		 * Peers have reported.
+		 * @param inFlight their requests by server id
+		 * @param leavingServers servers that take no new work
+		 */
+		void peersChanged(Map<String, Integer> inFlight, Set<String> leavingServers);
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Other gateways, and what they tell each other.
+ */
+package org.snowwind.gateway.peer;
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/Registry.java
@@ -0,0 +1,32 @@
+package org.snowwind.gateway.registry;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All backend servers as of one revision of the platform.
+ *
+ * @param revision the platform's revision
+ * @param servers the servers by id
+ */
+public record Registry(long revision, Map<String, BackendEntry> servers) {
+
+	/** What is known at first: nothing. */
+	public static final Registry NONE = new Registry(0, Map.of());
+
+	/**
+	 * Copies the servers.
+	 */
+	public Registry {
+		servers = Map.copyOf(servers);
+	}
+
+	/**
+	 * Lists the servers.
+	 * @return the servers in no order
+	 */
+	public List<BackendEntry> list() {
+		return List.copyOf(this.servers.values());
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which backend servers there are, and how that is learnt.
+ */
+package org.snowwind.gateway.registry;
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/request/AnswerHead.java
@@ -0,0 +1,30 @@
+package org.snowwind.gateway.request;
+
+/**
+ * What a server says of its answer.
+ *
+ * @param refused whether it promises that it did not run the request
+ * @param elsewhere whether it is not the run of the server that was addressed
+ * @param signed whether the answer bears the server's signature
+ * @param requestId the id of the request that it answers; {@code null} if it does not say
+ * @param encoded whether the body is not as the server made it
+ */
+public record AnswerHead(boolean refused, boolean elsewhere, boolean signed, String requestId, boolean encoded) {
+
+	private static final int OK = 200;
+
+	private static final int REDIRECT = 300;
+
+	/**
+	 * Tells whether the answer can be that of a request.
+	 * @param status the HTTP status
+	 * @param expectedId the request's id, may be {@code null}
+	 * @return false if it must not be passed on
+	 */
+	public boolean credible(int status, String expectedId) {
+		boolean success = status >= OK && status < REDIRECT;
+		boolean otherRequest = this.requestId != null && expectedId != null && !this.requestId.equals(expectedId);
+		return !otherRequest && !this.encoded && (this.signed || !success);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -0,0 +1,208 @@
+package org.snowwind.gateway.request;
+
+import java.util.Map;
+
+import io.netty.util.concurrent.Future;
+import org.snowwind.decide.outcome.AttemptEnd;
+import org.snowwind.gateway.backend.Backend;
+import org.snowwind.http.client.UpstreamCall;
+import org.snowwind.http.client.UpstreamListener;
+import org.snowwind.http.client.UpstreamRequest;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+
+/**
+ * One attempt of a request at one server. Confined to the loop.
+ */
+final class Attempt implements UpstreamListener {
+
+	private static final int SERVER_ERROR = 500;
+
+	private final RequestContext context;
+
+	private final CallerRequest request;
+
+	private final Backend backend;
+
+	private final AttemptListener listener;
+
+	private final long sentMillis;
+
+	private UpstreamCall call;
+
+	private Future<?> timer;
+
+	private int status;
+
+	private String cause = "";
+
+	private boolean over;
+
+	private long silenceMillis;
+
+	Attempt(RequestContext context, CallerRequest request, Backend backend, AttemptListener listener) {
+		this.context = context;
+		this.request = request;
+		this.backend = backend;
+		this.listener = listener;
+		this.sentMillis = context.clock().nowMillis();
+	}
+
+	/**
+	 * Sends the attempt.
+	 * @param remainingMillis what is left of the request's time, in milliseconds
+	 * @param lastEventId where a stream is continued, {@code null} to begin
+	 * @param patience how long the server may be silent
+	 */
+	void send(long remainingMillis, String lastEventId, Patience patience) {
+		this.backend.sent();
+		this.silenceMillis = patience.pauseMillis();
+		this.timer = this.context.loop().later(() -> giveUp("no answer"), patience.firstByteMillis());
+		AttemptHead head = new AttemptHead(this.backend.id(), remainingMillis, this.request.organisation(), lastEventId,
+				this.request.host());
+		Map<String, String> headers = this.context.dialect().toBackend(this.request.headers(), head);
+		String url = "http://" + this.backend.entry().address() + this.request.target();
+		this.call = this.context.client()
+			.send(new UpstreamRequest(this.request.method(), url, headers, this.request.body()), this);
+	}
+
+	Backend backend() {
+		return this.backend;
+	}
+
+	/**
+	 * Takes or stops taking bytes from the server.
+	 * @param reading whether to take them
+	 */
+	void reading(boolean reading) {
+		if (!this.over && this.call != null) {
+			this.call.reading(reading);
+			restartTimer(reading);
+		}
+	}
+
+	/**
+	 * Ends the attempt without a word to its listener, which ends the server's work.
+	 */
+	void abandon() {
+		if (!this.over) {
+			this.cause = "abandoned";
+			close(null);
+			this.backend.withdrawn();
+			cancelCall();
+		}
+	}
+
+	private void cancelCall() {
+		if (this.call != null) {
+			this.call.cancel();
+		}
+	}
+
+	@Override
+	public void onHead(int answerStatus, Map<String, String> headers) {
+		this.status = answerStatus;
+		AnswerHead head = this.context.dialect().readAnswer(answerStatus, headers);
+		if (head.refused()) {
+			if (head.elsewhere()) {
+				this.backend.refusesNewWork();
+			}
+			cancelCall();
+			finish(AttemptEnd.REFUSED);
+			return;
+		}
+		if (!head.credible(answerStatus, this.request.id())) {
+			giveUp("not a server's answer to this request");
+			return;
+		}
+		restartTimer(true);
+		this.listener.answerBegins(answerStatus, headers);
+	}
+
+	@Override
+	public void onBytes(byte[] bytes) {
+		restartTimer(true);
+		this.listener.answerBytes(bytes);
+	}
+
+	@Override
+	public void onEnd() {
+		finish(AttemptEnd.ANSWERED);
+	}
+
+	@Override
+	public void onFailure(boolean maybeSent, Throwable thrown) {
+		this.cause = String.valueOf(thrown.getMessage());
+		if (!maybeSent) {
+			finish(AttemptEnd.NOT_SENT);
+			return;
+		}
+		finish((this.status != 0) ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.LOST_FOR_GOOD);
+	}
+
+	/**
+	 * Gives the attempt up.
+	 * @param why for the log
+	 */
+	void giveUp(String why) {
+		if (!this.over) {
+			this.cause = why;
+			cancelCall();
+			finish((this.status != 0) ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.LOST_FOR_GOOD);
+		}
+	}
+
+	private void restartTimer(boolean running) {
+		if (this.over || this.silenceMillis <= 0) {
+			return;
+		}
+		this.timer.cancel(false);
+		if (running) {
+			this.timer = this.context.loop().later(() -> giveUp("silent"), this.silenceMillis);
+		}
+	}
+
+	private void finish(AttemptEnd end) {
+		if (this.over) {
+			return;
+		}
+		close(end);
+		judge(end);
+		this.listener.attemptEnded(end);
+	}
+
+	private void close(AttemptEnd end) {
+		this.over = true;
+		this.timer.cancel(false);
+		String name = (end != null) ? end.name() : "ABANDONED";
+		this.context.meters().attempt(this.request.service(), name);
+		EventLog.log(Event.ATTEMPT_ENDED, "request", this.request.id(), "server", this.backend.id(), "end", name,
+				"status", this.status, "cause", this.cause, "tookMillis",
+				this.context.clock().nowMillis() - this.sentMillis);
+	}
+
+	private void judge(AttemptEnd end) {
+		long nowMillis = this.context.clock().nowMillis();
+		boolean failure = end != AttemptEnd.ANSWERED || this.status >= SERVER_ERROR;
+		if (end == AttemptEnd.REFUSED) {
+			this.backend.withdrawn();
+		}
+		else if (failure) {
+			this.backend.failed(nowMillis);
+		}
+		else {
+			this.backend.answered(nowMillis - this.sentMillis, nowMillis);
+		}
+	}
+
+	/**
+	 * How long a server may be silent.
+	 *
+	 * @param firstByteMillis until its answer begins, in milliseconds
+	 * @param pauseMillis between parts of its answer, in milliseconds; 0 for any time
+	 */
+	record Patience(long firstByteMillis, long pauseMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/request/CallerRequest.java
@@ -0,0 +1,29 @@
+package org.snowwind.gateway.request;
+
+import java.util.Map;
+
+import org.snowwind.gateway.table.Route;
+
+/**
+ * A caller's request, read and routed.
+ *
+ * @param head what the caller says of it
+ * @param method the HTTP method
+ * @param target path and query as sent
+ * @param host the host as sent
+ * @param headers its headers by lower-case name
+ * @param body its body
+ * @param route where it goes
+ * @param service the service of the route that it was drawn for
+ * @param organisation whose request it is; {@code null} if nobody's
+ * @param tableVersion the version of the table by which it was routed
+ * @param arrivedMillis when its head arrived, in milliseconds
+ */
+record CallerRequest(CallerHead head, String method, String target, String host, Map<String, String> headers,
+		byte[] body, Route route, String service, String organisation, long tableVersion, long arrivedMillis) {
+
+	String id() {
+		return this.head.requestId();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayMeters.java
@@ -0,0 +1,48 @@
+package org.snowwind.gateway.request;
+
+import java.time.Duration;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+
+/**
+ * Counts requests and attempts, with labels from configuration and enums only.
+ */
+public final class GatewayMeters {
+
+	private static final Duration[] BUCKETS = { Duration.ofMillis(50), Duration.ofMillis(100), Duration.ofMillis(200),
+			Duration.ofMillis(400), Duration.ofMillis(800), Duration.ofMillis(1600), Duration.ofMillis(3200),
+			Duration.ofMillis(6400) };
+
+	private final MeterRegistry registry;
+
+	/**
+	 * Creates the meters.
+	 * @param registry where they are registered
+	 */
+	public GatewayMeters(MeterRegistry registry) {
+		this.registry = registry;
+	}
+
+	void ended(String service, String outcome, long tookMillis) {
+		this.registry.counter("snowwind.gateway.requests", "service", service, "outcome", outcome).increment();
+		timer("snowwind.gateway.request.duration", service).record(Duration.ofMillis(tookMillis));
+	}
+
+	void firstByte(String service, long tookMillis) {
+		timer("snowwind.gateway.first.byte", service).record(Duration.ofMillis(tookMillis));
+	}
+
+	void pause(String service, long pauseMillis) {
+		timer("snowwind.gateway.event.pause", service).record(Duration.ofMillis(pauseMillis));
+	}
+
+	void attempt(String service, String end) {
+		this.registry.counter("snowwind.gateway.attempts", "service", service, "end", end).increment();
+	}
+
+	private Timer timer(String name, String service) {
+		return Timer.builder(name).tag("service", service).serviceLevelObjectives(BUCKETS).register(this.registry);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -0,0 +1,371 @@
+package org.snowwind.gateway.request;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.util.concurrent.Future;
+import org.snowwind.decide.outcome.AttemptEnd;
+import org.snowwind.decide.outcome.NextStep;
+import org.snowwind.decide.outcome.NextStepRules;
+import org.snowwind.decide.outcome.Situation;
+import org.snowwind.gateway.backend.Backend;
+import org.snowwind.gateway.table.Repeat;
+import org.snowwind.http.server.HttpExchange;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+import org.snowwind.model.outcome.Disclosure;
+import org.snowwind.model.outcome.Problem;
+import org.snowwind.model.outcome.ProblemKind;
+
+/**
+ * Carries one request from its first attempt to its one end. Confined to the loop.
+ *
+ * <p>
+ * What to do after each attempt is decided by {@link NextStepRules}; this class only does
+ * it.
+ */
+final class Relay implements AttemptListener, NextStep.Cases {
+
+	private static final int SERVER_ERROR = 500;
+
+	/** Statuses that promise that a request has not run; only proof allows them. */
+	private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+	/** Answers are given this much before their time ends, in milliseconds. */
+	private static final long ANSWER_MARGIN_MILLIS = 25;
+
+	/** How many servers may refuse or be out of reach before a request is given up. */
+	private static final int MAX_SENDS = 5;
+
+	/** The part of its target that a request waits for a server with room. */
+	private static final double WAIT_SHARE = 0.2;
+
+	/** How often a waiting request looks for a server, in milliseconds. */
+	private static final long WAIT_STEP_MILLIS = 10;
+
+	/** Before so much time is left, in milliseconds, nothing new is sent. */
+	private static final long LEAST_USEFUL_MILLIS = 30;
+
+	private final RequestContext context;
+
+	private final CallerRequest request;
+
+	private final HttpExchange exchange;
+
+	private final Runnable whenEnded;
+
+	private final Timing timing;
+
+	private final long deadlineMillis;
+
+	private final Set<String> tried = new HashSet<>();
+
+	private AnswerBuffer answer;
+
+	private final EventStream events;
+
+	private Future<?> deadlineTimer;
+
+	private Future<?> waitTimer;
+
+	private Attempt attempt;
+
+	private int sends;
+
+	private int runs;
+
+	private long firstByteMillis;
+
+	private long lastEventMillis;
+
+	private long longestPauseMillis;
+
+	private long bytesDelivered;
+
+	private boolean finished;
+
+	/**
+	 * Creates the relay of a request.
+	 * @param context what requests work with
+	 * @param request the request
+	 * @param exchange the way to answer
+	 * @param whenEnded called when the request has ended
+	 */
+	Relay(RequestContext context, CallerRequest request, HttpExchange exchange, Runnable whenEnded) {
+		this.context = context;
+		this.request = request;
+		this.exchange = exchange;
+		this.whenEnded = whenEnded;
+		this.timing = Timing.of(request.route());
+		long patience = request.head().patienceMillis();
+		long allowed = (patience >= 0) ? Math.min(patience, request.route().timeoutMillis())
+				: request.route().timeoutMillis();
+		this.deadlineMillis = request.arrivedMillis() + allowed - ANSWER_MARGIN_MILLIS;
+		this.events = new EventStream(request.head().lastEventId());
+	}
+
+	void start() {
+		this.exchange.onGone(this::callerGone);
+		this.exchange.onWritableChange(this::adjustReading);
+		this.deadlineTimer = this.context.loop().later(this::deadlinePassed, remainingMillis());
+		this.context.budgets().request(this.request.service());
+		dispatch(null, waitUntilMillis());
+	}
+
+	private long waitUntilMillis() {
+		return this.context.clock().nowMillis() + (long) (WAIT_SHARE * this.request.route().targetMillis());
+	}
+
+	private long remainingMillis() {
+		return this.deadlineMillis - this.context.clock().nowMillis();
+	}
+
+	// ---- the steps
+
+	@Override
+	public void send() {
+		dispatch(null, waitUntilMillis());
+	}
+
+	@Override
+	public void resume() {
+		this.events.forgetTorn();
+		EventLog.log(Event.STREAM_RESUMED, "request", this.request.id(), "after", this.events.lastId());
+		dispatch(this.events.lastId(), waitUntilMillis());
+	}
+
+	@Override
+	public void revoke() {
+		throw new IllegalStateException("there is nobody to ask about an attempt that was sent straight to a server");
+	}
+
+	private void dispatch(String lastEventId, long waitUntilMillis) {
+		if (this.finished) {
+			return;
+		}
+		if (remainingMillis() < LEAST_USEFUL_MILLIS) {
+			giveUpUnsent(ProblemKind.DEADLINE_NOT_RUN);
+			return;
+		}
+		Optional<Backend> chosen = choose();
+		if (chosen.isPresent()) {
+			sendTo(chosen.get(), lastEventId);
+			return;
+		}
+		if (this.context.clock().nowMillis() + WAIT_STEP_MILLIS > waitUntilMillis) {
+			giveUpUnsent(ProblemKind.OVERLOADED);
+			return;
+		}
+		this.waitTimer = this.context.loop().later(() -> dispatch(lastEventId, waitUntilMillis), WAIT_STEP_MILLIS);
+	}
+
+	private Optional<Backend> choose() {
+		Optional<Backend> untried = this.context.backends()
+			.choose(this.request.service(), this.tried, this.timing.mayWait());
+		boolean allTried = !this.context.backends().anyLeft(this.request.service(), this.tried);
+		if (untried.isPresent() || !allTried) {
+			return untried;
+		}
+		return this.context.backends().choose(this.request.service(), Set.of(), this.timing.mayWait());
+	}
+
+	private void sendTo(Backend backend, String lastEventId) {
+		long remaining = remainingMillis();
+		if (this.sends > 0) {
+			this.context.budgets().retried(this.request.service());
+		}
+		this.sends++;
+		this.tried.add(backend.id());
+		EventLog.log(Event.REQUEST_SENT, "request", this.request.id(), "server", backend.id(), "attempt", this.sends,
+				"load", backend.load(), "slots", backend.entry().slots(), "registry",
+				this.context.backends().revision(), "remainingMillis", remaining);
+		this.answer = null;
+		this.attempt = new Attempt(this.context, this.request, backend, this);
+		this.attempt.send(remaining, (lastEventId != null) ? lastEventId : this.request.head().lastEventId(),
+				patience(remaining));
+	}
+
+	private Attempt.Patience patience(long remaining) {
+		if (!this.request.route().repeatable()) {
+			return new Attempt.Patience(remaining, 0);
+		}
+		long first = Math.min(remaining, this.timing.firstByteMillis(remaining));
+		return new Attempt.Patience(first, this.timing.pauseMillis());
+	}
+
+	// Nothing is under way: either nothing was sent, or proof came that it did not run.
+	private void giveUpUnsent(ProblemKind kind) {
+		if (this.runs > 0 || this.exchange.begun()) {
+			finish(Disclosure.UNKNOWN, ProblemKind.BACKEND_FAILED);
+			return;
+		}
+		finish(Disclosure.NOT_RUN, kind);
+	}
+
+	@Override
+	public void finish(Disclosure disclosure, ProblemKind kind) {
+		if (kind != null && !this.exchange.begun() && this.answer != null && this.answer.deliverable()) {
+			close(Disclosure.ANSWERED, Integer.toString(this.answer.status()));
+			this.answer.deliver(this.exchange);
+			return;
+		}
+		close(disclosure, (kind != null) ? kind.code() : Integer.toString(status()));
+		if (kind == null) {
+			deliver();
+		}
+		else if (this.exchange.begun()) {
+			this.exchange.abort();
+		}
+		else {
+			OwnAnswers.problem(this.exchange, this.context.dialect(), this.request.id(), problemOf(disclosure, kind));
+		}
+	}
+
+	private int status() {
+		return (this.answer != null) ? this.answer.status() : 0;
+	}
+
+	private void deliver() {
+		if (this.exchange.begun()) {
+			this.exchange.end();
+		}
+		else {
+			this.answer.deliver(this.exchange);
+		}
+	}
+
+	private Problem problemOf(Disclosure disclosure, ProblemKind kind) {
+		Problem problem = new Problem(kind, kind.remedy(), disclosure, 0);
+		if (disclosure != Disclosure.NOT_RUN) {
+			return problem;
+		}
+		return problem.retryAfter(this.timing.retryAfterMillis(remainingMillis(), this.context.random()));
+	}
+
+	private void close(Disclosure disclosure, String outcome) {
+		this.finished = true;
+		this.deadlineTimer.cancel(false);
+		if (this.waitTimer != null) {
+			this.waitTimer.cancel(false);
+		}
+		if (this.attempt != null) {
+			this.attempt.abandon();
+		}
+		long tookMillis = this.context.clock().nowMillis() - this.request.arrivedMillis();
+		this.context.meters().ended(this.request.service(), outcome, tookMillis);
+		EventLog.log(Event.REQUEST_ENDED, "request", this.request.id(), "outcome", outcome, "ran",
+				disclosure.headerValue(), "sends", this.sends, "events", this.events.events(), "firstMillis",
+				this.firstByteMillis, "pauseMillis", this.longestPauseMillis, "tookMillis", tookMillis);
+		this.whenEnded.run();
+	}
+
+	// ---- what happens
+
+	@Override
+	public void answerBegins(int status, Map<String, String> headers) {
+		boolean stream = this.request.route().repeat() == Repeat.STREAM && status == AnswerBuffer.OK;
+		if (this.exchange.begun() && !stream) {
+			this.attempt.giveUp("the stream was not continued");
+			return;
+		}
+		this.answer = new AnswerBuffer(status, headers, stream);
+	}
+
+	@Override
+	public void answerBytes(byte[] bytes) {
+		if (!this.answer.stream()) {
+			this.answer.add(bytes);
+			return;
+		}
+		byte[] whole = this.events.take(bytes);
+		if (whole.length == 0) {
+			return;
+		}
+		noteEvent();
+		if (!this.exchange.begun()) {
+			this.exchange.begin(this.answer.status(), this.answer.headers());
+		}
+		this.bytesDelivered += whole.length;
+		this.exchange.write(whole);
+		adjustReading();
+	}
+
+	private void noteEvent() {
+		long nowMillis = this.context.clock().nowMillis();
+		if (this.lastEventMillis == 0) {
+			this.firstByteMillis = nowMillis - this.request.arrivedMillis();
+			this.context.meters().firstByte(this.request.service(), this.firstByteMillis);
+		}
+		else {
+			long pauseMillis = nowMillis - this.lastEventMillis;
+			this.longestPauseMillis = Math.max(this.longestPauseMillis, pauseMillis);
+			this.context.meters().pause(this.request.service(), pauseMillis);
+		}
+		this.lastEventMillis = nowMillis;
+	}
+
+	@Override
+	public void attemptEnded(AttemptEnd end) {
+		if (!this.finished) {
+			decide(trueEnd(end));
+		}
+	}
+
+	// A stream that ends within an event is broken. A server's failure is no answer as
+	// long as another server may do better, and none that promises what is not proved.
+	private AttemptEnd trueEnd(AttemptEnd end) {
+		if (end != AttemptEnd.ANSWERED) {
+			return end;
+		}
+		if (this.answer.stream()) {
+			boolean broken = this.events.torn() || !this.exchange.begun();
+			return broken ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.ANSWERED;
+		}
+		if (PROMISES.contains(this.answer.status())) {
+			this.answer = null;
+			return AttemptEnd.BEGAN_THEN_BROKE;
+		}
+		this.answer.complete();
+		boolean tryAgain = this.answer.status() >= SERVER_ERROR && this.request.route().repeatable();
+		return tryAgain ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.ANSWERED;
+	}
+
+	private void decide(AttemptEnd end) {
+		if (!end.provesNotRun()) {
+			this.runs++;
+		}
+		boolean serverLeft = this.sends < MAX_SENDS
+				&& this.context.backends().anyLeft(this.request.service(), Set.of());
+		Situation situation = new Situation(end, this.request.route().repeatable(), this.request.route().resumable(),
+				this.bytesDelivered, this.runs, this.request.route().maxAttempts(),
+				remainingMillis() - LEAST_USEFUL_MILLIS, this.context.budgets().allows(this.request.service()),
+				serverLeft, (end == AttemptEnd.REFUSED) ? ProblemKind.OVERLOADED : null);
+		NextStepRules.decide(situation).perform(this);
+	}
+
+	private void deadlinePassed() {
+		if (this.finished) {
+			return;
+		}
+		if (this.attempt == null) {
+			finish(Disclosure.NOT_RUN, ProblemKind.DEADLINE_NOT_RUN);
+			return;
+		}
+		finish(Disclosure.UNKNOWN, ProblemKind.DEADLINE);
+	}
+
+	private void callerGone() {
+		if (!this.finished) {
+			close(Disclosure.UNKNOWN, "caller-gone");
+		}
+	}
+
+	private void adjustReading() {
+		if (!this.finished && this.attempt != null) {
+			this.attempt.reading(this.exchange.writable());
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The life of a caller's request.
+ */
+package org.snowwind.gateway.request;
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/table/TableHolder.java
@@ -0,0 +1,53 @@
+package org.snowwind.gateway.table;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+
+/**
+ * Holds the table in force and never goes back to an older one.
+ */
+public final class TableHolder {
+
+	private final List<Consumer<RouteTable>> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile RouteTable current = RouteTable.NONE;
+
+	/**
+	 * Returns the table in force.
+	 * @return the table, {@link RouteTable#NONE} before the first one
+	 */
+	public RouteTable current() {
+		return this.current;
+	}
+
+	/**
+	 * Asks to be told of each newer table.
+	 * @param listener called on the thread that offers the table
+	 */
+	public void onChange(Consumer<RouteTable> listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Puts a table in force unless one as new is.
+	 * @param table the table
+	 * @param source where it was learnt, for the log
+	 * @return true if it is in force from now on
+	 */
+	public synchronized boolean offer(RouteTable table, String source) {
+		if (table.version() <= this.current.version()) {
+			return false;
+		}
+		long before = this.current.version();
+		this.current = table;
+		EventLog.log(Event.TABLE_APPLIED, "version", table.version(), "before", before, "routes", table.routes(),
+				"source", source);
+		this.listeners.forEach((listener) -> listener.accept(table));
+		return true;
+	}
+
+}
--- a/http/src/main/java/org/snowwind/http/client/JsonClient.java
+++ b/http/src/main/java/org/snowwind/http/client/JsonClient.java
@@ -20,6 +20,9 @@
  */
 public final class JsonClient implements AutoCloseable {
 
+	/** How much later than the library's own time-out a call is given up for lost. */
+	private static final long TIMEOUT_MARGIN_MILLIS = 500;
+
 	private final AsyncHttpClient client;
 
 	private final Map<String, String> headers;
@@ -56,6 +59,9 @@
 	public JsonAnswer call(String method, String url, Map<String, String> extraHeaders, Object body, long timeoutMillis)
 			throws IOException {
 		RequestBuilder builder = new RequestBuilder(method, true).setUrl(url);
+		// The library closes the connection of a call that takes longer, so that a late
+		// answer is never read as that of another call.
+		builder.setRequestTimeout(Duration.ofMillis(timeoutMillis));
 		this.headers.forEach(builder::setHeader);
 		extraHeaders.forEach(builder::setHeader);
 		if (body != null) {
@@ -63,7 +69,7 @@
 			builder.setBody(Json.MAPPER.writeValueAsBytes(body));
 		}
 		ListenableFuture<Response> future = this.client.executeRequest(builder.build());
-		return answerOf(await(future, timeoutMillis));
+		return answerOf(await(future, timeoutMillis + TIMEOUT_MARGIN_MILLIS));
 	}
 
 	private static Response await(ListenableFuture<Response> future, long timeoutMillis) throws IOException {
--- a/http/src/main/java/org/snowwind/http/client/UpstreamCall.java
+++ b/http/src/main/java/org/snowwind/http/client/UpstreamCall.java
@@ -24,6 +24,8 @@
 
 	private final DataLoop loop;
 
+	private final UpstreamClient.Answers answers;
+
 	private final UpstreamListener listener;
 
 	private volatile Channel channel;
@@ -34,8 +36,9 @@
 
 	private int status;
 
-	UpstreamCall(DataLoop loop, UpstreamListener listener) {
+	UpstreamCall(DataLoop loop, UpstreamClient.Answers answers, UpstreamListener listener) {
 		this.loop = loop;
+		this.answers = answers;
 		this.listener = listener;
 	}
 
@@ -104,7 +107,8 @@
 
 	private boolean framed(HttpHeaders headers) {
 		boolean bodiless = this.status == NO_CONTENT || this.status == NOT_MODIFIED;
-		return bodiless || headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+		boolean endsWithConnection = this.answers == UpstreamClient.Answers.FRAMED_OR_CLOSED;
+		return endsWithConnection || bodiless || headers.contains(HttpHeaderNames.CONTENT_LENGTH)
 				|| headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, "chunked", true);
 	}
 
--- a/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
+++ b/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
@@ -23,13 +23,27 @@
 
 	private final AsyncHttpClient client;
 
+	private final Answers answers;
+
 	/**
-	 * Creates a client.
+	 * Creates a client that keeps connections open and takes only framed answers.
 	 * @param loop the thread that carries it
 	 * @param connectTimeoutMillis how long a connection may take, in milliseconds
 	 */
 	public UpstreamClient(DataLoop loop, long connectTimeoutMillis) {
+		this(loop, connectTimeoutMillis, Connections.KEPT, Answers.FRAMED);
+	}
+
+	/**
+	 * Creates a client.
+	 * @param loop the thread that carries it
+	 * @param connectTimeoutMillis how long a connection may take, in milliseconds
+	 * @param connections whether connections carry more than one request
+	 * @param answers which answers are taken
+	 */
+	public UpstreamClient(DataLoop loop, long connectTimeoutMillis, Connections connections, Answers answers) {
 		this.loop = loop;
+		this.answers = answers;
 		DefaultAsyncHttpClientConfig.Builder config = Dsl.config()
 			.setEventLoopGroup(loop.group())
 			.setConnectTimeout(Duration.ofMillis(connectTimeoutMillis))
@@ -37,7 +51,8 @@
 			.setReadTimeout(NEVER)
 			.setMaxRequestRetry(0)
 			.setFollowRedirect(false)
-			.setKeepAlive(true)
+			.setKeepAlive(connections == Connections.KEPT)
+			.setEnableAutomaticDecompression(false)
 			.setPooledConnectionIdleTimeout(Duration.ofSeconds(20))
 			.setTcpNoDelay(true)
 			.setCookieStore(null)
@@ -57,7 +72,7 @@
 		if (request.body().length > 0) {
 			builder.setBody(request.body());
 		}
-		UpstreamCall call = new UpstreamCall(this.loop, listener);
+		UpstreamCall call = new UpstreamCall(this.loop, this.answers, listener);
 		this.client.executeRequest(builder.build(), call);
 		return call;
 	}
@@ -72,4 +87,33 @@
 		}
 	}
 
+	/**
+	 * Whether a connection carries more than one request.
+	 */
+	public enum Connections {
+
+		/** Connections are kept open and used again. */
+		KEPT,
+
+		/**
+		 * Each request has a connection of its own, so that nothing that a server sends
+		 * beyond its answer can be taken for the answer to another request.
+		 */
+		FRESH
+
+	}
+
+	/**
+	 * Which answers are taken.
+	 */
+	public enum Answers {
+
+		/** Only those with a length or chunks. */
+		FRAMED,
+
+		/** Also those that end with their connection, unless it is reset. */
+		FRAMED_OR_CLOSED
+
+	}
+
 }
--- a/http/src/main/java/org/snowwind/http/server/HttpExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/HttpExchange.java
@@ -83,6 +83,12 @@
 	 */
 	void respond(int status, Map<String, String> headers, byte[] body);
 
+	/**
+	 * Closes the connection once the answer has been sent, and tells the caller so with
+	 * {@code Connection: close}. Has no effect on an answer that has begun.
+	 */
+	void closeAfterAnswer();
+
 	/**
 	 * Breaks the connection, so that the caller sees that the answer is not whole.
 	 */
--- a/http/src/main/java/org/snowwind/http/server/NettyExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/NettyExchange.java
@@ -306,7 +306,8 @@
 		this.whenGone = gone;
 	}
 
-	void closeAfterAnswer() {
+	@Override
+	public void closeAfterAnswer() {
 		this.keepAlive = false;
 	}
 
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -37,6 +37,12 @@
 	/** An older configuration was offered and ignored. */
 	CONFIG_STALE_IGNORED(2003, Level.INFO, "older configuration ignored"),
 
+	/** A newer route table is in force in this process. */
+	TABLE_APPLIED(2004, Level.INFO, "route table applied"),
+
+	/** A route table cannot be read; the last good one stays. */
+	TABLE_REJECTED(2005, Level.WARNING, "route table rejected, last good one stays in force"),
+
 	/** The platform did not answer. */
 	PLATFORM_AWAY(2101, Level.WARNING, "platform away, serving from memory"),
 
@@ -61,21 +67,84 @@
 	/** A server was restarted. */
 	SERVER_RESTARTED(3003, Level.INFO, "server has a new incarnation"),
 
+	/** The platform's entry of a server cannot be read. */
+	SERVER_UNREADABLE(3004, Level.WARNING, "server entry unreadable, left out"),
+
+	/** A server was registered. */
+	SERVER_ADDED(3005, Level.INFO, "server registered"),
+
+	/** A server takes no new work. */
+	SERVER_DRAINING(3006, Level.INFO, "server takes no new work"),
+
+	/** A server is no longer registered. */
+	SERVER_REMOVED(3007, Level.INFO, "server removed"),
+
+	/** A server is left out for a while because its answers failed. */
+	SERVER_EJECTED(3008, Level.WARNING, "server ejected"),
+
+	/** An ejected server is offered work again. */
+	SERVER_RETURNED(3009, Level.INFO, "ejected server offered work again"),
+
 	/** A peer entry is suspected. */
 	PEER_SUSPECTED(3101, Level.WARNING, "peer entry suspected"),
 
 	/** A peer entry answers again. */
 	PEER_TRUSTED(3102, Level.INFO, "peer entry trusted"),
 
+	/** The registry of servers was taken from a peer. */
+	REGISTRY_FROM_PEER(3103, Level.INFO, "server registry taken from a peer"),
+
+	/** A peer did not give a document. */
+	PEER_FETCH_FAILED(3104, Level.INFO, "document not fetched from peer"),
+
+	/** This gateway registered itself, or could not. */
+	GATEWAY_REGISTERED(3105, Level.INFO, "gateway registered"),
+
 	/** A request ended with an unknown outcome. */
 	OUTCOME_UNKNOWN(4001, Level.WARNING, "outcome unknown"),
 
 	/** A stream was resumed at its offset. */
 	STREAM_RESUMED(4002, Level.INFO, "stream resumed"),
 
+	/** A request was read and its route found. */
+	REQUEST_ROUTED(4101, Level.INFO, "request routed"),
+
+	/** A request was sent to a server. */
+	REQUEST_SENT(4102, Level.INFO, "request sent"),
+
+	/** An attempt at a server ended. */
+	ATTEMPT_ENDED(4103, Level.INFO, "attempt ended"),
+
+	/** A request was answered or ended otherwise. */
+	REQUEST_ENDED(4104, Level.INFO, "request ended"),
+
+	/** A request was refused before anything was sent. */
+	REQUEST_REFUSED(4105, Level.INFO, "request refused"),
+
+	/** A gateway serves. */
+	GATEWAY_STARTED(1201, Level.INFO, "gateway serves"),
+
+	/** A gateway stops taking requests. */
+	GATEWAY_DRAINING(1202, Level.INFO, "gateway drains"),
+
+	/** A gateway has stopped. */
+	GATEWAY_STOPPED(1203, Level.INFO, "gateway stopped"),
+
+	/** A gateway is ready, or no longer. */
+	GATEWAY_READINESS(1204, Level.INFO, "gateway readiness changed"),
+
+	/** The settings were read again. */
+	SETTINGS_RELOADED(1205, Level.INFO, "settings reloaded"),
+
+	/** The settings that were read again are not valid. */
+	SETTINGS_REJECTED(1206, Level.WARNING, "settings rejected, last good ones stay in force"),
+
 	/** A bounded ring was full. */
 	RING_FULL(5001, Level.WARNING, "ring full"),
 
+	/** Log lines were left out because the ring of the log was full. */
+	LOG_LINES_LEFT_OUT(5002, Level.WARNING, "log lines left out"),
+
 	/** An unexpected fault. */
 	INTERNAL_FAULT(9001, Level.SEVERE, "internal fault");
 
--- a/store/src/main/java/org/snowwind/store/HttpObjectStore.java
+++ b/store/src/main/java/org/snowwind/store/HttpObjectStore.java
@@ -122,13 +122,18 @@
 			if (answer.status() != OK) {
 				return new WatchResult.Away("status " + answer.status());
 			}
-			return new WatchResult.Changes(objectsOf(answer.body().path("objects")));
+			List<StoredObject> objects = objectsOf(answer.body().path("objects"));
+			return new WatchResult.Changes(objects, lastRevision(objects, afterRevision));
 		}
 		catch (IOException ex) {
 			return new WatchResult.Away(reasonOf(ex));
 		}
 	}
 
+	private static long lastRevision(List<StoredObject> objects, long afterRevision) {
+		return objects.stream().mapToLong(StoredObject::revision).reduce(afterRevision, Math::max);
+	}
+
 	private JsonAnswer call(String method, String path, Map<String, String> headers, Object body, long waitMillis)
 			throws IOException {
 		return this.client.call(method, this.baseUrl + path, headers, body, waitMillis);
--- a/store/src/main/java/org/snowwind/store/WatchResult.java
+++ b/store/src/main/java/org/snowwind/store/WatchResult.java
@@ -22,8 +22,9 @@
 	 * Changes in the order in which they were made; none if the wait ended without.
 	 *
 	 * @param objects the changed objects
+	 * @param revision the store's revision up to which changes are known
 	 */
-	record Changes(List<StoredObject> objects) implements WatchResult {
+	record Changes(List<StoredObject> objects, long revision) implements WatchResult {
 
 		@Override
 		public <R> R match(Function<Changes, R> onChanges, Function<Gap, R> onGap, Function<Away, R> onAway) {
--- a/store/src/test/java/org/snowwind/store/VerifiedWritesTests.java
+++ b/store/src/test/java/org/snowwind/store/VerifiedWritesTests.java
@@ -131,7 +131,7 @@
 
 		@Override
 		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
-			return new WatchResult.Changes(List.of());
+			return new WatchResult.Changes(List.of(), 0);
 		}
 
 	}
--- a/wire/snowwind.thrift
+++ b/wire/snowwind.thrift
@@ -95,3 +95,32 @@
   /** Returns the configuration in force if it is newer than the caller's, else a document of the caller's revision. */
   ConfigDocument fetchConfig(1: string credential, 2: i64 haveRevision) throws (1: Refused refused)
 }
+
+/** What a gateway tells another one about itself. */
+struct GatewayReport {
+  1: string name
+  2: i64 incarnation
+  3: string controlAddress
+  4: bool leaving
+  5: i64 tableVersion
+  6: i64 registryRevision
+  /** Requests that the sender has at each backend server, by server id. */
+  7: map<string, i32> inFlight
+  /** Control addresses of gateways that the sender has heard of lately, itself left out. */
+  8: list<string> knownGateways
+  /** Ids of backend servers of which the sender knows that they take no new work. */
+  9: list<string> leavingServers
+}
+
+enum GatewayDocument {
+  /** The routes, services, keys and limits in force. */
+  TABLE = 0
+  /** The backend servers. */
+  REGISTRY = 1
+}
+
+service GatewayControl {
+  GatewayReport exchange(1: GatewayReport report) throws (1: Refused refused)
+  /** Returns the document that the gateway holds if it is newer than the caller's, else an empty one. */
+  ConfigDocument fetchDocument(1: GatewayDocument kind, 2: i64 haveRevision) throws (1: Refused refused)
+}
