--- a/app/src/main/java/org/snowwind/app/command/GatewayCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/GatewayCommand.java
@@ -10,9 +10,13 @@
 import org.snowwind.config.settings.GatewaySettings;
 import org.snowwind.config.settings.LogFormat;
 import org.snowwind.config.settings.SettingsReader;
+import org.snowwind.config.settings.SettingsResult;
 import org.snowwind.gateway.GatewayDaemon;
 import org.snowwind.http.client.JsonClient;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
 import org.snowwind.platform.PlatformAdapters;
+import org.snowwind.signal.HangUpSignal;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -46,11 +50,10 @@
 			System.err.println("name the settings file; 'snowwind gateway --help' shows an example");
 			return ExitCodes.INVALID;
 		}
-		return DaemonCommands.run(SettingsReader.read(this.file, GatewaySettings::from), this.check,
-				GatewayCommand::run);
+		return DaemonCommands.run(SettingsReader.read(this.file, GatewaySettings::from), this.check, this::run);
 	}
 
-	private static int run(GatewaySettings settings) {
+	private int run(GatewaySettings settings) {
 		LogSetup.useRing(settings.logFormat());
 		JsonClient platform = new JsonClient(Map.of(), CONNECT_MILLIS);
 		GatewayDaemon daemon = new GatewayDaemon(settings, PlatformAdapters.of(platform, settings.platform()));
@@ -61,8 +64,20 @@
 			System.err.println("cannot listen on listen.peers: " + ex.getMessage());
 			return ExitCodes.INVALID;
 		}
+		HangUpSignal.handle(() -> reload(daemon));
 		DaemonCommands.stopOnSignal(daemon::drainAndStop);
 		return ExitCodes.OK;
 	}
 
+	private void reload(GatewayDaemon daemon) {
+		SettingsResult<GatewaySettings> read = SettingsReader.read(this.file, GatewaySettings::from);
+		read.match((valid) -> {
+			daemon.use(valid);
+			return true;
+		}, (faults) -> {
+			EventLog.log(Event.SETTINGS_REJECTED, "faults", faults.size(), "first", faults.get(0));
+			return false;
+		});
+	}
+
 }
--- a/balance/src/main/java/org/snowwind/balance/plan/Change.java
+++ b/balance/src/main/java/org/snowwind/balance/plan/Change.java
@@ -1,5 +1,7 @@
 package org.snowwind.balance.plan;
 
+import java.util.function.IntPredicate;
+
 /**
  * One change of a layer's placement that relieves its hottest rank.
  *
@@ -39,11 +41,22 @@
 	 * @return the change, {@code null} if none relieves the hottest rank
 	 */
 	static Change bestFor(LayerPlacement placement) {
+		return bestFor(placement, (rank) -> true);
+	}
+
+	/**
+	 * Finds the change that leaves the two ranks it touches lowest, for each move, where
+	 * not every rank may take another expert.
+	 * @param placement the layer
+	 * @param mayTake whether a rank may take an expert that it does not hold
+	 * @return the change, {@code null} if none relieves the hottest rank
+	 */
+	static Change bestFor(LayerPlacement placement, IntPredicate mayTake) {
 		int hot = placement.hottestRank();
-		Search search = new Search(placement, hot);
+		Search search = new Search(placement, hot, mayTake.test(hot));
 		for (int expert : placement.expertsOn(hot)) {
 			for (int cold = 0; cold < placement.ranks(); cold++) {
-				if (cold != hot && !placement.holds(expert, cold)) {
+				if (cold != hot && !placement.holds(expert, cold) && mayTake.test(cold)) {
 					search.consider(expert, cold);
 				}
 			}
@@ -84,15 +97,18 @@
 
 		private final int hot;
 
+		private final boolean hotMayTake;
+
 		private final double hotLoad;
 
 		private Change best;
 
 		private double bestRelief = TINY;
 
-		private Search(LayerPlacement placement, int hot) {
+		private Search(LayerPlacement placement, int hot, boolean hotMayTake) {
 			this.placement = placement;
 			this.hot = hot;
+			this.hotMayTake = hotMayTake;
 			this.hotLoad = placement.load(hot);
 		}
 
@@ -103,7 +119,7 @@
 				return;
 			}
 			for (int displaced : this.placement.expertsOn(cold)) {
-				if (!this.placement.holds(displaced, this.hot)) {
+				if (this.hotMayTake && !this.placement.holds(displaced, this.hot)) {
 					considerSwap(expert, cold, displaced);
 				}
 				if (this.placement.replicas(displaced) > 1) {
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayAdapters.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayAdapters.java
@@ -1,5 +1,6 @@
 package org.snowwind.gateway;
 
+import org.snowwind.gateway.expert.RankProtocol;
 import org.snowwind.gateway.registry.RegistryDecoder;
 import org.snowwind.gateway.request.BackendDialect;
 import org.snowwind.gateway.table.TableDecoder;
@@ -12,7 +13,9 @@
  * @param tables reads route tables
  * @param servers reads backend servers
  * @param dialect names what is said in headers
+ * @param ranks names what is said to ranks of groups
  */
-public record GatewayAdapters(ObjectStore store, TableDecoder tables, RegistryDecoder servers, BackendDialect dialect) {
+public record GatewayAdapters(ObjectStore store, TableDecoder tables, RegistryDecoder servers, BackendDialect dialect,
+		RankProtocol ranks) {
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -18,6 +18,7 @@
 import org.snowwind.config.settings.GatewaySettings;
 import org.snowwind.gateway.backend.Backend;
 import org.snowwind.gateway.backend.BackendTable;
+import org.snowwind.gateway.expert.ExpertDuty;
 import org.snowwind.gateway.peer.GatewayControlService;
 import org.snowwind.gateway.peer.GatewayDirectory;
 import org.snowwind.gateway.peer.PeerDocuments;
@@ -34,6 +35,7 @@
 import org.snowwind.gateway.table.TableWatcher;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.admin.AdminServer;
+import org.snowwind.http.client.JsonClient;
 import org.snowwind.http.client.UpstreamClient;
 import org.snowwind.http.server.HttpExchange;
 import org.snowwind.http.server.HttpLimits;
@@ -136,6 +138,10 @@
 
 	private final PeerMesh mesh;
 
+	private final JsonClient rankClient = new JsonClient(Map.of(), CONNECT_MILLIS);
+
+	private final ExpertDuty experts;
+
 	private final DutyThread tableThread;
 
 	private final DutyThread registryThread;
@@ -150,6 +156,8 @@
 
 	private volatile boolean draining;
 
+	private volatile long graceMillis;
+
 	private boolean ready;
 
 	/**
@@ -159,6 +167,7 @@
 	 */
 	public GatewayDaemon(GatewaySettings settings, GatewayAdapters adapters) {
 		this.settings = settings;
+		this.graceMillis = settings.graceMillis();
 		this.adapters = adapters;
 		this.tableWatcher = new TableWatcher(adapters.tables(), this.tables);
 		this.registryWatcher = new RegistryWatcher(adapters.servers(), this.registryView, this.registries, this.clock);
@@ -178,9 +187,21 @@
 		GatewayDirectory directory = new GatewayDirectory(adapters.store(), settings.name(), ownAddress,
 				this.mesh::mayBeAt);
 		this.directoryThread = new DutyThread("directory", SMALL_RING, DIRECTORY_MILLIS, directory::round);
+		this.experts = new ExpertDuty(adapters.store(), this.rankClient, adapters.ranks(), this.tables, this.registries,
+				this::shouldPlanExperts, settings.name(), this.clock);
 		registerMeters(this.admin.registry());
 	}
 
+	// Whoever has the duty keeps it; else it falls to the first live gateway by name.
+	private boolean shouldPlanExperts() {
+		PeerMesh.View peers = this.mesh.view();
+		if (this.draining || (this.experts.fence() == 0 && peers.expertsPlanned())) {
+			return false;
+		}
+		return this.experts.fence() != 0
+				|| peers.liveNames().stream().noneMatch((peer) -> peer.compareTo(this.settings.name()) < 0);
+	}
+
 	private RequestContext newContext() {
 		RetryBudgets.RetryBound bound = new RetryBudgets.RetryBound(this.settings.retryFraction(),
 				this.settings.retryExtra(), this.settings.retryWindowMillis());
@@ -226,6 +247,7 @@
 		this.loop.every(this::tell, REPORT_MILLIS);
 		this.mesh.start(this.settings.seeds());
 		this.directoryThread.start();
+		this.experts.start();
 		EventLog.log(Event.GATEWAY_STARTED, "gateway", this.settings.name(), "dataCentre", this.settings.dataCentre(),
 				"callers", Addresses.render(this.settings.callers()), "incarnation", this.incarnation);
 	}
@@ -251,7 +273,21 @@
 	private GatewayReport ownReport() {
 		return new GatewayReport(this.settings.name(), this.incarnation, Addresses.render(this.settings.peers()),
 				this.draining, this.tables.current().version(), this.registries.current().revision(), this.inFlight,
-				List.of(), this.leavingServers);
+				List.of(), this.leavingServers, this.experts.fence());
+	}
+
+	/**
+	 * Takes over settings that may change while the process runs: the seeds and the time
+	 * to stop. Others need a restart, which the log says.
+	 * @param next the settings
+	 */
+	public void use(GatewaySettings next) {
+		boolean needsRestart = !next.callers().equals(this.settings.callers())
+				|| !next.peers().equals(this.settings.peers()) || !next.platform().equals(this.settings.platform());
+		this.graceMillis = next.graceMillis();
+		this.mesh.mayBeAt(next.seeds().stream().map(Addresses::render).toList());
+		EventLog.log(Event.SETTINGS_RELOADED, "graceMillis", next.graceMillis(), "seeds", next.seeds().size(),
+				"needsRestart", needsRestart);
 	}
 
 	// ---- readiness
@@ -285,18 +321,17 @@
 	public void drainAndStop() {
 		this.draining = true;
 		long beganMillis = this.clock.nowMillis();
-		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.settings.name(), "graceMillis",
-				this.settings.graceMillis());
+		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.settings.name(), "graceMillis", this.graceMillis);
 		this.loop.run(this.handler::drain);
-		long mostMillis = beganMillis + this.settings.graceMillis() - CLOSING_MILLIS;
-		long leastMillis = Math.min(mostMillis, beganMillis + LEAVE_ROTATION_MILLIS);
-		while (this.clock.nowMillis() < leastMillis) {
-			Pause.millis(DRAIN_POLL_MILLIS);
-		}
+		long mostMillis = beganMillis + this.graceMillis - CLOSING_MILLIS;
+		waitUntil(Math.min(mostMillis, beganMillis + LEAVE_ROTATION_MILLIS));
+		this.callerServer.closeIdleConnections();
+		// Callers may still be sent here if too few others are in rotation.
+		long lastCallMillis = Math.min(mostMillis, beganMillis + this.graceMillis / 2);
+		waitUntilIdle(lastCallMillis);
 		this.callerServer.stopListening();
-		while (openRequests() > 0 && this.clock.nowMillis() < mostMillis) {
-			Pause.millis(DRAIN_POLL_MILLIS);
-		}
+		this.callerServer.closeIdleConnections();
+		waitUntilIdle(mostMillis);
 		int left = openRequests();
 		if (left > 0) {
 			EventLog.log(Event.DRAIN_BOUND_PASSED, "gateway", this.settings.name(), "cutOff", left);
@@ -306,6 +341,18 @@
 		this.callerServer.close();
 	}
 
+	private void waitUntil(long untilMillis) {
+		while (this.clock.nowMillis() < untilMillis) {
+			Pause.millis(DRAIN_POLL_MILLIS);
+		}
+	}
+
+	private void waitUntilIdle(long untilMillis) {
+		while (openRequests() > 0 && this.clock.nowMillis() < untilMillis) {
+			Pause.millis(DRAIN_POLL_MILLIS);
+		}
+	}
+
 	private int openRequests() {
 		CompletableFuture<Integer> count = new CompletableFuture<>();
 		this.loop.run(() -> count.complete(this.handler.open()));
@@ -327,6 +374,7 @@
 		this.tableThread.close();
 		this.registryThread.close();
 		this.directoryThread.close();
+		this.experts.close();
 		this.mesh.close();
 		if (this.control != null) {
 			this.control.close();
@@ -336,6 +384,7 @@
 		this.admin.close();
 		this.calls.close();
 		this.client.close();
+		this.rankClient.close();
 		this.loop.close();
 	}
 
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -0,0 +1,293 @@
+package org.snowwind.gateway.expert;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.balance.plan.IncrementalPlanner;
+import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.RegistryHolder;
+import org.snowwind.gateway.table.EngineProfile;
+import org.snowwind.gateway.table.ServiceEntry;
+import org.snowwind.gateway.table.TableHolder;
+import org.snowwind.http.client.JsonClient;
+import org.snowwind.model.Json;
+import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.duty.DutyThread;
+import org.snowwind.model.duty.Pause;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+import org.snowwind.store.GetResult;
+import org.snowwind.store.ObjectStore;
+import org.snowwind.store.StoredObject;
+import org.snowwind.store.VerifiedWrites;
+import org.snowwind.store.WriteResult;
+
+/**
+ * Plans the expert maps of all groups while this gateway has the duty.
+ *
+ * <p>
+ * Who has the duty is a matter of economy: two owners at a time do no harm. Each claims
+ * the duty by a conditional write, whose revision is its fencing token; ranks refuse the
+ * orders of an older one.
+ */
+public final class ExpertDuty implements AutoCloseable, GroupBalancer.VersionSource {
+
+	private static final String KEY = "duties/experts";
+
+	private static final int SMALL_RING = 16;
+
+	private static final long TICK_MILLIS = 250;
+
+	/** How often a group's ranks are asked for their state, in milliseconds. */
+	private static final long GROUP_TICK_MILLIS = 200;
+
+	/** How often all servers are asked which group they are in, in milliseconds. */
+	private static final long DISCOVERY_MILLIS = 4000;
+
+	/** How long a gateway listens for an owner before it claims the duty. */
+	private static final long LISTEN_MILLIS = 1200;
+
+	/** How long after a failed claim the next one follows, in milliseconds. */
+	private static final long CLAIM_BACKOFF_MILLIS = 1000;
+
+	/** Each owner has this many versions to give before those of the next one. */
+	private static final long VERSIONS_PER_TOKEN = 10_000;
+
+	/** Demand moves every few seconds; what is older says little. */
+	private static final double DEMAND_HALF_LIFE_MILLIS = 1500;
+
+	/** Copies beyond this make a map late for the demand that it was planned for. */
+	private static final int COPIES_PER_RANK = 4;
+
+	/** A switch must take at least this much off the skew to be worth its orders. */
+	private static final double LEAST_GAIN = 0.04;
+
+	private final ObjectStore store;
+
+	private final VerifiedWrites writes;
+
+	private final RankCalls calls;
+
+	private final TableHolder tables;
+
+	private final RegistryHolder registries;
+
+	private final BooleanSupplier candidate;
+
+	private final String name;
+
+	private final MonotonicClock clock;
+
+	private final DutyThread thread;
+
+	private final AtomicLong fence = new AtomicLong();
+
+	private final AtomicLong given = new AtomicLong();
+
+	private final Map<String, Balanced> groups = new HashMap<>();
+
+	private final Map<String, DemandBook> demands = new HashMap<>();
+
+	private long candidateSinceMillis = -1;
+
+	private long nextClaimMillis;
+
+	private long nextDiscoveryMillis;
+
+	private long discoveredRevision;
+
+	private long claims;
+
+	/**
+	 * Creates the duty.
+	 * @param store the platform
+	 * @param client carries calls to ranks
+	 * @param protocol names what is said to ranks
+	 * @param tables holds the route table
+	 * @param registries holds the servers
+	 * @param candidate whether this gateway should have the duty
+	 * @param name the own name
+	 * @param clock tells the time
+	 */
+	public ExpertDuty(ObjectStore store, JsonClient client, RankProtocol protocol, TableHolder tables,
+			RegistryHolder registries, BooleanSupplier candidate, String name, MonotonicClock clock) {
+		this.store = store;
+		this.writes = new VerifiedWrites(store, Pause::millis);
+		this.calls = new RankCalls(client, protocol);
+		this.tables = tables;
+		this.registries = registries;
+		this.candidate = candidate;
+		this.name = name;
+		this.clock = clock;
+		this.thread = new DutyThread("experts", SMALL_RING, TICK_MILLIS, this::round);
+	}
+
+	/**
+	 * Takes up the duty whenever this gateway should have it.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	/**
+	 * Returns the fencing token.
+	 * @return the token, 0 while this gateway does not have the duty
+	 */
+	public long fence() {
+		return this.fence.get();
+	}
+
+	private void round() {
+		long nowMillis = this.clock.nowMillis();
+		if (!this.candidate.getAsBoolean()) {
+			this.candidateSinceMillis = -1;
+			leave("another gateway has it");
+			return;
+		}
+		if (this.candidateSinceMillis < 0) {
+			this.candidateSinceMillis = nowMillis;
+		}
+		if (this.fence.get() == 0) {
+			boolean listened = nowMillis - this.candidateSinceMillis >= LISTEN_MILLIS;
+			if (listened && nowMillis >= this.nextClaimMillis && hasGroups()) {
+				claim();
+			}
+			return;
+		}
+		discover(nowMillis);
+	}
+
+	private boolean hasGroups() {
+		return this.tables.current().services().values().stream().anyMatch(ExpertDuty::sharesExperts);
+	}
+
+	private static boolean sharesExperts(ServiceEntry service) {
+		return service.engine() != null && service.engine().hasExperts();
+	}
+
+	private void leave(String reason) {
+		if (this.fence.getAndSet(0) != 0) {
+			EventLog.log(Event.EXPERT_DUTY_LEFT, "reason", reason);
+			closeGroups();
+		}
+	}
+
+	private void closeGroups() {
+		this.groups.values().forEach((group) -> group.thread().close());
+		this.groups.clear();
+	}
+
+	private void claim() {
+		this.nextClaimMillis = this.clock.nowMillis() + CLAIM_BACKOFF_MILLIS;
+		GetResult standing = this.store.get(KEY);
+		Long revision = standing.match(StoredObject::revision, () -> 0L, (reason) -> null);
+		if (revision == null) {
+			EventLog.log(Event.EXPERT_DUTY_NOT_CLAIMED, "reason", "the platform does not answer");
+			return;
+		}
+		JsonNode value = Json.MAPPER.createObjectNode()
+			.put("gateway", this.name)
+			.put("claim", System.nanoTime() + "-" + this.claims++);
+		WriteResult result = this.writes.write(KEY, revision, value);
+		if (result instanceof WriteResult.Written written) {
+			this.fence.set(written.revision());
+			this.nextDiscoveryMillis = 0;
+			EventLog.log(Event.EXPERT_DUTY_TAKEN, "fence", written.revision(), "before", revision);
+			return;
+		}
+		EventLog.log(Event.EXPERT_DUTY_NOT_CLAIMED, "reason", result);
+	}
+
+	private void discover(long nowMillis) {
+		long revision = this.registries.current().revision();
+		if (nowMillis < this.nextDiscoveryMillis && revision == this.discoveredRevision) {
+			return;
+		}
+		this.nextDiscoveryMillis = nowMillis + DISCOVERY_MILLIS;
+		this.discoveredRevision = revision;
+		for (ServiceEntry service : this.tables.current().services().values()) {
+			if (sharesExperts(service)) {
+				discover(service);
+			}
+		}
+	}
+
+	private void discover(ServiceEntry service) {
+		List<BackendEntry> servers = this.registries.current()
+			.list()
+			.stream()
+			.filter((server) -> server.service().equals(service.name()))
+			.toList();
+		Map<String, List<BackendEntry>> members = new HashMap<>();
+		Map<String, BackendEntry> byId = new HashMap<>();
+		servers.forEach((server) -> byId.put(server.id(), server));
+		this.calls.reports(servers)
+			.forEach((rank) -> members.computeIfAbsent(rank.report().group(), (group) -> new ArrayList<>())
+				.add(byId.get(rank.serverId())));
+		members.forEach((group, ranks) -> balanced(service, group).members(ranks));
+		// A group of which no rank answers keeps its members until some do.
+		Set<String> known = members.keySet();
+		this.groups.keySet()
+			.stream()
+			.filter((group) -> !known.contains(group))
+			.forEach((group) -> EventLog.log(Event.GROUP_INCOMPLETE, "group", group, "answered", 0));
+	}
+
+	private GroupBalancer balanced(ServiceEntry service, String group) {
+		Balanced standing = this.groups.get(group);
+		if (standing != null) {
+			return standing.balancer();
+		}
+		EngineProfile profile = service.engine();
+		DemandBook demand = this.demands.computeIfAbsent(service.name(),
+				(key) -> new DemandBook(profile.expertSets(), profile.experts(), DEMAND_HALF_LIFE_MILLIS));
+		IncrementalPlanner planner = new IncrementalPlanner(
+				new IncrementalPlanner.Caps(profile.newExpertsPerMap(), COPIES_PER_RANK, LEAST_GAIN));
+		GroupBalancer balancer = new GroupBalancer(group, profile, this.calls, demand, this::fence, this, planner,
+				this.clock);
+		DutyThread groupThread = new DutyThread("experts-" + group, SMALL_RING, GROUP_TICK_MILLIS, balancer::round);
+		this.groups.put(group, new Balanced(balancer, groupThread));
+		groupThread.start();
+		return balancer;
+	}
+
+	@Override
+	public long next(long token) {
+		return token * VERSIONS_PER_TOKEN + this.given.incrementAndGet() % VERSIONS_PER_TOKEN;
+	}
+
+	@Override
+	public void fenced(long token) {
+		if (this.fence.compareAndSet(token, 0)) {
+			EventLog.log(Event.EXPERT_DUTY_LEFT, "reason", "a newer owner gives orders", "fence", token);
+			this.thread.offer(() -> {
+				closeGroups();
+				this.candidateSinceMillis = this.clock.nowMillis() + CLAIM_BACKOFF_MILLIS;
+			});
+		}
+	}
+
+	@Override
+	public void close() {
+		this.fence.set(0);
+		closeGroups();
+		this.thread.close();
+	}
+
+	/**
+	 * A group and the thread that balances it.
+	 *
+	 * @param balancer the group's balancer
+	 * @param thread its thread
+	 */
+	private record Balanced(GroupBalancer balancer, DutyThread thread) {
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -0,0 +1,351 @@
+package org.snowwind.gateway.expert;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+import org.snowwind.balance.plan.ExpertPlacement;
+import org.snowwind.balance.plan.IncrementalPlanner;
+import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.table.EngineProfile;
+import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.duty.Pause;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+
+/**
+ * Follows the demand of one group with its expert map. Confined to one thread, which it
+ * blocks.
+ */
+final class GroupBalancer implements RankGroupPort {
+
+	/** How often counts are read, in milliseconds. */
+	private static final long COUNTS_MILLIS = 700;
+
+	/** Of how many ranks counts are read each time. */
+	private static final int COUNTED_RANKS = 2;
+
+	/** Below this many choices nothing is planned. */
+	private static final double LEAST_EVIDENCE = 500;
+
+	/** How much longer than predicted copies are waited for before ranks are asked. */
+	private static final double COPY_SLACK = 1.02;
+
+	private final String name;
+
+	private final EngineProfile profile;
+
+	private final RankCalls calls;
+
+	private final DemandBook demand;
+
+	private final LongSupplier fence;
+
+	private final VersionSource versions;
+
+	private final MonotonicClock clock;
+
+	private final IncrementalPlanner planner;
+
+	private final StepClock steps;
+
+	private final MapSwitch mapSwitch;
+
+	private final Map<String, long[][]> lastCounts = new HashMap<>();
+
+	private volatile List<BackendEntry> members = List.of();
+
+	private ExpertPlacement placement;
+
+	private ExpertPlacement planned;
+
+	private long plannedVersion;
+
+	private long epoch = -1;
+
+	private long nextCountsMillis;
+
+	private boolean incomplete;
+
+	/**
+	 * Creates a balancer that knows nothing of its group.
+	 * @param name the group's name
+	 * @param profile how fast its ranks are
+	 * @param calls reach the ranks
+	 * @param demand what experts are asked for
+	 * @param fence gives the fencing token, 0 while this process has no duty
+	 * @param versions gives versions of maps
+	 * @param planner plans
+	 * @param clock tells the time
+	 */
+	GroupBalancer(String name, EngineProfile profile, RankCalls calls, DemandBook demand, LongSupplier fence,
+			VersionSource versions, IncrementalPlanner planner, MonotonicClock clock) {
+		this.name = name;
+		this.profile = profile;
+		this.calls = calls;
+		this.demand = demand;
+		this.fence = fence;
+		this.versions = versions;
+		this.planner = planner;
+		this.clock = clock;
+		this.steps = new StepClock(clock);
+		this.mapSwitch = new MapSwitch(this, this.steps);
+	}
+
+	void members(List<BackendEntry> servers) {
+		this.members = List.copyOf(servers);
+	}
+
+	/**
+	 * Does one round: finishes what was left, reads counts, plans and switches.
+	 */
+	void round() {
+		if (!onDuty()) {
+			return;
+		}
+		List<Rank> ranks = reports();
+		if (!complete(ranks)) {
+			return;
+		}
+		this.steps.observe(ranks);
+		if (ranks.get(0).report().epoch() != this.epoch && !adopt(ranks)) {
+			return;
+		}
+		readCounts(ranks);
+		if (this.plannedVersion != 0) {
+			settle(ranks);
+			return;
+		}
+		if (recover(ranks)) {
+			return;
+		}
+		improve(ranks);
+	}
+
+	private boolean complete(List<Rank> ranks) {
+		int size = ranks.isEmpty() ? 0 : ranks.get(0).report().size();
+		boolean all = size > 0 && ranks.size() == size
+				&& ranks.stream().map((rank) -> rank.report().epoch()).distinct().count() == 1
+				&& ranks.stream().allMatch((rank) -> rank.report().open());
+		if (!all && !this.incomplete) {
+			EventLog.log(Event.GROUP_INCOMPLETE, "group", this.name, "answered", ranks.size(), "size", size);
+		}
+		this.incomplete = !all;
+		return all;
+	}
+
+	private boolean adopt(List<Rank> ranks) {
+		boolean settled = ranks.stream().map((rank) -> rank.report().mapVersion()).distinct().count() == 1
+				&& ranks.stream().allMatch((rank) -> rank.report().armedVersion() == 0);
+		if (recover(ranks) || !settled) {
+			return false;
+		}
+		List<List<List<Integer>>> byRank = new ArrayList<>();
+		for (Optional<List<List<Integer>>> holdings : this.calls.holdings(ranks)) {
+			if (holdings.isEmpty()) {
+				return false;
+			}
+			byRank.add(holdings.get());
+		}
+		this.placement = placementOf(byRank);
+		this.planned = null;
+		this.plannedVersion = 0;
+		this.lastCounts.clear();
+		this.steps.reset();
+		this.epoch = ranks.get(0).report().epoch();
+		EventLog.log(Event.GROUP_FORMED, "group", this.name, "epoch", this.epoch, "ranks", ranks.size(), "map",
+				ranks.get(0).report().mapVersion());
+		return true;
+	}
+
+	private ExpertPlacement placementOf(List<List<List<Integer>>> byRank) {
+		List<List<List<Integer>>> ranksOf = new ArrayList<>();
+		for (int set = 0; set < this.profile.expertSets(); set++) {
+			List<List<Integer>> ofSet = new ArrayList<>();
+			for (int expert = 0; expert < this.profile.experts(); expert++) {
+				ofSet.add(new ArrayList<>());
+			}
+			for (int rank = 0; rank < byRank.size(); rank++) {
+				for (int expert : byRank.get(rank).get(set)) {
+					ofSet.get(expert).add(rank);
+				}
+			}
+			ranksOf.add(ofSet.stream().map(List::copyOf).toList());
+		}
+		return new ExpertPlacement(byRank.size(), this.profile.placesPerRank(), ranksOf);
+	}
+
+	private boolean recover(List<Rank> ranks) {
+		Optional<SwitchOutcome> outcome = this.mapSwitch.recover(ranks);
+		outcome.ifPresent((ended) -> {
+			EventLog.log(Event.MAP_SWITCH_RECOVERED, "group", this.name, "outcome", ended);
+			this.epoch = -1;
+		});
+		return outcome.isPresent();
+	}
+
+	private void settle(List<Rank> ranks) {
+		boolean switched = ranks.stream().allMatch((rank) -> rank.report().mapVersion() == this.plannedVersion);
+		if (switched) {
+			EventLog.log(Event.MAP_SWITCHED, "group", this.name, "version", this.plannedVersion, "passMillis",
+					Math.round(this.steps.passMillis()));
+			this.placement = this.planned;
+			this.plannedVersion = 0;
+		}
+	}
+
+	// ---- demand
+
+	private void readCounts(List<Rank> ranks) {
+		long nowMillis = this.clock.nowMillis();
+		if (nowMillis < this.nextCountsMillis) {
+			return;
+		}
+		this.nextCountsMillis = nowMillis + COUNTS_MILLIS;
+		List<Rank> counted = ranks.subList(0, Math.min(COUNTED_RANKS, ranks.size()));
+		List<Optional<RankCounts>> answers = this.calls.counts(counted);
+		for (int i = 0; i < counted.size(); i++) {
+			String serverId = counted.get(i).serverId();
+			answers.get(i)
+				.ifPresent((counts) -> note(serverId, counts.bySet(this.profile.expertSets(), this.profile.experts()),
+						nowMillis));
+		}
+	}
+
+	private void note(String serverId, long[][] counts, long nowMillis) {
+		long[][] last = this.lastCounts.put(serverId, counts);
+		long[][] chosen = new long[counts.length][];
+		for (int set = 0; set < counts.length; set++) {
+			chosen[set] = counts[set].clone();
+			for (int expert = 0; last != null && expert < chosen[set].length; expert++) {
+				chosen[set][expert] = Math.max(0, chosen[set][expert] - last[set][expert]);
+			}
+		}
+		this.demand.add(chosen, nowMillis);
+	}
+
+	// ---- plans
+
+	private void improve(List<Rank> ranks) {
+		if (this.demand.evidence() < LEAST_EVIDENCE) {
+			return;
+		}
+		double[][] expected = this.demand.demand();
+		ExpertPlacement next = this.planner.plan(this.placement, expected);
+		if (next.equals(this.placement)) {
+			return;
+		}
+		int copies = mostCopies(this.placement, next);
+		long version = this.versions.next(this.fence.getAsLong());
+		EventLog.log(Event.MAP_PLANNED, "group", this.name, "version", version, "skewBefore",
+				rounded(this.placement.skew(expected)), "skewAfter", rounded(next.skew(expected)), "moves",
+				next.movesFrom(this.placement), "mostCopies", copies, "passMillis", Math.round(this.steps.passMillis()),
+				"evidence", Math.round(this.demand.evidence()));
+		long copyMillis = Math.round(copies * this.profile.copyMillis() * COPY_SLACK);
+		SwitchOutcome outcome = this.mapSwitch.run(ranks, new MapOrder.Prepare(version, byRank(next)), copyMillis);
+		if (outcome == SwitchOutcome.RELEASED) {
+			this.planned = next;
+			this.plannedVersion = version;
+			return;
+		}
+		EventLog.log(Event.MAP_SWITCH_DROPPED, "group", this.name, "version", version, "outcome", outcome);
+	}
+
+	private static double rounded(double value) {
+		return Math.round(value * 1000) / 1000.0;
+	}
+
+	private static int mostCopies(ExpertPlacement before, ExpertPlacement after) {
+		int[] copies = new int[after.ranks()];
+		for (int set = 0; set < after.ranksOf().size(); set++) {
+			for (int expert = 0; expert < after.ranksOf().get(set).size(); expert++) {
+				List<Integer> held = before.ranksOf().get(set).get(expert);
+				for (int rank : after.ranksOf().get(set).get(expert)) {
+					copies[rank] += held.contains(rank) ? 0 : 1;
+				}
+			}
+		}
+		int most = 0;
+		for (int count : copies) {
+			most = Math.max(most, count);
+		}
+		return most;
+	}
+
+	private static List<List<List<Integer>>> byRank(ExpertPlacement placement) {
+		List<List<List<Integer>>> sets = new ArrayList<>();
+		for (List<List<Integer>> ranksOf : placement.ranksOf()) {
+			List<List<Integer>> ofSet = new ArrayList<>();
+			for (int rank = 0; rank < placement.ranks(); rank++) {
+				List<Integer> experts = new ArrayList<>();
+				for (int expert = 0; expert < ranksOf.size(); expert++) {
+					if (ranksOf.get(expert).contains(rank)) {
+						experts.add(expert);
+					}
+				}
+				ofSet.add(experts);
+			}
+			sets.add(ofSet);
+		}
+		return sets;
+	}
+
+	// ---- the ranks
+
+	@Override
+	public List<Rank> reports() {
+		return this.calls.reports(this.members)
+			.stream()
+			.filter((rank) -> this.name.equals(rank.report().group()))
+			.sorted(Comparator.comparingInt((rank) -> rank.report().rank()))
+			.toList();
+	}
+
+	@Override
+	public List<OrderResult> order(List<Rank> ranks, MapOrder order) {
+		long token = this.fence.getAsLong();
+		if (token == 0) {
+			return ranks.stream().map((rank) -> OrderResult.FENCED).toList();
+		}
+		List<OrderResult> results = this.calls.order(ranks, order, token);
+		if (results.contains(OrderResult.FENCED)) {
+			this.versions.fenced(token);
+		}
+		return results;
+	}
+
+	@Override
+	public void pause(long millis) {
+		Pause.millis(millis);
+	}
+
+	@Override
+	public boolean onDuty() {
+		return this.fence.getAsLong() != 0;
+	}
+
+	/**
+	 * Gives versions of maps, which no other owner gives too.
+	 */
+	interface VersionSource {
+
+		/**
+		 * Gives a version that was never given.
+		 * @param token the fencing token of the owner
+		 * @return the version, higher than all of earlier owners
+		 */
+		long next(long token);
+
+		/**
+		 * Takes note that a newer owner exists.
+		 * @param token the token that was refused
+		 */
+		void fenced(long token);
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -0,0 +1,249 @@
+package org.snowwind.gateway.expert;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Brings all ranks of a group to a new map at the same pass.
+ *
+ * <p>
+ * All ranks prepare; then one rank is told to hold a pass a little ahead; then every rank
+ * is armed for that pass; then the pass is released. No pass can begin with two maps,
+ * whatever is lost or late: between the first armed rank and the last, the pass is held,
+ * and it is released only once every rank has confirmed. An order that is carried out
+ * late finds its pass begun, and the rank refuses it. Who takes over from another owner
+ * finishes the switch in the same direction, since an order of the other may still be
+ * under way.
+ */
+final class MapSwitch {
+
+	/** How long one order is given again before anything is held. */
+	private static final int PREPARE_TRIES = 4;
+
+	/** How many passes are tried to be held; each is further ahead. */
+	private static final int HOLD_TRIES = 6;
+
+	/** How long after the expected time copies may take, in polls. */
+	private static final int PREPARED_POLLS = 25;
+
+	private static final long POLL_MILLIS = 60;
+
+	private static final long RETRY_MILLIS = 15;
+
+	/** After so many tries ranks are asked whether the group still stands. */
+	private static final int TRIES_BEFORE_CHECK = 10;
+
+	private final RankGroupPort group;
+
+	private final StepClock steps;
+
+	/**
+	 * Creates a switch.
+	 * @param group the ranks
+	 * @param steps predicts which pass the group is at
+	 */
+	MapSwitch(RankGroupPort group, StepClock steps) {
+		this.group = group;
+		this.steps = steps;
+	}
+
+	/**
+	 * Brings all ranks to a new map.
+	 * @param ranks all ranks of the group
+	 * @param prepare the map
+	 * @param copyMillis how long the longest copy should take, in milliseconds
+	 * @return how it ended
+	 */
+	SwitchOutcome run(List<Rank> ranks, MapOrder.Prepare prepare, long copyMillis) {
+		Optional<SwitchOutcome> failed = prepare(ranks, prepare);
+		if (failed.isPresent()) {
+			return failed.get();
+		}
+		this.group.pause(copyMillis);
+		if (!prepared(ranks, prepare.version())) {
+			return SwitchOutcome.DROPPED;
+		}
+		return holdAndArm(ranks, prepare.version());
+	}
+
+	private Optional<SwitchOutcome> prepare(List<Rank> ranks, MapOrder.Prepare prepare) {
+		List<Rank> pending = new ArrayList<>(ranks);
+		for (int attempt = 0; attempt < PREPARE_TRIES && !pending.isEmpty(); attempt++) {
+			List<OrderResult> results = this.group.order(pending, prepare);
+			Optional<SwitchOutcome> lost = lostTo(results);
+			if (lost.isPresent()) {
+				return lost;
+			}
+			if (attempt == 0 && results.contains(OrderResult.UNFIT)) {
+				return Optional.of(SwitchOutcome.DROPPED);
+			}
+			pending = unanswered(pending, results);
+		}
+		// A lost answer is made up for by the rank's report of what it has prepared.
+		return Optional.empty();
+	}
+
+	private boolean prepared(List<Rank> ranks, long version) {
+		for (int poll = 0; poll < PREPARED_POLLS && this.group.onDuty(); poll++) {
+			List<Rank> now = this.group.reports();
+			this.steps.observe(now);
+			if (formedAnew(ranks, now)) {
+				return false;
+			}
+			boolean all = now.size() == ranks.size()
+					&& now.stream().allMatch((rank) -> rank.report().preparedVersion() == version);
+			if (all) {
+				return true;
+			}
+			this.group.pause(POLL_MILLIS);
+		}
+		return false;
+	}
+
+	private SwitchOutcome holdAndArm(List<Rank> ranks, long version) {
+		Rank holder = ranks.get(0);
+		for (int attempt = 0; attempt < HOLD_TRIES; attempt++) {
+			long step = this.steps.stepAhead(attempt);
+			OrderResult held = untilAnswered(holder, new MapOrder.Hold(step), ranks);
+			if (held == OrderResult.TAKEN) {
+				return arm(ranks, holder, version, step);
+			}
+			if (held == OrderResult.FENCED) {
+				return SwitchOutcome.FENCED;
+			}
+			if (held != OrderResult.UNFIT) {
+				return SwitchOutcome.FORMED_ANEW;
+			}
+		}
+		return SwitchOutcome.DROPPED;
+	}
+
+	/**
+	 * Arms all ranks for a held pass and releases it.
+	 * @param ranks all ranks of the group
+	 * @param holder the rank that holds the pass
+	 * @param version the map's version, prepared on all ranks
+	 * @param step the pass
+	 * @return how it ended
+	 */
+	SwitchOutcome arm(List<Rank> ranks, Rank holder, long version, long step) {
+		List<Rank> pending = new ArrayList<>(ranks);
+		for (int attempt = 1; !pending.isEmpty(); attempt++) {
+			List<OrderResult> results = this.group.order(pending, new MapOrder.Arm(version, step));
+			Optional<SwitchOutcome> lost = lostTo(results);
+			if (lost.isPresent()) {
+				return lost.get();
+			}
+			boolean check = results.contains(OrderResult.UNFIT) || attempt % TRIES_BEFORE_CHECK == 0;
+			if (check && formedAnew(ranks, this.group.reports())) {
+				return SwitchOutcome.FORMED_ANEW;
+			}
+			if (results.contains(OrderResult.UNFIT)) {
+				return takeBack(ranks, holder, version, step);
+			}
+			if (!this.group.onDuty()) {
+				return SwitchOutcome.FENCED;
+			}
+			pending = unanswered(pending, results);
+			if (!pending.isEmpty()) {
+				this.group.pause(RETRY_MILLIS);
+			}
+		}
+		return release(ranks, holder, step, SwitchOutcome.RELEASED);
+	}
+
+	private SwitchOutcome takeBack(List<Rank> ranks, Rank holder, long version, long step) {
+		List<Rank> pending = new ArrayList<>(ranks);
+		for (int attempt = 1; !pending.isEmpty(); attempt++) {
+			List<OrderResult> results = this.group.order(pending, new MapOrder.Disarm(version));
+			Optional<SwitchOutcome> lost = lostTo(results);
+			if (lost.isPresent()) {
+				return lost.get();
+			}
+			pending = unanswered(pending, results);
+			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.reports())) {
+				return SwitchOutcome.FORMED_ANEW;
+			}
+		}
+		return release(ranks, holder, step, SwitchOutcome.TAKEN_BACK);
+	}
+
+	/**
+	 * Releases a held pass.
+	 * @param ranks all ranks of the group
+	 * @param holder the rank that holds the pass
+	 * @param step the pass
+	 * @param outcome what a release means
+	 * @return the outcome, or that the duty or the group is lost
+	 */
+	SwitchOutcome release(List<Rank> ranks, Rank holder, long step, SwitchOutcome outcome) {
+		OrderResult result = untilAnswered(holder, new MapOrder.Release(step), ranks);
+		return switch (result) {
+			case TAKEN, UNFIT -> outcome;
+			case FENCED -> SwitchOutcome.FENCED;
+			case RESTARTED, UNKNOWN -> SwitchOutcome.FORMED_ANEW;
+		};
+	}
+
+	private OrderResult untilAnswered(Rank rank, MapOrder order, List<Rank> ranks) {
+		for (int attempt = 1; this.group.onDuty(); attempt++) {
+			OrderResult result = this.group.order(List.of(rank), order).get(0);
+			if (result != OrderResult.UNKNOWN) {
+				return result;
+			}
+			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.reports())) {
+				return OrderResult.RESTARTED;
+			}
+			this.group.pause(RETRY_MILLIS);
+		}
+		return OrderResult.FENCED;
+	}
+
+	/**
+	 * Finishes or frees what another owner has left half done.
+	 * @param ranks all ranks of the group
+	 * @return how it ended, empty if nothing was left
+	 */
+	Optional<SwitchOutcome> recover(List<Rank> ranks) {
+		Optional<Rank> holder = ranks.stream().filter((rank) -> rank.report().held()).findFirst();
+		if (holder.isEmpty()) {
+			return Optional.empty();
+		}
+		long step = holder.get().report().heldStep();
+		long version = ranks.stream().mapToLong((rank) -> rank.report().preparedVersion()).min().orElse(0);
+		boolean preparedByAll = version != 0 && ranks.stream()
+			.allMatch((rank) -> rank.report().preparedVersion() == version && rank.report().mapVersion() < version);
+		if (preparedByAll) {
+			return Optional.of(arm(ranks, holder.get(), version, step));
+		}
+		return Optional.of(release(ranks, holder.get(), step, SwitchOutcome.TAKEN_BACK));
+	}
+
+	private static Optional<SwitchOutcome> lostTo(List<OrderResult> results) {
+		if (results.contains(OrderResult.FENCED)) {
+			return Optional.of(SwitchOutcome.FENCED);
+		}
+		return results.contains(OrderResult.RESTARTED) ? Optional.of(SwitchOutcome.FORMED_ANEW) : Optional.empty();
+	}
+
+	private static List<Rank> unanswered(List<Rank> ranks, List<OrderResult> results) {
+		List<Rank> pending = new ArrayList<>();
+		for (int i = 0; i < ranks.size(); i++) {
+			if (results.get(i) == OrderResult.UNKNOWN) {
+				pending.add(ranks.get(i));
+			}
+		}
+		return pending;
+	}
+
+	private static boolean formedAnew(List<Rank> before, List<Rank> now) {
+		long epoch = before.get(0).report().epoch();
+		return now.stream()
+			.max(Comparator.comparingLong((rank) -> rank.report().epoch()))
+			.map((rank) -> rank.report().epoch() != epoch)
+			.orElse(false);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
@@ -0,0 +1,168 @@
+package org.snowwind.gateway.expert;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.table.DocumentException;
+import org.snowwind.http.client.JsonClient;
+import org.snowwind.http.client.JsonClient.JsonAnswer;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+
+/**
+ * Calls ranks, many at the same time, and waits for all answers.
+ */
+final class RankCalls {
+
+	private static final int OK = 200;
+
+	/** A rank answers within some milliseconds; an order that is not answered is lost. */
+	private static final long CALL_MILLIS = 250;
+
+	private final JsonClient client;
+
+	private final RankProtocol protocol;
+
+	/**
+	 * Creates the calls.
+	 * @param client carries them
+	 * @param protocol names what is said
+	 */
+	RankCalls(JsonClient client, RankProtocol protocol) {
+		this.client = client;
+		this.protocol = protocol;
+	}
+
+	/**
+	 * Asks servers for their state.
+	 * @param servers the servers
+	 * @return those that answered and are ranks of a group
+	 */
+	List<Rank> reports(List<BackendEntry> servers) {
+		List<CompletableFuture<JsonAnswer>> pending = new ArrayList<>();
+		for (BackendEntry server : servers) {
+			pending.add(get(server.id(), server.address(), this.protocol.reportPath()));
+		}
+		List<Rank> ranks = new ArrayList<>();
+		for (int i = 0; i < servers.size(); i++) {
+			BackendEntry server = servers.get(i);
+			read(pending.get(i), this.protocol::report, server.id()).filter((report) -> report.group() != null)
+				.ifPresent((report) -> ranks.add(new Rank(server.id(), server.address(), report)));
+		}
+		return ranks;
+	}
+
+	/**
+	 * Asks ranks which experts were chosen.
+	 * @param ranks the ranks
+	 * @return the counts in the same order, empty where no answer came
+	 */
+	List<Optional<RankCounts>> counts(List<Rank> ranks) {
+		return askAll(ranks, this.protocol.countsPath(), this.protocol::counts);
+	}
+
+	/**
+	 * Asks ranks which experts they hold.
+	 * @param ranks the ranks
+	 * @return the experts by set in the same order, empty where no answer came
+	 */
+	List<Optional<List<List<Integer>>>> holdings(List<Rank> ranks) {
+		return askAll(ranks, this.protocol.holdingsPath(), this.protocol::holdings);
+	}
+
+	private <T> List<Optional<T>> askAll(List<Rank> ranks, String path, Reader<T> reader) {
+		List<CompletableFuture<JsonAnswer>> pending = new ArrayList<>();
+		for (Rank rank : ranks) {
+			pending.add(get(rank.serverId(), rank.address(), path));
+		}
+		List<Optional<T>> answers = new ArrayList<>();
+		for (int i = 0; i < ranks.size(); i++) {
+			answers.add(read(pending.get(i), reader, ranks.get(i).serverId()));
+		}
+		return answers;
+	}
+
+	private CompletableFuture<JsonAnswer> get(String serverId, String address, String path) {
+		return this.client.start("GET", "http://" + address + path, this.protocol.headers(serverId), null, CALL_MILLIS);
+	}
+
+	private static <T> Optional<T> read(CompletableFuture<JsonAnswer> pending, Reader<T> reader, String serverId) {
+		try {
+			JsonAnswer answer = pending.get();
+			if (answer.status() != OK) {
+				EventLog.log(Event.RANK_SILENT, "server", serverId, "reason", "status " + answer.status());
+				return Optional.empty();
+			}
+			return Optional.of(reader.read(answer.body()));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return Optional.empty();
+		}
+		catch (ExecutionException | DocumentException ex) {
+			EventLog.log(Event.RANK_SILENT, "server", serverId, "reason", ex.getMessage());
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * Gives one order to each of several ranks.
+	 * @param ranks the ranks
+	 * @param order the order
+	 * @param fence the fencing token
+	 * @return the results in the same order
+	 */
+	List<OrderResult> order(List<Rank> ranks, MapOrder order, long fence) {
+		List<CompletableFuture<JsonAnswer>> pending = new ArrayList<>();
+		for (Rank rank : ranks) {
+			JsonNode body = this.protocol.body(order, rank.report().epoch(), fence);
+			pending.add(this.client.start("POST", "http://" + rank.address() + this.protocol.orderPath(),
+					this.protocol.headers(rank.serverId()), body, CALL_MILLIS));
+		}
+		List<OrderResult> results = new ArrayList<>();
+		for (int i = 0; i < ranks.size(); i++) {
+			OrderResult result = resultOf(pending.get(i));
+			logOrder(ranks.get(i), order, fence, result);
+			results.add(result);
+		}
+		return results;
+	}
+
+	private OrderResult resultOf(CompletableFuture<JsonAnswer> pending) {
+		try {
+			return this.protocol.result(pending.get().status());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return OrderResult.UNKNOWN;
+		}
+		catch (ExecutionException ex) {
+			return OrderResult.UNKNOWN;
+		}
+	}
+
+	private static void logOrder(Rank rank, MapOrder order, long fence, OrderResult result) {
+		String what = (order instanceof MapOrder.Prepare prepare) ? "Prepare[version=" + prepare.version() + "]"
+				: order.toString();
+		EventLog.log(Event.RANK_ORDERED, "server", rank.serverId(), "group", rank.report().group(), "rank",
+				rank.report().rank(), "order", what, "epoch", rank.report().epoch(), "fence", fence, "result", result);
+	}
+
+	/**
+	 * Reads an answer.
+	 *
+	 * @param <T> what it holds
+	 */
+	@FunctionalInterface
+	private interface Reader<T> {
+
+		T read(JsonNode document) throws DocumentException;
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankGroupPort.java
@@ -0,0 +1,37 @@
+package org.snowwind.gateway.expert;
+
+import java.util.List;
+
+/**
+ * The ranks of one group, as a switch needs them. Orders and answers may be lost, doubled
+ * or late.
+ */
+interface RankGroupPort {
+
+	/**
+	 * Asks all ranks for their state.
+	 * @return the ranks that answered, by place
+	 */
+	List<Rank> reports();
+
+	/**
+	 * Gives one order to each of several ranks.
+	 * @param ranks the ranks
+	 * @param order the order
+	 * @return the results in the same order
+	 */
+	List<OrderResult> order(List<Rank> ranks, MapOrder order);
+
+	/**
+	 * Waits.
+	 * @param millis how long, in milliseconds
+	 */
+	void pause(long millis);
+
+	/**
+	 * Tells whether this process may still give orders.
+	 * @return false once another process has the duty
+	 */
+	boolean onDuty();
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankProtocol.java
@@ -0,0 +1,85 @@
+package org.snowwind.gateway.expert;
+
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.gateway.table.DocumentException;
+
+/**
+ * How ranks of one platform are asked and ordered.
+ */
+public interface RankProtocol {
+
+	/**
+	 * Returns where a rank tells its state.
+	 * @return the path
+	 */
+	String reportPath();
+
+	/**
+	 * Reads a rank's state.
+	 * @param document the answer
+	 * @return the state
+	 * @throws DocumentException if the answer is none
+	 */
+	RankReport report(JsonNode document) throws DocumentException;
+
+	/**
+	 * Returns where a rank tells which experts were chosen.
+	 * @return the path
+	 */
+	String countsPath();
+
+	/**
+	 * Reads which experts were chosen.
+	 * @param document the answer
+	 * @return the counts
+	 * @throws DocumentException if the answer has none
+	 */
+	RankCounts counts(JsonNode document) throws DocumentException;
+
+	/**
+	 * Returns where a rank tells which experts it holds.
+	 * @return the path
+	 */
+	String holdingsPath();
+
+	/**
+	 * Reads which experts a rank holds in the map that it runs.
+	 * @param document the answer
+	 * @return the experts by set
+	 * @throws DocumentException if the answer has none
+	 */
+	List<List<Integer>> holdings(JsonNode document) throws DocumentException;
+
+	/**
+	 * Returns where a rank takes orders.
+	 * @return the path
+	 */
+	String orderPath();
+
+	/**
+	 * Makes the body of an order.
+	 * @param order the order
+	 * @param epoch the epoch of the group that it is for
+	 * @param fence the fencing token of who orders
+	 * @return the body
+	 */
+	JsonNode body(MapOrder order, long epoch, long fence);
+
+	/**
+	 * Makes the headers by which a call reaches only one run of a server.
+	 * @param serverId the run
+	 * @return the headers
+	 */
+	Map<String, String> headers(String serverId);
+
+	/**
+	 * Reads what became of an order.
+	 * @param status the HTTP status of the answer
+	 * @return the result
+	 */
+	OrderResult result(int status);
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -56,7 +56,7 @@
 
 	private long nextRoundMillis = Long.MIN_VALUE;
 
-	private volatile View view = new View(0, Set.of());
+	private volatile View view = new View(0, Set.of(), false);
 
 	/**
 	 * Creates a mesh that calls nobody yet.
@@ -168,7 +168,7 @@
 	}
 
 	private void publish(long nowMillis) {
-		this.view = new View(this.peers.known(), this.peers.liveNames());
+		this.view = new View(this.peers.known(), this.peers.liveNames(), this.peers.expertsPlanned());
 		this.consumers.peersChanged(this.peers.inFlight(nowMillis), this.peers.leavingServers());
 	}
 
@@ -191,8 +191,9 @@
 	 *
 	 * @param known how many there are, those out of reach included
 	 * @param liveNames the names of those that answer and do not leave
+	 * @param expertsPlanned whether one of them plans expert maps
 	 */
-	public record View(int known, Set<String> liveNames) {
+	public record View(int known, Set<String> liveNames, boolean expertsPlanned) {
 
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
@@ -130,6 +130,14 @@
 		return names;
 	}
 
+	/**
+	 * Tells whether a live peer plans expert maps.
+	 * @return true if one does
+	 */
+	public boolean expertsPlanned() {
+		return this.byAddress.values().stream().anyMatch((peer) -> peer.alive && peer.report.getExpertFence() != 0);
+	}
+
 	/**
 	 * Adds up the requests that peers have at each server.
 	 * @param nowMillis the time, in milliseconds
--- a/http/src/main/java/org/snowwind/http/client/JsonClient.java
+++ b/http/src/main/java/org/snowwind/http/client/JsonClient.java
@@ -1,16 +1,18 @@
 package org.snowwind.http.client;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
-import org.asynchttpclient.ListenableFuture;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
 import org.snowwind.model.Json;
@@ -58,6 +60,21 @@
 	 */
 	public JsonAnswer call(String method, String url, Map<String, String> extraHeaders, Object body, long timeoutMillis)
 			throws IOException {
+		return await(start(method, url, extraHeaders, body, timeoutMillis), timeoutMillis + TIMEOUT_MARGIN_MILLIS);
+	}
+
+	/**
+	 * Calls and does not wait.
+	 * @param method the HTTP method
+	 * @param url the absolute URL
+	 * @param extraHeaders further headers
+	 * @param body sent as JSON, {@code null} for none
+	 * @param timeoutMillis after which the call fails, in milliseconds
+	 * @return the answer to come; it fails with an {@link IOException} if no whole answer
+	 * comes in time, and the call may have had its effect
+	 */
+	public CompletableFuture<JsonAnswer> start(String method, String url, Map<String, String> extraHeaders, Object body,
+			long timeoutMillis) {
 		RequestBuilder builder = new RequestBuilder(method, true).setUrl(url);
 		// The library closes the connection of a call that takes longer, so that a late
 		// answer is never read as that of another call.
@@ -66,23 +83,31 @@
 		extraHeaders.forEach(builder::setHeader);
 		if (body != null) {
 			builder.setHeader("Content-Type", "application/json");
-			builder.setBody(Json.MAPPER.writeValueAsBytes(body));
+			builder.setBody(encode(body));
 		}
-		ListenableFuture<Response> future = this.client.executeRequest(builder.build());
-		return answerOf(await(future, timeoutMillis + TIMEOUT_MARGIN_MILLIS));
+		return this.client.executeRequest(builder.build()).toCompletableFuture().thenApply(JsonClient::answerOf);
 	}
 
-	private static Response await(ListenableFuture<Response> future, long timeoutMillis) throws IOException {
+	private static byte[] encode(Object body) {
+		try {
+			return Json.MAPPER.writeValueAsBytes(body);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("only values that serialize may be sent", ex);
+		}
+	}
+
+	private static JsonAnswer await(CompletableFuture<JsonAnswer> future, long timeoutMillis) throws IOException {
 		try {
 			return future.get(timeoutMillis, TimeUnit.MILLISECONDS);
 		}
 		catch (InterruptedException ex) {
-			future.abort(ex);
+			future.cancel(true);
 			Thread.currentThread().interrupt();
 			throw new IOException("interrupted", ex);
 		}
 		catch (TimeoutException ex) {
-			future.abort(ex);
+			future.cancel(true);
 			throw new IOException("no answer within " + timeoutMillis + " ms", ex);
 		}
 		catch (ExecutionException ex) {
@@ -90,10 +115,15 @@
 		}
 	}
 
-	private static JsonAnswer answerOf(Response response) throws IOException {
+	private static JsonAnswer answerOf(Response response) {
 		byte[] bytes = response.getResponseBodyAsBytes();
-		JsonNode json = (bytes.length > 0) ? Json.MAPPER.readTree(bytes) : Json.MAPPER.missingNode();
-		return new JsonAnswer(response.getStatusCode(), json);
+		try {
+			JsonNode json = (bytes.length > 0) ? Json.MAPPER.readTree(bytes) : Json.MAPPER.missingNode();
+			return new JsonAnswer(response.getStatusCode(), json);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("the answer is not JSON", ex);
+		}
 	}
 
 	@Override
--- a/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
+++ b/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
@@ -29,6 +29,9 @@
  */
 final class ConnectionHandler extends ChannelInboundHandlerAdapter {
 
+	/** The event that ends a connection as soon as no request is on it. */
+	static final Object CLOSE_WHEN_IDLE = new Object();
+
 	private final HttpHandler handler;
 
 	/** What one read brought beyond the request that is being answered. */
@@ -129,6 +132,10 @@
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event == CLOSE_WHEN_IDLE) {
+			closeWhenIdle(context);
+			return;
+		}
 		boolean waitsForCaller = this.current == null || this.current.waitsForCaller();
 		if (event instanceof IdleStateEvent && waitsForCaller) {
 			context.close();
@@ -140,6 +147,16 @@
 		context.close();
 	}
 
+	private void closeWhenIdle(ChannelHandlerContext context) {
+		boolean idle = this.current == null || this.current.finished();
+		if (idle) {
+			context.close();
+		}
+		else {
+			this.current.closeAfterAnswer();
+		}
+	}
+
 	private static Problem problemOf(Throwable cause) {
 		if (cause instanceof TooLongHttpLineException) {
 			return Problem.notRun(ProblemKind.URI_TOO_LONG, "the request line is too long");
--- a/http/src/main/java/org/snowwind/http/server/HttpServer.java
+++ b/http/src/main/java/org/snowwind/http/server/HttpServer.java
@@ -92,6 +92,14 @@
 		}
 	}
 
+	/**
+	 * Closes each open connection as soon as no request is on it.
+	 */
+	public void closeIdleConnections() {
+		this.connections
+			.forEach((channel) -> channel.pipeline().fireUserEventTriggered(ConnectionHandler.CLOSE_WHEN_IDLE));
+	}
+
 	@Override
 	public void close() {
 		stopListening();
--- a/http/src/main/java/org/snowwind/http/server/NettyExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/NettyExchange.java
@@ -200,6 +200,10 @@
 		}
 	}
 
+	boolean finished() {
+		return this.bodyEnded && this.ended;
+	}
+
 	boolean owesAnswer() {
 		return this.bodyEnded && !this.ended;
 	}
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -139,6 +139,39 @@
 	/** The settings that were read again are not valid. */
 	SETTINGS_REJECTED(1206, Level.WARNING, "settings rejected, last good ones stay in force"),
 
+	/** This gateway plans expert maps from now on. */
+	EXPERT_DUTY_TAKEN(6001, Level.INFO, "expert duty taken"),
+
+	/** This gateway no longer plans expert maps. */
+	EXPERT_DUTY_LEFT(6002, Level.INFO, "expert duty left"),
+
+	/** The duty could not be claimed in the platform. */
+	EXPERT_DUTY_NOT_CLAIMED(6003, Level.INFO, "expert duty not claimed"),
+
+	/** A rank did not answer. */
+	RANK_SILENT(6101, Level.INFO, "rank silent"),
+
+	/** A rank was given an order. */
+	RANK_ORDERED(6102, Level.INFO, "rank ordered"),
+
+	/** A group was found or formed anew. */
+	GROUP_FORMED(6103, Level.INFO, "group formed"),
+
+	/** A group is not open, or ranks of it do not answer. */
+	GROUP_INCOMPLETE(6104, Level.WARNING, "group incomplete"),
+
+	/** A new expert map was planned. */
+	MAP_PLANNED(6201, Level.INFO, "expert map planned"),
+
+	/** A group runs a new expert map. */
+	MAP_SWITCHED(6202, Level.INFO, "expert map switched"),
+
+	/** A switch was given up before anything was held. */
+	MAP_SWITCH_DROPPED(6203, Level.INFO, "switch of expert map dropped"),
+
+	/** What an earlier owner left half done was finished. */
+	MAP_SWITCH_RECOVERED(6204, Level.WARNING, "left switch of expert map finished"),
+
 	/** A bounded ring was full. */
 	RING_FULL(5001, Level.WARNING, "ring full"),
 
--- a/wire/snowwind.thrift
+++ b/wire/snowwind.thrift
@@ -110,6 +110,8 @@
   8: list<string> knownGateways
   /** Ids of backend servers of which the sender knows that they take no new work. */
   9: list<string> leavingServers
+  /** The fencing token by which the sender plans expert maps; 0 if it does not. */
+  10: i64 expertFence
 }
 
 enum GatewayDocument {
