--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankGroup.java
@@ -0,0 +1,323 @@
+package org.snowwind.gateway.expert;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import org.snowwind.model.ManualClock;
+
+/**
+ * A group of ranks under a network that loses answers and carries orders out late, on a
+ * clock that is moved by hand.
+ */
+final class FakeRankGroup {
+
+	private static final long PASS_MILLIS = 50;
+
+	private static final long LAG_MILLIS = 200;
+
+	private final ManualClock clock;
+
+	private final Random random;
+
+	private final List<FakeRank> ranks = new ArrayList<>();
+
+	private final PriorityQueue<Late> late = new PriorityQueue<>(Comparator.comparingLong(Late::atMillis));
+
+	private final List<String> mixed = new ArrayList<>();
+
+	private long step;
+
+	private long nextPassMillis;
+
+	private long nowMillis;
+
+	private long heldMillis;
+
+	private boolean busy = true;
+
+	double unansweredShare;
+
+	/** Orders of both kinds that get no answer: half are done late, a quarter never. */
+	FakeRankGroup(int size, ManualClock clock, Random random) {
+		this.clock = clock;
+		this.random = random;
+		for (int rank = 0; rank < size; rank++) {
+			this.ranks.add(new FakeRank(rank));
+		}
+	}
+
+	RankGroupPort port(long fence, int ordersUntilFrozen) {
+		return new Port(fence, ordersUntilFrozen);
+	}
+
+	List<String> mixed() {
+		return this.mixed;
+	}
+
+	long longestHeldMillis() {
+		return this.heldMillis;
+	}
+
+	boolean held() {
+		return this.ranks.stream().anyMatch((rank) -> rank.heldStep != RankReport.NOT_HELD);
+	}
+
+	long mapVersion() {
+		return this.ranks.get(0).mapVersion;
+	}
+
+	void busy(boolean nowBusy) {
+		this.busy = nowBusy;
+	}
+
+	void advance(long millis) {
+		for (long i = 0; i < millis; i++) {
+			this.nowMillis++;
+			this.clock.advance(1);
+			while (!this.late.isEmpty() && this.late.peek().atMillis() <= this.nowMillis) {
+				Late due = this.late.poll();
+				due.rank().obey(due.order(), due.fence(), true);
+			}
+			this.ranks.forEach(FakeRank::remember);
+			beginPassIfDue();
+		}
+	}
+
+	private void beginPassIfDue() {
+		if (!this.busy || this.nowMillis < this.nextPassMillis) {
+			return;
+		}
+		long next = this.step + 1;
+		boolean held = this.ranks.stream().anyMatch((rank) -> rank.heldStep == next);
+		if (held) {
+			this.heldMillis++;
+			return;
+		}
+		this.step = next;
+		this.nextPassMillis = this.nowMillis + PASS_MILLIS;
+		this.ranks.forEach((rank) -> rank.begin(next));
+		long versions = this.ranks.stream().map((rank) -> rank.mapVersion + ":" + rank.mapContent).distinct().count();
+		if (versions > 1) {
+			this.mixed.add("pass " + next);
+		}
+	}
+
+	/**
+	 * An order that is carried out late.
+	 *
+	 * @param atMillis when
+	 * @param rank by whom
+	 * @param order the order
+	 * @param fence its token
+	 */
+	private record Late(long atMillis, FakeRank rank, MapOrder order, long fence) {
+
+	}
+
+	/**
+	 * One owner's way to the ranks.
+	 */
+	private final class Port implements RankGroupPort {
+
+		private final long fence;
+
+		private int ordersLeft;
+
+		private boolean fenced;
+
+		private Port(long fence, int ordersUntilFrozen) {
+			this.fence = fence;
+			this.ordersLeft = ordersUntilFrozen;
+		}
+
+		@Override
+		public List<Rank> reports() {
+			advance(3);
+			return FakeRankGroup.this.ranks.stream()
+				.map((rank) -> new Rank("i-" + rank.place, "address", rank.reportAsOf(FakeRankGroup.this.nowMillis)))
+				.toList();
+		}
+
+		@Override
+		public List<OrderResult> order(List<Rank> to, MapOrder order) {
+			List<OrderResult> results = new ArrayList<>();
+			for (Rank rank : to) {
+				if (this.ordersLeft-- <= 0) {
+					throw new Frozen();
+				}
+				results.add(give(FakeRankGroup.this.ranks.get(rank.report().rank()), order));
+			}
+			advance(results.contains(OrderResult.UNKNOWN) ? 250 : 4);
+			return results;
+		}
+
+		private OrderResult give(FakeRank rank, MapOrder order) {
+			Random chance = FakeRankGroup.this.random;
+			if (chance.nextDouble() < FakeRankGroup.this.unansweredShare) {
+				if (chance.nextInt(4) != 0) {
+					long atMillis = FakeRankGroup.this.nowMillis
+							+ (chance.nextBoolean() ? 1 : 2000 + chance.nextInt(10_000));
+					FakeRankGroup.this.late.add(new Late(atMillis, rank, order, this.fence));
+				}
+				return OrderResult.UNKNOWN;
+			}
+			OrderResult result = rank.obey(order, this.fence, false);
+			this.fenced = this.fenced || result == OrderResult.FENCED;
+			return result;
+		}
+
+		@Override
+		public void pause(long millis) {
+			advance(millis);
+		}
+
+		@Override
+		public boolean onDuty() {
+			return !this.fenced;
+		}
+
+	}
+
+	/**
+	 * The owner stops in the middle.
+	 */
+	static final class Frozen extends RuntimeException {
+
+		private static final long serialVersionUID = 1;
+
+	}
+
+	/**
+	 * One rank.
+	 */
+	private final class FakeRank {
+
+		private final int place;
+
+		private final List<Object[]> history = new ArrayList<>();
+
+		private long highestFence;
+
+		private long highestVersion;
+
+		private long mapVersion;
+
+		private int mapContent;
+
+		private long preparedVersion;
+
+		private int preparedContent;
+
+		private long preparedMillis;
+
+		private long armedVersion;
+
+		private long armedStep;
+
+		private long heldStep = RankReport.NOT_HELD;
+
+		private FakeRank(int place) {
+			this.place = place;
+		}
+
+		private void begin(long pass) {
+			if (this.armedVersion != 0 && pass >= this.armedStep) {
+				this.mapVersion = this.armedVersion;
+				this.mapContent = this.preparedContent;
+				this.armedVersion = 0;
+				this.preparedVersion = 0;
+			}
+		}
+
+		private void remember() {
+			this.history.add(new Object[] { FakeRankGroup.this.nowMillis, current() });
+			if (this.history.size() > 2 * LAG_MILLIS) {
+				this.history.remove(0);
+			}
+		}
+
+		private RankReport current() {
+			boolean copied = this.preparedVersion != 0 && FakeRankGroup.this.nowMillis >= this.preparedMillis;
+			return new RankReport("g", 1, this.place, FakeRankGroup.this.ranks.size(), true, FakeRankGroup.this.step,
+					this.mapVersion, copied ? this.preparedVersion : 0, this.armedVersion, this.heldStep, 1);
+		}
+
+		private RankReport reportAsOf(long millis) {
+			for (int i = this.history.size() - 1; i >= 0; i--) {
+				if ((long) this.history.get(i)[0] <= millis - LAG_MILLIS) {
+					return (RankReport) this.history.get(i)[1];
+				}
+			}
+			return current();
+		}
+
+		// A late order is taken without a look at its token: the worst that may be.
+		private OrderResult obey(MapOrder order, long fence, boolean isLate) {
+			if (!isLate && fence < this.highestFence) {
+				return OrderResult.FENCED;
+			}
+			this.highestFence = Math.max(this.highestFence, fence);
+			if (order instanceof MapOrder.Prepare prepare) {
+				return prepare(prepare);
+			}
+			if (order instanceof MapOrder.Arm arm) {
+				return arm(arm);
+			}
+			if (order instanceof MapOrder.Disarm disarm) {
+				this.armedVersion = (this.armedVersion == disarm.version()) ? 0 : this.armedVersion;
+				return (this.mapVersion == disarm.version()) ? OrderResult.UNFIT : OrderResult.TAKEN;
+			}
+			if (order instanceof MapOrder.Hold hold) {
+				return hold(hold);
+			}
+			MapOrder.Release release = (MapOrder.Release) order;
+			this.heldStep = (this.heldStep == release.step()) ? RankReport.NOT_HELD : this.heldStep;
+			return OrderResult.TAKEN;
+		}
+
+		private OrderResult prepare(MapOrder.Prepare prepare) {
+			if (prepare.version() == this.preparedVersion) {
+				return OrderResult.TAKEN;
+			}
+			if (prepare.version() <= this.highestVersion || this.armedVersion != 0) {
+				return OrderResult.UNFIT;
+			}
+			this.highestVersion = prepare.version();
+			this.preparedVersion = prepare.version();
+			this.preparedContent = prepare.expertsOfRank().hashCode();
+			this.preparedMillis = FakeRankGroup.this.nowMillis + 300;
+			return OrderResult.TAKEN;
+		}
+
+		private OrderResult arm(MapOrder.Arm arm) {
+			boolean armedSo = this.armedVersion == arm.version() && this.armedStep == arm.step();
+			if (armedSo) {
+				return OrderResult.TAKEN;
+			}
+			boolean prepared = this.preparedVersion == arm.version()
+					&& FakeRankGroup.this.nowMillis >= this.preparedMillis;
+			if (!prepared || arm.step() <= FakeRankGroup.this.step || this.armedVersion != 0) {
+				return OrderResult.UNFIT;
+			}
+			this.armedVersion = arm.version();
+			this.armedStep = arm.step();
+			return OrderResult.TAKEN;
+		}
+
+		private OrderResult hold(MapOrder.Hold hold) {
+			if (this.heldStep == hold.step()) {
+				return OrderResult.TAKEN;
+			}
+			if (this.heldStep != RankReport.NOT_HELD || hold.step() <= FakeRankGroup.this.step) {
+				return OrderResult.UNFIT;
+			}
+			this.heldStep = hold.step();
+			return OrderResult.TAKEN;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/MapSwitchTests.java
@@ -0,0 +1,141 @@
+package org.snowwind.gateway.expert;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.snowwind.model.ManualClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link MapSwitch}.
+ */
+class MapSwitchTests {
+
+	private static final long SETTLE_MILLIS = 400;
+
+	private final ManualClock clock = new ManualClock(0);
+
+	private static MapOrder.Prepare map(long version) {
+		return new MapOrder.Prepare(version, List.of(List.of(List.of((int) version))));
+	}
+
+	private SwitchOutcome switchTo(RankGroupPort port, long version) {
+		StepClock steps = new StepClock(this.clock);
+		List<Rank> ranks = port.reports();
+		steps.observe(ranks);
+		return new MapSwitch(port, steps).run(ranks, map(version), 300);
+	}
+
+	@Test
+	void allRanksComeToTheNewMapWithoutWaiting() {
+		FakeRankGroup group = new FakeRankGroup(8, this.clock, new Random(1));
+		group.advance(1000);
+		assertThat(switchTo(group.port(1, Integer.MAX_VALUE), 7)).isEqualTo(SwitchOutcome.RELEASED);
+		group.advance(2000);
+		assertThat(group.mapVersion()).isEqualTo(7);
+		assertThat(group.mixed()).isEmpty();
+		assertThat(group.longestHeldMillis()).isLessThan(100);
+	}
+
+	@Test
+	void anIdleGroupSwitchesWithItsNextPass() {
+		FakeRankGroup group = new FakeRankGroup(4, this.clock, new Random(1));
+		group.busy(false);
+		group.advance(500);
+		assertThat(switchTo(group.port(1, Integer.MAX_VALUE), 7)).isEqualTo(SwitchOutcome.RELEASED);
+		group.busy(true);
+		group.advance(3000);
+		assertThat(group.mapVersion()).isEqualTo(7);
+		assertThat(group.held()).isFalse();
+	}
+
+	@Test
+	void anOwnerWithAnOldTokenStopsAtItsFirstRefusal() {
+		FakeRankGroup group = new FakeRankGroup(4, this.clock, new Random(1));
+		group.advance(500);
+		assertThat(switchTo(group.port(2, Integer.MAX_VALUE), 7)).isEqualTo(SwitchOutcome.RELEASED);
+		group.advance(2000);
+		assertThat(switchTo(group.port(1, Integer.MAX_VALUE), 8)).isEqualTo(SwitchOutcome.FENCED);
+		assertThat(group.mapVersion()).isEqualTo(7);
+	}
+
+	@Test
+	void nothingIsRecoveredWhereNothingIsHeld() {
+		FakeRankGroup group = new FakeRankGroup(4, this.clock, new Random(1));
+		group.advance(500);
+		RankGroupPort port = group.port(1, Integer.MAX_VALUE);
+		assertThat(new MapSwitch(port, new StepClock(this.clock)).recover(port.reports())).isEmpty();
+	}
+
+	@Property(tries = 400)
+	void noPassMixesMapsWhateverIsLostOrLate(@ForAll Random random, @ForAll @IntRange(min = 2, max = 8) int size,
+			@ForAll @IntRange(min = 0, max = 6) int unansweredTenths) {
+		ManualClock ownClock = new ManualClock(0);
+		FakeRankGroup group = new FakeRankGroup(size, ownClock, random);
+		group.unansweredShare = unansweredTenths / 10.0;
+		group.advance(1000);
+		StepClock steps = new StepClock(ownClock);
+		RankGroupPort port = group.port(1, Integer.MAX_VALUE);
+		for (long version = 1; version <= 3; version++) {
+			List<Rank> ranks = port.reports();
+			steps.observe(ranks);
+			new MapSwitch(port, steps).run(ranks, map(version), 300);
+			group.advance(random.nextInt(1500));
+		}
+		group.advance(15_000);
+		assertThat(group.mixed()).isEmpty();
+	}
+
+	@Property(tries = 400)
+	void aSecondOwnerFinishesWhatAFrozenOneLeft(@ForAll Random random, @ForAll @IntRange(min = 2, max = 8) int size,
+			@ForAll @IntRange(min = 0, max = 40) int ordersUntilFrozen,
+			@ForAll @IntRange(min = 0, max = 4) int unansweredTenths) {
+		ManualClock ownClock = new ManualClock(0);
+		FakeRankGroup group = new FakeRankGroup(size, ownClock, random);
+		group.unansweredShare = unansweredTenths / 10.0;
+		group.advance(1000);
+		List<String> ended = new ArrayList<>();
+		try {
+			RankGroupPort first = group.port(1, ordersUntilFrozen);
+			StepClock steps = new StepClock(ownClock);
+			List<Rank> ranks = first.reports();
+			steps.observe(ranks);
+			ended.add(new MapSwitch(first, steps).run(ranks, map(10), 300).name());
+		}
+		catch (FakeRankGroup.Frozen ex) {
+			ended.add("FROZEN");
+		}
+		group.advance(1500);
+		takeOver(group, ownClock, random, size);
+		group.advance(15_000);
+		assertThat(group.mixed()).as("owner one: %s", ended).isEmpty();
+		assertThat(group.held()).isFalse();
+	}
+
+	private static void takeOver(FakeRankGroup group, ManualClock clock, Random random, int size) {
+		RankGroupPort second = group.port(2, Integer.MAX_VALUE);
+		StepClock steps = new StepClock(clock);
+		MapSwitch taken = new MapSwitch(second, steps);
+		for (int round = 0; round < 40; round++) {
+			group.advance(SETTLE_MILLIS);
+			List<Rank> ranks = second.reports();
+			steps.observe(ranks);
+			Optional<SwitchOutcome> recovered = taken.recover(ranks);
+			boolean settled = ranks.stream().map((rank) -> rank.report().mapVersion()).distinct().count() == 1
+					&& ranks.stream().allMatch((rank) -> rank.report().armedVersion() == 0);
+			if (recovered.isEmpty() && settled && round % 5 == 0) {
+				taken.run(ranks, map(20 + round), 300);
+			}
+			group.advance(random.nextInt(300));
+		}
+		assertThat(size).isPositive();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/registry/RegistryViewTests.java
@@ -0,0 +1,84 @@
+package org.snowwind.gateway.registry;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RegistryView} and {@link RegistryHolder}.
+ */
+class RegistryViewTests {
+
+	private static final long GRACE_MILLIS = 2000;
+
+	private final RegistryView view = new RegistryView(GRACE_MILLIS);
+
+	private static BackendEntry server(String id, boolean draining) {
+		return new BackendEntry(id, "s", "10.0.0.1", 80, "dc", 8, draining);
+	}
+
+	private static BackendEntry server(String id) {
+		return server(id, false);
+	}
+
+	private boolean knows(String id, long nowMillis) {
+		return this.view.registry(nowMillis).servers().containsKey(id);
+	}
+
+	@Test
+	void aRemovedServerIsGoneAtOnce() {
+		this.view.listed(1, List.of(server("a"), server("b")), 0);
+		this.view.removed("a", 10);
+		assertThat(knows("a", 10)).isFalse();
+		assertThat(knows("b", 10)).isTrue();
+	}
+
+	@Test
+	void aServerThatLapsedWhileThePlatformWasAwayIsKeptForAMoment() {
+		this.view.listed(1, List.of(server("a"), server("b")), 0);
+		this.view.platformReturned(5000);
+		this.view.listed(2, List.of(server("b")), 5001);
+		assertThat(knows("a", 5001)).isTrue();
+		assertThat(this.view.keepsLapsed()).isTrue();
+		assertThat(knows("a", 5000 + GRACE_MILLIS)).isFalse();
+		assertThat(this.view.keepsLapsed()).isFalse();
+	}
+
+	@Test
+	void aLapsedServerThatRegistersAgainStays() {
+		this.view.listed(1, List.of(server("a")), 0);
+		this.view.platformReturned(5000);
+		this.view.listed(2, List.of(), 5001);
+		this.view.changed(server("a"));
+		assertThat(knows("a", 9000)).isTrue();
+	}
+
+	@Test
+	void aServerThatWasLeavingIsNotKept() {
+		this.view.listed(1, List.of(server("a", true)), 0);
+		this.view.platformReturned(5000);
+		this.view.listed(2, List.of(), 5001);
+		assertThat(knows("a", 5001)).isFalse();
+	}
+
+	@Test
+	void theRevisionNeverFalls() {
+		this.view.listed(7, List.of(), 0);
+		this.view.knownUpTo(5);
+		assertThat(this.view.registry(0).revision()).isEqualTo(7);
+		this.view.knownUpTo(9);
+		assertThat(this.view.registry(0).revision()).isEqualTo(9);
+	}
+
+	@Test
+	void theHolderTakesOnlyNewerRegistries() {
+		RegistryHolder holder = new RegistryHolder();
+		this.view.listed(7, List.of(server("a")), 0);
+		assertThat(holder.offer(this.view.registry(0))).isTrue();
+		assertThat(holder.offer(Registry.NONE)).isFalse();
+		assertThat(holder.current().servers()).containsKey("a");
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -0,0 +1,175 @@
+package org.snowwind.gateway.request;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import org.snowwind.gateway.backend.BackendTable;
+import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.Registry;
+import org.snowwind.gateway.table.KeyHolder;
+import org.snowwind.gateway.table.Repeat;
+import org.snowwind.gateway.table.RequestLimits;
+import org.snowwind.gateway.table.Route;
+import org.snowwind.gateway.table.RouteTable;
+import org.snowwind.gateway.table.TableHolder;
+import org.snowwind.http.DataLoop;
+import org.snowwind.http.client.UpstreamClient;
+import org.snowwind.http.server.HttpLimits;
+import org.snowwind.http.server.HttpServer;
+import org.snowwind.model.MonotonicClock;
+
+/**
+ * A gateway's data path over real sockets, with scripted servers and a caller that reads
+ * bytes.
+ */
+final class GatewayFixture implements AutoCloseable {
+
+	static final long TIMEOUT_MILLIS = 1500;
+
+	private final DataLoop loop = new DataLoop("test");
+
+	private final UpstreamClient client = new UpstreamClient(this.loop, 300, UpstreamClient.Connections.FRESH,
+			UpstreamClient.Answers.FRAMED_OR_CLOSED);
+
+	private final MonotonicClock clock = MonotonicClock.system();
+
+	private final BackendTable backends = new BackendTable(this.clock, new Random(1));
+
+	private final TableHolder tables = new TableHolder();
+
+	private final List<ScriptedServer> servers = new ArrayList<>();
+
+	private final Map<String, BackendEntry> entries = new HashMap<>();
+
+	private final GatewayHandler handler;
+
+	private final HttpServer server;
+
+	private final InetSocketAddress address;
+
+	GatewayFixture() {
+		RetryBudgets budgets = new RetryBudgets(new RetryBudgets.RetryBound(0, 100, 10_000), () -> 1, this.clock);
+		RequestContext context = new RequestContext(this.loop, this.client, new TestDialect(), this.backends, budgets,
+				new GatewayMeters(new SimpleMeterRegistry()), this.clock, new Random(1));
+		this.handler = new GatewayHandler(context, this.tables);
+		this.server = new HttpServer(this.loop, HttpLimits.DEFAULT, this.handler);
+		this.address = this.server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+	}
+
+	/**
+	 * Puts routes in force: {@code /once/}, {@code /many/}, {@code /stream/},
+	 * {@code /frail/}.
+	 */
+	GatewayFixture routed() {
+		List<Route> routes = List.of(route("once", Repeat.AT_MOST_ONCE, 1, false),
+				route("many", Repeat.IDEMPOTENT, 2, false), route("stream", Repeat.STREAM, 2, true),
+				route("frail", Repeat.STREAM, 1, false));
+		this.tables.offer(new RouteTable(1, routes, Map.of(), Map.of("secret", new KeyHolder("org", 1)),
+				new RequestLimits(100_000, 15_000), new byte[0]), "test");
+		return this;
+	}
+
+	private static Route route(String name, Repeat repeat, int attempts, boolean resumable) {
+		return new Route(name, "gateway.test", "/" + name + "/", repeat, TIMEOUT_MILLIS, 400, 100, 1, attempts, false,
+				resumable, List.of(new Route.Share("service", 1)));
+	}
+
+	/** Adds a server; earlier ones are tried first, since later ones look fuller. */
+	ScriptedServer server(ScriptedServer.Script script) {
+		ScriptedServer added = new ScriptedServer(script);
+		this.servers.add(added);
+		register(added.port());
+		return added;
+	}
+
+	/** Adds a server that listens no more. */
+	void deadServer() throws IOException {
+		try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			register(closed.getLocalPort());
+		}
+	}
+
+	private void register(int port) {
+		String id = "server-" + this.entries.size();
+		this.entries.put(id, new BackendEntry(id, "service", "127.0.0.1", port, "dc", 8, false));
+		Map<String, Integer> elsewhere = new HashMap<>();
+		for (int i = 0; i < this.entries.size(); i++) {
+			elsewhere.put("server-" + i, i);
+		}
+		onLoop(() -> {
+			this.backends.use(new Registry(this.entries.size(), this.entries));
+			this.backends.peersInFlight(elsewhere);
+		});
+	}
+
+	void drain() {
+		onLoop(this.handler::drain);
+	}
+
+	int open() {
+		CompletableFuture<Integer> open = new CompletableFuture<>();
+		this.loop.run(() -> open.complete(this.handler.open()));
+		return open.join();
+	}
+
+	private void onLoop(Runnable task) {
+		CompletableFuture<Void> done = new CompletableFuture<>();
+		this.loop.run(() -> {
+			task.run();
+			done.complete(null);
+		});
+		done.join();
+	}
+
+	/**
+	 * Sends a request with a good key and reads until the connection or the answer ends.
+	 */
+	String call(String path, String... headers) throws IOException {
+		try (Socket socket = send(path, headers)) {
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+		}
+	}
+
+	Socket send(String path, String... headers) throws IOException {
+		Socket socket = new Socket(this.address.getAddress(), this.address.getPort());
+		socket.setSoTimeout(10_000);
+		StringBuilder text = new StringBuilder("POST " + path + " HTTP/1.1\r\nHost: gateway.test\r\nt-id: r1\r\n");
+		text.append("Connection: close\r\nContent-Length: 4\r\n");
+		boolean keyed = false;
+		for (String header : headers) {
+			text.append(header).append("\r\n");
+			keyed = keyed || header.startsWith("t-key");
+		}
+		text.append(keyed ? "" : "t-key: secret\r\n").append("\r\nbody");
+		socket.getOutputStream().write(text.toString().getBytes(StandardCharsets.UTF_8));
+		return socket;
+	}
+
+	static String readSome(Socket socket) throws IOException {
+		InputStream in = socket.getInputStream();
+		byte[] bytes = new byte[4096];
+		int length = in.read(bytes);
+		return (length < 0) ? "" : new String(bytes, 0, length, StandardCharsets.UTF_8);
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+		this.client.close();
+		this.loop.close();
+		this.servers.forEach(ScriptedServer::close);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/request/TestDialect.java
@@ -0,0 +1,46 @@
+package org.snowwind.gateway.request;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Header names that exist only in tests.
+ */
+final class TestDialect implements BackendDialect {
+
+	@Override
+	public CallerHead readCaller(Map<String, String> headers) {
+		long patience = Long.parseLong(headers.getOrDefault("t-patience", "-1"));
+		return new CallerHead(headers.get("t-id"), patience, headers.get("t-key"), headers.get("t-last"), 0, 0);
+	}
+
+	@Override
+	public Map<String, String> toBackend(Map<String, String> callerHeaders, AttemptHead attempt) {
+		Map<String, String> headers = new HashMap<>(callerHeaders);
+		headers.keySet()
+			.removeAll(java.util.Set.of("t-key", "t-organisation", "t-last", "t-patience", "content-length"));
+		headers.put("t-patience", Long.toString(attempt.remainingMillis()));
+		headers.put("t-server", attempt.serverId());
+		if (attempt.organisation() != null) {
+			headers.put("t-organisation", attempt.organisation());
+		}
+		if (attempt.lastEventId() != null) {
+			headers.put("t-last", attempt.lastEventId());
+		}
+		headers.put("host", attempt.host());
+		return headers;
+	}
+
+	@Override
+	public AnswerHead readAnswer(int status, Map<String, String> headers) {
+		boolean elsewhere = status == 421;
+		return new AnswerHead(elsewhere || headers.containsKey("t-not-run"), elsewhere, headers.containsKey("t-signed"),
+				headers.get("t-id"), headers.containsKey("content-encoding"));
+	}
+
+	@Override
+	public Map<String, String> ownAnswer(String requestId) {
+		return (requestId != null) ? Map.of("t-id", requestId) : Map.of();
+	}
+
+}
