--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -19,11 +19,13 @@
 import org.snowwind.gateway.backend.Backend;
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.expert.ExpertDuty;
+import org.snowwind.gateway.expert.GroupDirectory;
 import org.snowwind.gateway.peer.GatewayControlService;
 import org.snowwind.gateway.peer.GatewayDirectory;
 import org.snowwind.gateway.peer.PeerDocuments;
 import org.snowwind.gateway.peer.PeerMesh;
 import org.snowwind.gateway.peer.PeerTable;
+import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.RegistryHolder;
 import org.snowwind.gateway.registry.RegistryView;
 import org.snowwind.gateway.registry.RegistryWatcher;
@@ -74,8 +76,11 @@
 	/** Live servers are registered again two seconds after the platform's return. */
 	private static final long LAPSE_GRACE_MILLIS = 2200;
 
+	/** How often servers whose group is not known are asked, in milliseconds. */
+	private static final long GROUPS_MILLIS = 500;
+
 	/** How often the loop tells other threads what it has in flight, in milliseconds. */
-	private static final long REPORT_MILLIS = 100;
+	private static final long REPORT_MILLIS = 50;
 
 	/** The balancer notices within two questions, a second apart, that we stop. */
 	private static final long LEAVE_ROTATION_MILLIS = 2600;
@@ -142,6 +147,8 @@
 
 	private final ExpertDuty experts;
 
+	private final DutyThread groupThread;
+
 	private final DutyThread tableThread;
 
 	private final DutyThread registryThread;
@@ -154,6 +161,8 @@
 
 	private volatile List<String> leavingServers = List.of();
 
+	private volatile List<BackendEntry> ungrouped = List.of();
+
 	private volatile boolean draining;
 
 	private volatile long graceMillis;
@@ -187,6 +196,9 @@
 		GatewayDirectory directory = new GatewayDirectory(adapters.store(), settings.name(), ownAddress,
 				this.mesh::mayBeAt);
 		this.directoryThread = new DutyThread("directory", SMALL_RING, DIRECTORY_MILLIS, directory::round);
+		GroupDirectory groups = new GroupDirectory(this.rankClient, adapters.ranks(), () -> this.ungrouped,
+				(server, group) -> this.loop.run(() -> this.backends.grouped(server, group)));
+		this.groupThread = new DutyThread("groups", SMALL_RING, GROUPS_MILLIS, groups::round);
 		this.experts = new ExpertDuty(adapters.store(), this.rankClient, adapters.ranks(), this.tables, this.registries,
 				this::shouldPlanExperts, settings.name(), this.clock);
 		registerMeters(this.admin.registry());
@@ -248,6 +260,7 @@
 		this.mesh.start(this.settings.seeds());
 		this.directoryThread.start();
 		this.experts.start();
+		this.groupThread.start();
 		EventLog.log(Event.GATEWAY_STARTED, "gateway", this.settings.name(), "dataCentre", this.settings.dataCentre(),
 				"callers", Addresses.render(this.settings.callers()), "incarnation", this.incarnation);
 	}
@@ -268,6 +281,13 @@
 			.stream()
 			.filter((id) -> this.backends.find(id).filter(Backend::takesNewWork).isEmpty())
 			.toList();
+		this.ungrouped = this.tables.current()
+			.services()
+			.values()
+			.stream()
+			.filter((service) -> service.engine() != null && service.engine().hasExperts())
+			.flatMap((service) -> this.backends.ungrouped(service.name()).stream())
+			.toList();
 	}
 
 	private GatewayReport ownReport() {
@@ -375,6 +395,7 @@
 		this.registryThread.close();
 		this.directoryThread.close();
 		this.experts.close();
+		this.groupThread.close();
 		this.mesh.close();
 		if (this.control != null) {
 			this.control.close();
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -2,6 +2,7 @@
 
 import org.snowwind.decide.choice.Breaker;
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.table.EngineProfile;
 
 /**
  * One run of a backend server as this process sees it. Confined to the loop.
@@ -31,6 +32,8 @@
 
 	private boolean refusesNewWork;
 
+	private GroupLoad group;
+
 	private int inFlight;
 
 	private int peersInFlight;
@@ -113,12 +116,47 @@
 		this.peersInFlight = requests;
 	}
 
+	/**
+	 * Returns the group of which it is a rank.
+	 * @return the group, {@code null} if it is in none or that is not known
+	 */
+	public GroupLoad group() {
+		return this.group;
+	}
+
+	void group(GroupLoad next) {
+		this.group = next;
+	}
+
 	/**
 	 * Takes note of a request that is sent there.
 	 */
 	public void sent() {
 		this.inFlight++;
 		this.breaker.sent();
+		if (this.group != null) {
+			this.group.sent();
+		}
+	}
+
+	private void ended() {
+		this.inFlight--;
+		if (this.group != null) {
+			this.group.ended();
+		}
+	}
+
+	/**
+	 * Takes note of a pause between two events of a stream.
+	 * @param pauseMillis the pause, in milliseconds
+	 * @param pauseTargetMillis the longest pause on time, in milliseconds
+	 * @param profile how fast the engines are
+	 * @param nowMillis the time, in milliseconds
+	 */
+	public void paused(long pauseMillis, long pauseTargetMillis, EngineProfile profile, long nowMillis) {
+		if (this.group != null && profile != null) {
+			this.group.paused(pauseMillis, pauseTargetMillis, profile, nowMillis);
+		}
 	}
 
 	/**
@@ -127,7 +165,7 @@
 	 * @param nowMillis the time, in milliseconds
 	 */
 	public void answered(long tookMillis, long nowMillis) {
-		this.inFlight--;
+		ended();
 		this.breaker.succeeded(nowMillis);
 		this.answerMillis += ((this.answerMillis == 0) ? 1 : ANSWER_SHARE) * (tookMillis - this.answerMillis);
 		noteOutcome(0, nowMillis);
@@ -138,7 +176,7 @@
 	 * @param nowMillis the time, in milliseconds
 	 */
 	public void failed(long nowMillis) {
-		this.inFlight--;
+		ended();
 		this.breaker.failed(nowMillis);
 		noteOutcome(1, nowMillis);
 	}
@@ -147,10 +185,21 @@
 	 * Takes note that a request ended in a way that says nothing of the server.
 	 */
 	public void withdrawn() {
-		this.inFlight--;
+		ended();
 		this.breaker.withdrawn();
 	}
 
+	/**
+	 * Takes note that it refused a request, which it surely has not run.
+	 * @param nowMillis the time, in milliseconds
+	 */
+	public void refused(long nowMillis) {
+		withdrawn();
+		if (this.group != null) {
+			this.group.refused(nowMillis);
+		}
+	}
+
 	private void noteOutcome(double failure, long nowMillis) {
 		this.failureRate = failureRate(nowMillis);
 		this.failureRate += FAILURE_SHARE * (failure - this.failureRate);
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -20,12 +20,17 @@
  */
 public final class BackendTable {
 
+	/** The fullness of a server that takes nothing more. */
+	private static final double NO_ROOM = Double.MAX_VALUE;
+
 	private final MonotonicClock clock;
 
 	private final RandomGenerator random;
 
 	private final Map<String, Backend> byId = new LinkedHashMap<>();
 
+	private final Map<String, GroupLoad> groups = new HashMap<>();
+
 	private long revision;
 
 	/**
@@ -48,6 +53,7 @@
 		removed.removeAll(registry.servers().keySet());
 		removed.forEach(this::remove);
 		registry.list().forEach(this::put);
+		countGroups();
 	}
 
 	private void remove(String id) {
@@ -116,33 +122,29 @@
 
 	/**
 	 * Chooses a server that has room.
-	 * @param service the service's name
-	 * @param tried ids of servers that are not wanted
-	 * @param mayWait how many requests may wait at a server beyond those that run
+	 * @param wanted what is needed
 	 * @return the least full one, empty if none has room
 	 */
-	public Optional<Backend> choose(String service, Set<String> tried, int mayWait) {
+	public Optional<Backend> choose(Wanted wanted) {
 		long nowMillis = this.clock.nowMillis();
-		Optional<Backend> trusted = leastFull(service, tried, mayWait, nowMillis, true);
-		return trusted.isPresent() ? trusted : leastFull(service, tried, mayWait, nowMillis, false);
+		Optional<Backend> trusted = leastFull(wanted, nowMillis, true);
+		return trusted.isPresent() ? trusted : leastFull(wanted, nowMillis, false);
 	}
 
-	private Optional<Backend> leastFull(String service, Set<String> tried, int mayWait, long nowMillis,
-			boolean trustedOnly) {
+	private Optional<Backend> leastFull(Wanted wanted, long nowMillis, boolean trustedOnly) {
 		Backend best = null;
 		double bestFullness = Double.MAX_VALUE;
 		int ties = 0;
 		for (Backend backend : this.byId.values()) {
-			boolean wanted = eligible(backend, service, tried) && (!trustedOnly || backend.trusted(nowMillis));
-			BackendView view = backend.view(nowMillis);
-			if (!wanted || view.room(mayWait) <= 0) {
+			boolean allowed = eligible(backend, wanted.service(), wanted.tried())
+					&& (!trustedOnly || backend.trusted(nowMillis));
+			if (!allowed) {
 				continue;
 			}
-			double fullness = view.fullness();
+			double fullness = fullness(backend, wanted, nowMillis);
 			ties = (fullness == bestFullness) ? ties + 1 : 1;
-			boolean better = fullness < bestFullness;
 			boolean drawn = fullness == bestFullness && this.random.nextInt(ties) == 0;
-			if (better || drawn) {
+			if (fullness < bestFullness || (drawn && fullness != NO_ROOM)) {
 				best = backend;
 				bestFullness = fullness;
 			}
@@ -150,6 +152,56 @@
 		return Optional.ofNullable(best);
 	}
 
+	private static double fullness(Backend backend, Wanted wanted, long nowMillis) {
+		BackendView view = backend.view(nowMillis);
+		if (view.room(wanted.mayWait()) <= 0) {
+			return NO_ROOM;
+		}
+		GroupLoad group = backend.group();
+		if (group == null || wanted.engine() == null) {
+			return view.fullness();
+		}
+		int limit = group.limit(wanted.pauseTargetMillis(), wanted.engine(), nowMillis);
+		if (!group.open(nowMillis) || group.load() >= limit) {
+			return NO_ROOM;
+		}
+		return view.fullness() + (group.load() + 1.0) / limit;
+	}
+
+	/**
+	 * Lists servers of which it is not known which group they are in.
+	 * @param service the service's name
+	 * @return their entries
+	 */
+	public List<BackendEntry> ungrouped(String service) {
+		return of(service).stream().filter((backend) -> backend.group() == null).map(Backend::entry).toList();
+	}
+
+	/**
+	 * Takes note of the group of a server.
+	 * @param id the server's id
+	 * @param group the group's name
+	 */
+	public void grouped(String id, String group) {
+		find(id).ifPresent((backend) -> {
+			backend.group(this.groups.computeIfAbsent(group, GroupLoad::new));
+			countGroups();
+		});
+	}
+
+	private void countGroups() {
+		Map<GroupLoad, Integer> ranks = new HashMap<>();
+		Map<GroupLoad, Integer> loads = new HashMap<>();
+		for (Backend backend : this.byId.values()) {
+			if (backend.group() != null) {
+				ranks.merge(backend.group(), 1, Integer::sum);
+				loads.merge(backend.group(), backend.load(), Integer::sum);
+			}
+		}
+		this.groups.values().removeIf((group) -> !ranks.containsKey(group));
+		ranks.forEach((group, count) -> group.count(count, loads.get(group)));
+	}
+
 	private static boolean eligible(Backend backend, String service, Set<String> tried) {
 		return backend.takesNewWork() && backend.entry().service().equals(service) && !tried.contains(backend.id());
 	}
@@ -160,6 +212,7 @@
 	 */
 	public void peersInFlight(Map<String, Integer> byServer) {
 		this.byId.forEach((id, backend) -> backend.peersInFlight(byServer.getOrDefault(id, 0)));
+		countGroups();
 	}
 
 	/**
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -0,0 +1,160 @@
+package org.snowwind.gateway.backend;
+
+import org.snowwind.gateway.table.EngineProfile;
+
+/**
+ * How loaded a group of ranks is, and how much more it takes. Confined to the loop.
+ *
+ * <p>
+ * All ranks of a group step together, and each pass gives every stream one event. So the
+ * pauses between events of our own streams tell the time of a pass, which grows with the
+ * requests of the whole group. Beyond the number at which a pass takes as long as a pause
+ * may last, one more request would make all streams of the group late.
+ */
+public final class GroupLoad {
+
+	/** The part of the longest pause on time that a pass may take. */
+	private static final double PASS_SHARE = 0.85;
+
+	/** The part of a new pause in the mean. */
+	private static final double PAUSE_SHARE = 0.04;
+
+	/** Pauses beyond this many longest ones are stalls and say nothing of the load. */
+	private static final double STALL = 3;
+
+	/** After this time without an event the mean says nothing, in milliseconds. */
+	private static final long MEAN_LIFE_MILLIS = 2000;
+
+	/**
+	 * At least this part of the slots is always filled: fewer would leave engines idle
+	 * because of a pass that was slow for another reason.
+	 */
+	private static final double LEAST_SHARE = 0.55;
+
+	/** So many refusals in a row, by whatever ranks, close a group for a while. */
+	private static final int REFUSALS_TO_CLOSE = 3;
+
+	/** A group that lost a rank is formed anew within about a second. */
+	private static final long CLOSED_MILLIS = 400;
+
+	private final String name;
+
+	private int ranks;
+
+	private int load;
+
+	private double passMillis;
+
+	private double perRequestMillis;
+
+	private long observedMillis;
+
+	private int refusals;
+
+	private long closedUntilMillis;
+
+	GroupLoad(String name) {
+		this.name = name;
+	}
+
+	/**
+	 * Returns the group's name.
+	 * @return the name
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	void count(int nowRanks, int nowLoad) {
+		this.ranks = nowRanks;
+		this.load = nowLoad;
+	}
+
+	void sent() {
+		this.load++;
+	}
+
+	void ended() {
+		this.load--;
+	}
+
+	/**
+	 * Counts the requests that the group has, as far as is known.
+	 * @return a number of requests
+	 */
+	public int load() {
+		return this.load;
+	}
+
+	/**
+	 * Returns the time of a pass.
+	 * @return the mean, in milliseconds; 0 before any was seen
+	 */
+	public double passMillis() {
+		return this.passMillis;
+	}
+
+	/**
+	 * Takes note of a pause between two events of a stream.
+	 * @param pauseMillis the pause, in milliseconds
+	 * @param pauseTargetMillis the longest pause on time, in milliseconds
+	 * @param profile how fast the engines are
+	 * @param nowMillis the time, in milliseconds
+	 */
+	void paused(long pauseMillis, long pauseTargetMillis, EngineProfile profile, long nowMillis) {
+		this.refusals = 0;
+		if (pauseMillis > STALL * pauseTargetMillis) {
+			return;
+		}
+		boolean stale = nowMillis - this.observedMillis > MEAN_LIFE_MILLIS;
+		this.passMillis += (stale ? 1 : PAUSE_SHARE) * (pauseMillis - this.passMillis);
+		this.observedMillis = nowMillis;
+		double added = Math.max(0, this.passMillis - emptyPassMillis(profile));
+		double perRequest = added / Math.max(1, this.load);
+		this.perRequestMillis += (stale ? 1 : PAUSE_SHARE) * (perRequest - this.perRequestMillis);
+	}
+
+	private static double emptyPassMillis(EngineProfile profile) {
+		return profile.stepsPerPass() * profile.stepMillis();
+	}
+
+	/**
+	 * Returns how many requests the group can have with all streams on time.
+	 * @param pauseTargetMillis the longest pause on time, in milliseconds
+	 * @param profile how fast the engines are
+	 * @param nowMillis the time, in milliseconds
+	 * @return a number of requests
+	 */
+	int limit(long pauseTargetMillis, EngineProfile profile, long nowMillis) {
+		int slots = this.ranks * profile.slots();
+		boolean stale = nowMillis - this.observedMillis > MEAN_LIFE_MILLIS;
+		if (stale || this.perRequestMillis <= 0 || pauseTargetMillis <= 0) {
+			return slots;
+		}
+		double room = PASS_SHARE * pauseTargetMillis - emptyPassMillis(profile);
+		int limit = (int) (room / this.perRequestMillis);
+		return Math.max((int) Math.ceil(LEAST_SHARE * slots), Math.min(slots, limit));
+	}
+
+	/**
+	 * Takes note that a rank refused a request.
+	 * @param nowMillis the time, in milliseconds
+	 */
+	void refused(long nowMillis) {
+		this.refusals++;
+		if (this.refusals >= REFUSALS_TO_CLOSE) {
+			this.refusals = 0;
+			this.closedUntilMillis = nowMillis + CLOSED_MILLIS;
+		}
+	}
+
+	/**
+	 * Tells whether the group takes requests.
+	 * @param nowMillis the time, in milliseconds
+	 * @return false for a while after it has refused several
+	 */
+	boolean open(long nowMillis) {
+		return nowMillis >= this.closedUntilMillis;
+	}
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -65,9 +65,6 @@
 	/** Copies beyond this make a map late for the demand that it was planned for. */
 	private static final int COPIES_PER_RANK = 4;
 
-	/** A switch must take at least this much off the skew to be worth its orders. */
-	private static final double LEAST_GAIN = 0.04;
-
 	private final ObjectStore store;
 
 	private final VerifiedWrites writes;
@@ -248,7 +245,7 @@
 		DemandBook demand = this.demands.computeIfAbsent(service.name(),
 				(key) -> new DemandBook(profile.expertSets(), profile.experts(), DEMAND_HALF_LIFE_MILLIS));
 		IncrementalPlanner planner = new IncrementalPlanner(
-				new IncrementalPlanner.Caps(profile.newExpertsPerMap(), COPIES_PER_RANK, LEAST_GAIN));
+				new IncrementalPlanner.Caps(profile.newExpertsPerMap(), COPIES_PER_RANK, 0));
 		GroupBalancer balancer = new GroupBalancer(group, profile, this.calls, demand, this::fence, this, planner,
 				this.clock);
 		DutyThread groupThread = new DutyThread("experts-" + group, SMALL_RING, GROUP_TICK_MILLIS, balancer::round);
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -32,6 +32,15 @@
 	/** Below this many choices nothing is planned. */
 	private static final double LEAST_EVIDENCE = 500;
 
+	/** A switch must take at least this much off the skew to be worth its copies. */
+	private static final double LEAST_GAIN = 0.12;
+
+	/** The same while passes are short; both measured, see docs/design/platform.md. */
+	private static final double LEAST_GAIN_RELAXED = 0.3;
+
+	/** A pass below this is short: half of the usual pause on time, in milliseconds. */
+	private static final double RELAXED_PASS_MILLIS = 60;
+
 	/** How much longer than predicted copies are waited for before ranks are asked. */
 	private static final double COPY_SLACK = 1.02;
 
@@ -236,7 +245,8 @@
 		}
 		double[][] expected = this.demand.demand();
 		ExpertPlacement next = this.planner.plan(this.placement, expected);
-		if (next.equals(this.placement)) {
+		double gain = this.placement.skew(expected) - next.skew(expected);
+		if (gain < leastGain()) {
 			return;
 		}
 		int copies = mostCopies(this.placement, next);
@@ -255,6 +265,12 @@
 		EventLog.log(Event.MAP_SWITCH_DROPPED, "group", this.name, "version", version, "outcome", outcome);
 	}
 
+	// A pass that is short as it is makes no stream late; copies would only cost.
+	private double leastGain() {
+		boolean relaxed = this.steps.passMillis() < RELAXED_PASS_MILLIS;
+		return relaxed ? LEAST_GAIN_RELAXED : LEAST_GAIN;
+	}
+
 	private static double rounded(double value) {
 		return Math.round(value * 1000) / 1000.0;
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
@@ -9,11 +9,11 @@
  */
 final class StepClock {
 
-	/** How old a report may be, in milliseconds; the platform's word. */
-	private static final long REPORT_LAG_MILLIS = 250;
+	/** How old a report is, in milliseconds; the platform's word. */
+	private static final long REPORT_LAG_MILLIS = 200;
 
 	/** How long it takes to hold a pass, in milliseconds. */
-	private static final long ORDER_MILLIS = 40;
+	private static final long ORDER_MILLIS = 10;
 
 	/** The time of a pass before any was measured, in milliseconds. */
 	private static final double FIRST_PASS_MILLIS = 50;
@@ -25,7 +25,7 @@
 	private static final int SPARE_PASSES = 1;
 
 	/** How many more passes with each further try. */
-	private static final int PASSES_PER_TRY = 3;
+	private static final int PASSES_PER_TRY = 2;
 
 	/** The part of a new measurement in the mean. */
 	private static final double SHARE = 0.4;
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -31,10 +31,10 @@
 	private static final long CALL_MILLIS = 800;
 
 	/** The shortest time between reports to one peer, in milliseconds. */
-	private static final long LEAST_PERIOD_MILLIS = 250;
+	private static final long LEAST_PERIOD_MILLIS = 100;
 
-	/** What each further peer adds to that time, so that calls stay bounded. */
-	private static final long PERIOD_PER_PEER_MILLIS = 20;
+	/** The same for each peer that there is, so that calls stay bounded. */
+	private static final long PERIOD_PER_PEER_MILLIS = 15;
 
 	private static final int RING_SIZE = 1024;
 
@@ -109,7 +109,7 @@
 		if (nowMillis < this.nextRoundMillis) {
 			return;
 		}
-		this.nextRoundMillis = nowMillis + LEAST_PERIOD_MILLIS + PERIOD_PER_PEER_MILLIS * this.peers.known();
+		this.nextRoundMillis = nowMillis + Math.max(LEAST_PERIOD_MILLIS, PERIOD_PER_PEER_MILLIS * this.peers.known());
 		this.peers.age(nowMillis);
 		GatewayReport report = this.ownReport.get();
 		report.setKnownGateways(this.peers.liveAddresses());
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -185,7 +185,7 @@
 		long nowMillis = this.context.clock().nowMillis();
 		boolean failure = end != AttemptEnd.ANSWERED || this.status >= SERVER_ERROR;
 		if (end == AttemptEnd.REFUSED) {
-			this.backend.withdrawn();
+			this.backend.refused(nowMillis);
 		}
 		else if (failure) {
 			this.backend.failed(nowMillis);
--- a/gateway/src/main/java/org/snowwind/gateway/request/CallerRequest.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/CallerRequest.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 
 import org.snowwind.gateway.table.Route;
+import org.snowwind.gateway.table.ServiceEntry;
 
 /**
  * A caller's request, read and routed.
@@ -14,13 +15,18 @@
  * @param headers its headers by lower-case name
  * @param body its body
  * @param route where it goes
- * @param service the service of the route that it was drawn for
+ * @param destination the service of the route that it was drawn for
  * @param organisation whose request it is; {@code null} if nobody's
  * @param tableVersion the version of the table by which it was routed
  * @param arrivedMillis when its head arrived, in milliseconds
  */
 record CallerRequest(CallerHead head, String method, String target, String host, Map<String, String> headers,
-		byte[] body, Route route, String service, String organisation, long tableVersion, long arrivedMillis) {
+		byte[] body, Route route, ServiceEntry destination, String organisation, long tableVersion,
+		long arrivedMillis) {
+
+	String service() {
+		return this.destination.name();
+	}
 
 	String id() {
 		return this.head.requestId();
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -77,7 +77,7 @@
 		exchange.readBody(table.limits().maxBodyBytes(), (body) -> {
 			CallerRequest request = new CallerRequest(head, exchange.method(), exchange.target(),
 					exchange.header("Host"), headers, body, routed.route(),
-					routed.route().drawService(this.context.random()), routed.organisation(), table.version(),
+					table.target(routed.route(), this.context.random()), routed.organisation(), table.version(),
 					arrivedMillis);
 			logRouted(request);
 			new Relay(this.context, request, exchange, counted::ended).start();
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -11,6 +11,7 @@
 import org.snowwind.decide.outcome.NextStepRules;
 import org.snowwind.decide.outcome.Situation;
 import org.snowwind.gateway.backend.Backend;
+import org.snowwind.gateway.backend.Wanted;
 import org.snowwind.gateway.table.Repeat;
 import org.snowwind.http.server.HttpExchange;
 import org.snowwind.model.event.Event;
@@ -162,13 +163,14 @@
 	}
 
 	private Optional<Backend> choose() {
-		Optional<Backend> untried = this.context.backends()
-			.choose(this.request.service(), this.tried, this.timing.mayWait());
+		Wanted wanted = new Wanted(this.request.service(), this.tried, this.timing.mayWait(),
+				this.request.destination().engine(), this.request.route().pauseTargetMillis());
+		Optional<Backend> untried = this.context.backends().choose(wanted);
 		boolean allTried = !this.context.backends().anyLeft(this.request.service(), this.tried);
 		if (untried.isPresent() || !allTried) {
 			return untried;
 		}
-		return this.context.backends().choose(this.request.service(), Set.of(), this.timing.mayWait());
+		return this.context.backends().choose(wanted.anyServer());
 	}
 
 	private void sendTo(Backend backend, String lastEventId) {
@@ -179,14 +181,27 @@
 		this.sends++;
 		this.tried.add(backend.id());
 		EventLog.log(Event.REQUEST_SENT, "request", this.request.id(), "server", backend.id(), "attempt", this.sends,
-				"load", backend.load(), "slots", backend.entry().slots(), "registry",
-				this.context.backends().revision(), "remainingMillis", remaining);
+				"load", backend.load(), "group", groupOf(backend), "groupLoad", groupLoadOf(backend), "passMillis",
+				passMillisOf(backend), "slots", backend.entry().slots(), "registry", this.context.backends().revision(),
+				"remainingMillis", remaining);
 		this.answer = null;
 		this.attempt = new Attempt(this.context, this.request, backend, this);
 		this.attempt.send(remaining, (lastEventId != null) ? lastEventId : this.request.head().lastEventId(),
 				patience(remaining));
 	}
 
+	private static String groupOf(Backend backend) {
+		return (backend.group() != null) ? backend.group().name() : "";
+	}
+
+	private static int groupLoadOf(Backend backend) {
+		return (backend.group() != null) ? backend.group().load() : 0;
+	}
+
+	private static long passMillisOf(Backend backend) {
+		return (backend.group() != null) ? Math.round(backend.group().passMillis()) : 0;
+	}
+
 	private Attempt.Patience patience(long remaining) {
 		if (!this.request.route().repeatable()) {
 			return new Attempt.Patience(remaining, 0);
@@ -302,6 +317,9 @@
 			long pauseMillis = nowMillis - this.lastEventMillis;
 			this.longestPauseMillis = Math.max(this.longestPauseMillis, pauseMillis);
 			this.context.meters().pause(this.request.service(), pauseMillis);
+			this.attempt.backend()
+				.paused(pauseMillis, this.request.route().pauseTargetMillis(), this.request.destination().engine(),
+						nowMillis);
 		}
 		this.lastEventMillis = nowMillis;
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
@@ -22,8 +22,11 @@
 	/** A repeatable plain request is sent elsewhere after this part of its time. */
 	private static final double PLAIN_SHARE = 0.4;
 
-	/** How many requests may wait at an engine beyond those that run. */
-	private static final int WAITING_AT_ENGINE = 1;
+	/**
+	 * An engine that is full gets nothing more: it waits better where it can go
+	 * elsewhere.
+	 */
+	private static final int WAITING_AT_ENGINE = 0;
 
 	/** How many requests may wait at a plain server beyond those that run. */
 	private static final int WAITING_AT_PLAIN = 6;
--- a/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 /**
@@ -107,6 +108,17 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Draws the service of one request.
+	 * @param route the request's route
+	 * @param random the source of chance
+	 * @return the service; one that is not configured has no engine
+	 */
+	public ServiceEntry target(Route route, RandomGenerator random) {
+		String name = route.drawService(random);
+		return service(name).orElseGet(() -> new ServiceEntry(name, null));
+	}
+
 	/**
 	 * Returns all services.
 	 * @return the services by name
