--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
@@ -16,7 +15,6 @@
 import org.apache.thrift.transport.TTransportException;
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.config.settings.GatewaySettings;
-import org.snowwind.gateway.backend.Backend;
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.expert.ExpertDuty;
 import org.snowwind.gateway.expert.GroupDirectory;
@@ -159,8 +157,6 @@
 
 	private volatile Map<String, Integer> inFlight = Map.of();
 
-	private volatile List<String> leavingServers = List.of();
-
 	private volatile List<BackendEntry> ungrouped = List.of();
 
 	private volatile boolean draining;
@@ -275,12 +271,6 @@
 
 	private void tell() {
 		this.inFlight = this.backends.inFlight();
-		this.leavingServers = this.registries.current()
-			.servers()
-			.keySet()
-			.stream()
-			.filter((id) -> this.backends.find(id).filter(Backend::takesNewWork).isEmpty())
-			.toList();
 		this.ungrouped = this.tables.current()
 			.services()
 			.values()
@@ -293,7 +283,7 @@
 	private GatewayReport ownReport() {
 		return new GatewayReport(this.settings.name(), this.incarnation, Addresses.render(this.settings.peers()),
 				this.draining, this.tables.current().version(), this.registries.current().revision(), this.inFlight,
-				List.of(), this.leavingServers, this.experts.fence());
+				List.of(), this.experts.fence());
 	}
 
 	/**
@@ -420,11 +410,8 @@
 		}
 
 		@Override
-		public void peersChanged(Map<String, Integer> peersInFlight, Set<String> leaving) {
-			GatewayDaemon.this.loop.run(() -> {
-				GatewayDaemon.this.backends.peersInFlight(peersInFlight);
-				leaving.forEach((id) -> GatewayDaemon.this.backends.find(id).ifPresent(Backend::refusesNewWork));
-			});
+		public void peersChanged(Map<String, Integer> peersInFlight) {
+			GatewayDaemon.this.loop.run(() -> GatewayDaemon.this.backends.peersInFlight(peersInFlight));
 		}
 
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -169,7 +169,7 @@
 
 	private void publish(long nowMillis) {
 		this.view = new View(this.peers.known(), this.peers.liveNames(), this.peers.expertsPlanned());
-		this.consumers.peersChanged(this.peers.inFlight(nowMillis), this.peers.leavingServers());
+		this.consumers.peersChanged(this.peers.inFlight(nowMillis));
 	}
 
 	/**
@@ -211,9 +211,8 @@
 		/**
 		 * Peers have reported.
 		 * @param inFlight their requests by server id
-		 * @param leavingServers servers that take no new work
 		 */
-		void peersChanged(Map<String, Integer> inFlight, Set<String> leavingServers);
+		void peersChanged(Map<String, Integer> inFlight);
 
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
@@ -153,20 +153,6 @@
 		return sums;
 	}
 
-	/**
-	 * Lists servers of which a live peer knows that they take no new work.
-	 * @return ids of servers
-	 */
-	public Set<String> leavingServers() {
-		Set<String> leaving = new TreeSet<>();
-		this.byAddress.values().forEach((peer) -> {
-			if (peer.alive) {
-				leaving.addAll(peer.report.getLeavingServers());
-			}
-		});
-		return leaving;
-	}
-
 	/**
 	 * One peer.
 	 */
--- a/wire/snowwind.thrift
+++ b/wire/snowwind.thrift
@@ -108,10 +108,8 @@
   7: map<string, i32> inFlight
   /** Control addresses of gateways that the sender has heard of lately, itself left out. */
   8: list<string> knownGateways
-  /** Ids of backend servers of which the sender knows that they take no new work. */
-  9: list<string> leavingServers
   /** The fencing token by which the sender plans expert maps; 0 if it does not. */
-  10: i64 expertFence
+  9: i64 expertFence
 }
 
 enum GatewayDocument {
