--- a/balance/src/main/java/org/snowwind/balance/plan/IncrementalPlanner.java
+++ b/balance/src/main/java/org/snowwind/balance/plan/IncrementalPlanner.java
@@ -27,7 +27,7 @@
 	 * Plans the next placement.
 	 * @param current the placement in force
 	 * @param demand what each expert is asked for, by layer and expert
-	 * @return a better placement, or the current one if none is better by enough
+	 * @return the next placement, which may be the current one
 	 */
 	public ExpertPlacement plan(ExpertPlacement current, double[][] demand) {
 		List<LayerPlacement> layers = new ArrayList<>();
@@ -35,20 +35,19 @@
 			layers.add(current.layer(layer, demand[layer]));
 		}
 		CopyLedger ledger = new CopyLedger(this.caps, layers.size(), current.ranks());
+		double leastRelief = this.caps.leastRelief() * layers.stream().mapToDouble(LayerPlacement::meanLoad).sum();
 		boolean changed = true;
 		while (changed) {
-			changed = takeBest(layers, ledger);
+			changed = takeBest(layers, ledger, leastRelief);
 		}
-		ExpertPlacement planned = new ExpertPlacement(current.ranks(), current.slotsPerRank(),
+		return new ExpertPlacement(current.ranks(), current.slotsPerRank(),
 				layers.stream().map(LayerPlacement::toLists).toList());
-		boolean better = current.skew(demand) - planned.skew(demand) >= this.caps.leastGain();
-		return better ? planned : current;
 	}
 
-	private static boolean takeBest(List<LayerPlacement> layers, CopyLedger ledger) {
+	private static boolean takeBest(List<LayerPlacement> layers, CopyLedger ledger, double leastRelief) {
 		Change best = null;
 		int bestLayer = 0;
-		double bestRelief = 0;
+		double bestRelief = leastRelief;
 		for (int layer = 0; layer < layers.size(); layer++) {
 			int ofLayer = layer;
 			LayerPlacement placement = layers.get(layer);
@@ -83,9 +82,10 @@
 	 *
 	 * @param newPerLayer how many experts of one layer may be new to a rank
 	 * @param newPerRank how many experts of all layers may be new to a rank
-	 * @param leastGain by how much the skew must fall
+	 * @param leastRelief by how much a copy must relieve the hottest rank of a layer, in
+	 * parts of the mean load of all layers
 	 */
-	public record Caps(int newPerLayer, int newPerRank, double leastGain) {
+	public record Caps(int newPerLayer, int newPerRank, double leastRelief) {
 
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -60,11 +60,14 @@
 	private static final long VERSIONS_PER_TOKEN = 10_000;
 
 	/** Demand moves every few seconds; what is older says little. */
-	private static final double DEMAND_HALF_LIFE_MILLIS = 1500;
+	private static final double DEMAND_HALF_LIFE_MILLIS = 1000;
 
 	/** Copies beyond this make a map late for the demand that it was planned for. */
 	private static final int COPIES_PER_RANK = 4;
 
+	/** A copy must take this part of the mean load off the hottest rank. */
+	private static final double LEAST_RELIEF = 0.008;
+
 	private final ObjectStore store;
 
 	private final VerifiedWrites writes;
@@ -245,7 +248,7 @@
 		DemandBook demand = this.demands.computeIfAbsent(service.name(),
 				(key) -> new DemandBook(profile.expertSets(), profile.experts(), DEMAND_HALF_LIFE_MILLIS));
 		IncrementalPlanner planner = new IncrementalPlanner(
-				new IncrementalPlanner.Caps(profile.newExpertsPerMap(), COPIES_PER_RANK, 0));
+				new IncrementalPlanner.Caps(profile.newExpertsPerMap(), COPIES_PER_RANK, LEAST_RELIEF));
 		GroupBalancer balancer = new GroupBalancer(group, profile, this.calls, demand, this::fence, this, planner,
 				this.clock);
 		DutyThread groupThread = new DutyThread("experts-" + group, SMALL_RING, GROUP_TICK_MILLIS, balancer::round);
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -24,7 +24,7 @@
 final class GroupBalancer implements RankGroupPort {
 
 	/** How often counts are read, in milliseconds. */
-	private static final long COUNTS_MILLIS = 700;
+	private static final long COUNTS_MILLIS = 450;
 
 	/** Of how many ranks counts are read each time. */
 	private static final int COUNTED_RANKS = 2;
@@ -41,6 +41,9 @@
 	/** A pass below this is short: half of the usual pause on time, in milliseconds. */
 	private static final double RELAXED_PASS_MILLIS = 60;
 
+	/** How long the begin of a released pass is waited for at most, in milliseconds. */
+	private static final long MOST_SWITCH_MILLIS = 400;
+
 	/** How much longer than predicted copies are waited for before ranks are asked. */
 	private static final double COPY_SLACK = 1.02;
 
@@ -70,9 +73,7 @@
 
 	private ExpertPlacement placement;
 
-	private ExpertPlacement planned;
-
-	private long plannedVersion;
+	private long switchingTo;
 
 	private long epoch = -1;
 
@@ -124,14 +125,11 @@
 		if (ranks.get(0).report().epoch() != this.epoch && !adopt(ranks)) {
 			return;
 		}
-		readCounts(ranks);
-		if (this.plannedVersion != 0) {
-			settle(ranks);
-			return;
-		}
+		noteSwitch(ranks);
 		if (recover(ranks)) {
 			return;
 		}
+		readCounts(ranks);
 		improve(ranks);
 	}
 
@@ -161,8 +159,7 @@
 			byRank.add(holdings.get());
 		}
 		this.placement = placementOf(byRank);
-		this.planned = null;
-		this.plannedVersion = 0;
+		this.switchingTo = 0;
 		this.lastCounts.clear();
 		this.steps.reset();
 		this.epoch = ranks.get(0).report().epoch();
@@ -189,21 +186,23 @@
 	}
 
 	private boolean recover(List<Rank> ranks) {
+		long releasedBefore = this.mapSwitch.releasedStep();
 		Optional<SwitchOutcome> outcome = this.mapSwitch.recover(ranks);
-		outcome.ifPresent((ended) -> {
-			EventLog.log(Event.MAP_SWITCH_RECOVERED, "group", this.name, "outcome", ended);
-			this.epoch = -1;
-		});
-		return outcome.isPresent();
+		if (outcome.isEmpty() || this.mapSwitch.releasedStep() == releasedBefore) {
+			return false;
+		}
+		EventLog.log(Event.MAP_SWITCH_RECOVERED, "group", this.name, "outcome", outcome.get());
+		this.epoch = -1;
+		return true;
 	}
 
-	private void settle(List<Rank> ranks) {
-		boolean switched = ranks.stream().allMatch((rank) -> rank.report().mapVersion() == this.plannedVersion);
+	private void noteSwitch(List<Rank> ranks) {
+		boolean switched = this.switchingTo != 0
+				&& ranks.stream().allMatch((rank) -> rank.report().mapVersion() == this.switchingTo);
 		if (switched) {
-			EventLog.log(Event.MAP_SWITCHED, "group", this.name, "version", this.plannedVersion, "passMillis",
+			EventLog.log(Event.MAP_SWITCHED, "group", this.name, "version", this.switchingTo, "passMillis",
 					Math.round(this.steps.passMillis()));
-			this.placement = this.planned;
-			this.plannedVersion = 0;
+			this.switchingTo = 0;
 		}
 	}
 
@@ -258,8 +257,10 @@
 		long copyMillis = Math.round(copies * this.profile.copyMillis() * COPY_SLACK);
 		SwitchOutcome outcome = this.mapSwitch.run(ranks, new MapOrder.Prepare(version, byRank(next)), copyMillis);
 		if (outcome == SwitchOutcome.RELEASED) {
-			this.planned = next;
-			this.plannedVersion = version;
+			this.placement = next;
+			this.switchingTo = version;
+			// Until the pass begins the ranks refuse another map.
+			pause(Math.min(MOST_SWITCH_MILLIS, this.steps.millisUntil(this.mapSwitch.releasedStep())));
 			return;
 		}
 		EventLog.log(Event.MAP_SWITCH_DROPPED, "group", this.name, "version", version, "outcome", outcome);
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -19,16 +19,13 @@
  */
 final class MapSwitch {
 
-	/** How long one order is given again before anything is held. */
-	private static final int PREPARE_TRIES = 4;
+	/** How often ranks are told to prepare, and so asked whether they have. */
+	private static final int PREPARE_TRIES = 14;
 
 	/** How many passes are tried to be held; each is further ahead. */
 	private static final int HOLD_TRIES = 6;
 
-	/** How long after the expected time copies may take, in polls. */
-	private static final int PREPARED_POLLS = 25;
-
-	private static final long POLL_MILLIS = 60;
+	private static final long POLL_MILLIS = 40;
 
 	private static final long RETRY_MILLIS = 15;
 
@@ -39,6 +36,8 @@
 
 	private final StepClock steps;
 
+	private long releasedStep = RankReport.NOT_HELD;
+
 	/**
 	 * Creates a switch.
 	 * @param group the ranks
@@ -57,49 +56,25 @@
 	 * @return how it ended
 	 */
 	SwitchOutcome run(List<Rank> ranks, MapOrder.Prepare prepare, long copyMillis) {
-		Optional<SwitchOutcome> failed = prepare(ranks, prepare);
-		if (failed.isPresent()) {
-			return failed.get();
-		}
-		this.group.pause(copyMillis);
-		if (!prepared(ranks, prepare.version())) {
-			return SwitchOutcome.DROPPED;
-		}
-		return holdAndArm(ranks, prepare.version());
-	}
-
-	private Optional<SwitchOutcome> prepare(List<Rank> ranks, MapOrder.Prepare prepare) {
 		List<Rank> pending = new ArrayList<>(ranks);
 		for (int attempt = 0; attempt < PREPARE_TRIES && !pending.isEmpty(); attempt++) {
 			List<OrderResult> results = this.group.order(pending, prepare);
 			Optional<SwitchOutcome> lost = lostTo(results);
 			if (lost.isPresent()) {
-				return lost;
-			}
-			if (attempt == 0 && results.contains(OrderResult.UNFIT)) {
-				return Optional.of(SwitchOutcome.DROPPED);
+				return lost.get();
 			}
-			pending = unanswered(pending, results);
-		}
-		// A lost answer is made up for by the rank's report of what it has prepared.
-		return Optional.empty();
-	}
-
-	private boolean prepared(List<Rank> ranks, long version) {
-		for (int poll = 0; poll < PREPARED_POLLS && this.group.onDuty(); poll++) {
-			List<Rank> now = this.group.reports();
-			this.steps.observe(now);
-			if (formedAnew(ranks, now)) {
-				return false;
+			if (results.contains(OrderResult.UNFIT)) {
+				return SwitchOutcome.DROPPED;
 			}
-			boolean all = now.size() == ranks.size()
-					&& now.stream().allMatch((rank) -> rank.report().preparedVersion() == version);
-			if (all) {
-				return true;
+			pending = without(pending, results, OrderResult.TAKEN);
+			if (!pending.isEmpty()) {
+				// The same order again tells whether the copies are done, and makes up
+				// for a
+				// lost one.
+				this.group.pause((attempt == 0) ? copyMillis : POLL_MILLIS);
 			}
-			this.group.pause(POLL_MILLIS);
 		}
-		return false;
+		return pending.isEmpty() ? holdAndArm(ranks, prepare.version()) : SwitchOutcome.DROPPED;
 	}
 
 	private SwitchOutcome holdAndArm(List<Rank> ranks, long version) {
@@ -146,7 +121,7 @@
 			if (!this.group.onDuty()) {
 				return SwitchOutcome.FENCED;
 			}
-			pending = unanswered(pending, results);
+			pending = without(pending, results, OrderResult.TAKEN);
 			if (!pending.isEmpty()) {
 				this.group.pause(RETRY_MILLIS);
 			}
@@ -162,7 +137,9 @@
 			if (lost.isPresent()) {
 				return lost.get();
 			}
-			pending = unanswered(pending, results);
+			// Unfit means that the pass has begun after all, and with it the map.
+			pending = without(without(pending, results, OrderResult.TAKEN), without(results, OrderResult.TAKEN),
+					OrderResult.UNFIT);
 			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.reports())) {
 				return SwitchOutcome.FORMED_ANEW;
 			}
@@ -179,18 +156,19 @@
 	 * @return the outcome, or that the duty or the group is lost
 	 */
 	SwitchOutcome release(List<Rank> ranks, Rank holder, long step, SwitchOutcome outcome) {
+		this.releasedStep = step;
 		OrderResult result = untilAnswered(holder, new MapOrder.Release(step), ranks);
 		return switch (result) {
 			case TAKEN, UNFIT -> outcome;
 			case FENCED -> SwitchOutcome.FENCED;
-			case RESTARTED, UNKNOWN -> SwitchOutcome.FORMED_ANEW;
+			case RESTARTED, UNKNOWN, BEGUN -> SwitchOutcome.FORMED_ANEW;
 		};
 	}
 
 	private OrderResult untilAnswered(Rank rank, MapOrder order, List<Rank> ranks) {
 		for (int attempt = 1; this.group.onDuty(); attempt++) {
 			OrderResult result = this.group.order(List.of(rank), order).get(0);
-			if (result != OrderResult.UNKNOWN) {
+			if (result != OrderResult.UNKNOWN && result != OrderResult.BEGUN) {
 				return result;
 			}
 			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.reports())) {
@@ -201,6 +179,14 @@
 		return OrderResult.FENCED;
 	}
 
+	/**
+	 * Returns the pass that was released last.
+	 * @return the pass, {@link RankReport#NOT_HELD} if none was
+	 */
+	long releasedStep() {
+		return this.releasedStep;
+	}
+
 	/**
 	 * Finishes or frees what another owner has left half done.
 	 * @param ranks all ranks of the group
@@ -212,6 +198,11 @@
 			return Optional.empty();
 		}
 		long step = holder.get().report().heldStep();
+		if (step == this.releasedStep) {
+			// The report is older than the release, or the hold was carried out again,
+			// late.
+			return Optional.of(release(ranks, holder.get(), step, SwitchOutcome.RELEASED));
+		}
 		long version = ranks.stream().mapToLong((rank) -> rank.report().preparedVersion()).min().orElse(0);
 		boolean preparedByAll = version != 0 && ranks.stream()
 			.allMatch((rank) -> rank.report().preparedVersion() == version && rank.report().mapVersion() < version);
@@ -228,16 +219,20 @@
 		return results.contains(OrderResult.RESTARTED) ? Optional.of(SwitchOutcome.FORMED_ANEW) : Optional.empty();
 	}
 
-	private static List<Rank> unanswered(List<Rank> ranks, List<OrderResult> results) {
+	private static List<Rank> without(List<Rank> ranks, List<OrderResult> results, OrderResult done) {
 		List<Rank> pending = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i++) {
-			if (results.get(i) == OrderResult.UNKNOWN) {
+			if (results.get(i) != done) {
 				pending.add(ranks.get(i));
 			}
 		}
 		return pending;
 	}
 
+	private static List<OrderResult> without(List<OrderResult> results, OrderResult done) {
+		return results.stream().filter((result) -> result != done).toList();
+	}
+
 	private static boolean formedAnew(List<Rank> before, List<Rank> now) {
 		long epoch = before.get(0).report().epoch();
 		return now.stream()
--- a/gateway/src/main/java/org/snowwind/gateway/expert/OrderResult.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/OrderResult.java
@@ -5,9 +5,12 @@
  */
 public enum OrderResult {
 
-	/** The rank does it, or it is done already. */
+	/** It is done. */
 	TAKEN,
 
+	/** The rank has begun it and is not done. */
+	BEGUN,
+
 	/** It does not fit the rank's state, and will not be done. */
 	UNFIT,
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
@@ -76,6 +76,16 @@
 		return this.step + passes + SPARE_PASSES + (long) PASSES_PER_TRY * attempt;
 	}
 
+	/**
+	 * Predicts when a pass begins.
+	 * @param pass the pass
+	 * @return in how long, in milliseconds; 0 if it should have begun
+	 */
+	long millisUntil(long pass) {
+		double atMillis = this.seenMillis - REPORT_LAG_MILLIS + (pass - this.step) * this.passMillis;
+		return Math.max(0, Math.round(atMillis - this.clock.nowMillis()));
+	}
+
 	/**
 	 * Returns the time of a pass.
 	 * @return the mean, in milliseconds
--- a/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankGroup.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankGroup.java
@@ -280,7 +280,8 @@
 
 		private OrderResult prepare(MapOrder.Prepare prepare) {
 			if (prepare.version() == this.preparedVersion) {
-				return OrderResult.TAKEN;
+				boolean copied = FakeRankGroup.this.nowMillis >= this.preparedMillis;
+				return copied ? OrderResult.TAKEN : OrderResult.BEGUN;
 			}
 			if (prepare.version() <= this.highestVersion || this.armedVersion != 0) {
 				return OrderResult.UNFIT;
@@ -289,7 +290,7 @@
 			this.preparedVersion = prepare.version();
 			this.preparedContent = prepare.expertsOfRank().hashCode();
 			this.preparedMillis = FakeRankGroup.this.nowMillis + 300;
-			return OrderResult.TAKEN;
+			return OrderResult.BEGUN;
 		}
 
 		private OrderResult arm(MapOrder.Arm arm) {
