--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -79,6 +79,11 @@
 
 	private SwitchOutcome holdAndArm(List<Rank> ranks, long version) {
 		Rank holder = ranks.get(0);
+		List<Rank> now = this.group.reports();
+		if (formedAnew(ranks, now)) {
+			return SwitchOutcome.FORMED_ANEW;
+		}
+		this.steps.observe(now);
 		for (int attempt = 0; attempt < HOLD_TRIES; attempt++) {
 			long step = this.steps.stepAhead(attempt);
 			OrderResult held = untilAnswered(holder, new MapOrder.Hold(step), ranks);
--- a/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
@@ -15,6 +15,9 @@
 	/** How long it takes to hold a pass, in milliseconds. */
 	private static final long ORDER_MILLIS = 10;
 
+	/** Beyond this age a step that was seen is not extrapolated, in milliseconds. */
+	private static final long MOST_SINCE_MILLIS = 500;
+
 	/** The time of a pass before any was measured, in milliseconds. */
 	private static final double FIRST_PASS_MILLIS = 50;
 
@@ -71,7 +74,9 @@
 	 * @return the pass
 	 */
 	long stepAhead(int attempt) {
-		long sinceMillis = this.clock.nowMillis() - this.seenMillis + REPORT_LAG_MILLIS + ORDER_MILLIS;
+		// A group whose step has not changed for long has no work and makes no passes.
+		long sinceMillis = Math.min(MOST_SINCE_MILLIS, this.clock.nowMillis() - this.seenMillis) + REPORT_LAG_MILLIS
+				+ ORDER_MILLIS;
 		long passes = (long) Math.ceil(sinceMillis / this.passMillis);
 		return this.step + passes + SPARE_PASSES + (long) PASSES_PER_TRY * attempt;
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/expert/MapSwitchTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/MapSwitchTests.java
@@ -56,6 +56,23 @@
 		assertThat(group.held()).isFalse();
 	}
 
+	@Test
+	void aGroupThatWasIdleForLongSwitchesWithinAFewPasses() {
+		FakeRankGroup group = new FakeRankGroup(4, this.clock, new Random(1));
+		StepClock steps = new StepClock(this.clock);
+		RankGroupPort port = group.port(1, Integer.MAX_VALUE);
+		group.advance(200);
+		steps.observe(port.reports());
+		group.busy(false);
+		group.advance(12_000);
+		steps.observe(port.reports());
+		group.busy(true);
+		group.advance(400);
+		assertThat(new MapSwitch(port, steps).run(port.reports(), map(7), 300)).isEqualTo(SwitchOutcome.RELEASED);
+		group.advance(1000);
+		assertThat(group.mapVersion()).isEqualTo(7);
+	}
+
 	@Test
 	void anOwnerWithAnOldTokenStopsAtItsFirstRefusal() {
 		FakeRankGroup group = new FakeRankGroup(4, this.clock, new Random(1));
