Wait for a silent server where no other may take over

Cause: a stream of a route with one attempt was given up after a second of silence with 502, though its server answered later. Change: the bounds on silence hold only while another attempt is allowed.

--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -202,8 +202,10 @@
 		return (backend.group() != null) ? Math.round(backend.group().passMillis()) : 0;
 	}
 
+	// A silent server is given up only where another one may still take over.
 	private Attempt.Patience patience(long remaining) {
-		if (!this.request.route().repeatable()) {
+		boolean lastAttempt = this.runs + 1 >= this.request.route().maxAttempts();
+		if (!this.request.route().repeatable() || lastAttempt) {
 			return new Attempt.Patience(remaining, 0);
 		}
 		long first = Math.min(remaining, this.timing.firstByteMillis(remaining));
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
@@ -273,6 +273,17 @@
 		over.countDown();
 	}
 
+	@Test
+	void aSilentServerIsWaitedForWhereNoOtherMayTakeOver() throws IOException {
+		this.gateway.server((request, answer) -> {
+			answer.until(new CountDownLatch(1), GatewayFixture.TIMEOUT_MILLIS - 300);
+			answer.raw(CHUNKED);
+			answer.chunk("id: 1\ndata: late\n\n");
+			answer.raw("0\r\n\r\n");
+		});
+		assertThat(this.gateway.call("/single/a")).contains("data: late").endsWith("0\r\n\r\n");
+	}
+
 	@Test
 	void aCallerThatLeavesEndsTheServersWork() throws Exception {
 		CompletableFuture<Boolean> closed = new CompletableFuture<>();
