--- a/app/src/main/java/org/snowwind/app/logging/RingHandler.java
+++ b/app/src/main/java/org/snowwind/app/logging/RingHandler.java
@@ -10,6 +10,7 @@
 import java.util.logging.LogRecord;
 
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
+import org.snowwind.model.event.Event;
 
 /**
  * Hands log lines to one writing thread through a bounded ring and never waits for it.
@@ -99,7 +100,8 @@
 		}
 		long missing = this.leftOut.getAndSet(0);
 		if (missing > 0) {
-			LogRecord note = new LogRecord(Level.WARNING, "SW-5002 log lines left out lines=" + missing);
+			Event event = Event.LOG_LINES_LEFT_OUT;
+			LogRecord note = new LogRecord(event.level(), event.id() + " " + event.summary() + " lines=" + missing);
 			batch.append(getFormatter().format(note));
 		}
 		byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/explain/RequestStoryTests.java
@@ -0,0 +1,67 @@
+package org.snowwind.app.explain;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RequestStory} on recorded lines.
+ */
+class RequestStoryTests {
+
+	private static final String ROUTED = "3.5 front-2 {\"time\":\"2026-07-13T09:23:14.585Z\",\"level\":\"INFO\","
+			+ "\"event\":\"SW-4101\",\"message\":\"request routed\",\"request\":\"bc48\",\"route\":\"r-1\",\"table\":12}";
+
+	private static final String SENT = "3.5 front-2 {\"time\":\"2026-07-13T09:23:14.586Z\",\"level\":\"INFO\","
+			+ "\"event\":\"SW-4102\",\"message\":\"request sent\",\"request\":\"bc48\",\"server\":\"i-1\",\"attempt\":1}";
+
+	private static final String LOST = "4.5 front-2 {\"time\":\"2026-07-13T09:23:15.587Z\",\"level\":\"INFO\","
+			+ "\"event\":\"SW-4103\",\"message\":\"attempt ended\",\"request\":\"bc48\",\"server\":\"i-1\","
+			+ "\"end\":\"LOST_FOR_GOOD\",\"status\":0,\"cause\":\"no answer\",\"tookMillis\":1001}";
+
+	private static final String ENDED = "4.5 front-2 {\"time\":\"2026-07-13T09:23:15.588Z\",\"level\":\"INFO\","
+			+ "\"event\":\"SW-4104\",\"message\":\"request ended\",\"request\":\"bc48\",\"outcome\":\"backend-failed\","
+			+ "\"ran\":\"unknown\",\"sends\":1,\"tookMillis\":1002}";
+
+	private static final String OTHER = ENDED.replace("bc48", "ffff");
+
+	@Test
+	void stepsComeInOrderAndTheCauseLast() {
+		List<String> story = RequestStory.of("bc48", List.of(ENDED, OTHER, SENT, "noise bc48", LOST, ROUTED)).render();
+		assertThat(story).hasSize(5);
+		assertThat(story.get(0)).contains("0 ms").contains("SW-4101").contains("route=r-1");
+		assertThat(story.get(2)).contains("1002 ms").contains("end=LOST_FOR_GOOD");
+		assertThat(story.get(4)).isEqualTo("cause: a server failed after the request may have run; the last attempt, "
+				+ "at i-1, ended LOST_FOR_GOOD (no answer)");
+	}
+
+	@Test
+	void aRequestWithoutAnEndIsSaidSo() {
+		assertThat(RequestStory.of("bc48", List.of(ROUTED, SENT)).cause()).contains("its end was not logged");
+	}
+
+	@Test
+	void anUnknownRequestIsSaidSo() {
+		RequestStory story = RequestStory.of("0000", List.of(ROUTED));
+		assertThat(story.known()).isFalse();
+		assertThat(story.render()).containsExactly("cause: no line names request 0000");
+	}
+
+	@Test
+	void aRefusalNamesItsKindAndTable() {
+		String refused = ROUTED.replace("SW-4101", "SW-4105").replace("\"route\":\"r-1\"", "\"kind\":\"unknown-path\"");
+		assertThat(RequestStory.of("bc48", List.of(refused)).cause())
+			.isEqualTo("refused before anything was sent: unknown-path by table 12");
+	}
+
+	@Test
+	void aLateAnswerNamesItsPauses() {
+		String late = ENDED.replace("backend-failed", "200")
+			.replace("\"sends\":1", "\"firstMillis\":180,\"pauseMillis\":240");
+		assertThat(RequestStory.of("bc48", List.of(ROUTED, late)).cause())
+			.isEqualTo("answered with 200; first byte after 180 ms, longest pause 240 ms");
+	}
+
+}
--- a/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
+++ b/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
@@ -50,7 +50,8 @@
 	}
 
 	private static WatchResult changed(StoredObject... objects) {
-		return new WatchResult.Changes(List.of(objects), objects[objects.length - 1].revision());
+		return new WatchResult.Changes(List.of(objects),
+				(objects.length > 0) ? objects[objects.length - 1].revision() : 0);
 	}
 
 	@Test
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -3,6 +3,8 @@
 import org.snowwind.decide.choice.Breaker;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.table.EngineProfile;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
 
 /**
  * One run of a backend server as this process sees it. Confined to the loop.
@@ -18,6 +20,8 @@
 	/** Within this time a failure rate halves if nothing is sent, in milliseconds. */
 	private static final double FAILURE_HALF_LIFE_MILLIS = 3000;
 
+	private static final double PERCENT = 100;
+
 	/**
 	 * Two failures in a row eject a server for half a second, since a server that crashed
 	 * is gone for seconds; it comes back within a second.
@@ -32,6 +36,8 @@
 
 	private boolean refusesNewWork;
 
+	private boolean ejected;
+
 	private GroupLoad group;
 
 	private int inFlight;
@@ -76,6 +82,9 @@
 	 * Takes note that the server takes no new work, whatever its entry says.
 	 */
 	public void refusesNewWork() {
+		if (takesNewWork()) {
+			EventLog.log(Event.SERVER_DRAINING, "server", id(), "source", "its own refusal");
+		}
 		this.refusesNewWork = true;
 	}
 
@@ -167,6 +176,10 @@
 	public void answered(long tookMillis, long nowMillis) {
 		ended();
 		this.breaker.succeeded(nowMillis);
+		if (this.ejected) {
+			this.ejected = false;
+			EventLog.log(Event.SERVER_RETURNED, "server", id());
+		}
 		this.answerMillis += ((this.answerMillis == 0) ? 1 : ANSWER_SHARE) * (tookMillis - this.answerMillis);
 		noteOutcome(0, nowMillis);
 	}
@@ -179,6 +192,10 @@
 		ended();
 		this.breaker.failed(nowMillis);
 		noteOutcome(1, nowMillis);
+		if (!this.ejected && !this.breaker.allows(nowMillis)) {
+			this.ejected = true;
+			EventLog.log(Event.SERVER_EJECTED, "server", id(), "failureRate", Math.round(PERCENT * this.failureRate));
+		}
 	}
 
 	/**
