Turn callers away once at most, and give orders again sooner

Change: a caller with less time than its route allows has been here before and may fill a group to 1.2 of its limit; times to come back are longer, and longest while every group is closed; an order is given again after 80 ms, and passes are held further ahead where orders go unanswered; groups are filled up to a mean pass of 72 ms.

--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -161,13 +161,25 @@
 		if (group == null || wanted.engine() == null) {
 			return view.fullness();
 		}
-		int limit = group.limit(wanted.pauseTargetMillis(), wanted.engine(), nowMillis);
+		double limit = wanted.limit(group.limit(wanted.pauseTargetMillis(), wanted.engine(), nowMillis));
 		if (!group.open(nowMillis) || group.load() >= limit) {
 			return NO_ROOM;
 		}
 		return view.fullness() + (group.load() + 1.0) / limit;
 	}
 
+	/**
+	 * Tells whether a service has servers and all of them refuse for now.
+	 * @param service the service's name
+	 * @return true if each is in a group that is closed
+	 */
+	public boolean allClosed(String service) {
+		long nowMillis = this.clock.nowMillis();
+		List<Backend> servers = of(service);
+		return !servers.isEmpty()
+				&& servers.stream().allMatch((backend) -> backend.group() != null && !backend.group().open(nowMillis));
+	}
+
 	/**
 	 * Lists servers of which it is not known which group they are in.
 	 * @param service the service's name
--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -14,7 +14,7 @@
 public final class GroupLoad {
 
 	/** The part of the longest pause on time that a pass may take. */
-	private static final double PASS_SHARE = 0.65;
+	private static final double PASS_SHARE = 0.6;
 
 	/** The part of a new pause in the mean. */
 	private static final double PAUSE_SHARE = 0.04;
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Wanted.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Wanted.java
@@ -13,15 +13,32 @@
  * @param engine how fast the engines of the service are; {@code null} for a plain service
  * @param pauseTargetMillis the longest pause between events that is on time, in
  * milliseconds
+ * @param returned whether the caller was turned away before; it goes before others
  */
-public record Wanted(String service, Set<String> tried, int mayWait, EngineProfile engine, long pauseTargetMillis) {
+public record Wanted(String service, Set<String> tried, int mayWait, EngineProfile engine, long pauseTargetMillis,
+		boolean returned) {
+
+	/**
+	 * The part of a group's limit that a request may fill whose caller was turned away
+	 * before: better one pass a little longer than a caller turned away twice.
+	 */
+	private static final double RETURNED_SHARE = 1.2;
+
+	/**
+	 * Returns how many requests a group may have for this one to be added.
+	 * @param limit at which all its streams are on time
+	 * @return a number of requests
+	 */
+	double limit(int limit) {
+		return this.returned ? RETURNED_SHARE * limit : limit;
+	}
 
 	/**
 	 * Returns the same need, whichever servers were tried.
 	 * @return a new need
 	 */
 	public Wanted anyServer() {
-		return new Wanted(this.service, Set.of(), this.mayWait, this.engine, this.pauseTargetMillis);
+		return new Wanted(this.service, Set.of(), this.mayWait, this.engine, this.pauseTargetMillis, this.returned);
 	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -20,7 +20,10 @@
 final class MapSwitch {
 
 	/** How often ranks are told to prepare, and so asked whether they have. */
-	private static final int PREPARE_TRIES = 14;
+	private static final int PREPARE_TRIES = 25;
+
+	/** How many passes further ahead a pass is held where orders go unanswered. */
+	private static final int PASSES_FOR_REPEATS = 3;
 
 	/** How many passes are tried to be held; each is further ahead. */
 	private static final int HOLD_TRIES = 6;
@@ -36,6 +39,9 @@
 
 	private final StepClock steps;
 
+	/** How many orders of the last switch got no answer. */
+	private int unanswered;
+
 	private long releasedStep = RankReport.NOT_HELD;
 
 	/**
@@ -58,7 +64,7 @@
 	SwitchOutcome run(List<Rank> ranks, MapOrder.Prepare prepare, long copyMillis) {
 		List<Rank> pending = new ArrayList<>(ranks);
 		for (int attempt = 0; attempt < PREPARE_TRIES && !pending.isEmpty(); attempt++) {
-			List<OrderResult> results = this.group.order(pending, prepare);
+			List<OrderResult> results = give(pending, prepare);
 			Optional<SwitchOutcome> lost = lostTo(results);
 			if (lost.isPresent()) {
 				return lost.get();
@@ -84,8 +90,11 @@
 			return SwitchOutcome.FORMED_ANEW;
 		}
 		this.steps.observe(now);
+		// Where orders go unanswered some must be given twice, which takes passes.
+		int spare = (this.unanswered > 0) ? PASSES_FOR_REPEATS : 0;
+		this.unanswered = 0;
 		for (int attempt = 0; attempt < HOLD_TRIES; attempt++) {
-			long step = this.steps.stepAhead(attempt);
+			long step = this.steps.stepAhead(attempt) + spare;
 			OrderResult held = untilAnswered(holder, new MapOrder.Hold(step), ranks);
 			if (held == OrderResult.TAKEN) {
 				return arm(ranks, holder, version, step);
@@ -111,7 +120,7 @@
 	SwitchOutcome arm(List<Rank> ranks, Rank holder, long version, long step) {
 		List<Rank> pending = new ArrayList<>(ranks);
 		for (int attempt = 1; !pending.isEmpty(); attempt++) {
-			List<OrderResult> results = this.group.order(pending, new MapOrder.Arm(version, step));
+			List<OrderResult> results = give(pending, new MapOrder.Arm(version, step));
 			Optional<SwitchOutcome> lost = lostTo(results);
 			if (lost.isPresent()) {
 				return lost.get();
@@ -137,7 +146,7 @@
 	private SwitchOutcome takeBack(List<Rank> ranks, Rank holder, long version, long step) {
 		List<Rank> pending = new ArrayList<>(ranks);
 		for (int attempt = 1; !pending.isEmpty(); attempt++) {
-			List<OrderResult> results = this.group.order(pending, new MapOrder.Disarm(version));
+			List<OrderResult> results = give(pending, new MapOrder.Disarm(version));
 			Optional<SwitchOutcome> lost = lostTo(results);
 			if (lost.isPresent()) {
 				return lost.get();
@@ -172,7 +181,7 @@
 
 	private OrderResult untilAnswered(Rank rank, MapOrder order, List<Rank> ranks) {
 		for (int attempt = 1; this.group.onDuty(); attempt++) {
-			OrderResult result = this.group.order(List.of(rank), order).get(0);
+			OrderResult result = give(List.of(rank), order).get(0);
 			if (result != OrderResult.UNKNOWN && result != OrderResult.BEGUN) {
 				return result;
 			}
@@ -224,6 +233,12 @@
 		return results.contains(OrderResult.RESTARTED) ? Optional.of(SwitchOutcome.FORMED_ANEW) : Optional.empty();
 	}
 
+	private List<OrderResult> give(List<Rank> ranks, MapOrder order) {
+		List<OrderResult> results = this.group.order(ranks, order);
+		this.unanswered += (int) results.stream().filter((result) -> result == OrderResult.UNKNOWN).count();
+		return results;
+	}
+
 	private static List<Rank> without(List<Rank> ranks, List<OrderResult> results, OrderResult done) {
 		List<Rank> pending = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i++) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
@@ -21,9 +21,15 @@
 
 	private static final int OK = 200;
 
-	/** A rank answers within some milliseconds; an order that is not answered is lost. */
+	/** A rank answers a question within some milliseconds. */
 	private static final long CALL_MILLIS = 250;
 
+	/**
+	 * An order that is not answered so soon is given again, since a group may be waiting
+	 * for it; ten times the way to another data centre and back.
+	 */
+	private static final long ORDER_MILLIS = 80;
+
 	private final JsonClient client;
 
 	private final RankProtocol protocol;
@@ -122,7 +128,7 @@
 		for (Rank rank : ranks) {
 			JsonNode body = this.protocol.body(order, rank.report().epoch(), fence);
 			pending.add(this.client.start("POST", "http://" + rank.address() + this.protocol.orderPath(),
-					this.protocol.headers(rank.serverId()), body, CALL_MILLIS));
+					this.protocol.headers(rank.serverId()), body, ORDER_MILLIS));
 		}
 		List<OrderResult> results = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i++) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -164,7 +164,7 @@
 
 	private Optional<Backend> choose() {
 		Wanted wanted = new Wanted(this.request.service(), this.tried, this.timing.mayWait(),
-				this.request.destination().engine(), this.request.route().pauseTargetMillis());
+				this.request.destination().engine(), this.request.route().pauseTargetMillis(), returned());
 		Optional<Backend> untried = this.context.backends().choose(wanted);
 		boolean allTried = !this.context.backends().anyLeft(this.request.service(), this.tried);
 		if (untried.isPresent() || !allTried) {
@@ -173,6 +173,11 @@
 		return this.context.backends().choose(wanted.anyServer());
 	}
 
+	private boolean returned() {
+		return this.sends > 0
+				|| Timing.returned(this.request.head().patienceMillis(), this.request.route().timeoutMillis());
+	}
+
 	private void sendTo(Backend backend, String lastEventId) {
 		long remaining = remainingMillis();
 		if (this.sends > 0) {
@@ -258,7 +263,8 @@
 		if (disclosure != Disclosure.NOT_RUN) {
 			return problem;
 		}
-		return problem.retryAfter(this.timing.retryAfterMillis(remainingMillis(), this.context.random()));
+		boolean allClosed = this.context.backends().allClosed(this.request.service());
+		return problem.retryAfter(this.timing.retryAfterMillis(remainingMillis(), allClosed, this.context.random()));
 	}
 
 	private void close(Disclosure disclosure, String outcome) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
@@ -31,13 +31,19 @@
 	/** How many requests may wait at a plain server beyond those that run. */
 	private static final int WAITING_AT_PLAIN = 6;
 
-	/** The least and the spread of the time to come back, in parts of the target. */
-	private static final double RETRY_LEAST = 0.4;
+	/** The least time to come back and its spread, in parts of the target. */
+	private static final double RETRY_LEAST = 1.2;
 
-	private static final double RETRY_SPREAD = 0.8;
+	private static final double RETRY_SPREAD = 1.6;
 
 	/** Callers come back only if it takes less than a third of the time that is left. */
-	private static final double RETRY_MOST = 0.3;
+	private static final double RETRY_MOST = 0.31;
+
+	/** The least part of that time where no server takes anything. */
+	private static final double RETRY_CLOSED = 0.75;
+
+	/** A request has lost at least so much time when its caller comes back. */
+	private static final long RETURNED_MILLIS = 100;
 
 	static Timing of(Route route) {
 		return new Timing(route.repeat() == Repeat.STREAM, route.targetMillis());
@@ -58,9 +64,32 @@
 		return this.stream ? STREAM_SILENCE_MILLIS : 0;
 	}
 
-	long retryAfterMillis(long remainingMillis, RandomGenerator random) {
+	/**
+	 * Returns when a caller that is turned away should come back.
+	 * @param remainingMillis the time that it has, in milliseconds
+	 * @param allClosed whether no server takes anything now, which lasts for seconds
+	 * @param random spreads the callers
+	 * @return the time, in milliseconds
+	 */
+	long retryAfterMillis(long remainingMillis, boolean allClosed, RandomGenerator random) {
+		double most = RETRY_MOST * remainingMillis;
+		if (allClosed) {
+			return Math.max(1, (long) (most * (RETRY_CLOSED + (1 - RETRY_CLOSED) * random.nextDouble())));
+		}
 		double wanted = this.targetMillis * (RETRY_LEAST + RETRY_SPREAD * random.nextDouble());
-		return Math.max(1, (long) Math.min(wanted, RETRY_MOST * remainingMillis));
+		return Math.max(1, (long) Math.min(wanted, most));
+	}
+
+	/**
+	 * Tells whether a caller was probably turned away before: callers begin with more
+	 * time than their route allows, and come back with what is left of it.
+	 * @param patienceMillis how long the caller will wait, in milliseconds; -1 if it does
+	 * not say
+	 * @param timeoutMillis how long its route allows, in milliseconds
+	 * @return true if it has less time than a new request
+	 */
+	static boolean returned(long patienceMillis, long timeoutMillis) {
+		return patienceMillis >= 0 && patienceMillis < timeoutMillis - RETURNED_MILLIS;
 	}
 
 }
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -34,7 +34,7 @@
 	}
 
 	private String choose(Set<String> tried) {
-		return this.table.choose(new Wanted("s", tried, 0, null, 0)).map(Backend::id).orElse("none");
+		return this.table.choose(new Wanted("s", tried, 0, null, 0, false)).map(Backend::id).orElse("none");
 	}
 
 	private Backend server(String id) {
@@ -56,7 +56,7 @@
 		server("a").sent();
 		server("a").sent();
 		assertThat(choose(NONE)).isEqualTo("none");
-		assertThat(this.table.choose(new Wanted("s", NONE, 1, null, 0))).isPresent();
+		assertThat(this.table.choose(new Wanted("s", NONE, 1, null, 0, false))).isPresent();
 	}
 
 	@Test
