--- a/gateway/src/main/java/org/snowwind/gateway/backend/Wanted.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Wanted.java
@@ -22,7 +22,10 @@
 	 * The part of a group's limit that a request may fill whose caller was turned away
 	 * before: better one pass a little longer than a caller turned away twice.
 	 */
-	private static final double RETURNED_SHARE = 1.2;
+	private static final double RETURNED_SHARE = 1.05;
+
+	/** The part that any other request may fill. */
+	private static final double FRESH_SHARE = 0.95;
 
 	/**
 	 * Returns how many requests a group may have for this one to be added.
@@ -30,7 +33,7 @@
 	 * @return a number of requests
 	 */
 	double limit(int limit) {
-		return this.returned ? RETURNED_SHARE * limit : limit;
+		return (this.returned ? RETURNED_SHARE : FRESH_SHARE) * limit;
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -24,19 +24,19 @@
 final class GroupBalancer implements RankGroupPort {
 
 	/** How often counts are read, in milliseconds. */
-	private static final long COUNTS_MILLIS = 450;
+	private static final long COUNTS_MILLIS = 250;
 
 	/** Of how many ranks counts are read each time. */
-	private static final int COUNTED_RANKS = 2;
+	private static final int COUNTED_RANKS = 1;
 
 	/** Below this many choices nothing is planned. */
 	private static final double LEAST_EVIDENCE = 500;
 
 	/** A switch must take at least this much off the skew to be worth its copies. */
-	private static final double LEAST_GAIN = 0.12;
+	private static final double LEAST_GAIN = 0.2;
 
 	/** The same while passes are short; both measured, see docs/design/platform.md. */
-	private static final double LEAST_GAIN_RELAXED = 0.3;
+	private static final double LEAST_GAIN_RELAXED = 0.35;
 
 	/** A pass below this is short: half of the usual pause on time, in milliseconds. */
 	private static final double RELAXED_PASS_MILLIS = 60;
