--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -33,10 +33,10 @@
 	private static final double LEAST_EVIDENCE = 500;
 
 	/** A switch must take at least this much off the skew to be worth its copies. */
-	private static final double LEAST_GAIN = 0.5;
+	private static final double LEAST_GAIN = 0.4;
 
 	/** The same while passes are short; both measured, see docs/design/platform.md. */
-	private static final double LEAST_GAIN_RELAXED = 0.7;
+	private static final double LEAST_GAIN_RELAXED = 0.6;
 
 	/** A pass below this is short: half of the usual pause on time, in milliseconds. */
 	private static final double RELAXED_PASS_MILLIS = 60;
