--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -14,7 +14,7 @@
 public final class GroupLoad {
 
 	/** The part of the longest pause on time that a pass may take. */
-	private static final double PASS_SHARE = 0.52;
+	private static final double PASS_SHARE = 0.68;
 
 	/** The part of a new pause in the mean. */
 	private static final double PAUSE_SHARE = 0.04;
@@ -29,7 +29,7 @@
 	 * At least this part of the slots is always filled: fewer would leave engines idle
 	 * because of a pass that was slow for another reason.
 	 */
-	private static final double LEAST_SHARE = 0.45;
+	private static final double LEAST_SHARE = 0.55;
 
 	/** So many refusals in a row, by whatever ranks, close a group for a while. */
 	private static final int REFUSALS_TO_CLOSE = 3;
