Never run out of map versions; forget gateways that are gone

Cause: versions of one token wrapped after 10,000 switches; links to forgotten peers stayed open; entries of replaced gateways stayed in the platform for good. Change: a token that is used up is claimed anew; links are closed; an entry whose gateway was silent for two minutes is deleted, and a live gateway registers again.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -190,7 +190,7 @@
 		this.registryThread = watchThread("registry-watch",
 				watch(adapters.servers().prefix(), this.registryWatcher, true));
 		GatewayDirectory directory = new GatewayDirectory(adapters.store(), settings.name(), ownAddress,
-				this.mesh::mayBeAt);
+				this.mesh::mayBeAt, () -> this.mesh.view().liveAddresses());
 		this.directoryThread = new DutyThread("directory", SMALL_RING, DIRECTORY_MILLIS, directory::round);
 		GroupDirectory groups = new GroupDirectory(this.rankClient, adapters.ranks(), () -> this.ungrouped,
 				(server, group) -> this.loop.run(() -> this.backends.grouped(server, group)));
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -196,6 +196,7 @@
 			.put("claim", System.nanoTime() + "-" + this.claims++);
 		WriteResult result = this.writes.write(KEY, revision, value);
 		if (result instanceof WriteResult.Written written) {
+			this.given.set(0);
 			this.fence.set(written.revision());
 			this.nextDiscoveryMillis = 0;
 			EventLog.log(Event.EXPERT_DUTY_TAKEN, "fence", written.revision(), "before", revision);
@@ -259,13 +260,18 @@
 
 	@Override
 	public long next(long token) {
-		return token * VERSIONS_PER_TOKEN + this.given.incrementAndGet() % VERSIONS_PER_TOKEN;
+		long number = this.given.incrementAndGet();
+		if (number == VERSIONS_PER_TOKEN - 1) {
+			// The next claim brings a new token, and with it new versions.
+			fenced(token);
+		}
+		return token * VERSIONS_PER_TOKEN + Math.min(number, VERSIONS_PER_TOKEN - 1);
 	}
 
 	@Override
 	public void fenced(long token) {
 		if (this.fence.compareAndSet(token, 0)) {
-			EventLog.log(Event.EXPERT_DUTY_LEFT, "reason", "a newer owner gives orders", "fence", token);
+			EventLog.log(Event.EXPERT_DUTY_LEFT, "reason", "the token is no longer of use", "fence", token);
 			this.thread.offer(() -> {
 				closeGroups();
 				this.candidateSinceMillis = this.clock.nowMillis() + CLAIM_BACKOFF_MILLIS;
--- a/gateway/src/main/java/org/snowwind/gateway/peer/GatewayDirectory.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/GatewayDirectory.java
@@ -1,9 +1,13 @@
 package org.snowwind.gateway.peer;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.config.settings.Addresses;
@@ -26,6 +30,9 @@
 
 	private static final String PREFIX = "gateways/";
 
+	/** After so many rounds without a word from a gateway its entry is deleted. */
+	private static final int FORGET_ROUNDS = 8;
+
 	private final ObjectStore store;
 
 	private final String name;
@@ -34,7 +41,9 @@
 
 	private final Consumer<List<String>> found;
 
-	private boolean registered;
+	private final Supplier<Set<String>> alive;
+
+	private final Map<String, Integer> silentRounds = new HashMap<>();
 
 	/**
 	 * Creates a directory that has made no call.
@@ -42,12 +51,15 @@
 	 * @param name the own name
 	 * @param address the own control address
 	 * @param found is told where gateways may be
+	 * @param alive lists the control addresses of gateways that answer
 	 */
-	public GatewayDirectory(ObjectStore store, String name, String address, Consumer<List<String>> found) {
+	public GatewayDirectory(ObjectStore store, String name, String address, Consumer<List<String>> found,
+			Supplier<Set<String>> alive) {
 		this.store = store;
 		this.name = name;
 		this.address = address;
 		this.found = found;
+		this.alive = alive;
 	}
 
 	/**
@@ -63,18 +75,29 @@
 	private void use(ListResult.Listed listing) {
 		List<String> addresses = new ArrayList<>();
 		Optional<StoredObject> own = Optional.empty();
+		Set<String> alive = this.alive.get();
+		Map<String, Integer> silentBefore = Map.copyOf(this.silentRounds);
+		this.silentRounds.clear();
 		for (StoredObject object : listing.objects()) {
 			if (object.key().equals(PREFIX + this.name)) {
 				own = Optional.of(object);
 				continue;
 			}
 			String other = addressOf(object);
+			int silent = alive.contains(other) ? 0 : silentBefore.getOrDefault(object.key(), 0) + 1;
+			if (silent > FORGET_ROUNDS) {
+				// A gateway that lives after all registers again.
+				this.store.delete(object.key(), object.revision());
+				continue;
+			}
+			this.silentRounds.put(object.key(), silent);
 			if (Addresses.parse(other).isPresent()) {
 				addresses.add(other);
 			}
 		}
 		this.found.accept(addresses);
-		if (!this.registered) {
+		boolean standing = own.isPresent() && addressOf(own.get()).equals(this.address);
+		if (!standing) {
 			register(own);
 		}
 	}
@@ -84,13 +107,8 @@
 	}
 
 	private void register(Optional<StoredObject> standing) {
-		if (standing.isPresent() && addressOf(standing.get()).equals(this.address)) {
-			this.registered = true;
-			return;
-		}
 		JsonNode value = Json.MAPPER.createObjectNode().put("address", this.address);
 		WriteResult result = this.store.put(PREFIX + this.name, standing.map(StoredObject::revision).orElse(0L), value);
-		this.registered = result instanceof WriteResult.Written;
 		EventLog.log(Event.GATEWAY_REGISTERED, "name", this.name, "address", this.address, "result", result);
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -56,7 +56,7 @@
 
 	private long nextRoundMillis = Long.MIN_VALUE;
 
-	private volatile View view = new View(0, Set.of(), false);
+	private volatile View view = new View(0, Set.of(), Set.of(), false);
 
 	/**
 	 * Creates a mesh that calls nobody yet.
@@ -114,10 +114,20 @@
 		GatewayReport report = this.ownReport.get();
 		report.setKnownGateways(this.peers.liveAddresses());
 		this.peers.addresses().forEach((address) -> exchange(address, report));
-		this.links.keySet().retainAll(Set.copyOf(this.peers.addresses()));
+		closeLinksToForgotten();
 		publish(nowMillis);
 	}
 
+	private void closeLinksToForgotten() {
+		Set<String> known = Set.copyOf(this.peers.addresses());
+		this.links.forEach((address, link) -> {
+			if (!known.contains(address)) {
+				link.close();
+			}
+		});
+		this.links.keySet().retainAll(known);
+	}
+
 	private void exchange(String address, GatewayReport report) {
 		ThriftLink<GatewayControl.AsyncClient> link = this.links.computeIfAbsent(address, this::connect);
 		link.<GatewayReport>call((client, callback) -> client.exchange(report, callback), new Reply<>() {
@@ -168,7 +178,8 @@
 	}
 
 	private void publish(long nowMillis) {
-		this.view = new View(this.peers.known(), this.peers.liveNames(), this.peers.expertsPlanned());
+		this.view = new View(this.peers.known(), this.peers.liveNames(), Set.copyOf(this.peers.liveAddresses()),
+				this.peers.expertsPlanned());
 		this.consumers.peersChanged(this.peers.inFlight(nowMillis));
 	}
 
@@ -191,9 +202,10 @@
 	 *
 	 * @param known how many there are, those out of reach included
 	 * @param liveNames the names of those that answer and do not leave
+	 * @param liveAddresses the control addresses of those that answer
 	 * @param expertsPlanned whether one of them plans expert maps
 	 */
-	public record View(int known, Set<String> liveNames, boolean expertsPlanned) {
+	public record View(int known, Set<String> liveNames, Set<String> liveAddresses, boolean expertsPlanned) {
 
 	}
 
