--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/PeerTableTests.java
@@ -0,0 +1,63 @@
+package org.snowwind.gateway.peer;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.snowwind.wire.generated.GatewayReport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link PeerTable}.
+ */
+class PeerTableTests {
+
+	private final PeerTable peers = new PeerTable("10.0.0.1:1");
+
+	private static GatewayReport report(String name, String address, Map<String, Integer> inFlight, long fence) {
+		return new GatewayReport(name, 1, address, false, 5, 7, inFlight, List.of("10.0.0.9:1"), fence);
+	}
+
+	@Test
+	void peersTellOfPeers() {
+		this.peers.heard(report("b", "10.0.0.2:1", Map.of(), 0), 0);
+		assertThat(this.peers.addresses()).containsExactlyInAnyOrder("10.0.0.2:1", "10.0.0.9:1");
+		assertThat(this.peers.liveNames()).containsExactly("b");
+	}
+
+	@Test
+	void theOwnAddressIsNoPeer() {
+		this.peers.mayBeAt("10.0.0.1:1", 0);
+		assertThat(this.peers.addresses()).isEmpty();
+	}
+
+	@Test
+	void requestsOfAllPeersAreAddedUpWhileTheyAreFresh() {
+		this.peers.heard(report("b", "10.0.0.2:1", Map.of("i-1", 2, "i-2", 1), 0), 0);
+		this.peers.heard(report("c", "10.0.0.3:1", Map.of("i-1", 3), 0), 1500);
+		assertThat(this.peers.inFlight(1600)).containsEntry("i-1", 5).containsEntry("i-2", 1);
+		assertThat(this.peers.inFlight(2600)).containsEntry("i-1", 3).doesNotContainKey("i-2");
+	}
+
+	@Test
+	void aSilentPeerIsSuspectedButStillCountsForABudget() {
+		this.peers.heard(report("b", "10.0.0.2:1", Map.of(), 9), 0);
+		assertThat(this.peers.expertsPlanned()).isTrue();
+		this.peers.age(2000);
+		assertThat(this.peers.liveNames()).isEmpty();
+		assertThat(this.peers.expertsPlanned()).isFalse();
+		assertThat(this.peers.known()).isEqualTo(2);
+		this.peers.age(40_000);
+		assertThat(this.peers.known()).isZero();
+	}
+
+	@Test
+	void aPeerThatAnswersAgainIsTrusted() {
+		this.peers.heard(report("b", "10.0.0.2:1", Map.of(), 0), 0);
+		this.peers.age(2000);
+		this.peers.heard(report("b", "10.0.0.2:1", Map.of(), 0), 2100);
+		assertThat(this.peers.liveAddresses()).containsExactly("10.0.0.2:1");
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/request/TimingTests.java
@@ -0,0 +1,42 @@
+package org.snowwind.gateway.request;
+
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link Timing}.
+ */
+class TimingTests {
+
+	private final Timing stream = new Timing(true, 400);
+
+	@Property(tries = 200)
+	void callersAreNeverToldToComeBackTooLate(@ForAll Random random,
+			@ForAll @LongRange(min = 30, max = 20_000) long remainingMillis) {
+		assertThat(this.stream.retryAfterMillis(remainingMillis, false, random)).isPositive()
+			.isLessThan(remainingMillis / 3 + 1);
+		assertThat(this.stream.retryAfterMillis(remainingMillis, true, random)).isPositive()
+			.isLessThan(remainingMillis / 3 + 1);
+	}
+
+	@Test
+	void whereNoServerTakesAnythingCallersComeBackLater() {
+		long soon = this.stream.retryAfterMillis(8000, false, new Random(1));
+		long later = this.stream.retryAfterMillis(8000, true, new Random(1));
+		assertThat(later).isGreaterThan(soon);
+	}
+
+	@Test
+	void aCallerWithLessTimeThanItsRouteAllowsWasHereBefore() {
+		assertThat(Timing.returned(8022, 8000)).isFalse();
+		assertThat(Timing.returned(7573, 8000)).isTrue();
+		assertThat(Timing.returned(-1, 8000)).isFalse();
+	}
+
+}
