--- a/app/src/test/java/org/snowwind/app/harness/SnowwindProcess.java
+++ b/app/src/test/java/org/snowwind/app/harness/SnowwindProcess.java
@@ -85,6 +85,33 @@
 		signal("CONT");
 	}
 
+	/**
+	 * Tells the process that its settings have changed.
+	 * @throws IOException if the signal cannot be sent
+	 * @throws InterruptedException if the waiting thread is interrupted
+	 */
+	public void hangUp() throws IOException, InterruptedException {
+		signal("HUP");
+	}
+
+	/**
+	 * Waits until the process has printed a text.
+	 * @param text the text
+	 * @return true if it has
+	 * @throws IOException if its output cannot be read
+	 * @throws InterruptedException if the waiting thread is interrupted
+	 */
+	public boolean awaitOutput(String text) throws IOException, InterruptedException {
+		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(STOP_SECONDS);
+		while (!output().contains(text)) {
+			if (System.nanoTime() > endNanos || !this.process.isAlive()) {
+				return false;
+			}
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+		return true;
+	}
+
 	private void signal(String name) throws IOException, InterruptedException {
 		new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).start().waitFor();
 	}
--- a/config/src/test/java/org/snowwind/config/settings/GatewaySettingsTests.java
+++ b/config/src/test/java/org/snowwind/config/settings/GatewaySettingsTests.java
@@ -66,8 +66,8 @@
 
 	@Test
 	void everyFaultIsListedAtOnce() throws IOException {
-		String broken = template().replace("fraction = 0.2", "fraction = \"some\"").replace("grace_seconds = 8", "grace_seconds = 0")
-				+ "\nnonsense = 1\n";
+		String broken = template().replace("fraction = 0.2", "fraction = \"some\"")
+			.replace("grace_seconds = 8", "grace_seconds = 0") + "\nnonsense = 1\n";
 		List<SettingsFault> faults = read(broken).match((valid) -> List.of(), (found) -> found);
 		assertThat(faults).extracting(SettingsFault::key)
 			.contains("retries.fraction", "stop.grace_seconds", "log.nonsense");
--- a/http/src/test/java/org/snowwind/http/RawHttpTests.java
+++ b/http/src/test/java/org/snowwind/http/RawHttpTests.java
@@ -102,4 +102,38 @@
 		assertThat(this.handled).hasValue(0);
 	}
 
+	@Test
+	void anIdleConnectionIsClosedWhenAskedAndABusyOneAfterItsAnswer() throws IOException {
+		try (Socket idle = new Socket(this.address.getAddress(), this.address.getPort());
+				Socket busy = new Socket(this.address.getAddress(), this.address.getPort())) {
+			idle.setSoTimeout(5000);
+			busy.setSoTimeout(5000);
+			send(idle, "GET /one HTTP/1.1\r\nHost: x\r\n\r\n");
+			assertThat(read(idle)).contains("/one 0");
+			send(busy, "POST /two HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na");
+			awaitConnections(2);
+			this.server.closeIdleConnections();
+			assertThat(idle.getInputStream().read()).as("closed between requests").isEqualTo(-1);
+			send(busy, "b");
+			String answer = new String(busy.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			assertThat(answer).startsWith("HTTP/1.1 200").containsIgnoringCase("connection: close").contains("/two 2");
+		}
+	}
+
+	private static void send(Socket socket, String text) throws IOException {
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+	}
+
+	private static String read(Socket socket) throws IOException {
+		byte[] bytes = new byte[4096];
+		int length = socket.getInputStream().read(bytes);
+		return new String(bytes, 0, Math.max(0, length), StandardCharsets.ISO_8859_1);
+	}
+
+	// The loop has read what a connection sent once it has answered a later request.
+	private void awaitConnections(int least) throws IOException {
+		assertThat(talk("GET /later HTTP/1.1\r\nHost: x\r\n\r\n")).contains("/later");
+		assertThat(this.server.connections()).isGreaterThanOrEqualTo(least);
+	}
+
 }
