Make the test of an idle group fail on the old prediction

Cause: the test passed with the prediction broken by hand, since its step was seen fresh. Change: the step is seen once more before the group stays idle for 12 s. Figures: seen failing with the bound taken out, passing with it.

--- a/gateway/src/test/java/org/snowwind/gateway/expert/MapSwitchTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/MapSwitchTests.java
@@ -64,12 +64,12 @@
 		group.advance(200);
 		steps.observe(port.reports());
 		group.busy(false);
-		group.advance(12_000);
+		group.advance(500);
 		steps.observe(port.reports());
-		group.busy(true);
-		group.advance(400);
+		group.advance(12_000);
 		assertThat(new MapSwitch(port, steps).run(port.reports(), map(7), 300)).isEqualTo(SwitchOutcome.RELEASED);
-		group.advance(1000);
+		group.busy(true);
+		group.advance(1500);
 		assertThat(group.mapVersion()).isEqualTo(7);
 	}
 
