--- a/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
@@ -86,7 +86,7 @@
 	}
 
 	@Test
-	void aCallerThatWasTurnedAwayBeforeHasMoreRoom() {
+	void aCallerThatWasTurnedAwayBeforeFindsMoreRoom() {
 		Wanted fresh = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS, false);
 		Wanted returned = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS, true);
 		assertThat(returned.limit(40)).isGreaterThan(fresh.limit(40));
