--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -4,11 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -364,19 +360,8 @@
 	}
 
 	private int openRequests() {
-		CompletableFuture<Integer> count = new CompletableFuture<>();
-		this.loop.run(() -> count.complete(this.handler.open()));
-		try {
-			return count.get(1, TimeUnit.SECONDS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return 0;
-		}
-		catch (ExecutionException | TimeoutException ex) {
-			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "counting open requests");
-			return 1;
-		}
+		// One that does not answer may still have some open.
+		return this.loop.ask(this.handler::open, 1);
 	}
 
 	@Override
--- a/http/src/main/java/org/snowwind/http/DataLoop.java
+++ b/http/src/main/java/org/snowwind/http/DataLoop.java
@@ -1,7 +1,11 @@
 package org.snowwind.http;
 
 import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.IntSupplier;
 
 import io.netty.channel.DefaultSelectStrategyFactory;
 import io.netty.channel.EventLoop;
@@ -12,6 +16,8 @@
 import io.netty.util.concurrent.RejectedExecutionHandlers;
 import io.netty.util.concurrent.ThreadPerTaskExecutor;
 import org.jctools.queues.MpscArrayQueue;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
 
 /**
  * The one thread that owns all requests of a process.
@@ -87,6 +93,28 @@
 		return this.loop.scheduleAtFixedRate(task, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Asks for a number that only the thread may read, and waits for it.
+	 * @param question reads the number
+	 * @param otherwise taken if the thread does not answer within a second
+	 * @return the number
+	 */
+	public int ask(IntSupplier question, int otherwise) {
+		CompletableFuture<Integer> answer = new CompletableFuture<>();
+		run(() -> answer.complete(question.getAsInt()));
+		try {
+			return answer.get(1, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return 0;
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "asking the loop");
+			return otherwise;
+		}
+	}
+
 	@Override
 	public void close() {
 		this.group.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(STOP_MILLIS);
