--- a/app/src/main/java/org/snowwind/app/command/GatewayCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/GatewayCommand.java
@@ -65,7 +65,10 @@
 			return ExitCodes.INVALID;
 		}
 		HangUpSignal.handle(() -> reload(daemon));
-		DaemonCommands.stopOnSignal(daemon::drainAndStop);
+		DaemonCommands.stopOnSignal(() -> {
+			daemon.drainAndStop();
+			LogSetup.finish();
+		});
 		return ExitCodes.OK;
 	}
 
--- a/app/src/main/java/org/snowwind/app/logging/LogSetup.java
+++ b/app/src/main/java/org/snowwind/app/logging/LogSetup.java
@@ -44,6 +44,15 @@
 		use(new RingHandler(System.out, linesOf(format), RING_LINES));
 	}
 
+	/**
+	 * Writes what still waits, before the process ends.
+	 */
+	public static void finish() {
+		for (Handler handler : Logger.getLogger("").getHandlers()) {
+			handler.close();
+		}
+	}
+
 	private static void use(Handler handler) {
 		Logger root = Logger.getLogger("");
 		for (Handler standing : root.getHandlers()) {
