--- a/app/src/test/java/org/snowwind/app/harness/Link.java
+++ b/app/src/test/java/org/snowwind/app/harness/Link.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * A link between two processes that can be cut and delayed.
@@ -18,6 +19,8 @@
 
 	private static final int BUFFER_BYTES = 8192;
 
+	private static final long SILENCE_POLL_MILLIS = 10;
+
 	private final ServerSocket listener;
 
 	private final InetSocketAddress target;
@@ -28,6 +31,10 @@
 
 	private volatile long delayMillis;
 
+	private volatile boolean silentThere;
+
+	private volatile boolean silentBack;
+
 	/**
 	 * Opens a link.
 	 * @param target where it leads
@@ -62,6 +69,16 @@
 		this.cut = false;
 	}
 
+	/**
+	 * Holds back all data of a direction, as a partition does; connections stay open.
+	 * @param there whether what is sent to the target is held back
+	 * @param back whether what the target sends is held back
+	 */
+	public void silence(boolean there, boolean back) {
+		this.silentThere = there;
+		this.silentBack = back;
+	}
+
 	/**
 	 * Delays every piece of data in both directions.
 	 * @param millis by how much, in milliseconds
@@ -81,8 +98,8 @@
 				Socket far = new Socket(this.target.getAddress(), this.target.getPort());
 				this.sockets.add(near);
 				this.sockets.add(far);
-				daemon(() -> pump(near, far));
-				daemon(() -> pump(far, near));
+				daemon(() -> pump(near, far, () -> this.silentThere));
+				daemon(() -> pump(far, near, () -> this.silentBack));
 			}
 			catch (IOException ex) {
 				// The target is down or the link is closed; the caller sees a reset.
@@ -90,7 +107,7 @@
 		}
 	}
 
-	private void pump(Socket from, Socket to) {
+	private void pump(Socket from, Socket to, BooleanSupplier silent) {
 		byte[] buffer = new byte[BUFFER_BYTES];
 		try (from; to) {
 			InputStream in = from.getInputStream();
@@ -98,6 +115,9 @@
 			int count = in.read(buffer);
 			while (count >= 0) {
 				TimeUnit.MILLISECONDS.sleep(this.delayMillis);
+				while (silent.getAsBoolean()) {
+					TimeUnit.MILLISECONDS.sleep(SILENCE_POLL_MILLIS);
+				}
 				out.write(buffer, 0, count);
 				count = in.read(buffer);
 			}
--- a/app/src/test/java/org/snowwind/app/harness/SnowwindProcess.java
+++ b/app/src/test/java/org/snowwind/app/harness/SnowwindProcess.java
@@ -59,6 +59,14 @@
 		return this.process.waitFor(STOP_SECONDS, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * Tells whether the process has not ended.
+	 * @return true while it runs or is paused
+	 */
+	public boolean running() {
+		return this.process.isAlive();
+	}
+
 	/**
 	 * Returns the exit code of an ended process.
 	 * @return the code
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/Call.java
@@ -0,0 +1,31 @@
+package org.snowwind.app.soak;
+
+/**
+ * One request of a caller and what came of it.
+ *
+ * @param id its id
+ * @param kind what kind of request it is
+ * @param body its body
+ * @param gateway the gateway that it was sent to
+ * @param sentNanos when it was sent
+ * @param endedNanos when its answer ended or broke
+ * @param status the status of the answer, 0 if none came
+ * @param signature the server's signature, {@code null} if the answer bore none
+ * @param answer the body of the answer as far as it came
+ * @param whole whether the answer ended as a whole one does
+ */
+record Call(String id, CallKind kind, String body, String gateway, long sentNanos, long endedNanos, int status,
+		String signature, String answer, boolean whole) {
+
+	private static final int OK = 200;
+
+	boolean served() {
+		return this.status == OK && this.whole;
+	}
+
+	String describe() {
+		return this.kind + " " + this.id + " at " + this.gateway + " (status " + this.status + ", "
+				+ (this.endedNanos - this.sentNanos) / 1_000_000 + " ms)";
+	}
+
+}
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakCaller.java
@@ -0,0 +1,121 @@
+package org.snowwind.app.soak;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.snowwind.http.DataLoop;
+import org.snowwind.http.client.UpstreamClient;
+import org.snowwind.http.client.UpstreamListener;
+import org.snowwind.http.client.UpstreamRequest;
+import org.snowwind.platform.standin.CallerHeaders;
+
+/**
+ * Sends requests as callers do, over connections that stay open, and notes what comes.
+ */
+final class SoakCaller implements AutoCloseable {
+
+	private static final long CONNECT_MILLIS = 1000;
+
+	private final DataLoop loop;
+
+	private final UpstreamClient client;
+
+	private final AtomicLong sent = new AtomicLong();
+
+	private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
+
+	SoakCaller(DataLoop loop) {
+		this.loop = loop;
+		this.client = new UpstreamClient(loop, CONNECT_MILLIS, UpstreamClient.Connections.KEPT,
+				UpstreamClient.Answers.FRAMED);
+	}
+
+	List<Call> calls() {
+		return List.copyOf(this.calls);
+	}
+
+	long open() {
+		return this.sent.get() - this.calls.size();
+	}
+
+	CompletableFuture<Call> send(SoakGateway gateway, CallKind kind, String key) {
+		String id = "c" + this.sent.incrementAndGet();
+		String body = kind.method().equals("POST") ? "body of " + id : "";
+		Map<String, String> headers = new HashMap<>(CallerHeaders.of(id, SoakWorld.TIMEOUT_MILLIS, key));
+		headers.put("Host", SoakWorld.HOST);
+		UpstreamRequest request = new UpstreamRequest(kind.method(), "http://" + gateway.callers() + kind.target(id),
+				headers, body.getBytes(StandardCharsets.UTF_8));
+		Listener listener = new Listener(id, kind, body, gateway.name());
+		this.loop.run(() -> this.client.send(request, listener));
+		return listener.ended;
+	}
+
+	@Override
+	public void close() {
+		this.client.close();
+	}
+
+	private final class Listener implements UpstreamListener {
+
+		private final String id;
+
+		private final CallKind kind;
+
+		private final String body;
+
+		private final String gateway;
+
+		private final long sentNanos = System.nanoTime();
+
+		private final StringBuilder answer = new StringBuilder();
+
+		private final CompletableFuture<Call> ended = new CompletableFuture<>();
+
+		private int status;
+
+		private String signature;
+
+		private Listener(String id, CallKind kind, String body, String gateway) {
+			this.id = id;
+			this.kind = kind;
+			this.body = body;
+			this.gateway = gateway;
+		}
+
+		@Override
+		public void onHead(int answerStatus, Map<String, String> headers) {
+			this.status = answerStatus;
+			this.signature = CallerHeaders.signature(headers);
+		}
+
+		@Override
+		public void onBytes(byte[] bytes) {
+			this.answer.append(new String(bytes, StandardCharsets.UTF_8));
+		}
+
+		@Override
+		public void onEnd() {
+			end(true);
+		}
+
+		@Override
+		public void onFailure(boolean maybeSent, Throwable cause) {
+			end(false);
+		}
+
+		private void end(boolean whole) {
+			Call call = new Call(this.id, this.kind, this.body, this.gateway, this.sentNanos, System.nanoTime(),
+					this.status, this.signature, this.answer.toString(), whole);
+			SoakCaller.this.calls.add(call);
+			this.ended.complete(call);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
@@ -0,0 +1,203 @@
+package org.snowwind.app.soak;
+
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import org.snowwind.app.harness.Link;
+import org.snowwind.app.harness.SnowwindProcess;
+import org.snowwind.platform.standin.BackendBehaviour;
+import org.snowwind.platform.standin.StoreFault;
+
+/**
+ * All kinds of faults of a soak, by name.
+ */
+final class SoakFaults {
+
+	/** The name of a planned stop in disturbances. */
+	static final String STOP = "stop";
+
+	private static final List<StoreFault> STORE_FAULTS = List.of(StoreFault.DOWN, StoreFault.SILENT, StoreFault.SLOW,
+			StoreFault.LOSES_ANSWERS);
+
+	private static final List<BackendBehaviour> BEHAVIOURS = Arrays.stream(BackendBehaviour.values())
+		.filter((behaviour) -> behaviour != BackendBehaviour.WELL)
+		.toList();
+
+	/** How long a gateway may need to be back after a start. */
+	private static final long BACK_MILLIS = 6000;
+
+	/** How much later a slow link delivers each piece of data. */
+	private static final long DELAY_MILLIS = 120;
+
+	private static final Map<String, SoakFault> ALL = all();
+
+	private SoakFaults() {
+	}
+
+	private static Map<String, SoakFault> all() {
+		Map<String, SoakFault> faults = new LinkedHashMap<>();
+		faults.put(STOP, SoakFaults::stop);
+		faults.put("kill", SoakFaults::kill);
+		faults.put("pause", SoakFaults::pause);
+		faults.put("hang-up", SoakFaults::hangUp);
+		faults.put("store", SoakFaults::storeFault);
+		faults.put("store-history", (world, random, later) -> world.store().forgetHistory());
+		faults.put("store-link", SoakFaults::storeLink);
+		faults.put("server-behaviour", SoakFaults::behaviour);
+		faults.put("server-link", SoakFaults::serverLink);
+		faults.put("server-leaves", SoakFaults::serverLeaves);
+		faults.put("server-crashes", SoakFaults::serverCrashes);
+		faults.put("configuration", (world, random, later) -> world.reconfigure());
+		return faults;
+	}
+
+	static List<String> names() {
+		return List.copyOf(ALL.keySet());
+	}
+
+	static SoakFault of(String name) {
+		return ALL.get(name);
+	}
+
+	private static long between(Random random, long least, long most) {
+		return least + random.nextLong(most - least);
+	}
+
+	private static void disturb(SoakWorld world, String what, String where, long millis) {
+		long now = System.nanoTime();
+		world.disturbed(new Disturbance(what, where, now, now + TimeUnit.MILLISECONDS.toNanos(millis)));
+	}
+
+	// ---- gateways
+
+	private static SoakGateway anyGateway(SoakWorld world, Random random) {
+		return world.gateways().get(random.nextInt(world.gateways().size()));
+	}
+
+	private static void stop(SoakWorld world, Random random, SoakFault.Later later) {
+		SoakGateway gateway = anyGateway(world, random);
+		long graceMillis = TimeUnit.SECONDS.toMillis(SoakGateway.GRACE_SECONDS) + 1500;
+		disturb(world, STOP, gateway.name(), graceMillis + BACK_MILLIS);
+		gateway.process().terminate();
+		SnowwindProcess stopped = gateway.process();
+		later.after(graceMillis, () -> {
+			if (stopped.running()) {
+				disturb(world, "kill", gateway.name(), BACK_MILLIS);
+			}
+			restart(gateway, stopped);
+		});
+	}
+
+	// Another fault may have started it anew in the meantime.
+	private static void restart(SoakGateway gateway, SnowwindProcess ended) throws Exception {
+		if (gateway.process() == ended) {
+			ended.close();
+			gateway.start();
+		}
+	}
+
+	private static void kill(SoakWorld world, Random random, SoakFault.Later later) throws Exception {
+		SoakGateway gateway = anyGateway(world, random);
+		long awayMillis = between(random, 100, 1500);
+		disturb(world, "kill", gateway.name(), awayMillis + BACK_MILLIS);
+		SnowwindProcess killed = gateway.process();
+		killed.kill();
+		later.after(awayMillis, () -> restart(gateway, killed));
+	}
+
+	private static void pause(SoakWorld world, Random random, SoakFault.Later later) throws Exception {
+		SoakGateway gateway = anyGateway(world, random);
+		long millis = between(random, 300, 3500);
+		disturb(world, "pause", gateway.name(), millis + 1500);
+		SnowwindProcess paused = gateway.process();
+		paused.freeze();
+		later.after(millis, paused::thaw);
+	}
+
+	private static void hangUp(SoakWorld world, Random random, SoakFault.Later later) throws Exception {
+		anyGateway(world, random).hangUp(world.seeds());
+	}
+
+	// ---- the store
+
+	private static void storeFault(SoakWorld world, Random random, SoakFault.Later later) {
+		long millis = between(random, 500, 4000);
+		disturb(world, "store", Disturbance.STORE, millis + 2500);
+		world.store().fault(STORE_FAULTS.get(random.nextInt(STORE_FAULTS.size())));
+		later.after(millis, () -> world.store().fault(StoreFault.NONE));
+	}
+
+	private static void storeLink(SoakWorld world, Random random, SoakFault.Later later) {
+		SoakGateway gateway = anyGateway(world, random);
+		long millis = between(random, 300, 4000);
+		disturb(world, "store-link", gateway.name(), millis + 3000);
+		harm(gateway.toStore(), random.nextInt(4));
+		later.after(millis, () -> heal(gateway.toStore()));
+	}
+
+	private static void harm(Link link, int way) {
+		switch (way) {
+			case 0 -> link.cut();
+			case 1 -> link.silence(true, false);
+			case 2 -> link.silence(false, true);
+			default -> link.delay(DELAY_MILLIS);
+		}
+	}
+
+	private static void heal(Link link) {
+		link.heal();
+		link.silence(false, false);
+		link.delay(0);
+	}
+
+	// ---- servers
+
+	private static SoakWorld.SoakServer anyServer(SoakWorld world, Random random) {
+		return world.servers().get(random.nextInt(world.servers().size()));
+	}
+
+	private static void behaviour(SoakWorld world, Random random, SoakFault.Later later) {
+		SoakWorld.SoakServer server = anyServer(world, random);
+		long millis = between(random, 500, 3000);
+		disturb(world, "server-behaviour", Disturbance.SERVERS, millis + 3000);
+		server.server().behave(BEHAVIOURS.get(random.nextInt(BEHAVIOURS.size())));
+		later.after(millis, () -> server.server().behave(BackendBehaviour.WELL));
+	}
+
+	private static void serverLink(SoakWorld world, Random random, SoakFault.Later later) {
+		SoakWorld.SoakServer server = anyServer(world, random);
+		long millis = between(random, 300, 3000);
+		disturb(world, "server-link", Disturbance.SERVERS, millis + 3000);
+		harm(server.link(), random.nextInt(4));
+		later.after(millis, () -> heal(server.link()));
+	}
+
+	private static void serverLeaves(SoakWorld world, Random random, SoakFault.Later later) throws Exception {
+		SoakWorld.SoakServer server = anyServer(world, random);
+		if (world.drainsAlready(server)) {
+			return;
+		}
+		world.addServer(server.server().service());
+		world.drains(server);
+		later.after(6000, () -> {
+			server.server().deregister();
+			later.after(1000, () -> world.end(server));
+		});
+	}
+
+	private static void serverCrashes(SoakWorld world, Random random, SoakFault.Later later) throws Exception {
+		SoakWorld.SoakServer server = anyServer(world, random);
+		if (world.drainsAlready(server)) {
+			return;
+		}
+		disturb(world, "server-crashes", Disturbance.SERVERS, 4000);
+		world.end(server);
+		later.after(1500, () -> world.addServer(server.server().service()));
+		later.after(3000, () -> server.server().deregister());
+	}
+
+}
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
@@ -0,0 +1,123 @@
+package org.snowwind.app.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.snowwind.app.harness.Link;
+import org.snowwind.app.harness.SnowwindProcess;
+
+/**
+ * One gateway as a process, with a link of its own to the store.
+ */
+final class SoakGateway implements AutoCloseable {
+
+	/** How long it may take to stop, in seconds. */
+	static final int GRACE_SECONDS = 6;
+
+	private final String name;
+
+	private final Path folder;
+
+	private final Link toStore;
+
+	private final int callersPort = freePort();
+
+	private final int readinessPort = freePort();
+
+	private final int peersPort = freePort();
+
+	private final int adminPort = freePort();
+
+	private SnowwindProcess process;
+
+	private int starts;
+
+	private int grace = GRACE_SECONDS;
+
+	SoakGateway(String name, Path folder, InetSocketAddress store) throws IOException {
+		this.name = name;
+		this.folder = folder;
+		this.toStore = new Link(store);
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	Link toStore() {
+		return this.toStore;
+	}
+
+	String callers() {
+		return "127.0.0.1:" + this.callersPort;
+	}
+
+	String readiness() {
+		return "127.0.0.1:" + this.readinessPort;
+	}
+
+	String peers() {
+		return "127.0.0.1:" + this.peersPort;
+	}
+
+	SnowwindProcess process() {
+		return this.process;
+	}
+
+	void writeSettings(List<String> seeds) throws IOException {
+		String listed = String.join("\", \"", seeds);
+		Files.writeString(settings(), """
+				name = "%s"
+				data_centre = "dc"
+				[listen]
+				callers = "%s"
+				readiness = "%s"
+				peers = "%s"
+				admin = "127.0.0.1:%d"
+				[peers]
+				seeds = ["%s"]
+				[platform]
+				address = "%s"
+				[stop]
+				grace_seconds = %d
+				[retries]
+				fraction = 0.2
+				extra = 90
+				window_seconds = 10
+				""".formatted(this.name, callers(), readiness(), peers(), this.adminPort, listed,
+				this.toStore.address(), this.grace));
+	}
+
+	private Path settings() {
+		return this.folder.resolve(this.name + ".toml");
+	}
+
+	void start() throws IOException {
+		this.starts++;
+		this.process = new SnowwindProcess(this.folder.resolve(this.name + "-" + this.starts + ".log"), "gateway",
+				settings().toString());
+	}
+
+	void hangUp(List<String> seeds) throws IOException, InterruptedException {
+		this.grace = GRACE_SECONDS + this.starts % 2;
+		writeSettings(seeds);
+		this.process.hangUp();
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.process.close();
+		this.toStore.close();
+	}
+
+}
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakHistory.java
@@ -0,0 +1,39 @@
+package org.snowwind.app.soak;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.snowwind.platform.standin.Run;
+
+/**
+ * What callers, backend servers and the soak itself saw.
+ *
+ * @param calls all requests of callers
+ * @param runs all runs at servers
+ * @param disturbances all faults
+ * @param drains when each server that left said so, by the id of its run
+ * @param services the services that each kind of request was ever sent to
+ */
+record SoakHistory(List<Call> calls, List<Run> runs, List<Disturbance> disturbances, Map<String, Long> drains,
+		Map<CallKind, Set<String>> services) {
+
+	Map<String, List<Run>> runsByRequest() {
+		Map<String, List<Run>> byRequest = new HashMap<>();
+		this.runs.forEach((run) -> byRequest.computeIfAbsent(run.requestId(), (id) -> new ArrayList<>()).add(run));
+		return byRequest;
+	}
+
+	Map<String, Call> callsById() {
+		Map<String, Call> byId = new HashMap<>();
+		this.calls.forEach((call) -> byId.put(call.id(), call));
+		return byId;
+	}
+
+	boolean disturbed(String where, long from, long until) {
+		return this.disturbances.stream().anyMatch((disturbance) -> disturbance.touches(where, from, until));
+	}
+
+}
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRules.java
@@ -0,0 +1,24 @@
+package org.snowwind.app.soak;
+
+import java.util.List;
+
+/**
+ * All promises that a soak checks.
+ */
+final class SoakRules {
+
+	private static final List<SoakRule> ALL = List.of(new AnswersAreWholeAndOwn(), new RunsOnceAtMost(),
+			new RefusalsAreTrue(), new RunsWereAskedFor(), new AnswersComeInTime(), new LeavingServersGetNothing(),
+			new StopsCutNothingOff());
+
+	private SoakRules() {
+	}
+
+	static List<String> broken(SoakHistory history) {
+		return ALL.stream()
+			.flatMap((
+					rule) -> rule.broken(history).stream().map((line) -> rule.getClass().getSimpleName() + ": " + line))
+			.toList();
+	}
+
+}
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -0,0 +1,196 @@
+package org.snowwind.app.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.snowwind.http.DataLoop;
+
+/**
+ * One soak: load and faults in overlapping series, then calm, then the checks.
+ */
+final class SoakRun implements AutoCloseable {
+
+	private static final int GATEWAYS = 4;
+
+	private static final List<CallKind> KINDS = List.of(CallKind.values());
+
+	private static final long CALL_EVERY_MILLIS = 12;
+
+	private static final long LEAST_BETWEEN_FAULTS_MILLIS = 150;
+
+	private static final long MOST_BETWEEN_FAULTS_MILLIS = 1200;
+
+	/** Within this time after the last fault all is well again. */
+	private static final long CALM_MILLIS = 11_000;
+
+	/** The platform's bound for a configuration, and as much again. */
+	private static final long IN_FORCE_MILLIS = 4000;
+
+	private static final int FINAL_CALLS = 25;
+
+	private static final long START_MILLIS = 30_000;
+
+	private final Random random;
+
+	private final SoakWorld world;
+
+	private final DataLoop callerLoop = new DataLoop("soak-callers");
+
+	private final SoakCaller caller = new SoakCaller(this.callerLoop);
+
+	private final ScheduledExecutorService later = Executors.newSingleThreadScheduledExecutor();
+
+	private final AtomicInteger pending = new AtomicInteger();
+
+	private final Queue<String> problems = new ConcurrentLinkedQueue<>();
+
+	private final List<String> played = new ArrayList<>();
+
+	SoakRun(long seed, Path folder) throws IOException {
+		this.random = new Random(seed);
+		this.world = new SoakWorld(folder, GATEWAYS, new Random(seed + 1));
+	}
+
+	/**
+	 * Plays the soak.
+	 * @param faultMillis for how long faults begin, in milliseconds
+	 * @return the promises that were broken, empty if none was
+	 * @throws Exception if a fault cannot be brought about
+	 */
+	List<String> play(long faultMillis) throws Exception {
+		awaitReady();
+		Random load = new Random(this.random.nextLong());
+		var calling = this.later.scheduleAtFixedRate(() -> call(load), 0, CALL_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faultMillis);
+		while (System.nanoTime() < endNanos) {
+			TimeUnit.MILLISECONDS.sleep(LEAST_BETWEEN_FAULTS_MILLIS
+					+ this.random.nextLong(MOST_BETWEEN_FAULTS_MILLIS - LEAST_BETWEEN_FAULTS_MILLIS));
+			String name = SoakFaults.names().get(this.random.nextInt(SoakFaults.names().size()));
+			this.played.add(name);
+			SoakFaults.of(name).begin(this.world, this.random, this::after);
+		}
+		awaitPending();
+		TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
+		calling.cancel(false);
+		checkComeBack();
+		checkInForce();
+		List<String> broken = new ArrayList<>(this.problems);
+		broken.addAll(SoakRules.broken(this.world.history(this.caller.calls())));
+		return broken;
+	}
+
+	List<String> played() {
+		return this.played;
+	}
+
+	String summary() {
+		List<Call> calls = this.caller.calls();
+		long served = calls.stream().filter(Call::served).count();
+		return calls.size() + " requests, " + served + " served, " + this.played.size() + " faults " + this.played
+				+ ", " + this.world.store().calls() + " store calls";
+	}
+
+	private void after(long millis, SoakFault.Work work) {
+		this.pending.incrementAndGet();
+		this.later.schedule(() -> {
+			try {
+				work.run();
+			}
+			catch (Exception ex) {
+				this.problems.add("the soak itself failed: " + ex);
+			}
+			finally {
+				this.pending.decrementAndGet();
+			}
+		}, millis, TimeUnit.MILLISECONDS);
+	}
+
+	private void awaitPending() throws InterruptedException {
+		while (this.pending.get() > 0) {
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+	}
+
+	private void awaitReady() throws Exception {
+		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
+		for (SoakGateway gateway : this.world.gateways()) {
+			while (!this.caller.send(gateway, CallKind.AGAIN, SoakWorld.KEY).get().served()) {
+				if (System.nanoTime() > endNanos) {
+					throw new IllegalStateException(gateway.name() + " does not serve");
+				}
+				TimeUnit.MILLISECONDS.sleep(200);
+			}
+		}
+	}
+
+	private void call(Random load) {
+		SoakGateway gateway = this.world.gateways().get(load.nextInt(GATEWAYS));
+		CallKind kind = KINDS.get(load.nextInt(KINDS.size()));
+		this.caller.send(gateway, kind, SoakWorld.KEY);
+	}
+
+	// ---- after the last fault
+
+	private void checkComeBack() throws Exception {
+		for (SoakGateway gateway : this.world.gateways()) {
+			for (CallKind kind : CallKind.values()) {
+				expect(gateway, kind, SoakWorld.KEY, 200, "after all faults");
+			}
+		}
+	}
+
+	private void checkInForce() throws Exception {
+		String formerKey = this.world.passingKey();
+		this.world.reconfigure();
+		TimeUnit.MILLISECONDS.sleep(IN_FORCE_MILLIS);
+		for (SoakGateway gateway : this.world.gateways()) {
+			expect(gateway, CallKind.AGAIN, this.world.passingKey(), 200, "with a key that was added");
+			expect(gateway, CallKind.AGAIN, formerKey, 401, "with a key that was taken away");
+		}
+		long fromNanos = System.nanoTime();
+		for (SoakGateway gateway : this.world.gateways()) {
+			expect(gateway, CallKind.MOVING, SoakWorld.KEY, 200, "on a route that was moved");
+		}
+		this.world.history(List.of())
+			.runs()
+			.stream()
+			.filter((run) -> run.atNanos() > fromNanos && run.target().startsWith(CallKind.MOVING.prefix())
+					&& !run.service().equals(this.world.movingTo()))
+			.forEach((run) -> this.problems.add("an old configuration is in force: " + run));
+	}
+
+	private void expect(SoakGateway gateway, CallKind kind, String key, int status, String when) throws Exception {
+		List<CompletableFuture<Call>> pendingCalls = new ArrayList<>();
+		for (int i = 0; i < FINAL_CALLS; i++) {
+			pendingCalls.add(this.caller.send(gateway, kind, key));
+			TimeUnit.MILLISECONDS.sleep(CALL_EVERY_MILLIS);
+		}
+		int missed = 0;
+		for (CompletableFuture<Call> call : pendingCalls) {
+			missed += (call.get(START_MILLIS, TimeUnit.MILLISECONDS).status() == status) ? 0 : 1;
+		}
+		if (missed > FINAL_CALLS / 5) {
+			this.problems.add(gateway.name() + " answers " + missed + " of " + FINAL_CALLS + " " + kind + " not with "
+					+ status + " " + when);
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.later.shutdownNow();
+		this.caller.close();
+		this.world.close();
+		this.callerLoop.close();
+	}
+
+}
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakTests.java
@@ -0,0 +1,77 @@
+package org.snowwind.app.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Plays soaks: a short one, each seed that ever failed, and as many as asked for by hand
+ * with {@code -Dsnowwind.soak.seeds=50 -Dsnowwind.soak.from=1000}. Settings and logs of
+ * each stay in {@code app/target/soak}.
+ */
+class SoakTests {
+
+	private static final long SHORT_MILLIS = 8000;
+
+	private static final long LONG_MILLIS = 20_000;
+
+	private static final Path FOLDER = Path.of(System.getProperty("snowwind.root"), "app/target/soak");
+
+	private static List<String> play(long seed, long millis) throws Exception {
+		Path folder = emptyFolder(seed);
+		try (SoakRun run = new SoakRun(seed, folder)) {
+			List<String> broken = run.play(millis);
+			List<String> lines = new ArrayList<>();
+			lines.add("seed " + seed + ": " + run.summary() + ", " + broken.size() + " broken");
+			lines.addAll(broken);
+			Files.write(folder.resolve("result.txt"), lines);
+			return broken.isEmpty() ? List.of() : lines;
+		}
+	}
+
+	private static Path emptyFolder(long seed) throws IOException {
+		Path folder = Files.createDirectories(FOLDER.resolve("seed-" + seed));
+		try (var files = Files.list(folder)) {
+			for (Path file : files.toList()) {
+				Files.delete(file);
+			}
+		}
+		return folder;
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = 7)
+	void aShortSoakBreaksNoPromise(long seed) throws Exception {
+		assertThat(play(seed, SHORT_MILLIS)).isEmpty();
+	}
+
+	@Test
+	void soaksByHandBreakNoPromise() throws Exception {
+		long from = Long.getLong("snowwind.soak.from", 1000);
+		long seeds = Long.getLong("snowwind.soak.seeds", 0);
+		List<Callable<List<String>>> runs = LongStream.range(from, from + seeds)
+			.mapToObj((seed) -> (Callable<List<String>>) () -> play(seed, LONG_MILLIS))
+			.toList();
+		ExecutorService pool = Executors.newFixedThreadPool(Integer.getInteger("snowwind.soak.parallel", 3));
+		List<String> broken = new ArrayList<>();
+		for (Future<List<String>> run : pool.invokeAll(runs)) {
+			broken.addAll(run.get());
+		}
+		pool.shutdown();
+		assertThat(broken).isEmpty();
+	}
+
+}
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -0,0 +1,199 @@
+package org.snowwind.app.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.snowwind.app.harness.Link;
+import org.snowwind.http.DataLoop;
+import org.snowwind.platform.standin.BackendStandIn;
+import org.snowwind.platform.standin.Configurations;
+import org.snowwind.platform.standin.Run;
+import org.snowwind.platform.standin.StoreStandIn;
+
+/**
+ * Gateways as processes before a store and servers in memory.
+ */
+final class SoakWorld implements AutoCloseable {
+
+	static final String HOST = "soak.example";
+
+	static final String ORGANISATION = "atlas-forme";
+
+	static final String KEY = "a-key-that-stays";
+
+	static final long TIMEOUT_MILLIS = 3000;
+
+	private static final Map<String, Integer> SERVERS = Map.of("desk", 3, "desk-new", 2, "model", 3);
+
+	private final DataLoop loop = new DataLoop("soak-platform");
+
+	private final StoreStandIn store;
+
+	private final List<SoakGateway> gateways = new ArrayList<>();
+
+	private final List<SoakServer> servers = new CopyOnWriteArrayList<>();
+
+	private final Queue<Run> pastRuns = new ConcurrentLinkedQueue<>();
+
+	private final Map<String, Long> drains = new ConcurrentHashMap<>();
+
+	private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
+
+	private final Map<CallKind, Set<String>> services = new EnumMap<>(CallKind.class);
+
+	private long version = 3;
+
+	private String movingTo = "desk";
+
+	private String passingKey = "a-key-that-passes-3";
+
+	private int serverRuns;
+
+	SoakWorld(Path folder, int gatewayCount, Random random) throws IOException {
+		this.store = new StoreStandIn(this.loop, random);
+		InetSocketAddress storeAddress = this.store.start();
+		this.services.put(CallKind.ONCE, Set.of("desk"));
+		this.services.put(CallKind.AGAIN, Set.of("desk"));
+		this.services.put(CallKind.STREAM, Set.of("model"));
+		this.services.put(CallKind.MOVING, new HashSet<>());
+		configure();
+		for (Map.Entry<String, Integer> service : SERVERS.entrySet()) {
+			for (int i = 0; i < service.getValue(); i++) {
+				addServer(service.getKey());
+			}
+		}
+		for (int i = 0; i < gatewayCount; i++) {
+			this.gateways.add(new SoakGateway("g" + i, folder, storeAddress));
+		}
+		for (SoakGateway gateway : this.gateways) {
+			gateway.writeSettings(seeds());
+			gateway.start();
+		}
+	}
+
+	List<String> seeds() {
+		return this.gateways.stream().limit(3).map(SoakGateway::peers).toList();
+	}
+
+	StoreStandIn store() {
+		return this.store;
+	}
+
+	List<SoakGateway> gateways() {
+		return this.gateways;
+	}
+
+	List<SoakServer> servers() {
+		return this.servers;
+	}
+
+	String movingTo() {
+		return this.movingTo;
+	}
+
+	String passingKey() {
+		return this.passingKey;
+	}
+
+	/**
+	 * Writes a new configuration, which moves a route and takes one key for another.
+	 */
+	synchronized void reconfigure() {
+		this.version += 2 + this.version % 3;
+		this.movingTo = this.movingTo.equals("desk") ? "desk-new" : "desk";
+		this.passingKey = "a-key-that-passes-" + this.version;
+		configure();
+	}
+
+	private void configure() {
+		synchronized (this.services) {
+			this.services.get(CallKind.MOVING).add(this.movingTo);
+		}
+		List<Configurations.RouteSpec> routes = List.of(route(CallKind.ONCE, "desk", "non_idempotent", 1),
+				route(CallKind.AGAIN, "desk", "idempotent", 3), route(CallKind.STREAM, "model", "stream", 3),
+				route(CallKind.MOVING, this.movingTo, "idempotent", 2));
+		this.store.put("config", "main", Configurations.of(this.version, routes, List.copyOf(SERVERS.keySet()),
+				ORGANISATION, List.of(KEY, this.passingKey)));
+	}
+
+	private static Configurations.RouteSpec route(CallKind kind, String service, String repeat, int attempts) {
+		return new Configurations.RouteSpec(HOST, kind.prefix(), service, repeat, TIMEOUT_MILLIS, attempts);
+	}
+
+	synchronized SoakServer addServer(String service) throws IOException {
+		String id = service + "-run-" + this.serverRuns++;
+		BackendStandIn server = new BackendStandIn(this.loop, this.store, service, id);
+		SoakServer reached = new SoakServer(server, new Link(server.start()));
+		server.register(reached.link().address());
+		this.servers.add(reached);
+		return reached;
+	}
+
+	/**
+	 * Ends a server, whose entry stays.
+	 * @param server the server
+	 * @throws IOException if its link cannot be closed
+	 */
+	void end(SoakServer server) throws IOException {
+		this.servers.remove(server);
+		server.link().close();
+		server.server().close();
+		this.pastRuns.addAll(server.server().runs());
+	}
+
+	boolean drainsAlready(SoakServer server) {
+		return this.drains.containsKey(server.server().id());
+	}
+
+	void drains(SoakServer server) {
+		server.server().drain();
+		this.drains.put(server.server().id(), System.nanoTime());
+	}
+
+	void disturbed(Disturbance disturbance) {
+		this.disturbances.add(disturbance);
+	}
+
+	SoakHistory history(List<Call> calls) {
+		List<Run> runs = new ArrayList<>(this.pastRuns);
+		this.servers.forEach((server) -> runs.addAll(server.server().runs()));
+		return new SoakHistory(calls, runs, List.copyOf(this.disturbances), Map.copyOf(this.drains),
+				Map.copyOf(this.services));
+	}
+
+	@Override
+	public void close() throws IOException {
+		for (SoakGateway gateway : this.gateways) {
+			gateway.close();
+		}
+		for (SoakServer server : this.servers) {
+			server.link().close();
+			server.server().close();
+		}
+		this.store.close();
+		this.loop.close();
+	}
+
+	/**
+	 * A server and the link over which all gateways reach it.
+	 *
+	 * @param server the server
+	 * @param link the link
+	 */
+	record SoakServer(BackendStandIn server, Link link) {
+
+	}
+
+}
