--- a/app/src/test/java/org/snowwind/app/harness/ProcessFleet.java
+++ b/app/src/test/java/org/snowwind/app/harness/ProcessFleet.java
@@ -53,9 +53,6 @@
 
 	private static final long POLL_MILLIS = 50;
 
-	private static final AtomicInteger NEXT_PORT = new AtomicInteger(
-			10_000 + (int) (ProcessHandle.current().pid() % 1000) * 20);
-
 	private final Path folder;
 
 	private final DataLoop loop = new DataLoop("standins");
@@ -109,9 +106,9 @@
 	}
 
 	private void agent(String name, String target, String kind, InetSocketAddress backend) throws IOException {
-		int requests = freePort();
-		int control = freePort();
-		int admin = freePort();
+		int requests = Ports.free();
+		int control = Ports.free();
+		int admin = Ports.free();
 		String settings = """
 				name = "%s"
 				data_centre = "casa"
@@ -138,10 +135,10 @@
 	 * @throws IOException if it cannot be started
 	 */
 	public void entry(String name, String... seeds) throws IOException {
-		int callers = freePort();
-		int operators = freePort();
-		int control = freePort();
-		int admin = freePort();
+		int callers = Ports.free();
+		int operators = Ports.free();
+		int control = Ports.free();
+		int admin = Ports.free();
 		List<String> seedAddresses = new ArrayList<>();
 		for (String seed : seeds) {
 			seedAddresses.add('"' + this.nodes.get(seed).control().address() + '"');
@@ -325,18 +322,6 @@
 	// Below the range from which the system takes the ports of outgoing connections, so
 	// that
 	// nobody takes the port between this look and the process's start.
-	private static int freePort() throws IOException {
-		while (true) {
-			int port = NEXT_PORT.getAndIncrement();
-			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-				return socket.getLocalPort();
-			}
-			catch (java.net.BindException ex) {
-				// Somebody listens there; the next one is tried.
-			}
-		}
-	}
-
 	@Override
 	public void close() throws IOException {
 		for (Node node : this.nodes.values()) {
--- a/app/src/test/java/org/snowwind/app/proof/GatewaySignalTests.java
+++ b/app/src/test/java/org/snowwind/app/proof/GatewaySignalTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.snowwind.app.harness.Ports;
 import org.snowwind.app.harness.SnowwindProcess;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -25,14 +26,8 @@
 
 	private SnowwindProcess gateway;
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-	}
-
 	private static String address() throws IOException {
-		return "\"127.0.0.1:" + freePort() + "\"\n";
+		return "\"127.0.0.1:" + Ports.free() + "\"\n";
 	}
 
 	@BeforeEach
--- a/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
@@ -8,6 +8,7 @@
 import java.util.List;
 
 import org.snowwind.app.harness.Link;
+import org.snowwind.app.harness.Ports;
 import org.snowwind.app.harness.SnowwindProcess;
 
 /**
@@ -24,13 +25,13 @@
 
 	private final Link toStore;
 
-	private final int callersPort = freePort();
+	private final int callersPort = Ports.free();
 
-	private final int readinessPort = freePort();
+	private final int readinessPort = Ports.free();
 
-	private final int peersPort = freePort();
+	private final int peersPort = Ports.free();
 
-	private final int adminPort = freePort();
+	private final int adminPort = Ports.free();
 
 	private SnowwindProcess process;
 
@@ -44,12 +45,6 @@
 		this.toStore = new Link(store);
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-	}
-
 	String name() {
 		return this.name;
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -155,6 +155,25 @@
 		}
 	}
 
+	/**
+	 * Takes note that a stream has begun.
+	 * @param nowMillis the time, in milliseconds
+	 */
+	public void streamBegan(long nowMillis) {
+		if (this.group != null) {
+			this.group.streamBegan(nowMillis);
+		}
+	}
+
+	/**
+	 * Takes note that a stream that had begun has ended.
+	 */
+	public void streamEnded() {
+		if (this.group != null) {
+			this.group.streamEnded();
+		}
+	}
+
 	/**
 	 * Takes note of a pause between two events of a stream.
 	 * @param pauseMillis the pause, in milliseconds
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -169,10 +169,9 @@
 	 * @return true if each is in a group that is closed
 	 */
 	public boolean allClosed(String service) {
-		long nowMillis = this.clock.nowMillis();
 		List<Backend> servers = of(service);
 		return !servers.isEmpty()
-				&& servers.stream().allMatch((backend) -> backend.group() != null && !backend.group().open(nowMillis));
+				&& servers.stream().allMatch((backend) -> backend.group() != null && backend.group().closed());
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -1,6 +1,8 @@
 package org.snowwind.gateway.backend;
 
 import org.snowwind.gateway.table.EngineProfile;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
 
 /**
  * How loaded a group of ranks is, and how much more it takes. Confined to the loop.
@@ -37,8 +39,17 @@
 	/** So many refusals in a row, by whatever ranks, close a group for a while. */
 	private static final int REFUSALS_TO_CLOSE = 3;
 
-	/** A group that lost a rank is formed anew within about a second. */
-	private static final long CLOSED_MILLIS = 400;
+	/**
+	 * A group that lost a rank is formed anew within about a second; one request asks so
+	 * often whether it was.
+	 */
+	private static final long CLOSED_MILLIS = 250;
+
+	/**
+	 * Each pass gives each stream an event, so that a group whose streams are all silent
+	 * for so long stands still, in milliseconds; several of the longest passes on time.
+	 */
+	private static final long STANDSTILL_MILLIS = 500;
 
 	private final String name;
 
@@ -56,6 +67,14 @@
 
 	private long closedUntilMillis;
 
+	private boolean closed;
+
+	private boolean probed;
+
+	private int streams;
+
+	private long lastEventMillis;
+
 	GroupLoad(String name) {
 		this.name = name;
 	}
@@ -75,10 +94,12 @@
 
 	void sent() {
 		this.load++;
+		this.probed = this.closed;
 	}
 
 	void ended() {
 		this.load--;
+		this.probed = false;
 	}
 
 	/**
@@ -105,7 +126,8 @@
 	 * @param nowMillis the time, in milliseconds
 	 */
 	void paused(long pauseMillis, long pauseTargetMillis, EngineProfile profile, long nowMillis) {
-		this.refusals = 0;
+		opened();
+		this.lastEventMillis = nowMillis;
 		if (pauseMillis > STALL * pauseTargetMillis) {
 			return;
 		}
@@ -131,6 +153,7 @@
 		if (this == NONE) {
 			return 1;
 		}
+		closeIfStandingStill(nowMillis);
 		if (!open(nowMillis)) {
 			return 0;
 		}
@@ -162,19 +185,59 @@
 	 */
 	void refused(long nowMillis) {
 		this.refusals++;
-		if (this.refusals >= REFUSALS_TO_CLOSE) {
-			this.refusals = 0;
+		if (this.closed || this.refusals >= REFUSALS_TO_CLOSE) {
+			this.closed = true;
+			this.closedUntilMillis = nowMillis + CLOSED_MILLIS;
+		}
+	}
+
+	/**
+	 * Takes note that a stream has begun.
+	 * @param nowMillis the time, in milliseconds
+	 */
+	void streamBegan(long nowMillis) {
+		this.streams++;
+		this.lastEventMillis = nowMillis;
+		opened();
+	}
+
+	/**
+	 * Takes note that a stream that had begun has ended.
+	 */
+	void streamEnded() {
+		this.streams--;
+	}
+
+	private void opened() {
+		this.refusals = 0;
+		this.closed = false;
+		this.probed = false;
+	}
+
+	private void closeIfStandingStill(long nowMillis) {
+		if (!this.closed && this.streams > 0 && nowMillis - this.lastEventMillis > STANDSTILL_MILLIS) {
+			this.closed = true;
 			this.closedUntilMillis = nowMillis + CLOSED_MILLIS;
+			EventLog.log(Event.GROUP_STANDS_STILL, "group", this.name, "silentMillis", nowMillis - this.lastEventMillis,
+					"streams", this.streams, "load", this.load);
 		}
 	}
 
 	/**
-	 * Tells whether the group takes requests.
+	 * Tells whether the group is known to take requests.
+	 * @return false from when it has refused several until it answers one
+	 */
+	boolean closed() {
+		return this.closed;
+	}
+
+	/**
+	 * Tells whether the group takes a request.
 	 * @param nowMillis the time, in milliseconds
-	 * @return false for a while after it has refused several
+	 * @return false while it is closed, but for one request at a time that finds out
 	 */
 	boolean open(long nowMillis) {
-		return nowMillis >= this.closedUntilMillis;
+		return !this.closed || (nowMillis >= this.closedUntilMillis && !this.probed);
 	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Wanted.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Wanted.java
@@ -13,19 +13,10 @@
  * @param engine how fast the engines of the service are; {@code null} for a plain service
  * @param pauseTargetMillis the longest pause between events that is on time, in
  * milliseconds
- * @param returned whether the caller was turned away before; it goes before others
+ * @param standing whom it goes before
  */
 public record Wanted(String service, Set<String> tried, int mayWait, EngineProfile engine, long pauseTargetMillis,
-		boolean returned) {
-
-	/**
-	 * The part of a group's limit that a request may fill whose caller was turned away
-	 * before: better one pass a little longer than a caller turned away twice.
-	 */
-	private static final double RETURNED_SHARE = 1.05;
-
-	/** The part that any other request may fill. */
-	private static final double FRESH_SHARE = 0.95;
+		Standing standing) {
 
 	/**
 	 * Returns how many requests a group may have for this one to be added.
@@ -33,7 +24,7 @@
 	 * @return a number of requests
 	 */
 	double limit(int limit) {
-		return (this.returned ? RETURNED_SHARE : FRESH_SHARE) * limit;
+		return this.standing.share() * limit;
 	}
 
 	/**
@@ -41,7 +32,7 @@
 	 * @return a new need
 	 */
 	public Wanted anyServer() {
-		return new Wanted(this.service, Set.of(), this.mayWait, this.engine, this.pauseTargetMillis, this.returned);
+		return new Wanted(this.service, Set.of(), this.mayWait, this.engine, this.pauseTargetMillis, this.standing);
 	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
@@ -78,6 +78,14 @@
 		return distance / 2;
 	}
 
+	/**
+	 * Tells how new the last counts are.
+	 * @return when they were read, in milliseconds
+	 */
+	synchronized long asOfMillis() {
+		return this.asOfMillis;
+	}
+
 	/**
 	 * Returns the demand.
 	 * @return weights by set and expert
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -60,7 +60,7 @@
 	private static final long VERSIONS_PER_TOKEN = 10_000;
 
 	/** Demand moves every few seconds; what is older says little. */
-	private static final double DEMAND_HALF_LIFE_MILLIS = 800;
+	private static final double DEMAND_HALF_LIFE_MILLIS = 1500;
 
 	/** Copies beyond this make a map late for the demand that it was planned for. */
 	private static final int COPIES_PER_RANK = 4;
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -32,6 +32,9 @@
 	 */
 	private static final long REPORTS_MILLIS = 600;
 
+	/** Counts that another group has read are news for so long, in milliseconds. */
+	private static final long OTHERS_MILLIS = 250;
+
 	/** Of how many ranks counts are read each time. */
 	private static final int COUNTED_RANKS = 1;
 
@@ -87,6 +90,8 @@
 
 	private long nextReportsMillis;
 
+	private long plannedAsOfMillis;
+
 	private long nextCountsMillis;
 
 	private boolean incomplete;
@@ -127,7 +132,9 @@
 		if (!onDuty() || (this.clock.nowMillis() >= this.nextReportsMillis && !look())) {
 			return;
 		}
-		if (readCounts()) {
+		readCounts();
+		if (this.demand.asOfMillis() != this.plannedAsOfMillis) {
+			this.plannedAsOfMillis = this.demand.asOfMillis();
 			improve();
 		}
 	}
@@ -227,10 +234,11 @@
 
 	// ---- demand
 
-	private boolean readCounts() {
+	private void readCounts() {
 		long nowMillis = this.clock.nowMillis();
-		if (nowMillis < this.nextCountsMillis) {
-			return false;
+		// The first group that finds no news reads for all groups of the service.
+		if (nowMillis < this.nextCountsMillis || nowMillis - this.demand.asOfMillis() < OTHERS_MILLIS) {
+			return;
 		}
 		this.nextCountsMillis = nowMillis + COUNTS_MILLIS;
 		List<Rank> counted = this.standing.subList(0, Math.min(COUNTED_RANKS, this.standing.size()));
@@ -241,7 +249,6 @@
 				.ifPresent((counts) -> note(serverId, counts.bySet(this.profile.expertSets(), this.profile.experts()),
 						nowMillis));
 		}
-		return true;
 	}
 
 	private void note(String serverId, long[][] counts, long nowMillis) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.Future;
 import org.snowwind.decide.outcome.AttemptEnd;
 import org.snowwind.gateway.backend.Backend;
+import org.snowwind.gateway.table.Repeat;
 import org.snowwind.http.client.UpstreamCall;
 import org.snowwind.http.client.UpstreamListener;
 import org.snowwind.http.client.UpstreamRequest;
@@ -38,6 +39,8 @@
 
 	private boolean over;
 
+	private boolean streaming;
+
 	private long silenceMillis;
 
 	Attempt(RequestContext context, CallerRequest request, Backend backend, AttemptListener listener) {
@@ -115,6 +118,10 @@
 			giveUp("not a server's answer to this request");
 			return;
 		}
+		if (this.request.route().repeat() == Repeat.STREAM) {
+			this.streaming = true;
+			this.backend.streamBegan(this.context.clock().nowMillis());
+		}
 		restartTimer(true);
 		this.listener.answerBegins(answerStatus, headers);
 	}
@@ -174,6 +181,9 @@
 	private void close(AttemptEnd end) {
 		this.over = true;
 		this.timer.cancel(false);
+		if (this.streaming) {
+			this.backend.streamEnded();
+		}
 		String name = (end != null) ? end.name() : "ABANDONED";
 		this.context.meters().attempt(this.request.service(), name);
 		EventLog.log(Event.ATTEMPT_ENDED, "request", this.request.id(), "server", this.backend.id(), "end", name,
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -11,6 +11,7 @@
 import org.snowwind.decide.outcome.NextStepRules;
 import org.snowwind.decide.outcome.Situation;
 import org.snowwind.gateway.backend.Backend;
+import org.snowwind.gateway.backend.Standing;
 import org.snowwind.gateway.backend.Wanted;
 import org.snowwind.gateway.table.Repeat;
 import org.snowwind.http.server.HttpExchange;
@@ -43,6 +44,12 @@
 	/** The part of its target that a request waits for a server with room. */
 	private static final double WAIT_SHARE = 0.2;
 
+	/**
+	 * The part of its time that a request whose caller was turned away before waits for
+	 * groups that are being formed anew: less than half, so that an answer still fits.
+	 */
+	private static final double REOPENING_SHARE = 0.45;
+
 	/** How often a waiting request looks for a server, in milliseconds. */
 	private static final long WAIT_STEP_MILLIS = 10;
 
@@ -119,6 +126,15 @@
 		return this.context.clock().nowMillis() + (long) (WAIT_SHARE * this.request.route().targetMillis());
 	}
 
+	// A caller that was turned away once has no further try: while all groups are being
+	// formed anew, late is better than never.
+	private boolean mayWaitOn() {
+		long waitedMillis = this.context.clock().nowMillis() - this.request.arrivedMillis();
+		return callerReturned() && this.runs == 0
+				&& waitedMillis < REOPENING_SHARE * (this.deadlineMillis - this.request.arrivedMillis())
+				&& this.context.backends().allClosed(this.request.service());
+	}
+
 	private long remainingMillis() {
 		return this.deadlineMillis - this.context.clock().nowMillis();
 	}
@@ -155,7 +171,8 @@
 			sendTo(chosen.get(), lastEventId);
 			return;
 		}
-		if (this.context.clock().nowMillis() + WAIT_STEP_MILLIS > waitUntilMillis) {
+		boolean waited = this.context.clock().nowMillis() + WAIT_STEP_MILLIS > waitUntilMillis;
+		if (waited && !mayWaitOn()) {
 			giveUpUnsent(ProblemKind.OVERLOADED);
 			return;
 		}
@@ -164,7 +181,7 @@
 
 	private Optional<Backend> choose() {
 		Wanted wanted = new Wanted(this.request.service(), this.tried, this.timing.mayWait(),
-				this.request.destination().engine(), this.request.route().pauseTargetMillis(), returned());
+				this.request.destination().engine(), this.request.route().pauseTargetMillis(), standing());
 		Optional<Backend> untried = this.context.backends().choose(wanted);
 		boolean allTried = !this.context.backends().anyLeft(this.request.service(), this.tried);
 		if (untried.isPresent() || !allTried) {
@@ -173,9 +190,16 @@
 		return this.context.backends().choose(wanted.anyServer());
 	}
 
-	private boolean returned() {
-		return this.sends > 0
-				|| Timing.returned(this.request.head().patienceMillis(), this.request.route().timeoutMillis());
+	private Standing standing() {
+		long waitedMillis = this.context.clock().nowMillis() - this.request.arrivedMillis();
+		if (waitedMillis > this.request.route().targetMillis()) {
+			return Standing.LATE;
+		}
+		return (this.sends > 0 || callerReturned()) ? Standing.RETURNED : Standing.FRESH;
+	}
+
+	private boolean callerReturned() {
+		return Timing.returned(this.request.head().patienceMillis(), this.request.route().timeoutMillis());
 	}
 
 	private void sendTo(Backend backend, String lastEventId) {
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -44,7 +44,7 @@
 	}
 
 	private String choose(Set<String> tried) {
-		return this.table.choose(new Wanted("s", tried, 0, null, 0, false)).map(Backend::id).orElse("none");
+		return this.table.choose(new Wanted("s", tried, 0, null, 0, Standing.FRESH)).map(Backend::id).orElse("none");
 	}
 
 	private Backend server(String id) {
@@ -66,7 +66,7 @@
 		server("a").sent();
 		server("a").sent();
 		assertThat(choose(NONE)).isEqualTo("none");
-		assertThat(this.table.choose(new Wanted("s", NONE, 1, null, 0, false))).isPresent();
+		assertThat(this.table.choose(new Wanted("s", NONE, 1, null, 0, Standing.FRESH))).isPresent();
 	}
 
 	@Test
@@ -123,7 +123,7 @@
 			ofGateway
 				.use(new Registry(1, Stream.of(ranks).collect(Collectors.toMap(BackendEntry::id, (server) -> server))));
 			ofGateway.peersInFlight(oldNews);
-			Optional<Backend> chosen = ofGateway.choose(new Wanted("s", NONE, 0, ENGINE, 120, false));
+			Optional<Backend> chosen = ofGateway.choose(new Wanted("s", NONE, 0, ENGINE, 120, Standing.FRESH));
 			atTheEmptyOne += chosen.orElseThrow().id().equals("r0") ? 1 : 0;
 		}
 		assertThat(atTheEmptyOne).isLessThanOrEqualTo(ENGINE.slots());
@@ -134,7 +134,7 @@
 		registered(server("a", false), server("b", false));
 		this.table.grouped("a", "g");
 		server("a").sent();
-		Wanted wanted = new Wanted("s", Set.of("b"), 9, ENGINE, 120, false);
+		Wanted wanted = new Wanted("s", Set.of("b"), 9, ENGINE, 120, Standing.FRESH);
 		assertThat(this.table.choose(wanted)).isPresent();
 		for (int i = 0; i < ENGINE.slots(); i++) {
 			server("a").sent();
--- a/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
@@ -87,9 +87,55 @@
 
 	@Test
 	void aCallerThatWasTurnedAwayBeforeFindsMoreRoom() {
-		Wanted fresh = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS, false);
-		Wanted returned = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS, true);
+		Wanted fresh = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS, Standing.FRESH);
+		Wanted returned = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS, Standing.RETURNED);
+		Wanted late = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS, Standing.LATE);
 		assertThat(returned.limit(40)).isGreaterThan(fresh.limit(40));
+		assertThat(late.limit(40)).isLessThan(fresh.limit(40));
+	}
+
+	@Test
+	void aClosedGroupIsAskedByOneRequestAtATime() {
+		closed(1000);
+		assertThat(this.group.open(2000)).isTrue();
+		this.group.sent();
+		assertThat(this.group.open(2001)).as("one asks").isFalse();
+		this.group.ended();
+		this.group.refused(2002);
+		assertThat(this.group.open(2003)).as("it was refused").isFalse();
+		assertThat(this.group.open(3000)).isTrue();
+		this.group.sent();
+		this.group.streamBegan(3100);
+		assertThat(this.group.closed()).isFalse();
+		assertThat(this.group.open(3100)).isTrue();
+	}
+
+	@Test
+	void aGroupWhoseStreamsAreAllSilentGetsNothingNew() {
+		Wanted wanted = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS, Standing.FRESH);
+		this.group.count(8, 2);
+		this.group.streamBegan(1000);
+		assertThat(this.group.roomShare(wanted, 1400)).isPositive();
+		assertThat(this.group.roomShare(wanted, 1600)).isZero();
+		assertThat(this.group.closed()).isTrue();
+		this.group.paused(600, TARGET_MILLIS, PROFILE, 1610);
+		assertThat(this.group.roomShare(wanted, 1610)).isPositive();
+	}
+
+	@Test
+	void aGroupWithoutStreamsIsNotStandingStill() {
+		Wanted wanted = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS, Standing.FRESH);
+		this.group.count(8, 0);
+		this.group.streamBegan(1000);
+		this.group.streamEnded();
+		assertThat(this.group.roomShare(wanted, 60_000)).isPositive();
+	}
+
+	private void closed(long nowMillis) {
+		for (int i = 0; i < 3; i++) {
+			this.group.refused(nowMillis);
+		}
+		assertThat(this.group.closed()).isTrue();
 	}
 
 }
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -172,6 +172,9 @@
 	/** What an earlier owner left half done was finished. */
 	MAP_SWITCH_RECOVERED(6204, Level.WARNING, "left switch of expert map finished"),
 
+	/** No stream of a group has had an event for long; it gets nothing new for now. */
+	GROUP_STANDS_STILL(3010, Level.WARNING, "group stands still"),
+
 	/** Requests choose other experts than before. */
 	DEMAND_MOVED(6205, Level.INFO, "demand for experts moved"),
 
