Miss a planner within a second; scale the peers' silence with their number

Change: a planner that is not heard for 0.6 s (1.6 periods of reports where there are many gateways) is missed, and the next one claims at once; only a process that has just begun listens first. Lists of all gateways go with every fifth report; silence is counted in periods, since with 100 gateways and more a period is longer than the silence was.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -203,7 +203,7 @@
 			return false;
 		}
 		return this.experts.fence() != 0
-				|| peers.liveNames().stream().noneMatch((peer) -> peer.compareTo(this.settings.name()) < 0);
+				|| peers.promptNames().stream().noneMatch((peer) -> peer.compareTo(this.settings.name()) < 0);
 	}
 
 	private RequestContext newContext() {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -42,7 +42,7 @@
 
 	private static final int SMALL_RING = 16;
 
-	private static final long TICK_MILLIS = 250;
+	private static final long TICK_MILLIS = 100;
 
 	/** How often it is looked whether a group needs something, in milliseconds. */
 	private static final long GROUP_TICK_MILLIS = 100;
@@ -50,7 +50,10 @@
 	/** How often all servers are asked which group they are in, in milliseconds. */
 	private static final long DISCOVERY_MILLIS = 4000;
 
-	/** How long a gateway listens for an owner before it claims the duty. */
+	/**
+	 * How long a gateway that was started listens for an owner before it claims the duty,
+	 * in milliseconds: reports come within half of it.
+	 */
 	private static final long LISTEN_MILLIS = 1200;
 
 	/** How long after a failed claim the next one follows, in milliseconds. */
@@ -94,8 +97,6 @@
 
 	private final Map<String, DemandBook> demands = new HashMap<>();
 
-	private long candidateSinceMillis = -1;
-
 	private long nextClaimMillis;
 
 	private long nextDiscoveryMillis;
@@ -132,6 +133,7 @@
 	 * Takes up the duty whenever this gateway should have it.
 	 */
 	public void start() {
+		this.nextClaimMillis = this.clock.nowMillis() + LISTEN_MILLIS;
 		this.thread.start();
 	}
 
@@ -146,16 +148,11 @@
 	private void round() {
 		long nowMillis = this.clock.nowMillis();
 		if (!this.candidate.getAsBoolean()) {
-			this.candidateSinceMillis = -1;
 			leave("another gateway has it");
 			return;
 		}
-		if (this.candidateSinceMillis < 0) {
-			this.candidateSinceMillis = nowMillis;
-		}
 		if (this.fence.get() == 0) {
-			boolean listened = nowMillis - this.candidateSinceMillis >= LISTEN_MILLIS;
-			if (listened && nowMillis >= this.nextClaimMillis && hasGroups()) {
+			if (nowMillis >= this.nextClaimMillis && hasGroups()) {
 				claim();
 			}
 			return;
@@ -274,7 +271,7 @@
 			EventLog.log(Event.EXPERT_DUTY_LEFT, "reason", "the token is no longer of use", "fence", token);
 			this.thread.offer(() -> {
 				closeGroups();
-				this.candidateSinceMillis = this.clock.nowMillis() + CLAIM_BACKOFF_MILLIS;
+				this.nextClaimMillis = this.clock.nowMillis() + CLAIM_BACKOFF_MILLIS + LISTEN_MILLIS;
 			});
 		}
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -36,6 +36,9 @@
 	/** The same for each peer that there is, so that calls stay bounded. */
 	private static final long PERIOD_PER_PEER_MILLIS = 15;
 
+	/** So many reports hold one list of all gateways; it would be most of each. */
+	private static final int ROUNDS_PER_LISTING = 5;
+
 	private static final int RING_SIZE = 1024;
 
 	private final PeerTable peers;
@@ -56,7 +59,9 @@
 
 	private long nextRoundMillis = Long.MIN_VALUE;
 
-	private volatile View view = new View(0, Set.of(), Set.of(), false);
+	private long rounds;
+
+	private volatile View view = new View(0, Set.of(), Set.of(), Set.of(), false);
 
 	/**
 	 * Creates a mesh that calls nobody yet.
@@ -109,10 +114,13 @@
 		if (nowMillis < this.nextRoundMillis) {
 			return;
 		}
-		this.nextRoundMillis = nowMillis + Math.max(LEAST_PERIOD_MILLIS, PERIOD_PER_PEER_MILLIS * this.peers.known());
-		this.peers.age(nowMillis);
+		long periodMillis = Math.max(LEAST_PERIOD_MILLIS, PERIOD_PER_PEER_MILLIS * this.peers.known());
+		this.nextRoundMillis = nowMillis + periodMillis;
+		this.peers.age(nowMillis, periodMillis);
 		GatewayReport report = this.ownReport.get();
-		report.setKnownGateways(this.peers.liveAddresses());
+		if (this.rounds++ % ROUNDS_PER_LISTING == 0) {
+			report.setKnownGateways(this.peers.liveAddresses());
+		}
 		this.peers.addresses().forEach((address) -> exchange(address, report));
 		closeLinksToForgotten();
 		publish(nowMillis);
@@ -179,7 +187,7 @@
 
 	private void publish(long nowMillis) {
 		this.view = new View(this.peers.known(), this.peers.liveNames(), Set.copyOf(this.peers.liveAddresses()),
-				this.peers.expertsPlanned());
+				this.peers.promptNames(nowMillis), this.peers.expertsPlanned(nowMillis));
 		this.consumers.peersChanged(this.peers.inFlight(nowMillis));
 	}
 
@@ -203,9 +211,12 @@
 	 * @param known how many there are, those out of reach included
 	 * @param liveNames the names of those that answer and do not leave
 	 * @param liveAddresses the control addresses of those that answer
-	 * @param expertsPlanned whether one of them plans expert maps
+	 * @param promptNames the names of those that were heard a moment ago and do not leave
+	 * @param expertsPlanned whether one of them was heard a moment ago to plan expert
+	 * maps
 	 */
-	public record View(int known, Set<String> liveNames, Set<String> liveAddresses, boolean expertsPlanned) {
+	public record View(int known, Set<String> liveNames, Set<String> liveAddresses, Set<String> promptNames,
+			boolean expertsPlanned) {
 
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -17,17 +19,34 @@
  */
 public final class PeerTable {
 
-	/** After this time without a word a peer counts as dead, in milliseconds. */
+	/** After this time without a word a peer counts as dead at least, in milliseconds. */
 	private static final long SILENCE_MILLIS = 1500;
 
+	/** The same in periods between reports, where these are long. */
+	private static final int SILENCE_PERIODS = 3;
+
+	/**
+	 * After this time without a word from whoever plans expert maps another one does, in
+	 * milliseconds: a group that it has left held stands still until then, and two that
+	 * plan do no harm.
+	 */
+	private static final long PLANNER_SILENCE_MILLIS = 600;
+
+	/** The same in periods between reports, of which each brings word both ways. */
+	private static final double PLANNER_SILENCE_PERIODS = 1.6;
+
 	/** After this time without a word a peer is forgotten, in milliseconds. */
 	private static final long FORGET_MILLIS = 30_000;
 
-	/** After this age a report says nothing of a peer's requests, in milliseconds. */
+	/** Up to this age at least a report tells a peer's requests, in milliseconds. */
 	private static final long LOAD_LIFE_MILLIS = 2000;
 
 	private final String ownAddress;
 
+	private long silenceMillis = SILENCE_MILLIS;
+
+	private long plannerSilenceMillis = PLANNER_SILENCE_MILLIS;
+
 	private final Map<String, Peer> byAddress = new LinkedHashMap<>();
 
 	/**
@@ -72,15 +91,18 @@
 	/**
 	 * Suspects silent peers and forgets those that have been silent for long.
 	 * @param nowMillis the time, in milliseconds
+	 * @param periodMillis how often peers report, in milliseconds
 	 */
-	public void age(long nowMillis) {
+	public void age(long nowMillis, long periodMillis) {
+		this.silenceMillis = Math.max(SILENCE_MILLIS, SILENCE_PERIODS * periodMillis);
+		this.plannerSilenceMillis = Math.max(PLANNER_SILENCE_MILLIS, (long) (PLANNER_SILENCE_PERIODS * periodMillis));
 		this.byAddress.values().forEach((peer) -> suspectIfSilent(peer, nowMillis));
 		this.byAddress.values().removeIf((peer) -> nowMillis - peer.heardMillis > FORGET_MILLIS);
 	}
 
-	private static void suspectIfSilent(Peer peer, long nowMillis) {
+	private void suspectIfSilent(Peer peer, long nowMillis) {
 		long silentMillis = nowMillis - peer.heardMillis;
-		if (peer.alive && silentMillis > SILENCE_MILLIS) {
+		if (peer.alive && silentMillis > this.silenceMillis) {
 			peer.alive = false;
 			EventLog.log(Event.PEER_SUSPECTED, "peer", peer.report.getName(), "silentMillis", silentMillis);
 		}
@@ -131,11 +153,29 @@
 	}
 
 	/**
-	 * Tells whether a live peer plans expert maps.
-	 * @return true if one does
+	 * Tells whether a peer plans expert maps.
+	 * @param nowMillis the time, in milliseconds
+	 * @return true if one was heard to do so a moment ago
 	 */
-	public boolean expertsPlanned() {
-		return this.byAddress.values().stream().anyMatch((peer) -> peer.alive && peer.report.getExpertFence() != 0);
+	public boolean expertsPlanned(long nowMillis) {
+		return prompt(nowMillis).anyMatch((peer) -> peer.report.getExpertFence() != 0);
+	}
+
+	/**
+	 * Lists the peers that may plan expert maps.
+	 * @param nowMillis the time, in milliseconds
+	 * @return the names of those that were heard a moment ago and do not leave, in order
+	 */
+	public Set<String> promptNames(long nowMillis) {
+		return prompt(nowMillis).filter((peer) -> !peer.report.isLeaving())
+			.map((peer) -> peer.report.getName())
+			.collect(Collectors.toCollection(TreeSet::new));
+	}
+
+	private Stream<Peer> prompt(long nowMillis) {
+		return this.byAddress.values()
+			.stream()
+			.filter((peer) -> peer.alive && nowMillis - peer.heardMillis <= this.plannerSilenceMillis);
 	}
 
 	/**
@@ -145,8 +185,9 @@
 	 */
 	public Map<String, Integer> inFlight(long nowMillis) {
 		Map<String, Integer> sums = new HashMap<>();
+		long loadLifeMillis = Math.max(LOAD_LIFE_MILLIS, this.silenceMillis);
 		for (Peer peer : this.byAddress.values()) {
-			if (peer.report != null && nowMillis - peer.heardMillis < LOAD_LIFE_MILLIS) {
+			if (peer.report != null && nowMillis - peer.heardMillis < loadLifeMillis) {
 				peer.report.getInFlight().forEach((server, requests) -> sums.merge(server, requests, Integer::sum));
 			}
 		}
--- a/gateway/src/test/java/org/snowwind/gateway/peer/PeerTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/PeerTableTests.java
@@ -43,21 +43,41 @@
 	@Test
 	void aSilentPeerIsSuspectedButStillCountsForABudget() {
 		this.peers.heard(report("b", "10.0.0.2:1", Map.of(), 9), 0);
-		assertThat(this.peers.expertsPlanned()).isTrue();
-		this.peers.age(2000);
+		assertThat(this.peers.expertsPlanned(100)).isTrue();
+		this.peers.age(2000, 100);
 		assertThat(this.peers.liveNames()).isEmpty();
-		assertThat(this.peers.expertsPlanned()).isFalse();
+		assertThat(this.peers.expertsPlanned(2000)).isFalse();
 		assertThat(this.peers.known()).isEqualTo(2);
-		this.peers.age(40_000);
+		this.peers.age(40_000, 100);
 		assertThat(this.peers.known()).isZero();
 	}
 
 	@Test
 	void aPeerThatAnswersAgainIsTrusted() {
 		this.peers.heard(report("b", "10.0.0.2:1", Map.of(), 0), 0);
-		this.peers.age(2000);
+		this.peers.age(2000, 100);
 		this.peers.heard(report("b", "10.0.0.2:1", Map.of(), 0), 2100);
 		assertThat(this.peers.liveAddresses()).containsExactly("10.0.0.2:1");
 	}
 
+	@Test
+	void peersThatReportSeldomAreNotSuspectedForIt() {
+		this.peers.heard(report("b", "10.0.0.2:1", Map.of("i-1", 2), 0), 0);
+		this.peers.age(4500, 3000);
+		assertThat(this.peers.liveNames()).containsExactly("b");
+		assertThat(this.peers.inFlight(4500)).containsEntry("i-1", 2);
+		this.peers.age(9100, 3000);
+		assertThat(this.peers.liveNames()).isEmpty();
+	}
+
+	@Test
+	void aPlannerIsMissedSoonerThanItIsTakenForDead() {
+		this.peers.heard(report("a", "10.0.0.2:1", Map.of(), 9), 0);
+		this.peers.heard(report("b", "10.0.0.3:1", Map.of(), 0), 900);
+		this.peers.age(1000, 100);
+		assertThat(this.peers.liveNames()).containsExactly("a", "b");
+		assertThat(this.peers.expertsPlanned(1000)).isFalse();
+		assertThat(this.peers.promptNames(1000)).containsExactly("b");
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -18,11 +18,13 @@
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.Registry;
+import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.gateway.table.KeyHolder;
 import org.snowwind.gateway.table.Repeat;
 import org.snowwind.gateway.table.RequestLimits;
 import org.snowwind.gateway.table.Route;
 import org.snowwind.gateway.table.RouteTable;
+import org.snowwind.gateway.table.ServiceEntry;
 import org.snowwind.gateway.table.TableHolder;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.client.UpstreamClient;
@@ -73,10 +75,20 @@
 	 * {@code /frail/}.
 	 */
 	GatewayFixture routed() {
+		return routed(Map.of());
+	}
+
+	/** Lets the service's servers be ranks of one group. */
+	GatewayFixture routedToRanks() {
+		EngineProfile engine = new EngineProfile(8, 300_000, 6, 5, 0.5, 0.01, 70_000, 6, 64, 11, 4, 1700, 92_000, 0.85);
+		return routed(Map.of("service", new ServiceEntry("service", engine)));
+	}
+
+	private GatewayFixture routed(Map<String, ServiceEntry> services) {
 		List<Route> routes = List.of(route("once", Repeat.AT_MOST_ONCE, 1, false),
 				route("many", Repeat.IDEMPOTENT, 2, false), route("stream", Repeat.STREAM, 2, true),
 				route("frail", Repeat.STREAM, 1, false), route("single", Repeat.STREAM, 1, true));
-		this.tables.offer(new RouteTable(1, routes, Map.of(), Map.of("secret", new KeyHolder("org", 1)),
+		this.tables.offer(new RouteTable(1, routes, services, Map.of("secret", new KeyHolder("org", 1)),
 				new RequestLimits(100_000, 15_000), new byte[0]), "test");
 		return this;
 	}
@@ -114,6 +126,17 @@
 		});
 	}
 
+	/** Puts all servers into one group, which has refused several requests in a row. */
+	void closeGroup() {
+		onLoop(() -> this.entries.keySet().forEach((id) -> {
+			this.backends.grouped(id, "group");
+			for (int i = 0; i < 3; i++) {
+				this.backends.find(id).orElseThrow().sent();
+				this.backends.find(id).orElseThrow().refused(this.clock.nowMillis());
+			}
+		}));
+	}
+
 	void drain() {
 		onLoop(this.handler::drain);
 	}
