Close a group whose ranks cannot be reached

Change: three ranks in a row that cannot be reached close their group as refusals do, so that callers are told at once to come back late; connections are given up after 150 ms, not 300.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -53,8 +53,11 @@
  */
 public final class GatewayDaemon implements AutoCloseable {
 
-	/** A connection to a live server on the same continent takes a few milliseconds. */
-	private static final long CONNECT_MILLIS = 300;
+	/**
+	 * A connection to a live server in the same region takes up to six milliseconds; one
+	 * that takes much longer is tried elsewhere while the answer can still be on time.
+	 */
+	private static final long CONNECT_MILLIS = 150;
 
 	/** How long one call waits for a change, in milliseconds: 12 calls a minute. */
 	private static final long WATCH_MILLIS = 5000;
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -217,6 +217,17 @@
 		}
 	}
 
+	/**
+	 * Takes note that the server could not be reached. Its group can make no pass then.
+	 * @param nowMillis the time, in milliseconds
+	 */
+	public void unreachable(long nowMillis) {
+		failed(nowMillis);
+		if (this.group != null) {
+			this.group.refused(nowMillis);
+		}
+	}
+
 	/**
 	 * Takes note that a request ended in a way that says nothing of the server.
 	 */
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -197,6 +197,9 @@
 		if (end == AttemptEnd.REFUSED) {
 			this.backend.refused(nowMillis);
 		}
+		else if (end == AttemptEnd.NOT_SENT) {
+			this.backend.unreachable(nowMillis);
+		}
 		else if (failure) {
 			this.backend.failed(nowMillis);
 		}
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -142,4 +142,19 @@
 		assertThat(this.table.choose(wanted)).isEmpty();
 	}
 
+	@Test
+	void aGroupWhoseRanksCannotBeReachedIsClosed() {
+		registered(server("a", false), server("b", false), server("c", false));
+		Stream.of("a", "b", "c").forEach((id) -> this.table.grouped(id, "g"));
+		Stream.of("a", "b").forEach(this::unreachable);
+		assertThat(this.table.allClosed("s")).as("two ranks may be dead").isFalse();
+		unreachable("c");
+		assertThat(this.table.allClosed("s")).isTrue();
+	}
+
+	private void unreachable(String id) {
+		server(id).sent();
+		server(id).unreachable(this.clock.nowMillis());
+	}
+
 }
