--- a/app/src/test/java/org/snowwind/app/harness/ProcessFleet.java
+++ b/app/src/test/java/org/snowwind/app/harness/ProcessFleet.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,7 +11,6 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.commons.codec.digest.DigestUtils;
--- a/app/src/test/java/org/snowwind/app/proof/GatewaySignalTests.java
+++ b/app/src/test/java/org/snowwind/app/proof/GatewaySignalTests.java
@@ -1,7 +1,6 @@
 package org.snowwind.app.proof;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
--- a/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
