--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -65,8 +65,17 @@
 	/** Demand moves every few seconds; what is older says little. */
 	private static final double DEMAND_HALF_LIFE_MILLIS = 1500;
 
-	/** Copies beyond this make a map late for the demand that it was planned for. */
-	private static final int COPIES_PER_RANK = 4;
+	/**
+	 * Copies that take longer than this make a map late for the demand that it was
+	 * planned for, in milliseconds; measured, see docs/design/platform.md.
+	 */
+	private static final double COPIES_MILLIS = 300;
+
+	/** The least copies of a rank that make a plan worth its switch. */
+	private static final int LEAST_COPIES_PER_RANK = 2;
+
+	/** More copies of a rank than this relieve little. */
+	private static final int MOST_COPIES_PER_RANK = 4;
 
 	/** A copy must take this part of the mean load off the hottest rank. */
 	private static final double LEAST_RELIEF = 0.008;
@@ -246,7 +255,7 @@
 		DemandBook demand = this.demands.computeIfAbsent(service.name(),
 				(key) -> new DemandBook(profile.expertSets(), profile.experts(), DEMAND_HALF_LIFE_MILLIS));
 		IncrementalPlanner planner = new IncrementalPlanner(
-				new IncrementalPlanner.Caps(profile.newExpertsPerMap(), COPIES_PER_RANK, LEAST_RELIEF));
+				new IncrementalPlanner.Caps(profile.newExpertsPerMap(), copiesPerRank(profile), LEAST_RELIEF));
 		GroupBalancer balancer = new GroupBalancer(group, profile, this.calls, demand, this::fence, this, planner,
 				this.clock);
 		DutyThread groupThread = new DutyThread("experts-" + group, SMALL_RING, GROUP_TICK_MILLIS, balancer::round);
@@ -255,6 +264,11 @@
 		return balancer;
 	}
 
+	private static int copiesPerRank(EngineProfile profile) {
+		int inTime = (int) (COPIES_MILLIS / profile.copyMillis());
+		return Math.max(LEAST_COPIES_PER_RANK, Math.min(MOST_COPIES_PER_RANK, inTime));
+	}
+
 	@Override
 	public long next(long token) {
 		long number = this.given.incrementAndGet();
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -24,7 +24,7 @@
 final class GroupBalancer implements RankGroupPort {
 
 	/** How often counts are read, in milliseconds. */
-	private static final long COUNTS_MILLIS = 300;
+	private static final long COUNTS_MILLIS = 200;
 
 	/**
 	 * How often all ranks are asked for their state, in milliseconds: a group that an
@@ -33,7 +33,7 @@
 	private static final long REPORTS_MILLIS = 600;
 
 	/** Counts that another group has read are news for so long, in milliseconds. */
-	private static final long OTHERS_MILLIS = 250;
+	private static final long OTHERS_MILLIS = 150;
 
 	/** Of how many ranks counts are read each time. */
 	private static final int COUNTED_RANKS = 1;
