Leave room for gateways that were not heard yet

Change: until a known peer reports, for two seconds at most, it is taken to have as much as the others.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -398,8 +398,8 @@
 		}
 
 		@Override
-		public void peersChanged(Map<String, Integer> peersInFlight) {
-			GatewayDaemon.this.loop.run(() -> GatewayDaemon.this.backends.peersInFlight(peersInFlight));
+		public void peersChanged(Map<String, Integer> peersInFlight, double unheardFactor) {
+			GatewayDaemon.this.loop.run(() -> GatewayDaemon.this.backends.peersInFlight(peersInFlight, unheardFactor));
 		}
 
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -34,6 +34,8 @@
 
 	private long revision;
 
+	private double unheardFactor = 1;
+
 	/**
 	 * Creates a table without servers.
 	 * @param clock tells the time
@@ -205,7 +207,7 @@
 			}
 		}
 		this.groups.values().removeIf((group) -> !ranks.containsKey(group));
-		ranks.forEach((group, count) -> group.count(count, loads.get(group)));
+		ranks.forEach((group, count) -> group.count(count, (int) Math.round(this.unheardFactor * loads.get(group))));
 	}
 
 	private static boolean eligible(Backend backend, String service, Set<String> tried) {
@@ -214,9 +216,12 @@
 
 	/**
 	 * Takes over how many requests peers have at each server.
-	 * @param byServer the sum over all peers, by server id
+	 * @param byServer the sum over all peers that have reported, by server id
+	 * @param unheardFactor by how much more all processes may have than is known, 1 or
+	 * more
 	 */
-	public void peersInFlight(Map<String, Integer> byServer) {
+	public void peersInFlight(Map<String, Integer> byServer, double unheardFactor) {
+		this.unheardFactor = unheardFactor;
 		this.byId.forEach((id, backend) -> backend.peersInFlight(byServer.getOrDefault(id, 0)));
 		countGroups();
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -188,7 +188,7 @@
 	private void publish(long nowMillis) {
 		this.view = new View(this.peers.known(), this.peers.liveNames(), Set.copyOf(this.peers.liveAddresses()),
 				this.peers.promptNames(nowMillis), this.peers.expertsPlanned(nowMillis));
-		this.consumers.peersChanged(this.peers.inFlight(nowMillis));
+		this.consumers.peersChanged(this.peers.inFlight(nowMillis), this.peers.unheardFactor(nowMillis));
 	}
 
 	/**
@@ -234,8 +234,10 @@
 		/**
 		 * Peers have reported.
 		 * @param inFlight their requests by server id
+		 * @param unheardFactor by how much more all peers may have than those that have
+		 * reported, 1 or more
 		 */
-		void peersChanged(Map<String, Integer> inFlight);
+		void peersChanged(Map<String, Integer> inFlight, double unheardFactor);
 
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
@@ -38,6 +38,12 @@
 	/** After this time without a word a peer is forgotten, in milliseconds. */
 	private static final long FORGET_MILLIS = 30_000;
 
+	/**
+	 * A peer that exists reports within this time of being heard of, in milliseconds; one
+	 * that does not is dead or cut off.
+	 */
+	private static final long UNHEARD_MILLIS = 2000;
+
 	/** Up to this age at least a report tells a peer's requests, in milliseconds. */
 	private static final long LOAD_LIFE_MILLIS = 2000;
 
@@ -138,6 +144,21 @@
 		return this.byAddress.size();
 	}
 
+	/**
+	 * Tells how much of all requests the reports cover, as long as peers that were just
+	 * heard of have not reported yet.
+	 * @param nowMillis the time, in milliseconds
+	 * @return by how much to multiply what is known, 1 or more
+	 */
+	public double unheardFactor(long nowMillis) {
+		long heard = this.byAddress.values().stream().filter((peer) -> peer.report != null).count();
+		long unheard = this.byAddress.values()
+			.stream()
+			.filter((peer) -> peer.report == null && nowMillis - peer.heardMillis < UNHEARD_MILLIS)
+			.count();
+		return (heard + 1.0 + unheard) / (heard + 1.0);
+	}
+
 	/**
 	 * Lists the live peers that do not leave.
 	 * @return their names, in order
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -56,7 +56,7 @@
 		registered(server("a", false), server("b", false));
 		server("a").sent();
 		assertThat(choose(NONE)).isEqualTo("b");
-		this.table.peersInFlight(Map.of("b", 2));
+		this.table.peersInFlight(Map.of("b", 2), 1);
 		assertThat(choose(NONE)).isEqualTo("a");
 	}
 
@@ -122,7 +122,7 @@
 			BackendTable ofGateway = new BackendTable(this.clock, new Random(gateway));
 			ofGateway
 				.use(new Registry(1, Stream.of(ranks).collect(Collectors.toMap(BackendEntry::id, (server) -> server))));
-			ofGateway.peersInFlight(oldNews);
+			ofGateway.peersInFlight(oldNews, 1);
 			Optional<Backend> chosen = ofGateway.choose(new Wanted("s", NONE, 0, ENGINE, 120, Standing.FRESH));
 			atTheEmptyOne += chosen.orElseThrow().id().equals("r0") ? 1 : 0;
 		}
@@ -157,4 +157,16 @@
 		server(id).unreachable(this.clock.nowMillis());
 	}
 
+	@Test
+	void aGatewayThatHasJustBegunLeavesRoomForOthersThatItHasNotHeard() {
+		registered(server("a", false), server("b", false));
+		Stream.of("a", "b").forEach((id) -> this.table.grouped(id, "g"));
+		Wanted wanted = new Wanted("s", NONE, 9, ENGINE, 120, Standing.FRESH);
+		server("a").sent();
+		this.table.peersInFlight(Map.of(), 1);
+		assertThat(this.table.choose(wanted)).isPresent();
+		this.table.peersInFlight(Map.of(), 20);
+		assertThat(this.table.choose(wanted)).as("20 gateways with one each fill 14 slots").isEmpty();
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/peer/PeerTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/PeerTableTests.java
@@ -80,4 +80,14 @@
 		assertThat(this.peers.promptNames(1000)).containsExactly("b");
 	}
 
+	@Test
+	void peersThatWereJustHeardOfMayHaveAsMuchAsTheOthers() {
+		this.peers.mayBeAt("10.0.0.2:1", 0);
+		this.peers.mayBeAt("10.0.0.3:1", 0);
+		assertThat(this.peers.unheardFactor(100)).isEqualTo(3);
+		this.peers.heard(report("b", "10.0.0.2:1", Map.of(), 0), 200);
+		assertThat(this.peers.unheardFactor(200)).as("b, itself and two that b and others named").isEqualTo(2);
+		assertThat(this.peers.unheardFactor(5000)).as("who never reports is dead").isEqualTo(1);
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -122,7 +122,7 @@
 		}
 		onLoop(() -> {
 			this.backends.use(new Registry(this.entries.size(), this.entries));
-			this.backends.peersInFlight(elsewhere);
+			this.backends.peersInFlight(elsewhere, 1);
 		});
 	}
 
