--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -39,7 +39,6 @@
 import org.snowwind.http.server.Responses;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.DutyThread;
-import org.snowwind.model.duty.Pause;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 import org.snowwind.store.StoreWatch;
@@ -79,14 +78,6 @@
 	/** How often the loop tells other threads what it has in flight, in milliseconds. */
 	private static final long REPORT_MILLIS = 50;
 
-	/** The balancer notices within two questions, a second apart, that we stop. */
-	private static final long LEAVE_ROTATION_MILLIS = 2600;
-
-	/** What is kept of the grace for closing down, in milliseconds. */
-	private static final long CLOSING_MILLIS = 700;
-
-	private static final long DRAIN_POLL_MILLIS = 20;
-
 	private static final int MAX_URI_BYTES = 16 * 1024;
 
 	private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -329,41 +320,13 @@
 	 */
 	public void drainAndStop() {
 		this.draining = true;
-		long beganMillis = this.clock.nowMillis();
-		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.settings.name(), "graceMillis", this.graceMillis);
 		this.loop.run(this.handler::drain);
-		long mostMillis = beganMillis + this.graceMillis - CLOSING_MILLIS;
-		waitUntil(Math.min(mostMillis, beganMillis + LEAVE_ROTATION_MILLIS));
-		this.callerServer.closeIdleConnections();
-		// Callers may still be sent here if too few others are in rotation.
-		long lastCallMillis = Math.min(mostMillis, beganMillis + this.graceMillis / 2);
-		waitUntilIdle(lastCallMillis);
-		this.callerServer.stopListening();
-		this.callerServer.closeIdleConnections();
-		waitUntilIdle(mostMillis);
-		int left = openRequests();
-		if (left > 0) {
-			EventLog.log(Event.DRAIN_BOUND_PASSED, "gateway", this.settings.name(), "cutOff", left);
-		}
-		EventLog.log(Event.GATEWAY_STOPPED, "gateway", this.settings.name(), "tookMillis",
-				this.clock.nowMillis() - beganMillis);
-		this.callerServer.close();
-	}
-
-	private void waitUntil(long untilMillis) {
-		while (this.clock.nowMillis() < untilMillis) {
-			Pause.millis(DRAIN_POLL_MILLIS);
-		}
-	}
-
-	private void waitUntilIdle(long untilMillis) {
-		while (openRequests() > 0 && this.clock.nowMillis() < untilMillis) {
-			Pause.millis(DRAIN_POLL_MILLIS);
-		}
+		new GracefulStop(this.settings.name(), this.graceMillis, this.callerServer, this::openRequests, this.clock)
+			.run();
 	}
 
 	private int openRequests() {
-		// One that does not answer may still have some open.
+		// A loop that does not answer may still have some open.
 		return this.loop.ask(this.handler::open, 1);
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Brings all ranks of a group to a new map at the same pass.
@@ -72,7 +73,7 @@
 			if (results.contains(OrderResult.UNFIT)) {
 				return SwitchOutcome.DROPPED;
 			}
-			pending = without(pending, results, OrderResult.TAKEN);
+			pending = without(pending, results, Set.of(OrderResult.TAKEN));
 			if (!pending.isEmpty()) {
 				// The same order again tells whether the copies are done, and makes up
 				// for a
@@ -135,7 +136,7 @@
 			if (!this.group.onDuty()) {
 				return SwitchOutcome.FENCED;
 			}
-			pending = without(pending, results, OrderResult.TAKEN);
+			pending = without(pending, results, Set.of(OrderResult.TAKEN));
 			if (!pending.isEmpty()) {
 				this.group.pause(RETRY_MILLIS);
 			}
@@ -152,8 +153,7 @@
 				return lost.get();
 			}
 			// Unfit means that the pass has begun after all, and with it the map.
-			pending = without(without(pending, results, OrderResult.TAKEN), without(results, OrderResult.TAKEN),
-					OrderResult.UNFIT);
+			pending = without(pending, results, Set.of(OrderResult.TAKEN, OrderResult.UNFIT));
 			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.reports())) {
 				return SwitchOutcome.FORMED_ANEW;
 			}
@@ -239,20 +239,16 @@
 		return results;
 	}
 
-	private static List<Rank> without(List<Rank> ranks, List<OrderResult> results, OrderResult done) {
+	private static List<Rank> without(List<Rank> ranks, List<OrderResult> results, Set<OrderResult> done) {
 		List<Rank> pending = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i++) {
-			if (results.get(i) != done) {
+			if (!done.contains(results.get(i))) {
 				pending.add(ranks.get(i));
 			}
 		}
 		return pending;
 	}
 
-	private static List<OrderResult> without(List<OrderResult> results, OrderResult done) {
-		return results.stream().filter((result) -> result != done).toList();
-	}
-
 	private static boolean formedAnew(List<Rank> before, List<Rank> now) {
 		long epoch = before.get(0).report().epoch();
 		return now.stream()
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankReport.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankReport.java
@@ -13,10 +13,9 @@
  * @param preparedVersion the version whose experts it has copied; 0 for none
  * @param armedVersion the version that it will run from some pass on; 0 for none
  * @param heldStep the pass that it may not begin; -1 for none
- * @param slowness how much slower than usual it is; 1 is usual
  */
 public record RankReport(String group, long epoch, int rank, int size, boolean open, long step, long mapVersion,
-		long preparedVersion, long armedVersion, long heldStep, double slowness) {
+		long preparedVersion, long armedVersion, long heldStep) {
 
 	/** No pass is held. */
 	public static final long NOT_HELD = -1;
--- a/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankGroup.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankGroup.java
@@ -242,7 +242,7 @@
 		private RankReport current() {
 			boolean copied = this.preparedVersion != 0 && FakeRankGroup.this.nowMillis >= this.preparedMillis;
 			return new RankReport("g", 1, this.place, FakeRankGroup.this.ranks.size(), true, FakeRankGroup.this.step,
-					this.mapVersion, copied ? this.preparedVersion : 0, this.armedVersion, this.heldStep, 1);
+					this.mapVersion, copied ? this.preparedVersion : 0, this.armedVersion, this.heldStep);
 		}
 
 		private RankReport reportAsOf(long millis) {
