--- a/app/src/test/java/org/snowwind/app/soak/SoakTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakTests.java
@@ -58,6 +58,17 @@
 		assertThat(play(seed, SHORT_MILLIS)).isEmpty();
 	}
 
+	// 105: a gateway's port was taken between choice and use; ports now lie below those
+	// of
+	// outgoing connections. 2009: the machine was too busy for the servers of the soak
+	// (all
+	// servers of four soaks answered a second late for eleven seconds); checks now wait.
+	@ParameterizedTest
+	@ValueSource(longs = { 105, 2009 })
+	void aSoakThatOnceFailedBreaksNoPromise(long seed) throws Exception {
+		assertThat(play(seed, SHORT_MILLIS)).isEmpty();
+	}
+
 	@Test
 	void soaksByHandBreakNoPromise() throws Exception {
 		long from = Long.getLong("snowwind.soak.from", 1000);
--- a/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -39,6 +39,8 @@
 
 	private final DataLoop loop = new DataLoop("soak-platform");
 
+	private final LoopWatch loopWatch = new LoopWatch(this.loop);
+
 	private final StoreStandIn store;
 
 	private final List<SoakGateway> gateways = new ArrayList<>();
@@ -87,6 +89,10 @@
 		return this.gateways.stream().limit(3).map(SoakGateway::peers).toList();
 	}
 
+	LoopWatch loopWatch() {
+		return this.loopWatch;
+	}
+
 	StoreStandIn store() {
 		return this.store;
 	}
