--- a/app/src/test/java/org/snowwind/app/harness/SnowwindProcess.java
+++ b/app/src/test/java/org/snowwind/app/harness/SnowwindProcess.java
@@ -5,6 +5,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -16,6 +18,13 @@
 
 	private static final long STOP_SECONDS = 30;
 
+	private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
+
+	static {
+		// A test that is ended itself leaves none behind.
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> RUNNING.forEach(Process::destroyForcibly)));
+	}
+
 	private final Process process;
 
 	private final Path log;
@@ -32,6 +41,8 @@
 		command.addAll(List.of(arguments));
 		this.log = log;
 		this.process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+		RUNNING.add(this.process);
+		var unused = this.process.onExit().thenAccept(RUNNING::remove);
 	}
 
 	/**
