--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
@@ -0,0 +1,143 @@
+package org.snowwind.app.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.snowwind.platform.standin.Answers;
+import org.snowwind.platform.standin.Run;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for the rules of a soak: each finds a history that breaks it, and only that.
+ */
+class SoakRulesTests {
+
+	private static final String SERVER = "desk-run-1";
+
+	private static final long START = TimeUnit.SECONDS.toNanos(100);
+
+	private final List<Call> calls = new ArrayList<>();
+
+	private final List<Run> runs = new ArrayList<>();
+
+	private final List<Disturbance> disturbances = new ArrayList<>();
+
+	private Map<String, Long> drains = Map.of();
+
+	private List<String> broken() {
+		return SoakRules.broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains,
+				Map.of(CallKind.ONCE, Set.of("desk"), CallKind.AGAIN, Set.of("desk"), CallKind.STREAM, Set.of("desk"),
+						CallKind.MOVING, Set.of("desk"))));
+	}
+
+	private void call(CallKind kind, int status, String answer, boolean whole, long tookMillis) {
+		this.calls.add(new Call("c1", kind, "b", "g0", START, START + TimeUnit.MILLISECONDS.toNanos(tookMillis), status,
+				(status == 200) ? Answers.signature(SERVER, "c1") : null, answer, whole));
+	}
+
+	private void run(CallKind kind, String service, String organisation, boolean keyPassedOn, long afterMillis) {
+		this.runs.add(new Run("c1", service, SERVER, kind.method(), kind.target("c1"), "b", organisation, keyPassedOn,
+				START + TimeUnit.MILLISECONDS.toNanos(afterMillis)));
+	}
+
+	private void ran(CallKind kind) {
+		run(kind, "desk", SoakWorld.ORGANISATION, false, 10);
+	}
+
+	private void disturbed(String what, String where) {
+		this.disturbances.add(new Disturbance(what, where, START, START + 1));
+	}
+
+	@Test
+	void aWholeOwnAnswerKeepsAllRules() {
+		call(CallKind.ONCE, 200, Answers.plain("c1"), true, 50);
+		ran(CallKind.ONCE);
+		assertThat(broken()).isEmpty();
+	}
+
+	@Test
+	void aBrokenStreamThatLooksBrokenKeepsAllRules() {
+		call(CallKind.STREAM, 200, Answers.event("c1", 1), false, 50);
+		ran(CallKind.STREAM);
+		assertThat(broken()).isEmpty();
+	}
+
+	@Test
+	void aStreamThatEndsEarlyMustNotLookWhole() {
+		call(CallKind.STREAM, 200, Answers.event("c1", 1), true, 50);
+		ran(CallKind.STREAM);
+		assertThat(broken()).singleElement().asString().startsWith("AnswersAreWholeAndOwn");
+	}
+
+	@Test
+	void anEventMustNotComeTwice() {
+		call(CallKind.STREAM, 200, Answers.event("c1", 1) + Answers.event("c1", 1), false, 50);
+		ran(CallKind.STREAM);
+		assertThat(broken()).singleElement().asString().startsWith("AnswersAreWholeAndOwn");
+	}
+
+	@Test
+	void anAnswerOfAServerThatDidNotRunItIsFound() {
+		call(CallKind.AGAIN, 200, Answers.plain("c1"), true, 50);
+		assertThat(broken()).singleElement().asString().startsWith("AnswersAreWholeAndOwn");
+	}
+
+	@Test
+	void aSecondRunIsFoundWhereOnlyOneIsAllowed() {
+		call(CallKind.ONCE, 502, "", true, 50);
+		ran(CallKind.ONCE);
+		ran(CallKind.ONCE);
+		assertThat(broken()).singleElement().asString().startsWith("RunsOnceAtMost");
+	}
+
+	@Test
+	void aRefusedRequestThatRanIsFound() {
+		call(CallKind.ONCE, 503, "", true, 50);
+		ran(CallKind.ONCE);
+		assertThat(broken()).singleElement().asString().startsWith("RefusalsAreTrue");
+	}
+
+	@Test
+	void aRunInAnotherNameOrWithTheKeyOrAtAnotherServiceIsFound() {
+		call(CallKind.AGAIN, 502, "", true, 50);
+		run(CallKind.AGAIN, "desk", "somebody", false, 10);
+		run(CallKind.AGAIN, "desk", SoakWorld.ORGANISATION, true, 10);
+		run(CallKind.AGAIN, "model", SoakWorld.ORGANISATION, false, 10);
+		assertThat(broken()).hasSize(3).allMatch((line) -> line.startsWith("RunsWereAskedFor"));
+	}
+
+	@Test
+	void aLateEndIsFoundUnlessTheGatewayWasDisturbed() {
+		call(CallKind.AGAIN, 504, "", true, 9000);
+		assertThat(broken()).singleElement().asString().startsWith("AnswersComeInTime");
+		disturbed("pause", "g0");
+		assertThat(broken()).isEmpty();
+	}
+
+	@Test
+	void workForALeavingServerIsFoundUnlessTheStoreWasDisturbed() {
+		call(CallKind.AGAIN, 200, Answers.plain("c1"), true, 50);
+		ran(CallKind.AGAIN);
+		this.drains = Map.of(SERVER, START - TimeUnit.SECONDS.toNanos(5));
+		assertThat(broken()).singleElement().asString().startsWith("LeavingServersGetNothing");
+		disturbed("store", Disturbance.STORE);
+		assertThat(broken()).isEmpty();
+	}
+
+	@Test
+	void aRequestThatAStopCutOffIsFoundUnlessSomethingElseWasWrong() {
+		call(CallKind.ONCE, 0, "", false, 50);
+		ran(CallKind.ONCE);
+		assertThat(broken()).as("nothing was stopped").isEmpty();
+		disturbed(SoakFaults.STOP, "g0");
+		assertThat(broken()).singleElement().asString().startsWith("StopsCutNothingOff");
+		disturbed("server-link", Disturbance.SERVERS);
+		assertThat(broken()).isEmpty();
+	}
+
+}
