Read counts by one group alone; log when a group is closed and opened

A group was closed and opened without a line in the log.

BackendTableTests#gatewaysThatKnowTheSameOldNews... failed once of five runs (24 at the empty server): the test itself, whose gateways drew with neighbouring seeds, which give nearly the same first draw, over an order of servers that differs from run to run.

--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -186,8 +186,7 @@
 	void refused(long nowMillis) {
 		this.refusals++;
 		if (this.closed || this.refusals >= REFUSALS_TO_CLOSE) {
-			this.closed = true;
-			this.closedUntilMillis = nowMillis + CLOSED_MILLIS;
+			close("its ranks refuse", nowMillis);
 		}
 	}
 
@@ -210,16 +209,25 @@
 
 	private void opened() {
 		this.refusals = 0;
-		this.closed = false;
 		this.probed = false;
+		if (this.closed) {
+			this.closed = false;
+			EventLog.log(Event.GROUP_OPENED, "group", this.name, "load", this.load);
+		}
+	}
+
+	private void close(String reason, long nowMillis) {
+		this.closedUntilMillis = nowMillis + CLOSED_MILLIS;
+		if (!this.closed) {
+			this.closed = true;
+			EventLog.log(Event.GROUP_CLOSED, "group", this.name, "reason", reason, "refusals", this.refusals, "streams",
+					this.streams, "sinceEventMillis", nowMillis - this.lastEventMillis, "load", this.load);
+		}
 	}
 
 	private void closeIfStandingStill(long nowMillis) {
 		if (!this.closed && this.streams > 0 && nowMillis - this.lastEventMillis > STANDSTILL_MILLIS) {
-			this.closed = true;
-			this.closedUntilMillis = nowMillis + CLOSED_MILLIS;
-			EventLog.log(Event.GROUP_STANDS_STILL, "group", this.name, "silentMillis", nowMillis - this.lastEventMillis,
-					"streams", this.streams, "load", this.load);
+			close("its streams are silent", nowMillis);
 		}
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 
@@ -32,8 +30,11 @@
 	 */
 	private static final long REPORTS_MILLIS = 600;
 
-	/** Counts that another group has read are news for so long, in milliseconds. */
-	private static final long OTHERS_MILLIS = 150;
+	/**
+	 * Counts that another group has read are news for so long, in milliseconds: longer
+	 * than it takes that group to read again, or both would read.
+	 */
+	private static final long OTHERS_MILLIS = 400;
 
 	/** Of how many ranks counts are read each time. */
 	private static final int COUNTED_RANKS = 1;
@@ -76,7 +77,7 @@
 
 	private final MapSwitch mapSwitch;
 
-	private final Map<String, long[][]> lastCounts = new HashMap<>();
+	private final CountWindows windows = new CountWindows();
 
 	private volatile List<BackendEntry> members = List.of();
 
@@ -186,7 +187,7 @@
 		}
 		this.placement = placementOf(byRank);
 		this.switchingTo = 0;
-		this.lastCounts.clear();
+		this.windows.clear();
 		this.steps.reset();
 		this.epoch = ranks.get(0).report().epoch();
 		EventLog.log(Event.GROUP_FORMED, "group", this.name, "epoch", this.epoch, "ranks", ranks.size(), "map",
@@ -246,24 +247,13 @@
 		for (int i = 0; i < counted.size(); i++) {
 			String serverId = counted.get(i).serverId();
 			answers.get(i)
-				.ifPresent((counts) -> note(serverId, counts.bySet(this.profile.expertSets(), this.profile.experts()),
-						nowMillis));
+				.map((counts) -> counts.bySet(this.profile.expertSets(), this.profile.experts()))
+				.flatMap((counts) -> this.windows.since(serverId, counts, nowMillis))
+				.ifPresent((chosen) -> note(serverId, chosen, nowMillis));
 		}
 	}
 
-	private void note(String serverId, long[][] counts, long nowMillis) {
-		long[][] last = this.lastCounts.put(serverId, counts);
-		if (last == null) {
-			// Since when these were counted is not known.
-			return;
-		}
-		long[][] chosen = new long[counts.length][];
-		for (int set = 0; set < counts.length; set++) {
-			chosen[set] = counts[set].clone();
-			for (int expert = 0; expert < chosen[set].length; expert++) {
-				chosen[set][expert] = Math.max(0, chosen[set][expert] - last[set][expert]);
-			}
-		}
+	private void note(String serverId, long[][] chosen, long nowMillis) {
 		double movedShare = this.demand.add(chosen, nowMillis);
 		if (movedShare > DemandBook.MOVED_SHARE) {
 			EventLog.log(Event.DEMAND_MOVED, "group", this.name, "server", serverId, "movedShare", rounded(movedShare));
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -117,9 +117,11 @@
 			ranks[i] = new BackendEntry("r" + i, "s", "10.0.0.1", 80 + i, "dc", ENGINE.slots(), false);
 			oldNews.put("r" + i, (i == 0) ? 0 : 4);
 		}
+		// Neighbouring seeds give nearly the same first draw.
+		Random seeds = new Random(7);
 		int atTheEmptyOne = 0;
 		for (int gateway = 0; gateway < GATEWAYS; gateway++) {
-			BackendTable ofGateway = new BackendTable(this.clock, new Random(gateway));
+			BackendTable ofGateway = new BackendTable(this.clock, new Random(seeds.nextLong()));
 			ofGateway
 				.use(new Registry(1, Stream.of(ranks).collect(Collectors.toMap(BackendEntry::id, (server) -> server))));
 			ofGateway.peersInFlight(oldNews, 1);
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -172,8 +172,11 @@
 	/** What an earlier owner left half done was finished. */
 	MAP_SWITCH_RECOVERED(6204, Level.WARNING, "left switch of expert map finished"),
 
-	/** No stream of a group has had an event for long; it gets nothing new for now. */
-	GROUP_STANDS_STILL(3010, Level.WARNING, "group stands still"),
+	/** A group refuses or stands still; it gets nothing new but requests that ask. */
+	GROUP_CLOSED(3010, Level.WARNING, "group closed"),
+
+	/** A group that was closed answers again. */
+	GROUP_OPENED(3011, Level.INFO, "group opened"),
 
 	/** Requests choose other experts than before. */
 	DEMAND_MOVED(6205, Level.INFO, "demand for experts moved"),
