--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -128,7 +128,8 @@
 			Optional<Backend> chosen = ofGateway.choose(new Wanted("s", NONE, 0, ENGINE, 120, Standing.FRESH));
 			atTheEmptyOne += chosen.orElseThrow().id().equals("r0") ? 1 : 0;
 		}
-		// Three of 39 draws are expected there; more than fourteen come once in ten million
+		// Three of 39 draws are expected there; more than fourteen come once in ten
+		// million
 		// orders of the servers, which differ from run to run.
 		assertThat(atTheEmptyOne).isLessThanOrEqualTo(2 * ENGINE.slots());
 	}
