Weigh all reads of demand alike, and read while experts are copied

Nothing was read for the 0.8 to 2.6 s of a switch. Change: a read counts 1000 choices of a set at most; DemandReader reads while experts are copied; a group is held back by other groups' reads only, so that counts come every 300 ms as the code says (they came every 400 to 600); demand has moved at 0.28 of other choices, 0.25 before. Holdings and DemandReader leave GroupBalancer.

--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
@@ -15,17 +15,27 @@
 	/**
 	 * Beyond this part of choices that went elsewhere demand has moved, below it wavers.
 	 */
-	static final double MOVED_SHARE = 0.25;
+	static final double MOVED_SHARE = 0.28;
 
 	/** Fewer choices of a set than this tell nothing of a move. */
 	private static final double LEAST_CHOICES = 500;
 
+	/**
+	 * More choices of a set than this count no more: a long prompt that a rank has just
+	 * read brings fifty times the choices of all its streams, and most of them are of its
+	 * own subject, which the next prompt does not share. Unscaled, maps were changed for
+	 * single prompts.
+	 */
+	private static final double MOST_CHOICES = 1000;
+
 	private final double[][] weights;
 
 	private final double halfLifeMillis;
 
 	private long asOfMillis;
 
+	private String lastReader = "";
+
 	/**
 	 * Creates a book that knows nothing.
 	 * @param sets how many sets of experts there are
@@ -40,18 +50,21 @@
 	/**
 	 * Adds what was chosen since a rank was last read, and forgets all before if demand
 	 * has moved since.
+	 * @param group the group that has read it
 	 * @param chosen how often, by set and expert
 	 * @param nowMillis the time, in milliseconds
 	 * @return which part of the choices went to other experts than before, from 0 to 1
 	 */
-	synchronized double add(long[][] chosen, long nowMillis) {
+	synchronized double add(String group, long[][] chosen, long nowMillis) {
+		this.lastReader = group;
 		double movedShare = movedShare(chosen);
 		double kept = (movedShare > MOVED_SHARE) ? 0
 				: Math.pow(0.5, Math.max(0, nowMillis - this.asOfMillis) / this.halfLifeMillis);
 		this.asOfMillis = nowMillis;
 		for (int set = 0; set < this.weights.length; set++) {
+			double scale = Math.min(1, MOST_CHOICES / Math.max(1, Arrays.stream(chosen[set]).sum()));
 			for (int expert = 0; expert < this.weights[set].length; expert++) {
-				this.weights[set][expert] = kept * this.weights[set][expert] + chosen[set][expert];
+				this.weights[set][expert] = kept * this.weights[set][expert] + scale * chosen[set][expert];
 			}
 		}
 		return movedShare;
@@ -78,6 +91,15 @@
 		return distance / 2;
 	}
 
+	/**
+	 * Tells whether a group has read the last counts.
+	 * @param group the group's name
+	 * @return true if no other group has read since
+	 */
+	synchronized boolean lastReadBy(String group) {
+		return this.lastReader.equals(group);
+	}
+
 	/**
 	 * Tells how new the last counts are.
 	 * @return when they were read, in milliseconds
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
@@ -0,0 +1,100 @@
+package org.snowwind.gateway.expert;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.snowwind.gateway.table.EngineProfile;
+import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+
+/**
+ * Reads which experts the ranks of a group have chosen, and notes it for all groups of
+ * the service. Confined to the thread of its group, which it blocks.
+ */
+final class DemandReader {
+
+	/**
+	 * How often counts are read, in milliseconds. A read costs the group half a
+	 * millisecond for each 400 numbers.
+	 */
+	private static final long PERIOD_MILLIS = 300;
+
+	/**
+	 * What another group has read is news for so long, in milliseconds: longer than it
+	 * takes that group to read again, or both would read.
+	 */
+	private static final long OTHERS_MILLIS = 450;
+
+	/** Of how many ranks counts are read each time. */
+	private static final int COUNTED_RANKS = 1;
+
+	private final String group;
+
+	private final EngineProfile profile;
+
+	private final RankCalls calls;
+
+	private final DemandBook demand;
+
+	private final MonotonicClock clock;
+
+	private final CountWindows windows = new CountWindows();
+
+	private long nextReadMillis;
+
+	/**
+	 * Creates a reader that has read nothing.
+	 * @param group the group's name
+	 * @param profile how many experts there are
+	 * @param calls reach the ranks
+	 * @param demand takes what was chosen
+	 * @param clock tells the time
+	 */
+	DemandReader(String group, EngineProfile profile, RankCalls calls, DemandBook demand, MonotonicClock clock) {
+		this.group = group;
+		this.profile = profile;
+		this.calls = calls;
+		this.demand = demand;
+		this.clock = clock;
+	}
+
+	/**
+	 * Forgets what was read, since the ranks have begun to count anew.
+	 */
+	void formedAnew() {
+		this.windows.clear();
+	}
+
+	/**
+	 * Reads counts if it is time and no other group has.
+	 * @param ranks the ranks of the group
+	 */
+	void read(List<Rank> ranks) {
+		long nowMillis = this.clock.nowMillis();
+		boolean othersRead = !this.demand.lastReadBy(this.group)
+				&& nowMillis - this.demand.asOfMillis() < OTHERS_MILLIS;
+		if (nowMillis < this.nextReadMillis || othersRead) {
+			return;
+		}
+		this.nextReadMillis = nowMillis + PERIOD_MILLIS;
+		List<Rank> counted = ranks.subList(0, Math.min(COUNTED_RANKS, ranks.size()));
+		List<Optional<RankCounts>> answers = this.calls.counts(counted);
+		for (int i = 0; i < counted.size(); i++) {
+			String serverId = counted.get(i).serverId();
+			answers.get(i)
+				.map((counts) -> counts.bySet(this.profile.expertSets(), this.profile.experts()))
+				.flatMap((counts) -> this.windows.since(serverId, counts, nowMillis))
+				.ifPresent((chosen) -> note(serverId, chosen, nowMillis));
+		}
+	}
+
+	private void note(String serverId, long[][] chosen, long nowMillis) {
+		double movedShare = this.demand.add(this.group, chosen, nowMillis);
+		if (movedShare > DemandBook.MOVED_SHARE) {
+			EventLog.log(Event.DEMAND_MOVED, "group", this.group, "server", serverId, "movedShare",
+					Math.round(movedShare * 1000) / 1000.0);
+		}
+	}
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -21,24 +21,12 @@
  */
 final class GroupBalancer implements RankGroupPort {
 
-	/** How often counts are read, in milliseconds. */
-	private static final long COUNTS_MILLIS = 200;
-
 	/**
 	 * How often all ranks are asked for their state, in milliseconds: a group that an
 	 * owner has left held waits no longer.
 	 */
 	private static final long REPORTS_MILLIS = 600;
 
-	/**
-	 * Counts that another group has read are news for so long, in milliseconds: longer
-	 * than it takes that group to read again, or both would read.
-	 */
-	private static final long OTHERS_MILLIS = 400;
-
-	/** Of how many ranks counts are read each time. */
-	private static final int COUNTED_RANKS = 1;
-
 	/** Below this many choices nothing is planned. */
 	private static final double LEAST_EVIDENCE = 500;
 
@@ -54,6 +42,9 @@
 	/** How long the begin of a released pass is waited for at most, in milliseconds. */
 	private static final long MOST_SWITCH_MILLIS = 400;
 
+	/** In a pause longer than this counts are read, in milliseconds. */
+	private static final long READING_PAUSE_MILLIS = 100;
+
 	/** How much longer than predicted copies are waited for before ranks are asked. */
 	private static final double COPY_SLACK = 1.02;
 
@@ -77,7 +68,7 @@
 
 	private final MapSwitch mapSwitch;
 
-	private final CountWindows windows = new CountWindows();
+	private final DemandReader reader;
 
 	private volatile List<BackendEntry> members = List.of();
 
@@ -93,8 +84,6 @@
 
 	private long plannedAsOfMillis;
 
-	private long nextCountsMillis;
-
 	private boolean incomplete;
 
 	/**
@@ -119,6 +108,7 @@
 		this.planner = planner;
 		this.clock = clock;
 		this.steps = new StepClock(clock);
+		this.reader = new DemandReader(name, profile, calls, demand, clock);
 		this.mapSwitch = new MapSwitch(this, this.steps);
 	}
 
@@ -133,7 +123,7 @@
 		if (!onDuty() || (this.clock.nowMillis() >= this.nextReportsMillis && !look())) {
 			return;
 		}
-		readCounts();
+		this.reader.read(this.standing);
 		if (this.demand.asOfMillis() != this.plannedAsOfMillis) {
 			this.plannedAsOfMillis = this.demand.asOfMillis();
 			improve();
@@ -200,9 +190,9 @@
 			}
 			byRank.add(holdings.get());
 		}
-		this.placement = placementOf(byRank);
+		this.placement = Holdings.placementOf(byRank, this.profile);
 		this.switchingTo = 0;
-		this.windows.clear();
+		this.reader.formedAnew();
 		this.steps.reset();
 		this.epoch = ranks.get(0).report().epoch();
 		EventLog.log(Event.GROUP_FORMED, "group", this.name, "epoch", this.epoch, "ranks", ranks.size(), "map",
@@ -210,23 +200,6 @@
 		return true;
 	}
 
-	private ExpertPlacement placementOf(List<List<List<Integer>>> byRank) {
-		List<List<List<Integer>>> ranksOf = new ArrayList<>();
-		for (int set = 0; set < this.profile.expertSets(); set++) {
-			List<List<Integer>> ofSet = new ArrayList<>();
-			for (int expert = 0; expert < this.profile.experts(); expert++) {
-				ofSet.add(new ArrayList<>());
-			}
-			for (int rank = 0; rank < byRank.size(); rank++) {
-				for (int expert : byRank.get(rank).get(set)) {
-					ofSet.get(expert).add(rank);
-				}
-			}
-			ranksOf.add(ofSet.stream().map(List::copyOf).toList());
-		}
-		return new ExpertPlacement(byRank.size(), this.profile.placesPerRank(), ranksOf);
-	}
-
 	private boolean recover(List<Rank> ranks) {
 		long releasedBefore = this.mapSwitch.releasedStep();
 		Optional<SwitchOutcome> outcome = this.mapSwitch.recover(ranks);
@@ -248,33 +221,6 @@
 		}
 	}
 
-	// ---- demand
-
-	private void readCounts() {
-		long nowMillis = this.clock.nowMillis();
-		// The first group that finds no news reads for all groups of the service.
-		if (nowMillis < this.nextCountsMillis || nowMillis - this.demand.asOfMillis() < OTHERS_MILLIS) {
-			return;
-		}
-		this.nextCountsMillis = nowMillis + COUNTS_MILLIS;
-		List<Rank> counted = this.standing.subList(0, Math.min(COUNTED_RANKS, this.standing.size()));
-		List<Optional<RankCounts>> answers = this.calls.counts(counted);
-		for (int i = 0; i < counted.size(); i++) {
-			String serverId = counted.get(i).serverId();
-			answers.get(i)
-				.map((counts) -> counts.bySet(this.profile.expertSets(), this.profile.experts()))
-				.flatMap((counts) -> this.windows.since(serverId, counts, nowMillis))
-				.ifPresent((chosen) -> note(serverId, chosen, nowMillis));
-		}
-	}
-
-	private void note(String serverId, long[][] chosen, long nowMillis) {
-		double movedShare = this.demand.add(chosen, nowMillis);
-		if (movedShare > DemandBook.MOVED_SHARE) {
-			EventLog.log(Event.DEMAND_MOVED, "group", this.name, "server", serverId, "movedShare", rounded(movedShare));
-		}
-	}
-
 	// ---- plans
 
 	private void improve() {
@@ -289,7 +235,7 @@
 		if (gain < leastGain() || !look() || this.epoch != plannedEpoch) {
 			return;
 		}
-		int copies = mostCopies(current, next);
+		int copies = Holdings.mostCopies(current, next);
 		long version = this.versions.next(this.fence.getAsLong());
 		EventLog.log(Event.MAP_PLANNED, "group", this.name, "version", version, "skewBefore",
 				rounded(this.placement.skew(expected)), "skewAfter", rounded(next.skew(expected)), "moves",
@@ -297,8 +243,8 @@
 				"evidence", Math.round(this.demand.evidence()));
 		long copyMillis = Math.round(copies * this.profile.copyMillis() * COPY_SLACK);
 		this.nextReportsMillis = 0;
-		SwitchOutcome outcome = this.mapSwitch.run(this.standing, new MapOrder.Prepare(version, byRank(next)),
-				copyMillis);
+		SwitchOutcome outcome = this.mapSwitch.run(this.standing,
+				new MapOrder.Prepare(version, Holdings.bySetAndRank(next)), copyMillis);
 		if (outcome == SwitchOutcome.RELEASED) {
 			this.placement = next;
 			this.switchingTo = version;
@@ -319,41 +265,6 @@
 		return Math.round(value * 1000) / 1000.0;
 	}
 
-	private static int mostCopies(ExpertPlacement before, ExpertPlacement after) {
-		int[] copies = new int[after.ranks()];
-		for (int set = 0; set < after.ranksOf().size(); set++) {
-			for (int expert = 0; expert < after.ranksOf().get(set).size(); expert++) {
-				List<Integer> held = before.ranksOf().get(set).get(expert);
-				for (int rank : after.ranksOf().get(set).get(expert)) {
-					copies[rank] += held.contains(rank) ? 0 : 1;
-				}
-			}
-		}
-		int most = 0;
-		for (int count : copies) {
-			most = Math.max(most, count);
-		}
-		return most;
-	}
-
-	private static List<List<List<Integer>>> byRank(ExpertPlacement placement) {
-		List<List<List<Integer>>> sets = new ArrayList<>();
-		for (List<List<Integer>> ranksOf : placement.ranksOf()) {
-			List<List<Integer>> ofSet = new ArrayList<>();
-			for (int rank = 0; rank < placement.ranks(); rank++) {
-				List<Integer> experts = new ArrayList<>();
-				for (int expert = 0; expert < ranksOf.size(); expert++) {
-					if (ranksOf.get(expert).contains(rank)) {
-						experts.add(expert);
-					}
-				}
-				ofSet.add(experts);
-			}
-			sets.add(ofSet);
-		}
-		return sets;
-	}
-
 	// ---- the ranks
 
 	@Override
@@ -380,7 +291,13 @@
 
 	@Override
 	public void pause(long millis) {
-		Pause.millis(millis);
+		long untilMillis = this.clock.nowMillis() + millis;
+		// Copies take long; what is read meanwhile is known when they are done.
+		while (untilMillis - this.clock.nowMillis() > READING_PAUSE_MILLIS) {
+			Pause.millis(READING_PAUSE_MILLIS / 2);
+			this.reader.read(this.standing);
+		}
+		Pause.millis(Math.max(0, untilMillis - this.clock.nowMillis()));
 	}
 
 	@Override
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/Holdings.java
@@ -0,0 +1,86 @@
+package org.snowwind.gateway.expert;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.snowwind.balance.plan.ExpertPlacement;
+import org.snowwind.gateway.table.EngineProfile;
+
+/**
+ * Translates between placements and what each rank holds.
+ */
+final class Holdings {
+
+	private Holdings() {
+	}
+
+	/**
+	 * Returns the placement that ranks hold.
+	 * @param byRank the experts of each rank, by rank and set
+	 * @param profile how many sets, experts and places there are
+	 * @return the placement
+	 */
+	static ExpertPlacement placementOf(List<List<List<Integer>>> byRank, EngineProfile profile) {
+		List<List<List<Integer>>> ranksOf = new ArrayList<>();
+		for (int set = 0; set < profile.expertSets(); set++) {
+			List<List<Integer>> ofSet = new ArrayList<>();
+			for (int expert = 0; expert < profile.experts(); expert++) {
+				ofSet.add(new ArrayList<>());
+			}
+			for (int rank = 0; rank < byRank.size(); rank++) {
+				for (int expert : byRank.get(rank).get(set)) {
+					ofSet.get(expert).add(rank);
+				}
+			}
+			ranksOf.add(ofSet.stream().map(List::copyOf).toList());
+		}
+		return new ExpertPlacement(byRank.size(), profile.placesPerRank(), ranksOf);
+	}
+
+	/**
+	 * Returns what each rank holds under a placement.
+	 * @param placement the placement
+	 * @return the experts by set and rank
+	 */
+	static List<List<List<Integer>>> bySetAndRank(ExpertPlacement placement) {
+		List<List<List<Integer>>> sets = new ArrayList<>();
+		for (List<List<Integer>> ranksOf : placement.ranksOf()) {
+			List<List<Integer>> ofSet = new ArrayList<>();
+			for (int rank = 0; rank < placement.ranks(); rank++) {
+				List<Integer> experts = new ArrayList<>();
+				for (int expert = 0; expert < ranksOf.size(); expert++) {
+					if (ranksOf.get(expert).contains(rank)) {
+						experts.add(expert);
+					}
+				}
+				ofSet.add(experts);
+			}
+			sets.add(ofSet);
+		}
+		return sets;
+	}
+
+	/**
+	 * Counts what the rank copies that copies most.
+	 * @param before the placement in force
+	 * @param after the next one
+	 * @return how many experts are new to it
+	 */
+	static int mostCopies(ExpertPlacement before, ExpertPlacement after) {
+		int[] copies = new int[after.ranks()];
+		for (int set = 0; set < after.ranksOf().size(); set++) {
+			for (int expert = 0; expert < after.ranksOf().get(set).size(); expert++) {
+				List<Integer> held = before.ranksOf().get(set).get(expert);
+				for (int rank : after.ranksOf().get(set).get(expert)) {
+					copies[rank] += held.contains(rank) ? 0 : 1;
+				}
+			}
+		}
+		int most = 0;
+		for (int count : copies) {
+			most = Math.max(most, count);
+		}
+		return most;
+	}
+
+}
