Read counts when passes jump

Cause: counts were read every 300 ms whether demand had moved or not, and the read that showed a move came 0.3 to 0.5 s after it. Ruled out: reading all ranks, which is priced; a shorter period throughout. Change: PassTime sees that requests cost half more than they did, two passes after a move of demand; CountSchedule reads twice a second, and then at once and twice more 120 ms apart. A group that was formed anew is read at once.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -148,6 +148,8 @@
 
 	private volatile Map<String, Integer> inFlight = Map.of();
 
+	private volatile Map<String, Long> passJumps = Map.of();
+
 	private volatile List<BackendEntry> ungrouped = List.of();
 
 	private volatile boolean draining;
@@ -187,7 +189,9 @@
 				(server, group) -> this.loop.run(() -> this.backends.grouped(server, group)));
 		this.groupThread = new DutyThread("groups", SMALL_RING, GROUPS_MILLIS, groups::round);
 		this.experts = new ExpertDuty(adapters.store(), this.rankClient, adapters.ranks(), this.tables, this.registries,
-				this::shouldPlanExperts, settings.name(), this.clock);
+				new ExpertDuty.Local(settings.name(), this::shouldPlanExperts,
+						(group) -> this.passJumps.getOrDefault(group, Long.MIN_VALUE)),
+				this.clock);
 		registerMeters(this.admin.registry());
 	}
 
@@ -259,6 +263,7 @@
 
 	private void tell() {
 		this.inFlight = this.backends.inFlight();
+		this.passJumps = this.backends.passJumps();
 		this.ungrouped = this.tables.current()
 			.services()
 			.values()
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.Registry;
@@ -204,6 +205,16 @@
 		});
 	}
 
+	/**
+	 * Tells when the passes of each group have last become much longer at once.
+	 * @return times in milliseconds by the group's name, {@link Long#MIN_VALUE} for never
+	 */
+	public Map<String, Long> passJumps() {
+		return this.groups.values()
+			.stream()
+			.collect(Collectors.toUnmodifiableMap(GroupLoad::name, GroupLoad::jumpedMillis));
+	}
+
 	private void countGroups() {
 		Map<GroupLoad, Integer> ranks = new HashMap<>();
 		Map<GroupLoad, Integer> loads = new HashMap<>();
--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -102,6 +102,14 @@
 		return this.passes.millis();
 	}
 
+	/**
+	 * Tells when its passes have last become much longer at once.
+	 * @return the time, in milliseconds; {@link Long#MIN_VALUE} if they never have
+	 */
+	long jumpedMillis() {
+		return this.passes.jumpedMillis();
+	}
+
 	/**
 	 * Takes note of a pause between two events of a stream.
 	 * @param pauseMillis the pause, in milliseconds
--- a/gateway/src/main/java/org/snowwind/gateway/backend/PassTime.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/PassTime.java
@@ -21,12 +21,35 @@
 	/** After this time without an event the means say nothing, in milliseconds. */
 	private static final long MEAN_LIFE_MILLIS = 2000;
 
+	/** The part of a new pause in the mean that shows a jump: most of it in one pass. */
+	private static final double QUICK_SHARE = 0.2;
+
+	/** The part of a new pause in the mean that a jump is seen against. */
+	private static final double SLOW_SHARE = 0.01;
+
+	/**
+	 * Passes have jumped when requests cost so much more than they did: a move of demand
+	 * doubles the cost, prompts that are read at once raise it by a quarter.
+	 */
+	private static final double JUMP = 1.5;
+
+	/** Passes that have jumped can do so again when they cost no more than this. */
+	private static final double SETTLED = 1.2;
+
 	private double millis;
 
 	private double perRequestMillis;
 
+	private double quickMillis;
+
+	private double slowMillis;
+
 	private long observedMillis;
 
+	private boolean settled = true;
+
+	private long jumpedMillis = Long.MIN_VALUE;
+
 	/**
 	 * Takes note of a pause between two events of a stream.
 	 * @param pauseMillis the pause, in milliseconds
@@ -44,6 +67,28 @@
 		this.observedMillis = nowMillis;
 		double perRequest = Math.max(0, this.millis - emptyMillis) / Math.max(1, load);
 		this.perRequestMillis += share * (perRequest - this.perRequestMillis);
+		noteJump(Math.max(0, pauseMillis - emptyMillis) / Math.max(1, load), share == 1, nowMillis);
+	}
+
+	private void noteJump(double perRequest, boolean first, long nowMillis) {
+		this.quickMillis += (first ? 1 : QUICK_SHARE) * (perRequest - this.quickMillis);
+		this.slowMillis += (first ? 1 : SLOW_SHARE) * (perRequest - this.slowMillis);
+		if (this.settled && this.quickMillis > JUMP * this.slowMillis) {
+			this.settled = false;
+			this.jumpedMillis = nowMillis;
+		}
+		else if (this.quickMillis < SETTLED * this.slowMillis) {
+			this.settled = true;
+		}
+	}
+
+	/**
+	 * Tells when passes have last become much longer at once, as they do when demand for
+	 * experts moves.
+	 * @return the time, in milliseconds; {@link Long#MIN_VALUE} if they never have
+	 */
+	long jumpedMillis() {
+		return this.jumpedMillis;
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/expert/CountWindows.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/CountWindows.java
@@ -14,7 +14,7 @@
 	 * What was chosen since longer ago, in milliseconds, may mix demand from before and
 	 * after a move; twice the usual time between reads.
 	 */
-	private static final long MOST_SINCE_MILLIS = 600;
+	private static final long MOST_SINCE_MILLIS = 1000;
 
 	private final Map<String, CountsRead> lastByServer = new HashMap<>();
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
@@ -32,7 +32,7 @@
 
 	private final double halfLifeMillis;
 
-	private long asOfMillis;
+	private long asOfMillis = Long.MIN_VALUE;
 
 	private String lastReader = "";
 
@@ -59,7 +59,7 @@
 		this.lastReader = group;
 		double movedShare = movedShare(chosen);
 		double kept = (movedShare > MOVED_SHARE) ? 0
-				: Math.pow(0.5, Math.max(0, nowMillis - this.asOfMillis) / this.halfLifeMillis);
+				: Math.pow(0.5, Math.max(0, (double) nowMillis - this.asOfMillis) / this.halfLifeMillis);
 		this.asOfMillis = nowMillis;
 		for (int set = 0; set < this.weights.length; set++) {
 			double scale = Math.min(1, MOST_CHOICES / Math.max(1, Arrays.stream(chosen[set]).sum()));
@@ -102,7 +102,7 @@
 
 	/**
 	 * Tells how new the last counts are.
-	 * @return when they were read, in milliseconds
+	 * @return when they were read, in milliseconds; {@link Long#MIN_VALUE} if none were
 	 */
 	synchronized long asOfMillis() {
 		return this.asOfMillis;
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.model.MonotonicClock;
@@ -14,18 +15,6 @@
  */
 final class DemandReader {
 
-	/**
-	 * How often counts are read, in milliseconds. A read costs the group half a
-	 * millisecond for each 400 numbers.
-	 */
-	private static final long PERIOD_MILLIS = 300;
-
-	/**
-	 * What another group has read is news for so long, in milliseconds: longer than it
-	 * takes that group to read again, or both would read.
-	 */
-	private static final long OTHERS_MILLIS = 450;
-
 	/** Of how many ranks counts are read each time. */
 	private static final int COUNTED_RANKS = 1;
 
@@ -41,7 +30,9 @@
 
 	private final CountWindows windows = new CountWindows();
 
-	private long nextReadMillis;
+	private final LongSupplier passJumpedMillis;
+
+	private final CountSchedule schedule = new CountSchedule();
 
 	/**
 	 * Creates a reader that has read nothing.
@@ -49,13 +40,16 @@
 	 * @param profile how many experts there are
 	 * @param calls reach the ranks
 	 * @param demand takes what was chosen
+	 * @param passJumpedMillis tells when passes have last become much longer at once
 	 * @param clock tells the time
 	 */
-	DemandReader(String group, EngineProfile profile, RankCalls calls, DemandBook demand, MonotonicClock clock) {
+	DemandReader(String group, EngineProfile profile, RankCalls calls, DemandBook demand, LongSupplier passJumpedMillis,
+			MonotonicClock clock) {
 		this.group = group;
 		this.profile = profile;
 		this.calls = calls;
 		this.demand = demand;
+		this.passJumpedMillis = passJumpedMillis;
 		this.clock = clock;
 	}
 
@@ -64,6 +58,7 @@
 	 */
 	void formedAnew() {
 		this.windows.clear();
+		this.schedule.formedAnew();
 	}
 
 	/**
@@ -72,12 +67,10 @@
 	 */
 	void read(List<Rank> ranks) {
 		long nowMillis = this.clock.nowMillis();
-		boolean othersRead = !this.demand.lastReadBy(this.group)
-				&& nowMillis - this.demand.asOfMillis() < OTHERS_MILLIS;
-		if (nowMillis < this.nextReadMillis || othersRead) {
+		long othersMillis = this.demand.lastReadBy(this.group) ? Long.MIN_VALUE : this.demand.asOfMillis();
+		if (!this.schedule.due(nowMillis, this.passJumpedMillis.getAsLong(), othersMillis)) {
 			return;
 		}
-		this.nextReadMillis = nowMillis + PERIOD_MILLIS;
 		List<Rank> counted = ranks.subList(0, Math.min(COUNTED_RANKS, ranks.size()));
 		List<Optional<RankCounts>> answers = this.calls.counts(counted);
 		for (int i = 0; i < counted.size(); i++) {
@@ -92,6 +85,7 @@
 	private void note(String serverId, long[][] chosen, long nowMillis) {
 		double movedShare = this.demand.add(this.group, chosen, nowMillis);
 		if (movedShare > DemandBook.MOVED_SHARE) {
+			this.schedule.moved();
 			EventLog.log(Event.DEMAND_MOVED, "group", this.group, "server", serverId, "movedShare",
 					Math.round(movedShare * 1000) / 1000.0);
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.ToLongFunction;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.balance.plan.IncrementalPlanner;
@@ -45,7 +46,7 @@
 	private static final long TICK_MILLIS = 100;
 
 	/** How often it is looked whether a group needs something, in milliseconds. */
-	private static final long GROUP_TICK_MILLIS = 100;
+	private static final long GROUP_TICK_MILLIS = 40;
 
 	/** How often all servers are asked which group they are in, in milliseconds. */
 	private static final long DISCOVERY_MILLIS = 4000;
@@ -94,9 +95,7 @@
 
 	private final RegistryHolder registries;
 
-	private final BooleanSupplier candidate;
-
-	private final String name;
+	private final Local local;
 
 	private final MonotonicClock clock;
 
@@ -125,19 +124,17 @@
 	 * @param protocol names what is said to ranks
 	 * @param tables holds the route table
 	 * @param registries holds the servers
-	 * @param candidate whether this gateway should have the duty
-	 * @param name the own name
+	 * @param local what this gateway tells of itself
 	 * @param clock tells the time
 	 */
 	public ExpertDuty(ObjectStore store, JsonClient client, RankProtocol protocol, TableHolder tables,
-			RegistryHolder registries, BooleanSupplier candidate, String name, MonotonicClock clock) {
+			RegistryHolder registries, Local local, MonotonicClock clock) {
 		this.store = store;
 		this.writes = new VerifiedWrites(store, Pause::millis);
 		this.calls = new RankCalls(client, protocol);
 		this.tables = tables;
 		this.registries = registries;
-		this.candidate = candidate;
-		this.name = name;
+		this.local = local;
 		this.clock = clock;
 		this.thread = new DutyThread("experts", SMALL_RING, TICK_MILLIS, this::round);
 	}
@@ -168,7 +165,7 @@
 
 	private void round() {
 		long nowMillis = this.clock.nowMillis();
-		if (!this.candidate.getAsBoolean()) {
+		if (!this.local.candidate().getAsBoolean()) {
 			leave("another gateway has it, or this one stops");
 			return;
 		}
@@ -210,7 +207,7 @@
 			return;
 		}
 		JsonNode value = Json.MAPPER.createObjectNode()
-			.put("gateway", this.name)
+			.put("gateway", this.local.name())
 			.put("claim", System.nanoTime() + "-" + this.claims++);
 		WriteResult result = this.writes.write(KEY, revision, value);
 		if (result instanceof WriteResult.Written written) {
@@ -268,8 +265,10 @@
 				(key) -> new DemandBook(profile.expertSets(), profile.experts(), DEMAND_HALF_LIFE_MILLIS));
 		IncrementalPlanner planner = new IncrementalPlanner(
 				new IncrementalPlanner.Caps(profile.newExpertsPerMap(), copiesPerRank(profile), LEAST_RELIEF));
-		GroupBalancer balancer = new GroupBalancer(group, profile, this.calls, demand, this::fence, this, planner,
-				this.clock);
+		DemandReader reader = new DemandReader(group, profile, this.calls, demand,
+				() -> this.local.passJumpedMillis().applyAsLong(group), this.clock);
+		GroupBalancer balancer = new GroupBalancer(group, profile, this.calls, demand, reader, this::fence, this,
+				planner, this.clock);
 		DutyThread groupThread = new DutyThread("experts-" + group, SMALL_RING, GROUP_TICK_MILLIS, balancer::round);
 		this.groups.put(group, new Balanced(balancer, groupThread));
 		groupThread.start();
@@ -314,6 +313,18 @@
 		this.thread.close();
 	}
 
+	/**
+	 * What this gateway tells of itself.
+	 *
+	 * @param name its name
+	 * @param candidate whether it should have the duty
+	 * @param passJumpedMillis by a group's name, when its passes have last become much
+	 * longer at once, in milliseconds
+	 */
+	public record Local(String name, BooleanSupplier candidate, ToLongFunction<String> passJumpedMillis) {
+
+	}
+
 	/**
 	 * A group and the thread that balances it.
 	 *
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -82,7 +82,7 @@
 
 	private long nextReportsMillis;
 
-	private long plannedAsOfMillis;
+	private long plannedAsOfMillis = Long.MIN_VALUE;
 
 	private boolean incomplete;
 
@@ -92,13 +92,14 @@
 	 * @param profile how fast its ranks are
 	 * @param calls reach the ranks
 	 * @param demand what experts are asked for
+	 * @param reader reads it
 	 * @param fence gives the fencing token, 0 while this process has no duty
 	 * @param versions gives versions of maps
 	 * @param planner plans
 	 * @param clock tells the time
 	 */
-	GroupBalancer(String name, EngineProfile profile, RankCalls calls, DemandBook demand, LongSupplier fence,
-			VersionSource versions, IncrementalPlanner planner, MonotonicClock clock) {
+	GroupBalancer(String name, EngineProfile profile, RankCalls calls, DemandBook demand, DemandReader reader,
+			LongSupplier fence, VersionSource versions, IncrementalPlanner planner, MonotonicClock clock) {
 		this.name = name;
 		this.profile = profile;
 		this.calls = calls;
@@ -108,7 +109,7 @@
 		this.planner = planner;
 		this.clock = clock;
 		this.steps = new StepClock(clock);
-		this.reader = new DemandReader(name, profile, calls, demand, clock);
+		this.reader = reader;
 		this.mapSwitch = new MapSwitch(this, this.steps);
 	}
 
