Treat all callers alike where a group is nearly full; say why one is turned away

Cause: callers who had returned could fill a group 1.05 of its limit, new ones 0.95, late ones 0.8. Three passes ahead again where orders are lost: a held pass makes all streams of the group late (715 ms and 4 held, 642 and 21 with one).

--- a/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
@@ -48,24 +48,28 @@
 	}
 
 	/**
-	 * Decides about a request.
+	 * Decides about a request. One that finds no room waits as long as it could still
+	 * begin on time: played by the load model over nine loads a request is worth 0.94,
+	 * and 0.92 where nobody waits.
 	 * @param arrival the request
 	 * @return what becomes of it now
 	 */
 	public Verdict decide(Arrival arrival) {
-		long nowMillis = this.clock.nowMillis();
-		Optional<Backend> chosen = choose(arrival, nowMillis);
+		Optional<Backend> chosen = choose(arrival);
 		if (chosen.isPresent()) {
 			return new Verdict.Send(chosen.get());
 		}
+		long startMillis = startTime(arrival.service()).nearlyAllMillis();
 		if (this.backends.allClosed(arrival.service())) {
-			return new Verdict.TurnAway(true);
+			return new Verdict.TurnAway(true, startMillis);
 		}
-		return (nowMillis < waitsUntilMillis(arrival)) ? new Verdict.Wait() : new Verdict.TurnAway(false);
+		long waitsUntilMillis = arrival.arrivedMillis() + arrival.targetMillis() - startMillis;
+		boolean inTime = this.clock.nowMillis() < waitsUntilMillis;
+		return inTime ? new Verdict.Wait() : new Verdict.TurnAway(false, startMillis);
 	}
 
-	private Optional<Backend> choose(Arrival arrival, long nowMillis) {
-		Wanted wanted = arrival.wanted(nowMillis);
+	private Optional<Backend> choose(Arrival arrival) {
+		Wanted wanted = arrival.wanted();
 		Optional<Backend> untried = this.backends.choose(wanted);
 		boolean allTried = !this.backends.anyLeft(arrival.service(), arrival.tried());
 		if (untried.isPresent() || !allTried) {
@@ -74,19 +78,6 @@
 		return this.backends.choose(wanted.anyServer());
 	}
 
-	/**
-	 * Returns until when a request waits for a place: as long as it could still begin on
-	 * time. Played by the load model over nine loads, this is worth 0.82 against 0.80 for
-	 * three tenths of that time and 0.79 for no wait; a caller who has returned gains
-	 * nothing by more.
-	 * @param arrival the request
-	 * @return the time, in milliseconds
-	 */
-	long waitsUntilMillis(Arrival arrival) {
-		long startMillis = startTime(arrival.service()).nearlyAllMillis();
-		return arrival.arrivedMillis() + arrival.targetMillis() - startMillis;
-	}
-
 	/**
 	 * What becomes of a request.
 	 */
@@ -112,8 +103,10 @@
 		 * It is turned away.
 		 *
 		 * @param closed whether no server takes anything now, which lasts for seconds
+		 * @param startMillis within which time nearly all answers of the service have
+		 * begun lately, in milliseconds
 		 */
-		record TurnAway(boolean closed) implements Verdict {
+		record TurnAway(boolean closed, long startMillis) implements Verdict {
 
 		}
 
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Arrival.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Arrival.java
@@ -16,11 +16,9 @@
  * milliseconds; 0 if it has none
  * @param arrivedMillis when it came or, for a stream that goes on elsewhere, when it
  * broke, in milliseconds
- * @param returned whether its caller was turned away before, and has no further try
- * @param resent whether it was sent to a server before
  */
 public record Arrival(String service, Set<String> tried, int mayWaitThere, EngineProfile engine, long targetMillis,
-		long pauseTargetMillis, long arrivedMillis, boolean returned, boolean resent) {
+		long pauseTargetMillis, long arrivedMillis) {
 
 	/**
 	 * Copies the ids.
@@ -29,24 +27,8 @@
 		tried = Set.copyOf(tried);
 	}
 
-	/**
-	 * Tells whom it goes before where a group is nearly full.
-	 * @param nowMillis the time, in milliseconds
-	 * @return its standing
-	 */
-	Standing standing(long nowMillis) {
-		if (this.returned) {
-			return Standing.RETURNED;
-		}
-		if (nowMillis - this.arrivedMillis > this.targetMillis) {
-			return Standing.LATE;
-		}
-		return this.resent ? Standing.RETURNED : Standing.FRESH;
-	}
-
-	Wanted wanted(long nowMillis) {
-		return new Wanted(this.service, this.tried, this.mayWaitThere, this.engine, this.pauseTargetMillis,
-				standing(nowMillis));
+	Wanted wanted() {
+		return new Wanted(this.service, this.tried, this.mayWaitThere, this.engine, this.pauseTargetMillis);
 	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -120,7 +120,12 @@
 	void paused(long pauseMillis, long pauseTargetMillis, EngineProfile profile, long nowMillis) {
 		opened();
 		this.lastEventMillis = nowMillis;
-		this.passes.observe(pauseMillis, pauseTargetMillis, emptyPassMillis(profile), this.load, nowMillis);
+		boolean jumped = this.passes.observe(pauseMillis, pauseTargetMillis, emptyPassMillis(profile), this.load,
+				nowMillis);
+		if (jumped) {
+			EventLog.log(Event.PASSES_JUMPED, "group", this.name, "pauseMillis", pauseMillis, "meanMillis",
+					Math.round(this.passes.millis()), "load", this.load);
+		}
 	}
 
 	private static double emptyPassMillis(EngineProfile profile) {
@@ -141,7 +146,7 @@
 		if (!open(nowMillis)) {
 			return 0;
 		}
-		double limit = wanted.limit(limit(wanted.pauseTargetMillis(), wanted.engine(), nowMillis));
+		double limit = limit(wanted.pauseTargetMillis(), wanted.engine(), nowMillis);
 		return 1 - this.load / limit;
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/backend/PassTime.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/PassTime.java
@@ -57,29 +57,32 @@
 	 * @param emptyMillis the time of a pass of an empty group, in milliseconds
 	 * @param load how many requests the group has
 	 * @param nowMillis the time, in milliseconds
+	 * @return whether passes have become much longer at once
 	 */
-	void observe(long pauseMillis, long pauseTargetMillis, double emptyMillis, int load, long nowMillis) {
+	boolean observe(long pauseMillis, long pauseTargetMillis, double emptyMillis, int load, long nowMillis) {
 		if (pauseMillis > STALL * pauseTargetMillis) {
-			return;
+			return false;
 		}
 		double share = known(nowMillis) ? PAUSE_SHARE : 1;
 		this.millis += share * (pauseMillis - this.millis);
 		this.observedMillis = nowMillis;
 		double perRequest = Math.max(0, this.millis - emptyMillis) / Math.max(1, load);
 		this.perRequestMillis += share * (perRequest - this.perRequestMillis);
-		noteJump(Math.max(0, pauseMillis - emptyMillis) / Math.max(1, load), share == 1, nowMillis);
+		return noteJump(Math.max(0, pauseMillis - emptyMillis) / Math.max(1, load), share == 1, nowMillis);
 	}
 
-	private void noteJump(double perRequest, boolean first, long nowMillis) {
+	private boolean noteJump(double perRequest, boolean first, long nowMillis) {
 		this.quickMillis += (first ? 1 : QUICK_SHARE) * (perRequest - this.quickMillis);
 		this.slowMillis += (first ? 1 : SLOW_SHARE) * (perRequest - this.slowMillis);
 		if (this.settled && this.quickMillis > JUMP * this.slowMillis) {
 			this.settled = false;
 			this.jumpedMillis = nowMillis;
+			return true;
 		}
-		else if (this.quickMillis < SETTLED * this.slowMillis) {
+		if (this.quickMillis < SETTLED * this.slowMillis) {
 			this.settled = true;
 		}
+		return false;
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -28,10 +28,11 @@
 
 	/**
 	 * How many passes further ahead a pass is held where orders go unanswered. With one
-	 * in ten unanswered, 12 ranks have a map in force 642 ms after it was planned, of
-	 * which the group stands still for 21; three passes made it 715 and 4.
+	 * in ten unanswered, 12 ranks have a map in force 715 ms after it was planned, of
+	 * which the group stands still for 4; one pass made it 642 and 21, but a pass that is
+	 * held makes all streams of the group late.
 	 */
-	private static final int PASSES_FOR_REPEATS = 1;
+	private static final int PASSES_FOR_REPEATS = 3;
 
 	/** How many passes are tried to be held; each is further ahead. */
 	private static final int HOLD_TRIES = 6;
--- a/gateway/src/main/java/org/snowwind/gateway/registry/Registry.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/Registry.java
@@ -1,5 +1,6 @@
 package org.snowwind.gateway.registry;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 
@@ -23,10 +24,10 @@
 
 	/**
 	 * Lists the servers.
-	 * @return the servers in no order
+	 * @return the servers in the order of their ids, so that equal draws choose alike
 	 */
 	public List<BackendEntry> list() {
-		return List.copyOf(this.servers.values());
+		return this.servers.values().stream().sorted(Comparator.comparing(BackendEntry::id)).toList();
 	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -156,19 +156,24 @@
 		else if (verdict instanceof Admission.Verdict.Wait) {
 			this.waitTimer = this.context.loop().later(() -> dispatch(lastEventId), WAIT_STEP_MILLIS);
 		}
-		else {
+		else if (verdict instanceof Admission.Verdict.TurnAway turnAway) {
+			logTurnedAway(turnAway);
 			giveUpUnsent(ProblemKind.OVERLOADED);
 		}
 	}
 
+	private void logTurnedAway(Admission.Verdict.TurnAway turnAway) {
+		EventLog.log(Event.REQUEST_TURNED_AWAY, "request", this.request.id(), "closed", turnAway.closed(),
+				"startMillis", turnAway.startMillis(), "waitedMillis",
+				this.context.clock().nowMillis() - this.wantedSinceMillis, "targetMillis",
+				this.request.route().targetMillis(), "sends", this.sends, "registry",
+				this.context.backends().revision());
+	}
+
 	private Arrival arrival() {
 		return new Arrival(this.request.service(), this.tried, this.timing.mayWait(),
 				this.request.destination().engine(), this.request.route().targetMillis(),
-				this.request.route().pauseTargetMillis(), this.wantedSinceMillis, callerReturned(), this.sends > 0);
-	}
-
-	private boolean callerReturned() {
-		return Timing.returned(this.request.head().patienceMillis(), this.request.route().timeoutMillis());
+				this.request.route().pauseTargetMillis(), this.wantedSinceMillis);
 	}
 
 	private void sendTo(Backend backend, String lastEventId) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
@@ -46,9 +46,6 @@
 	 */
 	private static final double RETRY_CLOSED = 0.95;
 
-	/** A request has lost at least so much time when its caller comes back. */
-	private static final long RETURNED_MILLIS = 100;
-
 	static Timing of(Route route) {
 		return new Timing(route.repeat() == Repeat.STREAM, route.targetMillis());
 	}
@@ -84,16 +81,4 @@
 		return Math.max(1, (long) Math.min(wanted, most));
 	}
 
-	/**
-	 * Tells whether a caller was probably turned away before: callers begin with more
-	 * time than their route allows, and come back with what is left of it.
-	 * @param patienceMillis how long the caller will wait, in milliseconds; -1 if it does
-	 * not say
-	 * @param timeoutMillis how long its route allows, in milliseconds
-	 * @return true if it has less time than a new request
-	 */
-	static boolean returned(long patienceMillis, long timeoutMillis) {
-		return patienceMillis >= 0 && patienceMillis < timeoutMillis - RETURNED_MILLIS;
-	}
-
 }
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -121,6 +121,9 @@
 	/** A request was answered or ended otherwise. */
 	REQUEST_ENDED(4104, Level.INFO, "request ended"),
 
+	/** No server had room for a request in time. */
+	REQUEST_TURNED_AWAY(4106, Level.INFO, "request turned away"),
+
 	/** A request was refused before anything was sent. */
 	REQUEST_REFUSED(4105, Level.INFO, "request refused"),
 
@@ -181,6 +184,9 @@
 	/** A group that was closed answers again. */
 	GROUP_OPENED(3011, Level.INFO, "group opened"),
 
+	/** Passes of a group became much longer at once. */
+	PASSES_JUMPED(6206, Level.INFO, "passes became longer at once"),
+
 	/** Requests choose other experts than before. */
 	DEMAND_MOVED(6205, Level.INFO, "demand for experts moved"),
 
