Count streams that began before their server's group was known

Change: a server carries its streams into its group when that is known. Test: aStreamThatBeganBeforeItsGroupWasKnownCountsInIt, which failed before.

--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -42,6 +42,8 @@
 
 	private int inFlight;
 
+	private int streams;
+
 	private int peersInFlight;
 
 	private double answerMillis;
@@ -133,8 +135,15 @@
 		return this.group;
 	}
 
-	void group(GroupLoad next) {
+	void group(GroupLoad next, long nowMillis) {
+		if (this.group == next) {
+			return;
+		}
+		if (this.group != null) {
+			this.group.streamsLeft(this.streams);
+		}
 		this.group = next;
+		next.streamsJoined(this.streams, nowMillis);
 	}
 
 	/**
@@ -160,6 +169,7 @@
 	 * @param nowMillis the time, in milliseconds
 	 */
 	public void streamBegan(long nowMillis) {
+		this.streams++;
 		if (this.group != null) {
 			this.group.streamBegan(nowMillis);
 		}
@@ -169,8 +179,9 @@
 	 * Takes note that a stream that had begun has ended.
 	 */
 	public void streamEnded() {
+		this.streams--;
 		if (this.group != null) {
-			this.group.streamEnded();
+			this.group.streamsLeft(1);
 		}
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -205,7 +205,8 @@
 	 */
 	public void grouped(String id, String group) {
 		find(id).ifPresent((backend) -> {
-			backend.group(this.groups.computeIfAbsent(group, (name) -> new GroupLoad(name, this.groupLimit)));
+			backend.group(this.groups.computeIfAbsent(group, (name) -> new GroupLoad(name, this.groupLimit)),
+					this.clock.nowMillis());
 			countGroups();
 		});
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -185,10 +185,22 @@
 	}
 
 	/**
-	 * Takes note that a stream that had begun has ended.
+	 * Takes note of streams that began before it was known that their rank is in this
+	 * group.
+	 * @param count how many
+	 * @param nowMillis the time, in milliseconds
+	 */
+	void streamsJoined(int count, long nowMillis) {
+		this.streams += count;
+		this.lastEventMillis = Math.max(this.lastEventMillis, nowMillis);
+	}
+
+	/**
+	 * Takes note that streams that had begun have ended.
+	 * @param count how many
 	 */
-	void streamEnded() {
-		this.streams--;
+	void streamsLeft(int count) {
+		this.streams -= count;
 	}
 
 	private void opened() {
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -157,6 +157,25 @@
 		assertThat(this.table.allClosed("s")).isTrue();
 	}
 
+	@Test
+	void aStreamThatBeganBeforeItsGroupWasKnownCountsInIt() {
+		registered(server("a", false));
+		server("a").sent();
+		server("a").streamBegan(10_000);
+		this.table.grouped("a", "g");
+		this.clock.advance(600);
+		choose(NONE);
+		this.table.choose(new Wanted("s", NONE, 9, ENGINE, 120));
+		assertThat(this.table.allClosed("s")).as("its only stream is silent").isTrue();
+		server("a").streamEnded();
+		server("a").sent();
+		server("a").streamBegan(this.clock.nowMillis());
+		assertThat(this.table.allClosed("s")).isFalse();
+		this.clock.advance(600);
+		this.table.choose(new Wanted("s", NONE, 9, ENGINE, 120));
+		assertThat(this.table.allClosed("s")).as("the next one too").isTrue();
+	}
+
 	private void unreachable(String id) {
 		server(id).sent();
 		server(id).unreachable(this.clock.nowMillis());
--- a/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
@@ -118,7 +118,7 @@
 		Wanted wanted = new Wanted("s", Set.of(), 0, PROFILE, TARGET_MILLIS);
 		this.group.count(8, 0);
 		this.group.streamBegan(1000);
-		this.group.streamEnded();
+		this.group.streamsLeft(1);
 		assertThat(this.group.roomShare(wanted, 60_000)).isPositive();
 	}
 
