Test that a caller who leaves is sent nowhere any more

Cause: the new rule on callers who leave was proved for an attempt under way only. Change: tests for one that waits for a place and for one that another server could take over; both hold as the code is. Conclusion: nothing to mend.

--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -74,7 +74,7 @@
 
 	/**
 	 * Puts routes in force: {@code /once/}, {@code /many/}, {@code /stream/},
-	 * {@code /frail/}.
+	 * {@code /frail/}, {@code /single/} and {@code /patient/}, which waits for long.
 	 */
 	GatewayFixture routed() {
 		return routed(Map.of());
@@ -89,15 +89,21 @@
 	private GatewayFixture routed(Map<String, ServiceEntry> services) {
 		List<Route> routes = List.of(route("once", Repeat.AT_MOST_ONCE, 1, false),
 				route("many", Repeat.IDEMPOTENT, 2, false), route("stream", Repeat.STREAM, 2, true),
-				route("frail", Repeat.STREAM, 1, false), route("single", Repeat.STREAM, 1, true));
+				route("frail", Repeat.STREAM, 1, false), route("single", Repeat.STREAM, 1, true),
+				route("patient", Repeat.STREAM, 60_000, 60_000, 2, true));
 		this.tables.offer(new RouteTable(1, routes, services, Map.of("secret", new KeyHolder("org", 1)),
 				new RequestLimits(100_000, 15_000), new byte[0]), "test");
 		return this;
 	}
 
 	private static Route route(String name, Repeat repeat, int attempts, boolean resumable) {
-		return new Route(name, "gateway.test", "/" + name + "/", repeat, TIMEOUT_MILLIS, 400, 100, 1, attempts, false,
-				resumable, List.of(new Route.Share("service", 1)));
+		return route(name, repeat, TIMEOUT_MILLIS, 400, attempts, resumable);
+	}
+
+	private static Route route(String name, Repeat repeat, long timeoutMillis, long targetMillis, int attempts,
+			boolean resumable) {
+		return new Route(name, "gateway.test", "/" + name + "/", repeat, timeoutMillis, targetMillis, 100, 1, attempts,
+				false, resumable, List.of(new Route.Share("service", 1)));
 	}
 
 	/** Adds a server; earlier ones are tried first, since later ones look fuller. */
@@ -139,6 +145,13 @@
 		}));
 	}
 
+	/** Lets peers have a number of requests at each server. */
+	void loadElsewhere(int requests) {
+		Map<String, Integer> elsewhere = new HashMap<>();
+		this.entries.keySet().forEach((id) -> elsewhere.put(id, requests));
+		onLoop(() -> this.backends.peersInFlight(elsewhere, 1));
+	}
+
 	void drain() {
 		onLoop(this.handler::drain);
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
@@ -322,6 +322,45 @@
 		assertThat(this.gateway.open()).isZero();
 	}
 
+	@Test
+	void aCallerThatLeavesWhileItWaitsForAPlaceIsSentNowhere() throws Exception {
+		try (GatewayFixture ranks = new GatewayFixture().routedToRanks()) {
+			ScriptedServer server = ranks.server(ok("x"));
+			ranks.loadElsewhere(8);
+			Socket caller = ranks.send("/patient/a");
+			awaitOpen(ranks, 1);
+			caller.close();
+			awaitOpen(ranks, 0);
+			ranks.loadElsewhere(0);
+			assertThat(ranks.call("/once/b")).startsWith("HTTP/1.1 200");
+			assertThat(server.received()).as("only the second caller's request").hasSize(1);
+		}
+	}
+
+	@Test
+	void aCallerThatLeavesIsNotTriedElsewhere() throws Exception {
+		CountDownLatch arrived = new CountDownLatch(1);
+		CompletableFuture<Boolean> closed = new CompletableFuture<>();
+		this.gateway.server((request, answer) -> {
+			arrived.countDown();
+			closed.complete(closedByGateway(answer));
+		});
+		ScriptedServer second = this.gateway.server(ok("x"));
+		Socket caller = this.gateway.send("/many/a");
+		assertThat(arrived.await(5, TimeUnit.SECONDS)).isTrue();
+		caller.close();
+		assertThat(closed.get(1, TimeUnit.SECONDS)).isTrue();
+		awaitOpen(this.gateway, 0);
+		assertThat(second.received()).isEmpty();
+	}
+
+	private static void awaitOpen(GatewayFixture gateway, int open) throws InterruptedException {
+		for (int look = 0; look < 500 && gateway.open() != open; look++) {
+			TimeUnit.MILLISECONDS.sleep(10);
+		}
+		assertThat(gateway.open()).isEqualTo(open);
+	}
+
 	private static boolean closedByGateway(ScriptedServer.Answering answer) throws IOException {
 		try {
 			return answer.awaitClosed();
