--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -78,11 +78,7 @@
 
 	private int runs;
 
-	private long firstByteMillis;
-
-	private long lastEventMillis;
-
-	private long longestPauseMillis;
+	private final EventTimes times;
 
 	private long bytesDelivered;
 
@@ -106,6 +102,7 @@
 		long allowed = (patience >= 0) ? Math.min(patience, request.route().timeoutMillis())
 				: request.route().timeoutMillis();
 		this.deadlineMillis = request.arrivedMillis() + allowed - ANSWER_MARGIN_MILLIS;
+		this.times = new EventTimes(request.arrivedMillis());
 		this.events = new EventStream(request.head().lastEventId());
 	}
 
@@ -279,7 +276,7 @@
 		this.context.meters().ended(this.request.service(), outcome, tookMillis);
 		EventLog.log(Event.REQUEST_ENDED, "request", this.request.id(), "outcome", outcome, "ran",
 				disclosure.headerValue(), "sends", this.sends, "events", this.events.events(), "firstMillis",
-				this.firstByteMillis, "pauseMillis", this.longestPauseMillis, "tookMillis", tookMillis);
+				this.times.firstMillis(), "pauseMillis", this.times.longestPauseMillis(), "tookMillis", tookMillis);
 		this.whenEnded.run();
 	}
 
@@ -323,20 +320,16 @@
 
 	private void noteEvent() {
 		long nowMillis = this.context.clock().nowMillis();
-		if (this.lastEventMillis == 0) {
-			this.firstByteMillis = nowMillis - this.request.arrivedMillis();
+		long pauseMillis = this.times.event(nowMillis);
+		if (pauseMillis == EventTimes.FIRST) {
+			this.context.meters().firstByte(this.request.service(), this.times.firstMillis());
 			noteBegan();
-			this.context.meters().firstByte(this.request.service(), this.firstByteMillis);
+			return;
 		}
-		else {
-			long pauseMillis = nowMillis - this.lastEventMillis;
-			this.longestPauseMillis = Math.max(this.longestPauseMillis, pauseMillis);
-			this.context.meters().pause(this.request.service(), pauseMillis);
-			this.attempt.backend()
-				.paused(pauseMillis, this.request.route().pauseTargetMillis(), this.request.destination().engine(),
-						nowMillis);
-		}
-		this.lastEventMillis = nowMillis;
+		this.context.meters().pause(this.request.service(), pauseMillis);
+		this.attempt.backend()
+			.paused(pauseMillis, this.request.route().pauseTargetMillis(), this.request.destination().engine(),
+					nowMillis);
 	}
 
 	@Override
