Explain why requests of a period were lost

Cause: where worth is lost was read off the logs by scripts that nobody else has. Not done: the same totals as counters.

--- a/app/src/main/java/org/snowwind/app/explain/LogLine.java
+++ b/app/src/main/java/org/snowwind/app/explain/LogLine.java
@@ -43,6 +43,10 @@
 		}
 	}
 
+	long number(String field) {
+		return this.fields.path(field).asLong(0);
+	}
+
 	String text(String field) {
 		return this.fields.path(field).asText("");
 	}
--- a/app/src/main/java/org/snowwind/app/explain/package-info.java
+++ b/app/src/main/java/org/snowwind/app/explain/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Tells the life of one request from the log lines of all processes.
+ * Tells the life of one request, or why those of a period were lost, from the log lines
+ * of all processes.
  */
 package org.snowwind.app.explain;
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -113,7 +113,8 @@
 		EventLog.log(Event.REQUEST_ROUTED, "request", request.id(), "route", request.route().name(), "service",
 				request.service(), "organisation", request.organisation(), "table", request.tableVersion(),
 				"patienceMillis", request.head().patienceMillis(), "promptTokens", request.head().promptTokens(),
-				"bodyBytes", request.body().length);
+				"bodyBytes", request.body().length, "targetMillis", request.route().targetMillis(), "pauseTargetMillis",
+				request.route().pauseTargetMillis());
 	}
 
 	/**
