Fill groups to a mean pass of 0.65 of the longest pause; see smaller moves

Suspected: passes of 0.76 of the pause leave too little where passes vary more (24 ranks, 16 sets), and flatter demand moves by less than 0.28. The load model gives 0.937 at 0.65, 0.927 at 0.76.

--- a/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
@@ -49,8 +49,8 @@
 
 	/**
 	 * Decides about a request. One that finds no room waits as long as it could still
-	 * begin on time: played by the load model over nine loads a request is worth 0.927,
-	 * and 0.917 where nobody waits.
+	 * begin on time: played by the load model over nine loads a request is worth 0.01
+	 * more than where nobody waits.
 	 * @param arrival the request
 	 * @return what becomes of it now
 	 */
--- a/gateway/src/main/java/org/snowwind/gateway/backend/MeanPassLimit.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/MeanPassLimit.java
@@ -14,10 +14,10 @@
 	 * The part of the longest pause on time that a pass may take on the mean. A stream is
 	 * late by the longest of two dozen passes, and prompts that are read make some of
 	 * them longer; but a caller who is turned away is late as well. Played by the load
-	 * model over nine loads a request is worth 0.927, with every slot filled 0.898, with
-	 * 0.6 of them 0.885, and 0.930 and 0.917 at 0.68 and 0.84.
+	 * model over nine loads a request is worth 0.937, with every slot filled 0.898, with
+	 * 0.6 of them 0.885, and 0.927 and 0.917 at 0.76 and 0.84.
 	 */
-	private static final double PASS_SHARE = 0.76;
+	private static final double PASS_SHARE = 0.65;
 
 	/**
 	 * At least this part of the slots is always filled: fewer would leave engines idle
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
@@ -15,7 +15,7 @@
 	/**
 	 * Beyond this part of choices that went elsewhere demand has moved, below it wavers.
 	 */
-	static final double MOVED_SHARE = 0.28;
+	static final double MOVED_SHARE = 0.25;
 
 	/** Fewer choices of a set than this tell nothing of a move. */
 	private static final double LEAST_CHOICES = 500;
--- a/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionLoadTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionLoadTests.java
@@ -68,7 +68,7 @@
 	@Test
 	void theLimitInForceServesBetterThanTheBaselines() {
 		double inForce = worth(GroupLimit.meanPass());
-		assertThat(inForce).as("0.93 when it was chosen").isGreaterThan(0.9);
+		assertThat(inForce).as("0.94 when it was chosen").isGreaterThan(0.9);
 		assertThat(inForce).as("0.90 with every slot filled").isGreaterThan(worth(GroupLimit.allSlots()) + 0.01);
 		assertThat(inForce).as("0.88 with 0.6 of them").isGreaterThan(worth(GroupLimit.slotShare(0.6)) + 0.02);
 	}
