Say what two planners at a time do

Change: comments only. Ruled out: nothing else found that the change wrote twice or left dead. Checks: formatter, linter and compiler on the gateway; no test run again.

--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -33,9 +33,9 @@
  * Plans the expert maps of all groups while this gateway has the duty.
  *
  * <p>
- * Who has the duty is a matter of economy: two owners at a time do no harm. Each claims
- * the duty by a conditional write, whose revision is its fencing token; ranks refuse the
- * orders of an older one.
+ * Who has the duty is a matter of economy: two owners mix no maps, but undo each other.
+ * Each claims the duty by a conditional write, whose revision is its fencing token; ranks
+ * refuse the orders of an older one.
  */
 public final class ExpertDuty implements AutoCloseable, GroupBalancer.VersionSource {
 
@@ -53,7 +53,7 @@
 
 	/**
 	 * How long a gateway that was started listens for an owner before it claims the duty,
-	 * in milliseconds: three reports of each peer. Two owners at a time do no harm.
+	 * in milliseconds: three reports of each peer. Of two owners the older one stops.
 	 */
 	private static final long LISTEN_MILLIS = 500;
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
@@ -28,7 +28,7 @@
 	/**
 	 * After this time without a word from whoever plans expert maps another one does, in
 	 * milliseconds: a group that it has left held stands still until then, and two that
-	 * plan do no harm.
+	 * plan mix no maps, and the older one stops.
 	 */
 	private static final long PLANNER_SILENCE_MILLIS = 600;
 
