Log what an attempt left behind and why the next step was taken

Cause: the lines of a request tell neither how many bytes an attempt received, nor how many were left of an unfinished event, nor whether attempts, time, retry budget or servers forbade another attempt. No change of logic. RelayTests, EventStreamTests and EventCatalogueTests passed.

--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -35,6 +35,8 @@
 
 	private int status;
 
+	private long receivedBytes;
+
 	private String cause = "";
 
 	private boolean over;
@@ -129,6 +131,7 @@
 	@Override
 	public void onBytes(byte[] bytes) {
 		restartTimer(true);
+		this.receivedBytes += bytes.length;
 		this.listener.answerBytes(bytes);
 	}
 
@@ -187,7 +190,7 @@
 		String name = (end != null) ? end.name() : "ABANDONED";
 		this.context.meters().attempt(this.request.service(), name);
 		EventLog.log(Event.ATTEMPT_ENDED, "request", this.request.id(), "server", this.backend.id(), "end", name,
-				"status", this.status, "cause", this.cause, "tookMillis",
+				"status", this.status, "cause", this.cause, "receivedBytes", this.receivedBytes, "tookMillis",
 				this.context.clock().nowMillis() - this.sentMillis);
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
@@ -102,7 +102,15 @@
 	 * @return true if the stream would be torn if it ended here
 	 */
 	boolean torn() {
-		return this.event.size() > 0;
+		return heldBytes() > 0;
+	}
+
+	/**
+	 * Counts the bytes that are held because their event is not whole yet.
+	 * @return a number of bytes
+	 */
+	int heldBytes() {
+		return this.event.size();
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayMeters.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayMeters.java
@@ -41,6 +41,13 @@
 		this.registry.counter("snowwind.gateway.attempts", "service", service, "end", end).increment();
 	}
 
+	void step(String service, String step, boolean withinEvent) {
+		this.registry
+			.counter("snowwind.gateway.steps", "service", service, "step", step, "within.event",
+					Boolean.toString(withinEvent))
+			.increment();
+	}
+
 	private Timer timer(String name, String service) {
 		return Timer.builder(name).tag("service", service).serviceLevelObjectives(BUCKETS).register(this.registry);
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -368,7 +368,22 @@
 				this.bytesDelivered, this.runs, this.request.route().maxAttempts(),
 				remainingMillis() - LEAST_USEFUL_MILLIS, this.context.budgets().allows(this.request.service()),
 				serverLeft, (end == AttemptEnd.REFUSED) ? ProblemKind.OVERLOADED : null);
-		NextStepRules.decide(situation).perform(this);
+		NextStep step = NextStepRules.decide(situation);
+		if (end != AttemptEnd.ANSWERED) {
+			noteStep(situation, step);
+		}
+		step.perform(this);
+	}
+
+	private void noteStep(Situation situation, NextStep step) {
+		String name = step.getClass().getSimpleName();
+		int heldBytes = this.events.heldBytes();
+		this.context.meters().step(this.request.service(), name, heldBytes > 0);
+		EventLog.log(Event.NEXT_STEP_DECIDED, "request", this.request.id(), "end", situation.end(), "step", name,
+				"heldBytes", heldBytes, "deliveredBytes", this.bytesDelivered, "begun", this.exchange.begun(), "runs",
+				this.runs, "maxAttempts", situation.maxAttempts(), "sends", this.sends, "resumable",
+				situation.resumable(), "budgetLeft", situation.retryBudgetLeft(), "serverLeft", situation.serverLeft(),
+				"remainingMillis", situation.remainingMillis());
 	}
 
 	private void deadlinePassed() {
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -124,6 +124,9 @@
 	/** No server had room for a request in time. */
 	REQUEST_TURNED_AWAY(4106, Level.INFO, "request turned away"),
 
+	/** An attempt did not answer its request, and it was decided what to do next. */
+	NEXT_STEP_DECIDED(4107, Level.INFO, "next step decided"),
+
 	/** A request was refused before anything was sent. */
 	REQUEST_REFUSED(4105, Level.INFO, "request refused"),
 
