--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
@@ -40,6 +40,21 @@
 		return (request, answer) -> answer.reset();
 	}
 
+	/** Joins the chunks of an answer, as far as they came whole. */
+	private static String bodyOf(String answer) {
+		StringBuilder body = new StringBuilder();
+		int at = answer.indexOf("\r\n\r\n") + 4;
+		int lineEnd = answer.indexOf("\r\n", at);
+		while (lineEnd > at) {
+			int from = lineEnd + 2;
+			int until = from + Integer.parseInt(answer.substring(at, lineEnd), 16);
+			body.append(answer, from, until);
+			at = until + 2;
+			lineEnd = answer.indexOf("\r\n", at);
+		}
+		return body.toString();
+	}
+
 	// ---- whole answers
 
 	@Test
@@ -224,6 +239,30 @@
 
 	// ---- streams
 
+	/**
+	 * Callers got a 200 with a server's signature whose first event was not that
+	 * server's. A server broke off within its first event; nothing had gone to the
+	 * caller, so that the request was sent anew rather than continued; the piece that was
+	 * left of the first server's event was put before the second server's first one.
+	 */
+	@Test
+	void aStreamThatBreaksWithinItsFirstEventIsSentAnewWithoutTheTornPiece() throws IOException {
+		this.gateway.server((request, answer) -> {
+			answer.raw(CHUNKED);
+			answer.chunk("id: 8\nda");
+			answer.reset();
+		});
+		ScriptedServer second = this.gateway.server((request, answer) -> {
+			answer.raw(CHUNKED);
+			answer.chunk("id: 8\ndata: h\n\n");
+			answer.raw("0\r\n\r\n");
+		});
+		String answer = this.gateway.call("/stream/a", "t-last: 7");
+		assertThat(second.received().get(0).headers()).containsEntry("t-last", "7");
+		assertThat(bodyOf(answer)).isEqualTo("id: 8\ndata: h\n\n");
+		assertThat(answer).endsWith("0\r\n\r\n");
+	}
+
 	@Test
 	void aStreamThatBreaksWithinAnEventGoesOnElsewhereAtTheNextOne() throws IOException {
 		this.gateway.server((request, answer) -> {
