Leave provisional answers out

Cause: the library takes a provisional answer other than 100 (103, say) for the final one, so a caller got status 103 without a body as its whole answer, and the server's real answer went to nobody; control calls likewise. Ruled out: an unasked 100 does not send the body twice. Change: a handler behind the codec drops every provisional answer, for callers' requests and for control calls; nothing of ours asks for one.

--- a/http/src/main/java/org/snowwind/http/client/JsonClient.java
+++ b/http/src/main/java/org/snowwind/http/client/JsonClient.java
@@ -44,7 +44,8 @@
 			.setRequestTimeout(Duration.ofMillis(-1))
 			.setMaxRequestRetry(0)
 			.setFollowRedirect(false)
-			.setCookieStore(null));
+			.setCookieStore(null)
+			.setHttpAdditionalChannelInitializer(FinalAnswersOnly::on));
 	}
 
 	/**
--- a/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
+++ b/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
@@ -56,6 +56,7 @@
 			.setPooledConnectionIdleTimeout(Duration.ofSeconds(20))
 			.setTcpNoDelay(true)
 			.setCookieStore(null)
+			.setHttpAdditionalChannelInitializer(FinalAnswersOnly::on)
 			.setUserAgent("snowwind");
 		this.client = Dsl.asyncHttpClient(config);
 	}
--- a/http/src/test/java/org/snowwind/http/client/JsonClientTests.java
+++ b/http/src/test/java/org/snowwind/http/client/JsonClientTests.java
@@ -116,4 +116,14 @@
 		callsGetTheirOwn();
 	}
 
+	@Test
+	void aProvisionalAnswerIsNotTheAnswer() throws IOException {
+		serve((connection) -> {
+			for (String path = connection.nextPath(); path != null; path = connection.nextPath()) {
+				connection.write("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + own(path));
+			}
+		});
+		callsGetTheirOwn();
+	}
+
 }
--- a/http/src/test/java/org/snowwind/http/client/UpstreamClientTests.java
+++ b/http/src/test/java/org/snowwind/http/client/UpstreamClientTests.java
@@ -116,6 +116,19 @@
 		assertThat(cancelled.events).isEmpty();
 	}
 
+	/**
+	 * A server that sent hints before its answer had the hints passed on as the answer:
+	 * status 103, no body, complete; its real answer went to nobody. The library takes
+	 * only status 100 for provisional; seen over a real socket as "head 103, end".
+	 */
+	@Test
+	void aProvisionalAnswerIsNotTheAnswer() throws Exception {
+		answerWith("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + ScriptedServer.answer(200, "own"));
+		Seen seen = get();
+		assertThat(seen.events).containsExactly("head 200", "end");
+		assertThat(seen.body()).isEqualTo("own");
+	}
+
 	@Test
 	void aProvisionalAnswerThatNobodyAskedForIsNotTheAnswer() throws Exception {
 		answerWith("HTTP/1.1 100 Continue\r\n\r\n" + ScriptedServer.answer(200, "own"));
@@ -140,6 +153,14 @@
 		assertThat(seen.body()).isEqualTo("own");
 	}
 
+	@Test
+	void anAnswerToHeadAfterAProvisionalOneHasNoBody() throws Exception {
+		answerWith("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + SURPLUS);
+		Seen seen = call("HEAD", new byte[0]);
+		assertThat(seen.events).containsExactly("head 200", "end");
+		assertThat(seen.body()).isEmpty();
+	}
+
 	@Test
 	void anAnswerWithTwoLengthsIsAFailure() throws Exception {
 		answerWith("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 12\r\n\r\nownanother's");
