--- /dev/null
+++ b/decide/src/main/java/org/snowwind/decide/stop/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What a process that stops still takes in.
+ */
+package org.snowwind.decide.stop;
