Show that a torn line gets before another server's answer

Cause: RequestFlow keeps one AnswerTracker for all attempts of a request; EngineAnswer holds the torn end of a broken answer, and only resumeAt(), which a continued answer calls, forgets it. Sent again from its start, the work is answered behind the torn bytes. Ruled out so far: a plain answer that breaks in its body breaks for the caller and nothing follows it (passes).

RequestFlowTests.aTornLineIsNotPutBeforeAnotherServersAnswer expected: "{"index":0}\n{"index":1}\n{"done":true,"tokens":2}\n" but was: "{"index":0,"to{"index":0}\n{"index":1}\n{"done":true,"tokens":2}\n"

--- /dev/null
+++ b/entry/src/test/java/org/snowwind/entry/request/RequestFlowTests.java
@@ -0,0 +1,87 @@
+package org.snowwind.entry.request;
+
+import java.io.IOException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.snowwind.standin.ScriptedPeer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RequestFlow} over real sockets: whatever the first server did before
+ * it broke off, a caller gets one server's answer, or sees that it did not.
+ *
+ * <p>
+ * The story behind them: a server sent the head of an answer and the begin of a line,
+ * then its connection broke. No byte had gone to the caller, so the work was sent again
+ * from its start; the second server answered in full. The caller got the first server's
+ * head, its torn bytes, and behind them the second server's lines: one line that was no
+ * JSON, or, with a length in the first head, a body that was cut or never ended. The
+ * cause: what belongs to one attempt (its head, its torn line) was kept by the request,
+ * and only a continued answer cleared it. The evidence: the tests here whose names speak
+ * of another server failed with exactly these bytes.
+ */
+class RequestFlowTests {
+
+	private final EntryFixture entry = new EntryFixture();
+
+	@AfterEach
+	void close() {
+		this.entry.close();
+	}
+
+	private static ScriptedPeer.Script tornAfter(String lines) {
+		return (connection) -> {
+			connection.send(Scripts.chunkedHead(connection.request()));
+			connection.chunk(lines);
+		};
+	}
+
+	// ---- what belongs to one attempt ends with it
+
+	@Test
+	void aTornLineIsNotPutBeforeAnotherServersAnswer() throws IOException {
+		this.entry.meets(tornAfter("{\"index\":0,\"to")).meets(Scripts.generated());
+		CallerAnswer answer = this.entry.generate();
+		assertThat(answer.body()).isEqualTo(Scripts.GENERATED);
+		assertThat(answer.whole()).isTrue();
+	}
+
+	// ---- delivered bytes are only continued, and only by what continues them
+
+	@Test
+	void aGeneratedAnswerGoesOnAtItsLineUnderTheHeadThatWentOut() throws IOException {
+		this.entry.meets(tornAfter("{\"index\":0}\n{\"ind")).meets((connection) -> {
+			ScriptedPeer.Request request = connection.request();
+			assertThat(request.headers()).containsEntry("snowwind-resume-at", "1");
+			connection.send(Scripts.chunkedHead(request));
+			Scripts.generatedChunks(connection, "{\"index\":1}\n{\"done\":true,\"tokens\":2}\n");
+		});
+		CallerAnswer answer = this.entry.generate();
+		assertThat(answer.body()).isEqualTo(Scripts.GENERATED);
+		assertThat(answer.whole()).isTrue();
+	}
+
+	@Test
+	void aPlainAnswerThatBreaksInItsBodyBreaksForTheCaller() throws IOException {
+		this.entry
+			.meets((connection) -> connection
+				.send(Scripts.head(connection.request(), 200, "Content-Length: 100\r\n") + "first"))
+			.meets(Scripts.always("", "second"));
+		CallerAnswer answer = this.entry.get("/lookup");
+		assertThat(answer.body()).isEqualTo("first");
+		assertThat(answer.whole()).isFalse();
+		assertThat(this.entry.agent().received()).hasSize(1);
+	}
+
+	@Test
+	void anEmptyAnswerKeepsItsHead() throws IOException {
+		this.entry.meets(Scripts.always("X-From: first\r\n", ""));
+		CallerAnswer answer = this.entry.get("/lookup");
+		assertThat(answer.status()).isEqualTo(200);
+		assertThat(answer.headers()).containsEntry("x-from", "first").containsEntry("content-length", "0");
+		assertThat(answer.whole()).isTrue();
+	}
+
+}
