Log how attempts of an entry ended and what was left torn

Cause: nothing in an entry's log told an answer that is asked for anew from one that goes on, or how many bytes were held back when it broke. One line for each decision after a failure; nothing for answers.

--- a/entry/src/main/java/org/snowwind/entry/request/AnswerTracker.java
+++ b/entry/src/main/java/org/snowwind/entry/request/AnswerTracker.java
@@ -28,6 +28,12 @@
 	 */
 	boolean wholeAtEnd();
 
+	/**
+	 * Counts the bytes that are held back because they are not a whole line yet.
+	 * @return a number of bytes
+	 */
+	int tornBytes();
+
 	/**
 	 * Returns where the answer would be continued, and forgets what was held back.
 	 * @return a token's place
--- a/entry/src/main/java/org/snowwind/entry/request/EngineAnswer.java
+++ b/entry/src/main/java/org/snowwind/entry/request/EngineAnswer.java
@@ -78,6 +78,11 @@
 		return complete();
 	}
 
+	@Override
+	public int tornBytes() {
+		return this.held.size();
+	}
+
 	@Override
 	public int resumeAt() {
 		this.held.reset();
--- a/entry/src/main/java/org/snowwind/entry/request/PlainAnswer.java
+++ b/entry/src/main/java/org/snowwind/entry/request/PlainAnswer.java
@@ -20,6 +20,11 @@
 		return true;
 	}
 
+	@Override
+	public int tornBytes() {
+		return 0;
+	}
+
 	@Override
 	public int resumeAt() {
 		return 0;
--- a/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
@@ -298,7 +298,21 @@
 		Situation situation = new Situation(end, this.request.repeatable(), this.request.engine(), this.bytesDelivered,
 				this.attemptsUsed, this.request.policy().maxAttempts(), remainingMillis(), retryBudget().allows(),
 				serverLeft, this.attempt.refusal());
-		NextStepRules.decide(situation).perform(this);
+		NextStep next = NextStepRules.decide(situation);
+		logDecision(end, next);
+		next.perform(this);
+	}
+
+	// Torn bytes that are still there after a send tell that one attempt's state reached
+	// the next.
+	private void logDecision(AttemptEnd end, NextStep next) {
+		if (end == AttemptEnd.ANSWERED) {
+			return;
+		}
+		EventLog.log(Event.ATTEMPT_ENDED, "attempt", this.attempt.id(), "server", this.attempt.server().name(), "end",
+				end, "headArrived", this.attempt.headArrived(), "deliveredBytes", this.bytesDelivered, "tornBytes",
+				this.tracker.tornBytes(), "remainingMillis", remainingMillis(), "next",
+				next.getClass().getSimpleName());
 	}
 
 	private void deadlinePassed() {
