End with each attempt what belongs to it: its torn line and its head

Cause: state of an attempt outlived it. One AnswerTracker and one begun answer served all attempts of a request: a torn line got before the next server's answer, a body came under the first server's head, the length that the first server told was promised for an answer that others went on with, and an error body of an engine was 'continued' by a generated answer, because the target and not the answer was asked whether it can be. Change: each attempt has its own tracker, which is told at which line it begins, so there is nothing to forget; the head is held until the first bytes under it go out; whether an answer can be continued is the tracker's word; the length of such an answer is not passed on. EngineAnswerTests: resumeAt() no longer forgets, so the test of that now says that the torn line doesn't reach the next attempt's tracker.

--- a/entry/src/main/java/org/snowwind/entry/request/AnswerTracker.java
+++ b/entry/src/main/java/org/snowwind/entry/request/AnswerTracker.java
@@ -1,7 +1,11 @@
 package org.snowwind.entry.request;
 
 /**
- * Follows an answer on its way to the caller.
+ * Follows one attempt's answer on its way to the caller.
+ *
+ * <p>
+ * Each attempt has a tracker of its own, so that nothing that an attempt left unfinished
+ * can get into the answer of the next one.
  */
 interface AnswerTracker {
 
@@ -35,7 +39,13 @@
 	int tornBytes();
 
 	/**
-	 * Returns where the answer would be continued, and forgets what was held back.
+	 * Tells whether another server can continue the answer where this one breaks off.
+	 * @return true if it can
+	 */
+	boolean resumable();
+
+	/**
+	 * Returns where the answer would be continued.
 	 * @return a token's place
 	 */
 	int resumeAt();
--- a/entry/src/main/java/org/snowwind/entry/request/CallerRequest.java
+++ b/entry/src/main/java/org/snowwind/entry/request/CallerRequest.java
@@ -26,8 +26,8 @@
 		Map<String, String> headers, byte[] body, boolean repeatable, double cost, long affinityHash, long budgetMillis,
 		ServiceLevel serviceLevel, RoutingPolicySpec policy) {
 
-	AnswerTracker newTracker() {
-		return this.engine ? new EngineAnswer() : new PlainAnswer();
+	AnswerTracker newTracker(int resumeAt) {
+		return this.engine ? new EngineAnswer(resumeAt) : new PlainAnswer();
 	}
 
 }
--- a/entry/src/main/java/org/snowwind/entry/request/EngineAnswer.java
+++ b/entry/src/main/java/org/snowwind/entry/request/EngineAnswer.java
@@ -22,6 +22,14 @@
 
 	private boolean done;
 
+	/**
+	 * Creates a tracker of an answer that begins or goes on at a line.
+	 * @param firstLine how many lines earlier attempts have delivered
+	 */
+	EngineAnswer(int firstLine) {
+		this.lines = firstLine;
+	}
+
 	@Override
 	public byte[] take(byte[] bytes) {
 		int end = lastLineFeed(bytes) + 1;
@@ -83,9 +91,13 @@
 		return this.held.size();
 	}
 
+	@Override
+	public boolean resumable() {
+		return true;
+	}
+
 	@Override
 	public int resumeAt() {
-		this.held.reset();
 		return this.lines;
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/request/PlainAnswer.java
+++ b/entry/src/main/java/org/snowwind/entry/request/PlainAnswer.java
@@ -25,6 +25,11 @@
 		return 0;
 	}
 
+	@Override
+	public boolean resumable() {
+		return false;
+	}
+
 	@Override
 	public int resumeAt() {
 		return 0;
--- a/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
@@ -51,8 +51,6 @@
 
 	private final EndListener whenEnded;
 
-	private AnswerTracker tracker = new PlainAnswer();
-
 	private final Set<String> refusedBy = new HashSet<>();
 
 	private final Set<String> tried = new HashSet<>();
@@ -65,6 +63,12 @@
 
 	private Attempt attempt;
 
+	/** The head of the present attempt's answer until it is sent. */
+	private AnswerHead heldHead;
+
+	/** Follows the present attempt's answer. */
+	private AnswerTracker tracker;
+
 	private int attemptsUsed;
 
 	private long bytesDelivered;
@@ -139,6 +143,8 @@
 		}
 		endSequence();
 		this.attemptsUsed++;
+		this.heldHead = null;
+		this.tracker = this.request.newTracker(resumeAt);
 		this.tried.add(server.get().name());
 		this.attempt = new Attempt(this.context, this.request, server.get(), this);
 		this.attempt.send(remainingMillis(), headWithinMillis(), resumeAt);
@@ -197,6 +203,7 @@
 	public void finish(Disclosure disclosure, ProblemKind kind) {
 		close(disclosure, kind);
 		if (kind == null) {
+			beginAnswer();
 			this.exchange.end();
 			return;
 		}
@@ -256,10 +263,19 @@
 		if (this.exchange.begun()) {
 			return;
 		}
-		this.tracker = (status == OK) ? this.request.newTracker() : new PlainAnswer();
+		if (status != OK) {
+			this.tracker = new PlainAnswer();
+		}
+		this.heldHead = new AnswerHead(status, headers);
+	}
+
+	private void beginAnswer() {
+		if (this.exchange.begun()) {
+			return;
+		}
 		this.firstByteMillis = this.context.clock().nowMillis() - this.startMillis;
 		this.context.meters().firstByte(this.request, this.firstByteMillis);
-		this.exchange.begin(status, headers);
+		this.heldHead.begin(this.exchange, this.tracker.resumable());
 	}
 
 	@Override
@@ -267,6 +283,7 @@
 		byte[] deliverable = this.tracker.take(bytes);
 		if (deliverable.length > 0) {
 			this.bytesDelivered += deliverable.length;
+			beginAnswer();
 			this.exchange.write(deliverable);
 			adjustReading();
 		}
@@ -295,16 +312,14 @@
 			this.refusedBy.add(this.attempt.server().name());
 		}
 		boolean serverLeft = this.context.servers().anyLeft(this.request.target(), this.refusedBy);
-		Situation situation = new Situation(end, this.request.repeatable(), this.request.engine(), this.bytesDelivered,
-				this.attemptsUsed, this.request.policy().maxAttempts(), remainingMillis(), retryBudget().allows(),
-				serverLeft, this.attempt.refusal());
+		Situation situation = new Situation(end, this.request.repeatable(), this.tracker.resumable(),
+				this.bytesDelivered, this.attemptsUsed, this.request.policy().maxAttempts(), remainingMillis(),
+				retryBudget().allows(), serverLeft, this.attempt.refusal());
 		NextStep next = NextStepRules.decide(situation);
 		logDecision(end, next);
 		next.perform(this);
 	}
 
-	// Torn bytes that are still there after a send tell that one attempt's state reached
-	// the next.
 	private void logDecision(AttemptEnd end, NextStep next) {
 		if (end == AttemptEnd.ANSWERED) {
 			return;
--- a/entry/src/test/java/org/snowwind/entry/request/EngineAnswerTests.java
+++ b/entry/src/test/java/org/snowwind/entry/request/EngineAnswerTests.java
@@ -15,7 +15,7 @@
 
 	private static final String ANSWER = "{\"index\":0}\n{\"index\":1}\n{\"done\":true,\"tokens\":2}\n";
 
-	private final EngineAnswer answer = new EngineAnswer();
+	private final EngineAnswer answer = new EngineAnswer(0);
 
 	private String take(String text) {
 		return new String(this.answer.take(text.getBytes(StandardCharsets.UTF_8)), StandardCharsets.UTF_8);
@@ -29,10 +29,14 @@
 	}
 
 	@Test
-	void aBrokenLineIsForgottenAndAskedForAgain() {
+	void aBrokenLineIsAskedForAgainAndDoesNotReachTheNextAttempt() {
 		take("{\"index\":0}\n{\"in");
+		assertThat(this.answer.tornBytes()).isEqualTo(4);
 		assertThat(this.answer.resumeAt()).isEqualTo(1);
-		assertThat(take("{\"index\":1}\n")).isEqualTo("{\"index\":1}\n");
+		EngineAnswer next = new EngineAnswer(this.answer.resumeAt());
+		byte[] line = "{\"index\":1}\n".getBytes(StandardCharsets.UTF_8);
+		assertThat(next.take(line)).isEqualTo(line);
+		assertThat(next.resumeAt()).isEqualTo(2);
 	}
 
 	@Test
@@ -45,7 +49,7 @@
 
 	@Property(seed = "20261202")
 	void howeverItIsCutTheSameBytesGoOut(@ForAll List<@IntRange(min = 1, max = 9) Integer> cuts) {
-		EngineAnswer subject = new EngineAnswer();
+		EngineAnswer subject = new EngineAnswer(0);
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		byte[] bytes = ANSWER.getBytes(StandardCharsets.UTF_8);
 		int from = 0;
--- a/entry/src/test/java/org/snowwind/entry/request/RequestFlowTests.java
+++ b/entry/src/test/java/org/snowwind/entry/request/RequestFlowTests.java
@@ -1,6 +1,7 @@
 package org.snowwind.entry.request;
 
 import java.io.IOException;
+import java.net.Socket;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -38,6 +39,10 @@
 		};
 	}
 
+	private static ScriptedPeer.Script headOnly(String headers) {
+		return (connection) -> connection.send(Scripts.head(connection.request(), 200, headers));
+	}
+
 	// ---- what belongs to one attempt ends with it
 
 	@Test
@@ -48,6 +53,52 @@
 		assertThat(answer.whole()).isTrue();
 	}
 
+	@Test
+	void tornLinesOfTwoServersAreNotPutBeforeTheThirdOnesAnswer() throws IOException {
+		this.entry.meets(tornAfter("{\"ind")).meets(tornAfter("{\"index\":0")).meets(Scripts.generated());
+		assertThat(this.entry.generate().body()).isEqualTo(Scripts.GENERATED);
+	}
+
+	@Test
+	void aBodyNeverComesUnderAnotherServersHead() throws IOException {
+		this.entry.meets(headOnly("X-From: first\r\nContent-Length: 100\r\n"))
+			.meets(Scripts.always("X-From: second\r\n", "second"));
+		CallerAnswer answer = this.entry.get("/lookup");
+		assertThat(answer.headers()).containsEntry("x-from", "second").containsEntry("content-length", "6");
+		assertThat(answer.body()).isEqualTo("second");
+		assertThat(answer.whole()).isTrue();
+	}
+
+	@Test
+	void aShorterHeadOfAnotherServerDoesNotCutTheBody() throws IOException {
+		this.entry.meets(headOnly("Content-Length: 3\r\n")).meets(Scripts.always("", "second"));
+		try (Socket socket = this.entry.connect()) {
+			assertThat(this.entry.get(socket, "/lookup", "").body()).isEqualTo("second");
+			assertThat(this.entry.get(socket, "/lookup", "").body()).as("the next answer on the connection")
+				.isEqualTo("second");
+		}
+	}
+
+	@Test
+	void anotherServersStatusReachesTheCaller() throws IOException {
+		this.entry.meets(headOnly("Content-Length: 100\r\n"))
+			.meets((connection) -> connection.send(Scripts.whole(connection.request(), 404, "", "none")));
+		CallerAnswer answer = this.entry.get("/lookup");
+		assertThat(answer.status()).isEqualTo(404);
+		assertThat(answer.body()).isEqualTo("none");
+	}
+
+	@Test
+	void whenNoServerGetsBeyondItsHeadTheCallerIsToldSo() throws IOException {
+		for (int i = 0; i < 3; i++) {
+			this.entry.meets(headOnly("Content-Length: 100\r\n"));
+		}
+		CallerAnswer answer = this.entry.get("/lookup");
+		assertThat(answer.status()).isEqualTo(502);
+		assertThat(answer.headers()).containsEntry("x-snowwind-outcome", "unknown");
+		assertThat(answer.whole()).isTrue();
+	}
+
 	// ---- delivered bytes are only continued, and only by what continues them
 
 	@Test
@@ -63,6 +114,32 @@
 		assertThat(answer.whole()).isTrue();
 	}
 
+	@Test
+	void theLengthOfAGeneratedAnswerThatMayGoOnElsewhereIsNotPromised() throws IOException {
+		String other = "{\"index\":1,\"by\":\"second\"}\n{\"done\":true,\"tokens\":2}\n";
+		this.entry.meets((connection) -> connection
+			.send(Scripts.head(connection.request(), 200, "Content-Length: " + Scripts.GENERATED.length() + "\r\n")
+					+ "{\"index\":0}\n"))
+			.meets((connection) -> {
+				connection.send(Scripts.chunkedHead(connection.request()));
+				Scripts.generatedChunks(connection, other);
+			});
+		CallerAnswer answer = this.entry.generate();
+		assertThat(answer.body()).isEqualTo("{\"index\":0}\n" + other);
+		assertThat(answer.whole()).isTrue();
+	}
+
+	@Test
+	void anErrorBodyThatBreaksOffIsNotFollowedByAGeneratedAnswer() throws IOException {
+		this.entry
+			.meets((connection) -> connection
+				.send(Scripts.head(connection.request(), 400, "Transfer-Encoding: chunked\r\n") + "4\r\nbad \r\n"))
+			.meets(Scripts.generated());
+		CallerAnswer answer = this.entry.generate();
+		assertThat(answer.body()).isEqualTo("bad ");
+		assertThat(answer.whole()).isFalse();
+	}
+
 	@Test
 	void aPlainAnswerThatBreaksInItsBodyBreaksForTheCaller() throws IOException {
 		this.entry
