--- a/entry/src/main/java/org/snowwind/entry/request/PlainAnswer.java
+++ b/entry/src/main/java/org/snowwind/entry/request/PlainAnswer.java
@@ -20,6 +20,16 @@
 		return true;
 	}
 
+	@Override
+	public int tornBytes() {
+		return 0;
+	}
+
+	@Override
+	public boolean resumable() {
+		return false;
+	}
+
 	@Override
 	public int resumeAt() {
 		return 0;
