Let what an attempt has received live and end with the attempt

Cause: the bytes of an unfinished event lay in an object of the request and had to be cleared on the way to the next attempt. Resuming cleared them, sending anew did not. Its class: state of an attempt that outlives it. Change: an attempt has its own AnswerBuffer, made with the head of its answer, and in it its own EventStream; the request keeps only StreamPosition, what went to the caller. Attempts are always made after that position, so sending anew and resuming differ in nothing else. forgetTorn is gone. An attempt hears nothing after its end.

--- a/gateway/src/main/java/org/snowwind/gateway/request/AnswerBuffer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/AnswerBuffer.java
@@ -1,16 +1,19 @@
 package org.snowwind.gateway.request;
 
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.Map;
 
 import org.snowwind.http.server.HttpExchange;
 
 /**
- * An answer as far as it has arrived, held until it is whole.
+ * What one attempt has received of its answer: the head, and what is held of the body.
  *
  * <p>
- * An answer that breaks off was never shown to the caller, so that another server can
- * still answer in full.
+ * The body of a plain answer is held until it is whole, so that another server can still
+ * answer in full; of a stream, an unfinished event is held. The buffer is made with the
+ * head of an attempt's answer and dropped with the attempt, so that nothing of it can
+ * reach the answer of another server.
  */
 final class AnswerBuffer {
 
@@ -21,22 +24,37 @@
 
 	private final Map<String, String> headers;
 
-	private final boolean stream;
+	private final EventStream events;
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 	private boolean whole;
 
+	private AnswerBuffer(int status, Map<String, String> headers, EventStream events) {
+		this.status = status;
+		this.headers = Map.copyOf(headers);
+		this.events = events;
+	}
+
 	/**
-	 * Creates an answer without a body.
+	 * Creates an answer that is held until it is whole.
 	 * @param status the HTTP status
 	 * @param headers the headers by lower-case name
-	 * @param stream whether its body is passed on as it arrives
+	 * @return the answer, without a body
 	 */
-	AnswerBuffer(int status, Map<String, String> headers, boolean stream) {
-		this.status = status;
-		this.headers = Map.copyOf(headers);
-		this.stream = stream;
+	static AnswerBuffer plain(int status, Map<String, String> headers) {
+		return new AnswerBuffer(status, headers, null);
+	}
+
+	/**
+	 * Creates a successful answer whose events are passed on as they arrive.
+	 * @param headers the headers by lower-case name
+	 * @param afterId the event after which the stream is continued, {@code null} if it
+	 * begins
+	 * @return the answer, without events
+	 */
+	static AnswerBuffer stream(Map<String, String> headers, String afterId) {
+		return new AnswerBuffer(OK, headers, new EventStream(afterId));
 	}
 
 	int status() {
@@ -48,11 +66,37 @@
 	}
 
 	boolean stream() {
-		return this.stream;
+		return this.events != null;
 	}
 
-	void add(byte[] bytes) {
+	/**
+	 * Takes bytes of the body.
+	 * @param bytes the bytes
+	 * @return the events that are whole now and that the caller does not have; none for a
+	 * plain answer
+	 */
+	List<StreamEvent> take(byte[] bytes) {
+		if (stream()) {
+			return this.events.take(bytes);
+		}
 		this.body.writeBytes(bytes);
+		return List.of();
+	}
+
+	/**
+	 * Tells whether a stream would be broken if it ended here.
+	 * @return true if it would, false for a plain answer
+	 */
+	boolean unfinished() {
+		return stream() && this.events.unfinished();
+	}
+
+	/**
+	 * Counts the bytes that are held because their event is not whole yet.
+	 * @return a number of bytes, 0 for a plain answer
+	 */
+	int heldBytes() {
+		return stream() ? this.events.heldBytes() : 0;
 	}
 
 	void complete() {
@@ -64,7 +108,7 @@
 	 * @return true if it is whole
 	 */
 	boolean deliverable() {
-		return this.whole && !this.stream;
+		return this.whole && !stream();
 	}
 
 	void deliver(HttpExchange exchange) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -1,5 +1,6 @@
 package org.snowwind.gateway.request;
 
+import java.util.List;
 import java.util.Map;
 
 import io.netty.util.concurrent.Future;
@@ -25,6 +26,8 @@
 
 	private final Backend backend;
 
+	private final String afterId;
+
 	private final AttemptListener listener;
 
 	private final long sentMillis;
@@ -37,6 +40,8 @@
 
 	private long receivedBytes;
 
+	private AnswerBuffer answer;
+
 	private String cause = "";
 
 	private boolean over;
@@ -45,10 +50,19 @@
 
 	private long silenceMillis;
 
-	Attempt(RequestContext context, CallerRequest request, Backend backend, AttemptListener listener) {
+	/**
+	 * Creates an attempt that is not sent yet.
+	 * @param context what requests work with
+	 * @param request the request
+	 * @param backend the server
+	 * @param afterId the event after which a stream is continued, {@code null} to begin
+	 * @param listener is told how it fares
+	 */
+	Attempt(RequestContext context, CallerRequest request, Backend backend, String afterId, AttemptListener listener) {
 		this.context = context;
 		this.request = request;
 		this.backend = backend;
+		this.afterId = afterId;
 		this.listener = listener;
 		this.sentMillis = context.clock().nowMillis();
 	}
@@ -56,15 +70,14 @@
 	/**
 	 * Sends the attempt.
 	 * @param remainingMillis what is left of the request's time, in milliseconds
-	 * @param lastEventId where a stream is continued, {@code null} to begin
 	 * @param patience how long the server may be silent
 	 */
-	void send(long remainingMillis, String lastEventId, Patience patience) {
+	void send(long remainingMillis, Patience patience) {
 		this.backend.sent();
 		this.silenceMillis = patience.pauseMillis();
 		this.timer = this.context.loop().later(() -> giveUp("no answer"), patience.firstByteMillis());
-		AttemptHead head = new AttemptHead(this.backend.id(), remainingMillis, this.request.organisation(), lastEventId,
-				this.request.host());
+		AttemptHead head = new AttemptHead(this.backend.id(), remainingMillis, this.request.organisation(),
+				this.afterId, this.request.host());
 		Map<String, String> headers = this.context.dialect().toBackend(this.request.headers(), head);
 		String url = "http://" + this.backend.entry().address() + this.request.target();
 		this.call = this.context.client()
@@ -75,6 +88,18 @@
 		return this.backend;
 	}
 
+	long sentMillis() {
+		return this.sentMillis;
+	}
+
+	/**
+	 * Returns what has arrived of the answer.
+	 * @return the answer, {@code null} before a credible one begins
+	 */
+	AnswerBuffer answer() {
+		return this.answer;
+	}
+
 	/**
 	 * Takes or stops taking bytes from the server.
 	 * @param reading whether to take them
@@ -106,6 +131,9 @@
 
 	@Override
 	public void onHead(int answerStatus, Map<String, String> headers) {
+		if (this.over) {
+			return;
+		}
 		this.status = answerStatus;
 		AnswerHead head = this.context.dialect().readAnswer(answerStatus, headers);
 		if (head.refused()) {
@@ -125,14 +153,26 @@
 			this.backend.streamBegan(this.context.clock().nowMillis());
 		}
 		restartTimer(true);
-		this.listener.answerBegins(answerStatus, headers);
+		this.answer = bufferFor(answerStatus, headers);
+		this.listener.answerBegins(this.answer);
+	}
+
+	private AnswerBuffer bufferFor(int answerStatus, Map<String, String> headers) {
+		boolean stream = this.request.route().repeat() == Repeat.STREAM && answerStatus == AnswerBuffer.OK;
+		return stream ? AnswerBuffer.stream(headers, this.afterId) : AnswerBuffer.plain(answerStatus, headers);
 	}
 
 	@Override
 	public void onBytes(byte[] bytes) {
+		if (this.over) {
+			return;
+		}
 		restartTimer(true);
 		this.receivedBytes += bytes.length;
-		this.listener.answerBytes(bytes);
+		List<StreamEvent> events = this.answer.take(bytes);
+		if (!events.isEmpty()) {
+			this.listener.eventsArrived(events);
+		}
 	}
 
 	@Override
--- a/gateway/src/main/java/org/snowwind/gateway/request/AttemptListener.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/AttemptListener.java
@@ -1,6 +1,6 @@
 package org.snowwind.gateway.request;
 
-import java.util.Map;
+import java.util.List;
 
 import org.snowwind.decide.outcome.AttemptEnd;
 
@@ -11,16 +11,15 @@
 
 	/**
 	 * A credible answer begins.
-	 * @param status the HTTP status
-	 * @param headers the headers by lower-case name
+	 * @param answer the answer, without a body
 	 */
-	void answerBegins(int status, Map<String, String> headers);
+	void answerBegins(AnswerBuffer answer);
 
 	/**
-	 * A part of the answer's body has arrived.
-	 * @param bytes the part
+	 * Events of a stream are whole that the caller does not have.
+	 * @param events the events, at least one
 	 */
-	void answerBytes(byte[] bytes);
+	void eventsArrived(List<StreamEvent> events);
 
 	/**
 	 * The attempt has ended.
--- a/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
@@ -2,18 +2,20 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
- * Cuts a stream into whole events and knows where it can be continued.
+ * Cuts the stream of one attempt into whole events.
  *
  * <p>
  * Only whole events go to the caller, so that a stream that breaks off can be continued
- * at the next event without splicing. An event that was delivered before is left out.
+ * at the next event without splicing. What is held of an unfinished event is dropped with
+ * the attempt: each has a stream of its own, so that no way to the next attempt can
+ * forget to clear it.
  */
 final class EventStream {
 
-	private static final byte[] NOTHING = new byte[0];
-
 	private static final byte LINE_FEED = '\n';
 
 	private static final byte CARRIAGE_RETURN = '\r';
@@ -24,27 +26,27 @@
 
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
-	private String eventId;
-
 	private String lastId;
 
-	private int events;
+	private String eventId;
 
 	/**
-	 * Creates a tracker.
-	 * @param lastId the last event that the caller has, {@code null} for none
+	 * Creates the stream of an attempt that has received nothing.
+	 * @param afterId the event after which the stream is continued, {@code null} if it
+	 * begins
 	 */
-	EventStream(String lastId) {
-		this.lastId = lastId;
+	EventStream(String afterId) {
+		this.lastId = afterId;
 	}
 
 	/**
 	 * Takes bytes of the stream.
 	 * @param bytes the bytes
-	 * @return the whole events among them and those held before
+	 * @return the whole events among them and those held before, without what the caller
+	 * has
 	 */
-	byte[] take(byte[] bytes) {
-		ByteArrayOutputStream whole = null;
+	List<StreamEvent> take(byte[] bytes) {
+		List<StreamEvent> whole = new ArrayList<>();
 		for (byte next : bytes) {
 			this.event.write(next);
 			if (next != LINE_FEED) {
@@ -52,37 +54,35 @@
 				continue;
 			}
 			if (endsEvent()) {
-				whole = (whole != null) ? whole : new ByteArrayOutputStream();
-				deliver(whole);
+				finishEvent(whole);
 			}
 		}
-		return (whole != null) ? whole.toByteArray() : NOTHING;
+		return whole;
 	}
 
 	private boolean endsEvent() {
-		byte[] text = this.line.toByteArray();
+		String text = this.line.toString(StandardCharsets.UTF_8);
 		this.line.reset();
-		int length = text.length;
-		if (length > 0 && text[length - 1] == CARRIAGE_RETURN) {
-			length--;
+		if (!text.isEmpty() && text.charAt(text.length() - 1) == CARRIAGE_RETURN) {
+			text = text.substring(0, text.length() - 1);
 		}
-		String field = new String(text, 0, Math.min(length, ID_FIELD.length()), StandardCharsets.UTF_8);
-		if (ID_FIELD.equals(field)) {
-			this.eventId = new String(text, ID_FIELD.length(), length - ID_FIELD.length(), StandardCharsets.UTF_8)
-				.strip();
+		if (text.startsWith(ID_FIELD)) {
+			this.eventId = text.substring(ID_FIELD.length()).strip();
 		}
-		return length == 0;
+		return text.isEmpty();
 	}
 
-	private void deliver(ByteArrayOutputStream whole) {
-		boolean seen = this.eventId != null && !after(this.eventId, this.lastId);
-		if (!seen) {
-			whole.writeBytes(this.event.toByteArray());
-			this.events++;
-			this.lastId = (this.eventId != null) ? this.eventId : this.lastId;
-		}
+	private void finishEvent(List<StreamEvent> whole) {
+		StreamEvent finished = new StreamEvent(this.eventId, this.event.toByteArray());
 		this.event.reset();
 		this.eventId = null;
+		if (finished.id() == null) {
+			whole.add(finished);
+		}
+		else if (after(finished.id(), this.lastId)) {
+			whole.add(finished);
+			this.lastId = finished.id();
+		}
 	}
 
 	private static boolean after(String id, String last) {
@@ -98,10 +98,10 @@
 	}
 
 	/**
-	 * Tells whether bytes are held that are no whole event.
-	 * @return true if the stream would be torn if it ended here
+	 * Tells whether the stream would be broken if it ended here.
+	 * @return true within an event
 	 */
-	boolean torn() {
+	boolean unfinished() {
 		return heldBytes() > 0;
 	}
 
@@ -113,29 +113,4 @@
 		return this.event.size();
 	}
 
-	/**
-	 * Forgets a torn event, before the stream is continued elsewhere.
-	 */
-	void forgetTorn() {
-		this.event.reset();
-		this.line.reset();
-		this.eventId = null;
-	}
-
-	/**
-	 * Returns where the stream can be continued.
-	 * @return the id of the last whole event, {@code null} if there is none
-	 */
-	String lastId() {
-		return this.lastId;
-	}
-
-	/**
-	 * Counts delivered events.
-	 * @return how many went to the caller
-	 */
-	int events() {
-		return this.events;
-	}
-
 }
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -1,7 +1,8 @@
 package org.snowwind.gateway.request;
 
+import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
-import java.util.Map;
+import java.util.List;
 import java.util.Set;
 
 import io.netty.util.concurrent.Future;
@@ -12,7 +13,6 @@
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.Arrival;
 import org.snowwind.gateway.backend.Backend;
-import org.snowwind.gateway.table.Repeat;
 import org.snowwind.http.server.HttpExchange;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -62,11 +62,7 @@
 
 	private long wantedSinceMillis;
 
-	private long sentMillis;
-
-	private AnswerBuffer answer;
-
-	private final EventStream events;
+	private final StreamPosition position;
 
 	private Future<?> deadlineTimer;
 
@@ -80,8 +76,6 @@
 
 	private final EventTimes times;
 
-	private long bytesDelivered;
-
 	private boolean finished;
 
 	/**
@@ -103,7 +97,7 @@
 				: request.route().timeoutMillis();
 		this.deadlineMillis = request.arrivedMillis() + allowed - ANSWER_MARGIN_MILLIS;
 		this.times = new EventTimes(request.arrivedMillis());
-		this.events = new EventStream(request.head().lastEventId());
+		this.position = new StreamPosition(request.head().lastEventId());
 	}
 
 	void start() {
@@ -111,7 +105,7 @@
 		this.exchange.onWritableChange(this::adjustReading);
 		this.deadlineTimer = this.context.loop().later(this::deadlinePassed, remainingMillis());
 		this.context.budgets().request(this.request.service());
-		dispatch(null);
+		dispatch();
 	}
 
 	private long remainingMillis() {
@@ -122,15 +116,14 @@
 
 	@Override
 	public void send() {
-		dispatch(null);
+		dispatch();
 	}
 
 	@Override
 	public void resume() {
-		this.events.forgetTorn();
 		this.wantedSinceMillis = this.context.clock().nowMillis();
-		EventLog.log(Event.STREAM_RESUMED, "request", this.request.id(), "after", this.events.lastId());
-		dispatch(this.events.lastId());
+		EventLog.log(Event.STREAM_RESUMED, "request", this.request.id(), "after", this.position.lastId());
+		dispatch();
 	}
 
 	@Override
@@ -138,7 +131,7 @@
 		throw new IllegalStateException("there is nobody to ask about an attempt that was sent straight to a server");
 	}
 
-	private void dispatch(String lastEventId) {
+	private void dispatch() {
 		if (this.finished) {
 			return;
 		}
@@ -148,10 +141,10 @@
 		}
 		Admission.Verdict verdict = this.context.admission().decide(arrival());
 		if (verdict instanceof Admission.Verdict.Send send) {
-			sendTo(send.backend(), lastEventId);
+			sendTo(send.backend());
 		}
 		else if (verdict instanceof Admission.Verdict.Wait) {
-			this.waitTimer = this.context.loop().later(() -> dispatch(lastEventId), WAIT_STEP_MILLIS);
+			this.waitTimer = this.context.loop().later(this::dispatch, WAIT_STEP_MILLIS);
 		}
 		else if (verdict instanceof Admission.Verdict.TurnAway turnAway) {
 			logTurnedAway(turnAway);
@@ -173,7 +166,7 @@
 				this.request.route().pauseTargetMillis(), this.wantedSinceMillis);
 	}
 
-	private void sendTo(Backend backend, String lastEventId) {
+	private void sendTo(Backend backend) {
 		long remaining = remainingMillis();
 		if (this.sends > 0) {
 			this.context.budgets().retried(this.request.service());
@@ -184,11 +177,8 @@
 				"load", backend.load(), "group", groupOf(backend), "groupLoad", groupLoadOf(backend), "passMillis",
 				passMillisOf(backend), "slots", backend.entry().slots(), "registry", this.context.backends().revision(),
 				"remainingMillis", remaining);
-		this.answer = null;
-		this.sentMillis = this.context.clock().nowMillis();
-		this.attempt = new Attempt(this.context, this.request, backend, this);
-		this.attempt.send(remaining, (lastEventId != null) ? lastEventId : this.request.head().lastEventId(),
-				patience(remaining));
+		this.attempt = new Attempt(this.context, this.request, backend, this.position.lastId(), this);
+		this.attempt.send(remaining, patience(remaining));
 	}
 
 	private static String groupOf(Backend backend) {
@@ -224,14 +214,15 @@
 
 	@Override
 	public void finish(Disclosure disclosure, ProblemKind kind) {
-		if (kind != null && !this.exchange.begun() && this.answer != null && this.answer.deliverable()) {
-			close(Disclosure.ANSWERED, Integer.toString(this.answer.status()));
-			this.answer.deliver(this.exchange);
+		AnswerBuffer answer = answer();
+		if (kind != null && !this.exchange.begun() && answer != null && answer.deliverable()) {
+			close(Disclosure.ANSWERED, Integer.toString(answer.status()));
+			answer.deliver(this.exchange);
 			return;
 		}
-		close(disclosure, (kind != null) ? kind.code() : Integer.toString(status()));
+		close(disclosure, (kind != null) ? kind.code() : Integer.toString(answer.status()));
 		if (kind == null) {
-			deliver();
+			deliver(answer);
 		}
 		else if (this.exchange.begun()) {
 			this.exchange.abort();
@@ -241,16 +232,16 @@
 		}
 	}
 
-	private int status() {
-		return (this.answer != null) ? this.answer.status() : 0;
+	private AnswerBuffer answer() {
+		return (this.attempt != null) ? this.attempt.answer() : null;
 	}
 
-	private void deliver() {
+	private void deliver(AnswerBuffer answer) {
 		if (this.exchange.begun()) {
 			this.exchange.end();
 		}
 		else {
-			this.answer.deliver(this.exchange);
+			answer.deliver(this.exchange);
 		}
 	}
 
@@ -275,7 +266,7 @@
 		long tookMillis = this.context.clock().nowMillis() - this.request.arrivedMillis();
 		this.context.meters().ended(this.request.service(), outcome, tookMillis);
 		EventLog.log(Event.REQUEST_ENDED, "request", this.request.id(), "outcome", outcome, "ran",
-				disclosure.headerValue(), "sends", this.sends, "events", this.events.events(), "firstMillis",
+				disclosure.headerValue(), "sends", this.sends, "events", this.position.events(), "firstMillis",
 				this.times.firstMillis(), "pauseMillis", this.times.longestPauseMillis(), "tookMillis", tookMillis);
 		this.whenEnded.run();
 	}
@@ -283,39 +274,40 @@
 	// ---- what happens
 
 	@Override
-	public void answerBegins(int status, Map<String, String> headers) {
-		boolean stream = this.request.route().repeat() == Repeat.STREAM && status == AnswerBuffer.OK;
-		if (this.exchange.begun() && !stream) {
+	public void answerBegins(AnswerBuffer answer) {
+		if (this.exchange.begun() && !answer.stream()) {
 			this.attempt.giveUp("the stream was not continued");
 			return;
 		}
-		this.answer = new AnswerBuffer(status, headers, stream);
-		if (!stream) {
+		if (!answer.stream()) {
 			noteBegan();
 		}
 	}
 
 	@Override
-	public void answerBytes(byte[] bytes) {
-		if (!this.answer.stream()) {
-			this.answer.add(bytes);
-			return;
-		}
-		byte[] whole = this.events.take(bytes);
-		if (whole.length == 0) {
-			return;
-		}
+	public void eventsArrived(List<StreamEvent> events) {
 		noteEvent();
 		if (!this.exchange.begun()) {
-			this.exchange.begin(this.answer.status(), this.answer.headers());
+			this.exchange.begin(answer().status(), answer().headers());
+		}
+		for (StreamEvent event : events) {
+			this.position.delivered(event);
 		}
-		this.bytesDelivered += whole.length;
-		this.exchange.write(whole);
+		this.exchange.write(joined(events));
 		adjustReading();
 	}
 
+	private static byte[] joined(List<StreamEvent> events) {
+		ByteArrayOutputStream joined = new ByteArrayOutputStream();
+		for (StreamEvent event : events) {
+			joined.writeBytes(event.bytes());
+		}
+		return joined.toByteArray();
+	}
+
 	private void noteBegan() {
-		this.context.admission().began(this.request.service(), this.context.clock().nowMillis() - this.sentMillis);
+		this.context.admission()
+			.began(this.request.service(), this.context.clock().nowMillis() - this.attempt.sentMillis());
 	}
 
 	private void noteEvent() {
@@ -345,16 +337,16 @@
 		if (end != AttemptEnd.ANSWERED) {
 			return end;
 		}
-		if (this.answer.stream()) {
-			boolean broken = this.events.torn() || !this.exchange.begun();
+		AnswerBuffer answer = answer();
+		if (answer.stream()) {
+			boolean broken = answer.unfinished() || !this.exchange.begun();
 			return broken ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.ANSWERED;
 		}
-		if (PROMISES.contains(this.answer.status())) {
-			this.answer = null;
+		if (PROMISES.contains(answer.status())) {
 			return AttemptEnd.BEGAN_THEN_BROKE;
 		}
-		this.answer.complete();
-		boolean tryAgain = this.answer.status() >= SERVER_ERROR && this.request.route().repeatable();
+		answer.complete();
+		boolean tryAgain = answer.status() >= SERVER_ERROR && this.request.route().repeatable();
 		return tryAgain ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.ANSWERED;
 	}
 
@@ -365,7 +357,7 @@
 		boolean serverLeft = this.sends < MAX_SENDS
 				&& this.context.backends().anyLeft(this.request.service(), Set.of());
 		Situation situation = new Situation(end, this.request.route().repeatable(), this.request.route().resumable(),
-				this.bytesDelivered, this.runs, this.request.route().maxAttempts(),
+				this.position.bytes(), this.runs, this.request.route().maxAttempts(),
 				remainingMillis() - LEAST_USEFUL_MILLIS, this.context.budgets().allows(this.request.service()),
 				serverLeft, (end == AttemptEnd.REFUSED) ? ProblemKind.OVERLOADED : null);
 		NextStep step = NextStepRules.decide(situation);
@@ -377,10 +369,10 @@
 
 	private void noteStep(Situation situation, NextStep step) {
 		String name = step.getClass().getSimpleName();
-		int heldBytes = this.events.heldBytes();
+		int heldBytes = (answer() != null) ? answer().heldBytes() : 0;
 		this.context.meters().step(this.request.service(), name, heldBytes > 0);
 		EventLog.log(Event.NEXT_STEP_DECIDED, "request", this.request.id(), "end", situation.end(), "step", name,
-				"heldBytes", heldBytes, "deliveredBytes", this.bytesDelivered, "begun", this.exchange.begun(), "runs",
+				"heldBytes", heldBytes, "deliveredBytes", this.position.bytes(), "begun", this.exchange.begun(), "runs",
 				this.runs, "maxAttempts", situation.maxAttempts(), "sends", this.sends, "resumable",
 				situation.resumable(), "budgetLeft", situation.retryBudgetLeft(), "serverLeft", situation.serverLeft(),
 				"remainingMillis", situation.remainingMillis());
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/request/StreamPosition.java
@@ -0,0 +1,59 @@
+package org.snowwind.gateway.request;
+
+/**
+ * How far a caller is in its stream. It belongs to the request and holds nothing of an
+ * attempt. Confined to the loop.
+ */
+final class StreamPosition {
+
+	private String lastId;
+
+	private int events;
+
+	private long bytes;
+
+	/**
+	 * Creates the position of a caller that was sent nothing yet.
+	 * @param lastId the last event that the caller has, {@code null} for none
+	 */
+	StreamPosition(String lastId) {
+		this.lastId = lastId;
+	}
+
+	/**
+	 * Takes note that an event went to the caller.
+	 * @param event the event
+	 */
+	void delivered(StreamEvent event) {
+		this.events++;
+		this.bytes += event.bytes().length;
+		if (event.id() != null) {
+			this.lastId = event.id();
+		}
+	}
+
+	/**
+	 * Returns where the stream can be continued.
+	 * @return the id of the last event that had one, {@code null} if there is none
+	 */
+	String lastId() {
+		return this.lastId;
+	}
+
+	/**
+	 * Counts delivered events.
+	 * @return how many went to the caller
+	 */
+	int events() {
+		return this.events;
+	}
+
+	/**
+	 * Counts delivered bytes.
+	 * @return how many went to the caller
+	 */
+	long bytes() {
+		return this.bytes;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/request/StreamPositionTests.java
@@ -0,0 +1,36 @@
+package org.snowwind.gateway.request;
+
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link StreamPosition}.
+ */
+class StreamPositionTests {
+
+	private static StreamEvent event(String id, String text) {
+		return new StreamEvent(id, text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Test
+	void aCallerThatWasSentNothingIsWhereItSaysItIs() {
+		StreamPosition position = new StreamPosition("7");
+		assertThat(position.lastId()).isEqualTo("7");
+		assertThat(position.events()).isZero();
+		assertThat(position.bytes()).isZero();
+	}
+
+	@Test
+	void eachDeliveredEventMovesThePosition() {
+		StreamPosition position = new StreamPosition(null);
+		position.delivered(event("1", "first"));
+		position.delivered(event("2", "second"));
+		assertThat(position.lastId()).isEqualTo("2");
+		assertThat(position.events()).isEqualTo(2);
+		assertThat(position.bytes()).isEqualTo("first".length() + "second".length());
+	}
+
+}
