--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -195,6 +195,21 @@
 		return socket;
 	}
 
+	/** Joins the chunks of an answer, as far as they came whole. */
+	static String bodyOf(String answer) {
+		StringBuilder body = new StringBuilder();
+		int at = answer.indexOf("\r\n\r\n") + 4;
+		int lineEnd = answer.indexOf("\r\n", at);
+		while (lineEnd > at) {
+			int from = lineEnd + 2;
+			int until = from + Integer.parseInt(answer.substring(at, lineEnd), 16);
+			body.append(answer, from, until);
+			at = until + 2;
+			lineEnd = answer.indexOf("\r\n", at);
+		}
+		return body.toString();
+	}
+
 	static String readSome(Socket socket) throws IOException {
 		InputStream in = socket.getInputStream();
 		byte[] bytes = new byte[4096];
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
@@ -40,21 +40,6 @@
 		return (request, answer) -> answer.reset();
 	}
 
-	/** Joins the chunks of an answer, as far as they came whole. */
-	private static String bodyOf(String answer) {
-		StringBuilder body = new StringBuilder();
-		int at = answer.indexOf("\r\n\r\n") + 4;
-		int lineEnd = answer.indexOf("\r\n", at);
-		while (lineEnd > at) {
-			int from = lineEnd + 2;
-			int until = from + Integer.parseInt(answer.substring(at, lineEnd), 16);
-			body.append(answer, from, until);
-			at = until + 2;
-			lineEnd = answer.indexOf("\r\n", at);
-		}
-		return body.toString();
-	}
-
 	// ---- whole answers
 
 	@Test
@@ -259,7 +244,7 @@
 		});
 		String answer = this.gateway.call("/stream/a", "t-last: 7");
 		assertThat(second.received().get(0).headers()).containsEntry("t-last", "7");
-		assertThat(bodyOf(answer)).isEqualTo("id: 8\ndata: h\n\n");
+		assertThat(GatewayFixture.bodyOf(answer)).isEqualTo("id: 8\ndata: h\n\n");
 		assertThat(answer).endsWith("0\r\n\r\n");
 	}
 
