Leave out what the caller has only where a continued stream begins

Cause: an event whose id was not above the last one was left out wherever it came, so that ids that repeat or go backwards within one answer were dropped without a trace and the answer looked whole. The other way round, a server that began anew and ended before the caller's position made a broken stream look whole. Change: CatchUp, one for each attempt, leaves events out until the attempt has passed the caller's position, and tells if it ended before it. Both tests over sockets failed before and pass now.

--- a/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
@@ -26,7 +26,7 @@
 
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
-	private String lastId;
+	private final CatchUp catchUp;
 
 	private String eventId;
 
@@ -36,7 +36,7 @@
 	 * begins
 	 */
 	EventStream(String afterId) {
-		this.lastId = afterId;
+		this.catchUp = new CatchUp(afterId);
 	}
 
 	/**
@@ -76,33 +76,18 @@
 		StreamEvent finished = new StreamEvent(this.eventId, this.event.toByteArray());
 		this.event.reset();
 		this.eventId = null;
-		if (finished.id() == null) {
+		if (this.catchUp.isNew(finished)) {
 			whole.add(finished);
 		}
-		else if (after(finished.id(), this.lastId)) {
-			whole.add(finished);
-			this.lastId = finished.id();
-		}
-	}
-
-	private static boolean after(String id, String last) {
-		if (last == null) {
-			return true;
-		}
-		try {
-			return Long.parseLong(id) > Long.parseLong(last);
-		}
-		catch (NumberFormatException ex) {
-			return !id.equals(last);
-		}
 	}
 
 	/**
 	 * Tells whether the stream would be broken if it ended here.
-	 * @return true within an event
+	 * @return true within an event, or if the events that the caller has were not all
+	 * repeated
 	 */
 	boolean unfinished() {
-		return heldBytes() > 0;
+		return heldBytes() > 0 || this.catchUp.behind();
 	}
 
 	/**
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -173,6 +173,12 @@
 
 	// ---- where a stream goes on
 
+	@Test
+	void idsThatGoBackwardsWithinAnAnswerAreTheServers() throws IOException {
+		this.gateway.server(whole(event(2) + event(1) + event(1)));
+		assertWhole(this.gateway.call("/stream/a"), event(2) + event(1) + event(1));
+	}
+
 	@Test
 	void aServerThatBeginsAnewIsHeardFromTheCallersPosition() throws IOException {
 		this.gateway.server(breaking(event(1) + event(2)));
@@ -180,6 +186,13 @@
 		assertWhole(this.gateway.call("/stream/a"), event(1) + event(2) + event(3));
 	}
 
+	@Test
+	void aServerThatEndsBeforeTheCallersPositionDoesNotMakeTheStreamWhole() throws IOException {
+		this.gateway.server(breaking(event(1) + event(2) + event(3)));
+		this.gateway.server(whole(event(1) + event(2)));
+		assertCut(this.gateway.call("/stream/a"), event(1) + event(2) + event(3));
+	}
+
 	@Test
 	void aStreamThatBrokeAfterItsLastEventIsEndedByAServerThatHasNoMore() throws IOException {
 		this.gateway.server(breaking(event(1)));
