Do not continue a stream after data without an id

Cause: a stream goes on after the last id that was delivered. Data without an id after it had gone to the caller, too, and came twice. Change: StreamPosition tells whether the last id names all that the caller has; if not, the stream is cut visibly. A comment without an id does no harm, an empty id is none. The test over sockets failed before and passes now.

--- a/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
@@ -22,6 +22,8 @@
 
 	private static final String ID_FIELD = "id:";
 
+	private static final String DATA_FIELD = "data";
+
 	private final ByteArrayOutputStream event = new ByteArrayOutputStream();
 
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -30,6 +32,8 @@
 
 	private String eventId;
 
+	private boolean data;
+
 	/**
 	 * Creates the stream of an attempt that has received nothing.
 	 * @param afterId the event after which the stream is continued, {@code null} if it
@@ -67,15 +71,18 @@
 			text = text.substring(0, text.length() - 1);
 		}
 		if (text.startsWith(ID_FIELD)) {
-			this.eventId = text.substring(ID_FIELD.length()).strip();
+			String id = text.substring(ID_FIELD.length()).strip();
+			this.eventId = id.isEmpty() ? null : id;
 		}
+		this.data = this.data || text.startsWith(DATA_FIELD);
 		return text.isEmpty();
 	}
 
 	private void finishEvent(List<StreamEvent> whole) {
-		StreamEvent finished = new StreamEvent(this.eventId, this.event.toByteArray());
+		StreamEvent finished = new StreamEvent(this.eventId, this.data, this.event.toByteArray());
 		this.event.reset();
 		this.eventId = null;
+		this.data = false;
 		if (this.catchUp.isNew(finished)) {
 			whole.add(finished);
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -356,10 +356,11 @@
 		}
 		boolean serverLeft = this.sends < MAX_SENDS
 				&& this.context.backends().anyLeft(this.request.service(), Set.of());
-		Situation situation = new Situation(end, this.request.route().repeatable(), this.request.route().resumable(),
-				this.position.bytes(), this.runs, this.request.route().maxAttempts(),
-				remainingMillis() - LEAST_USEFUL_MILLIS, this.context.budgets().allows(this.request.service()),
-				serverLeft, (end == AttemptEnd.REFUSED) ? ProblemKind.OVERLOADED : null);
+		Situation situation = new Situation(end, this.request.route().repeatable(),
+				this.request.route().resumable() && this.position.known(), this.position.bytes(), this.runs,
+				this.request.route().maxAttempts(), remainingMillis() - LEAST_USEFUL_MILLIS,
+				this.context.budgets().allows(this.request.service()), serverLeft,
+				(end == AttemptEnd.REFUSED) ? ProblemKind.OVERLOADED : null);
 		NextStep step = NextStepRules.decide(situation);
 		if (end != AttemptEnd.ANSWERED) {
 			noteStep(situation, step);
--- a/gateway/src/main/java/org/snowwind/gateway/request/StreamPosition.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/StreamPosition.java
@@ -8,6 +8,8 @@
 
 	private String lastId;
 
+	private boolean known = true;
+
 	private int events;
 
 	private long bytes;
@@ -29,6 +31,10 @@
 		this.bytes += event.bytes().length;
 		if (event.id() != null) {
 			this.lastId = event.id();
+			this.known = true;
+		}
+		else if (event.data()) {
+			this.known = false;
 		}
 	}
 
@@ -40,6 +46,15 @@
 		return this.lastId;
 	}
 
+	/**
+	 * Tells whether the last id names all that the caller has. After data without an id a
+	 * stream cannot be continued, for the next server would send that data once more.
+	 * @return false if the caller has more than the last id says
+	 */
+	boolean known() {
+		return this.known;
+	}
+
 	/**
 	 * Counts delivered events.
 	 * @return how many went to the caller
--- a/gateway/src/test/java/org/snowwind/gateway/request/CatchUpTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/CatchUpTests.java
@@ -10,7 +10,7 @@
 class CatchUpTests {
 
 	private static StreamEvent event(String id) {
-		return new StreamEvent(id, new byte[0]);
+		return new StreamEvent(id, true, new byte[0]);
 	}
 
 	@Test
--- a/gateway/src/test/java/org/snowwind/gateway/request/EventStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/EventStreamTests.java
@@ -54,6 +54,17 @@
 		assertThat(idsOf(new EventStream(null), events(1, 2))).containsExactly("1", "2");
 	}
 
+	@Test
+	void anEmptyIdIsNone() {
+		assertThat(idsOf(new EventStream(null), "id:\ndata: a\n\n")).containsOnlyNulls().hasSize(1);
+	}
+
+	@Test
+	void dataIsToldFromComments() {
+		byte[] bytes = "data: a\n\n: still here\n\ndata\n\n".getBytes(StandardCharsets.UTF_8);
+		assertThat(new EventStream(null).take(bytes)).extracting(StreamEvent::data).containsExactly(true, false, true);
+	}
+
 	@Test
 	void aTornEventIsNoPartOfTheStreamThatGoesOnElsewhere() {
 		EventStream torn = new EventStream(null);
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -173,6 +173,25 @@
 
 	// ---- where a stream goes on
 
+	/**
+	 * A stream that goes on after its last id repeats what followed that id. So data
+	 * without an id would come twice.
+	 */
+	@Test
+	void afterDataWithoutAnIdAStreamIsNotContinued() throws IOException {
+		this.gateway.server(breaking(event(1) + "data: b\n\n"));
+		ScriptedServer second = this.gateway.server(whole("data: b\n\n" + event(3)));
+		assertCut(this.gateway.call("/stream/a"), event(1) + "data: b\n\n");
+		assertThat(second.received()).isEmpty();
+	}
+
+	@Test
+	void afterACommentAStreamIsContinued() throws IOException {
+		this.gateway.server(breaking(event(1) + ": still here\n\n"));
+		this.gateway.server(whole(event(2)));
+		assertWhole(this.gateway.call("/stream/a"), event(1) + ": still here\n\n" + event(2));
+	}
+
 	@Test
 	void idsThatGoBackwardsWithinAnAnswerAreTheServers() throws IOException {
 		this.gateway.server(whole(event(2) + event(1) + event(1)));
--- a/gateway/src/test/java/org/snowwind/gateway/request/StreamPositionTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/StreamPositionTests.java
@@ -12,7 +12,7 @@
 class StreamPositionTests {
 
 	private static StreamEvent event(String id, String text) {
-		return new StreamEvent(id, text.getBytes(StandardCharsets.UTF_8));
+		return new StreamEvent(id, true, text.getBytes(StandardCharsets.UTF_8));
 	}
 
 	@Test
@@ -33,4 +33,22 @@
 		assertThat(position.bytes()).isEqualTo("first".length() + "second".length());
 	}
 
+	@Test
+	void dataWithoutAnIdLeavesThePositionUnknownUntilTheNextId() {
+		StreamPosition position = new StreamPosition("1");
+		assertThat(position.known()).isTrue();
+		position.delivered(event(null, "data"));
+		assertThat(position.known()).isFalse();
+		assertThat(position.lastId()).isEqualTo("1");
+		position.delivered(event("3", "data"));
+		assertThat(position.known()).isTrue();
+	}
+
+	@Test
+	void aCommentLeavesThePositionKnown() {
+		StreamPosition position = new StreamPosition("1");
+		position.delivered(new StreamEvent(null, false, new byte[1]));
+		assertThat(position.known()).isTrue();
+	}
+
 }
