Continue a stream only with content of the same type

Cause: any 200 continued a stream that had begun, also one whose content is no stream of events, under the head of the first. Change: an answer of another media type is given up like one with another status, and the stream is cut visibly or tried elsewhere. The test over sockets failed before and passes now.

--- a/gateway/src/main/java/org/snowwind/gateway/request/AnswerBuffer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/AnswerBuffer.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import org.snowwind.http.server.HttpExchange;
@@ -69,6 +70,14 @@
 		return this.events != null;
 	}
 
+	/**
+	 * Returns what kind of content the body is.
+	 * @return the media type without parameters, empty if the answer does not say
+	 */
+	String mediaType() {
+		return this.headers.getOrDefault("content-type", "").split(";", 2)[0].strip().toLowerCase(Locale.ROOT);
+	}
+
 	/**
 	 * Takes bytes of the body.
 	 * @param bytes the bytes
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -64,6 +64,8 @@
 
 	private final StreamPosition position;
 
+	private String mediaType;
+
 	private Future<?> deadlineTimer;
 
 	private Future<?> waitTimer;
@@ -275,7 +277,7 @@
 
 	@Override
 	public void answerBegins(AnswerBuffer answer) {
-		if (this.exchange.begun() && !answer.stream()) {
+		if (this.exchange.begun() && !(answer.stream() && answer.mediaType().equals(this.mediaType))) {
 			this.attempt.giveUp("the stream was not continued");
 			return;
 		}
@@ -288,6 +290,7 @@
 	public void eventsArrived(List<StreamEvent> events) {
 		noteEvent();
 		if (!this.exchange.begun()) {
+			this.mediaType = answer().mediaType();
 			this.exchange.begin(answer().status(), answer().headers());
 		}
 		for (StreamEvent event : events) {
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -171,6 +171,20 @@
 		assertCut(this.gateway.call("/stream/a"), event(1));
 	}
 
+	@Test
+	void contentOfAnotherTypeDoesNotContinueAStream() throws IOException {
+		this.gateway.server(breaking("Content-Type: text/event-stream\r\n", event(1)));
+		this.gateway.server(whole("Content-Type: application/json\r\n", "{}\n\n"));
+		assertCut(this.gateway.call("/stream/a"), event(1));
+	}
+
+	@Test
+	void parametersOfTheContentTypeMayDiffer() throws IOException {
+		this.gateway.server(breaking("Content-Type: text/event-stream\r\n", event(1)));
+		this.gateway.server(whole("Content-Type: Text/Event-Stream; charset=utf-8\r\n", event(2)));
+		assertWhole(this.gateway.call("/stream/a"), event(1) + event(2));
+	}
+
 	// ---- where a stream goes on
 
 	/**
