Do not put the pause of a change of servers down to the second server

Change: an attempt has event times of its own; the caller's pauses, which span attempts, stay with the request and go to the metrics. Limit of the test: one pause of 200 ms of a second server that is in a group of its own; its time of a pass moved before and does not now.

--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -42,6 +42,8 @@
 
 	private AnswerBuffer answer;
 
+	private final EventTimes eventTimes;
+
 	private String cause = "";
 
 	private boolean over;
@@ -65,6 +67,7 @@
 		this.afterId = afterId;
 		this.listener = listener;
 		this.sentMillis = context.clock().nowMillis();
+		this.eventTimes = new EventTimes(this.sentMillis);
 	}
 
 	/**
@@ -100,6 +103,15 @@
 		return this.answer;
 	}
 
+	/**
+	 * Returns when this server's events came. A pause that began with another server's
+	 * event does not count among them.
+	 * @return the times
+	 */
+	EventTimes eventTimes() {
+		return this.eventTimes;
+	}
+
 	/**
 	 * Takes or stops taking bytes from the server.
 	 * @param reading whether to take them
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -319,12 +319,19 @@
 		if (pauseMillis == EventTimes.FIRST) {
 			this.context.meters().firstByte(this.request.service(), this.times.firstMillis());
 			noteBegan();
-			return;
 		}
-		this.context.meters().pause(this.request.service(), pauseMillis);
-		this.attempt.backend()
-			.paused(pauseMillis, this.request.route().pauseTargetMillis(), this.request.destination().engine(),
-					nowMillis);
+		else {
+			this.context.meters().pause(this.request.service(), pauseMillis);
+		}
+		notePauseOfServer(this.attempt.eventTimes().event(nowMillis), nowMillis);
+	}
+
+	private void notePauseOfServer(long pauseMillis, long nowMillis) {
+		if (pauseMillis != EventTimes.FIRST) {
+			this.attempt.backend()
+				.paused(pauseMillis, this.request.route().pauseTargetMillis(), this.request.destination().engine(),
+						nowMillis);
+		}
 	}
 
 	@Override
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -145,6 +145,18 @@
 		}));
 	}
 
+	/** Puts a server into a group. */
+	void grouped(String id, String group) {
+		onLoop(() -> this.backends.grouped(id, group));
+	}
+
+	/** Returns how long a pass of a server's group takes, as far as its pauses tell. */
+	double passMillis(String id) {
+		CompletableFuture<Double> millis = new CompletableFuture<>();
+		this.loop.run(() -> millis.complete(this.backends.find(id).orElseThrow().group().passMillis()));
+		return millis.join();
+	}
+
 	/** Lets peers have a number of requests at each server. */
 	void loadElsewhere(int requests) {
 		Map<String, Integer> elsewhere = new HashMap<>();
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -256,4 +257,34 @@
 		assertCut(this.gateway.call("/frail/a"), event(1));
 	}
 
+	// ---- what is learnt of servers
+
+	/**
+	 * The pause of the caller while one server fails and the next one begins says nothing
+	 * of the passes of the next one's group.
+	 */
+	@Test
+	void thePauseOfAChangeOfServersIsNotPutDownToTheSecond() throws IOException {
+		try (GatewayFixture ranks = new GatewayFixture().routedToRanks()) {
+			AtomicInteger attempts = new AtomicInteger();
+			ScriptedServer.Script script = (request, answer) -> {
+				if (attempts.incrementAndGet() == 1) {
+					breaking(event(1)).answer(request, answer);
+					return;
+				}
+				answer.until(new CountDownLatch(1), 200);
+				whole(event(2)).answer(request, answer);
+			};
+			ranks.server(script);
+			ranks.server(script);
+			ranks.grouped("server-0", "one");
+			ranks.grouped("server-1", "other");
+			double beforeMillis = ranks.passMillis("server-0");
+			assertWhole(ranks.call("/stream/a"), event(1) + event(2));
+			assertThat(attempts).hasValue(2);
+			assertThat(ranks.passMillis("server-0")).isEqualTo(beforeMillis);
+			assertThat(ranks.passMillis("server-1")).isEqualTo(beforeMillis);
+		}
+	}
+
 }
