--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -145,6 +145,18 @@
 		}));
 	}
 
+	/** Puts a server into a group. */
+	void grouped(String id, String group) {
+		onLoop(() -> this.backends.grouped(id, group));
+	}
+
+	/** Returns how long a pass of a server's group takes, as far as its pauses tell. */
+	double passMillis(String id) {
+		CompletableFuture<Double> millis = new CompletableFuture<>();
+		this.loop.run(() -> millis.complete(this.backends.find(id).orElseThrow().group().passMillis()));
+		return millis.join();
+	}
+
 	/** Lets peers have a number of requests at each server. */
 	void loadElsewhere(int requests) {
 		Map<String, Integer> elsewhere = new HashMap<>();
@@ -195,6 +207,21 @@
 		return socket;
 	}
 
+	/** Joins the chunks of an answer, as far as they came whole. */
+	static String bodyOf(String answer) {
+		StringBuilder body = new StringBuilder();
+		int at = answer.indexOf("\r\n\r\n") + 4;
+		int lineEnd = answer.indexOf("\r\n", at);
+		while (lineEnd > at) {
+			int from = lineEnd + 2;
+			int until = from + Integer.parseInt(answer.substring(at, lineEnd), 16);
+			body.append(answer, from, until);
+			at = until + 2;
+			lineEnd = answer.indexOf("\r\n", at);
+		}
+		return body.toString();
+	}
+
 	static String readSome(Socket socket) throws IOException {
 		InputStream in = socket.getInputStream();
 		byte[] bytes = new byte[4096];
