Number calls to peers and take only the latest's reply

Cause: the generated client numbers every call 0 and compares nothing else, so replies were told apart by their order on a connection. Ruled out: a connection for each call, which ten reports a second and peer would pay for; looking for unread bytes before a call, which misses a reply that comes after it was written. Change: each connection's encoding numbers its calls; a reply with another number fails the call, and the link drops the connection. Servers repeat the number already, so that old and new processes understand each other.

--- a/wire/src/main/java/org/snowwind/wire/ThriftCalls.java
+++ b/wire/src/main/java/org/snowwind/wire/ThriftCalls.java
@@ -8,7 +8,6 @@
 import org.apache.thrift.async.AsyncMethodCallback;
 import org.apache.thrift.async.TAsyncClient;
 import org.apache.thrift.async.TAsyncClientManager;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.protocol.TProtocolFactory;
 import org.apache.thrift.transport.TNonblockingSocket;
 import org.apache.thrift.transport.TNonblockingTransport;
@@ -20,8 +19,6 @@
 
 	private final TAsyncClientManager manager;
 
-	private final TProtocolFactory protocols = new TCompactProtocol.Factory();
-
 	/**
 	 * Starts the thread.
 	 */
@@ -47,7 +44,7 @@
 		return new ThriftLink<>(() -> {
 			TNonblockingTransport transport = new TNonblockingSocket(address.getAddress().getHostAddress(),
 					address.getPort());
-			C client = factory.create(this.protocols, this.manager, transport);
+			C client = factory.create(new NumberedCalls(), this.manager, transport);
 			client.setTimeout(timeoutMillis);
 			return new ThriftLink.Connected<>(client, transport);
 		});
--- a/wire/src/test/java/org/snowwind/wire/ThriftLinkTests.java
+++ b/wire/src/test/java/org/snowwind/wire/ThriftLinkTests.java
@@ -26,7 +26,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.snowwind.wire.generated.ConfigDocument;
 import org.snowwind.wire.generated.GatewayControl;
+import org.snowwind.wire.generated.GatewayDocument;
 import org.snowwind.wire.generated.GatewayReport;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -150,6 +152,30 @@
 		assertThat(this.accepted).hasSize(1);
 	}
 
+	@Test
+	void aSecondReplyInTheSameSegmentIsNobodys() throws Exception {
+		serve((connection, number) -> {
+			Asked first = connection.next();
+			connection.reply(first.number(), first.name(), "old");
+			replyToAll(connection);
+		});
+		callsGetTheirOwn();
+	}
+
+	@Test
+	void aReplyOnAnIdleConnectionIsNobodys() throws Exception {
+		serve((connection, number) -> {
+			Asked first = connection.next();
+			connection.reply(first.number(), first.name());
+			TimeUnit.MILLISECONDS.sleep(50);
+			connection.reply(first.number(), "old");
+			replyToAll(connection);
+		});
+		assertThat(call("first")).isEqualTo("first");
+		TimeUnit.MILLISECONDS.sleep(100);
+		callsGetTheirOwn();
+	}
+
 	/**
 	 * A gateway took a peer's second reply to one call for the reply to the next: all
 	 * calls bore the same number, so that replies were told apart by nothing but their
@@ -182,6 +208,33 @@
 		callsGetTheirOwn();
 	}
 
+	@Test
+	void aServersReplyBearsTheNumberOfItsCall() throws Exception {
+		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+		try (ThriftServer server = new ThriftServer(any, new GatewayControl.Processor<>(new Echo()), "test-peer")) {
+			this.link = this.calls.link(new InetSocketAddress(any.getAddress(), server.port()),
+					GatewayControl.AsyncClient::new, CALL_MILLIS);
+			for (int i = 0; i < 5; i++) {
+				assertThat(callOnce("call-" + i).get(WAIT_MILLIS, TimeUnit.MILLISECONDS).getName())
+					.isEqualTo("call-" + i);
+			}
+		}
+	}
+
+	private static final class Echo implements GatewayControl.Iface {
+
+		@Override
+		public GatewayReport exchange(GatewayReport report) {
+			return report;
+		}
+
+		@Override
+		public ConfigDocument fetchDocument(GatewayDocument kind, long haveRevision) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
 	private interface Script {
 
 		void serve(Connection connection, int number) throws IOException, TException, InterruptedException;
