Say of each request taken in a stop on which connection it came and what is left

Cause: logs of a stop tell how many requests were cut off, not which, on which connection they came or whether they could have ended in time; so the hypotheses on lost requests can't be told apart. Ruled out: lines in the relay (it knows neither the connection nor the stop). The moments of a stop stand in StopSchedule; they are the same as before.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -28,6 +28,9 @@
 import org.snowwind.gateway.request.GatewayMeters;
 import org.snowwind.gateway.request.RequestContext;
 import org.snowwind.gateway.request.RetryBudgets;
+import org.snowwind.gateway.stop.GracefulStop;
+import org.snowwind.gateway.stop.OpenRequests;
+import org.snowwind.gateway.stop.StopSchedule;
 import org.snowwind.gateway.table.TableHolder;
 import org.snowwind.gateway.table.TableWatcher;
 import org.snowwind.http.DataLoop;
@@ -324,14 +327,9 @@
 	 */
 	public void drainAndStop() {
 		this.draining = true;
-		this.loop.run(this.handler::drain);
-		new GracefulStop(this.settings.name(), this.graceMillis, this.callerServer, this::openRequests, this.clock)
-			.run();
-	}
-
-	private int openRequests() {
-		// A loop that does not answer may still have some open.
-		return this.loop.ask(this.handler::open, 1);
+		StopSchedule schedule = StopSchedule.of(this.clock.nowMillis(), this.graceMillis);
+		this.loop.run(() -> this.handler.drain(schedule));
+		new GracefulStop(this.settings.name(), schedule, this.callerServer, new LoopRequests(), this.clock).run();
 	}
 
 	@Override
@@ -354,6 +352,24 @@
 		this.loop.close();
 	}
 
+	/**
+	 * Asks the loop for its open requests.
+	 */
+	private final class LoopRequests implements OpenRequests {
+
+		@Override
+		public int count() {
+			// A loop that does not answer may still have some open.
+			return GatewayDaemon.this.loop.ask(GatewayDaemon.this.handler::open, 1);
+		}
+
+		@Override
+		public void logCutOff() {
+			GatewayDaemon.this.loop.ask(GatewayDaemon.this.handler::logCutOff, 0);
+		}
+
+	}
+
 	/**
 	 * Hands what peers say to the loop.
 	 */
--- a/gateway/src/main/java/org/snowwind/gateway/request/CallerHead.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/CallerHead.java
@@ -1,5 +1,7 @@
 package org.snowwind.gateway.request;
 
+import org.snowwind.gateway.table.Route;
+
 /**
  * What a caller says of its request.
  *
@@ -14,4 +16,15 @@
 public record CallerHead(String requestId, long patienceMillis, String key, String lastEventId, int promptTokens,
 		int maxOutputTokens) {
 
+	/**
+	 * Returns how long a request may take.
+	 * @param route its route
+	 * @return the caller's patience or the route's timeout, whichever is shorter, in
+	 * milliseconds
+	 */
+	long allowedMillis(Route route) {
+		return (this.patienceMillis >= 0) ? Math.min(this.patienceMillis, route.timeoutMillis())
+				: route.timeoutMillis();
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -1,12 +1,16 @@
 package org.snowwind.gateway.request;
 
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
+import org.snowwind.gateway.stop.StopSchedule;
 import org.snowwind.gateway.table.KeyHolder;
 import org.snowwind.gateway.table.Route;
 import org.snowwind.gateway.table.RouteTable;
 import org.snowwind.gateway.table.TableHolder;
+import org.snowwind.http.server.ConnectionUse;
 import org.snowwind.http.server.HttpExchange;
 import org.snowwind.http.server.HttpHandler;
 import org.snowwind.model.event.Event;
@@ -24,13 +28,18 @@
 	 */
 	private static final long NOT_READY_RETRY_MILLIS = 300;
 
+	/** Lines about requests that a stop cuts off; SW-1104 counts them all. */
+	private static final int MAX_CUT_OFF_LINES = 50;
+
 	private final RequestContext context;
 
 	private final TableHolder tables;
 
-	private boolean draining;
+	/** In the order in which they came. */
+	private final Set<OpenRequest> open = new LinkedHashSet<>();
 
-	private int open;
+	/** The stop that has begun, {@code null} before. */
+	private StopSchedule stop;
 
 	/**
 	 * Creates the handler.
@@ -44,9 +53,10 @@
 
 	/**
 	 * Closes each connection after its next answer from now on.
+	 * @param schedule the moments of the stop
 	 */
-	public void drain() {
-		this.draining = true;
+	public void drain(StopSchedule schedule) {
+		this.stop = schedule;
 	}
 
 	/**
@@ -54,26 +64,39 @@
 	 * @return a number of requests
 	 */
 	public int open() {
-		return this.open;
+		return this.open.size();
+	}
+
+	/**
+	 * Logs the requests that are cut off now.
+	 * @return how many lines were written
+	 */
+	public int logCutOff() {
+		long nowMillis = this.context.clock().nowMillis();
+		this.open.stream().limit(MAX_CUT_OFF_LINES).forEach((request) -> request.logCutOff(nowMillis));
+		return Math.min(this.open.size(), MAX_CUT_OFF_LINES);
 	}
 
 	@Override
 	public void handle(HttpExchange exchange) {
 		long arrivedMillis = this.context.clock().nowMillis();
-		this.open++;
-		OpenRequest counted = new OpenRequest();
+		Map<String, String> headers = exchange.headers();
+		CallerHead head = this.context.dialect().readCaller(headers);
+		OpenRequest counted = new OpenRequest(head, arrivedMillis);
+		this.open.add(counted);
 		exchange.onGone(counted::ended);
-		if (this.draining) {
+		if (this.stop != null) {
 			exchange.closeAfterAnswer();
 		}
-		Map<String, String> headers = exchange.headers();
-		CallerHead head = this.context.dialect().readCaller(headers);
 		RouteTable table = this.tables.current();
 		Routed routed = route(exchange, head, table);
 		if (routed.problem() != null) {
 			refuse(exchange, head, table, routed.problem(), counted);
 			return;
 		}
+		if (this.stop != null) {
+			logTakenInStop(exchange, head, routed.route(), arrivedMillis);
+		}
 		exchange.readBody(table.limits().maxBodyBytes(), (body) -> {
 			CallerRequest request = new CallerRequest(head, exchange.method(), exchange.target(),
 					exchange.header("Host"), headers, body, routed.route(),
@@ -109,6 +132,15 @@
 		OwnAnswers.problem(exchange, this.context.dialect(), head.requestId(), problem);
 	}
 
+	private void logTakenInStop(HttpExchange exchange, CallerHead head, Route route, long nowMillis) {
+		ConnectionUse connection = exchange.connection();
+		long afterMillis = this.stop.elapsedMillis(nowMillis);
+		EventLog.log(Event.TAKEN_IN_STOP, "request", head.requestId(), "afterMillis", afterMillis, "newConnection",
+				connection.ageMillis() <= afterMillis, "connectionAgeMillis", connection.ageMillis(), "earlierRequests",
+				connection.earlierRequests(), "asksMillis", head.allowedMillis(route), "leftMillis",
+				this.stop.leftMillis(nowMillis));
+	}
+
 	private void logRouted(CallerRequest request) {
 		EventLog.log(Event.REQUEST_ROUTED, "request", request.id(), "route", request.route().name(), "service",
 				request.service(), "organisation", request.organisation(), "table", request.tableVersion(),
@@ -137,13 +169,24 @@
 	 */
 	private final class OpenRequest {
 
-		private boolean ended;
+		private final CallerHead head;
+
+		private final long arrivedMillis;
+
+		private OpenRequest(CallerHead head, long arrivedMillis) {
+			this.head = head;
+			this.arrivedMillis = arrivedMillis;
+		}
 
 		private void ended() {
-			if (!this.ended) {
-				this.ended = true;
-				GatewayHandler.this.open--;
-			}
+			GatewayHandler.this.open.remove(this);
+		}
+
+		private void logCutOff(long nowMillis) {
+			StopSchedule schedule = GatewayHandler.this.stop;
+			EventLog.log(Event.CUT_OFF_IN_STOP, "request", this.head.requestId(), "takenAfterMillis",
+					schedule.elapsedMillis(this.arrivedMillis), "openMillis", nowMillis - this.arrivedMillis,
+					"patienceMillis", this.head.patienceMillis());
 		}
 
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/GracefulStop.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
@@ -1,6 +1,4 @@
-package org.snowwind.gateway;
-
-import java.util.function.IntSupplier;
+package org.snowwind.gateway.stop;
 
 import org.snowwind.http.server.HttpServer;
 import org.snowwind.model.MonotonicClock;
@@ -12,42 +10,33 @@
  * Stops taking requests in a way that cuts none off: goes on serving until the balancer
  * has noticed, closes connections between requests, and waits for open requests.
  */
-final class GracefulStop {
-
-	/**
-	 * The balancer notices within two questions, a second apart, that we stop, in
-	 * milliseconds.
-	 */
-	private static final long LEAVE_ROTATION_MILLIS = 2600;
-
-	/** What is kept of the grace for closing down, in milliseconds. */
-	private static final long CLOSING_MILLIS = 700;
+public final class GracefulStop {
 
 	/** How often open requests are counted, in milliseconds. */
 	private static final long POLL_MILLIS = 20;
 
 	private final String name;
 
-	private final long graceMillis;
+	private final StopSchedule schedule;
 
 	private final HttpServer callerServer;
 
-	private final IntSupplier openRequests;
+	private final OpenRequests openRequests;
 
 	private final MonotonicClock clock;
 
 	/**
 	 * Creates a stop that has not begun.
 	 * @param name the gateway's name
-	 * @param graceMillis the time to stop, in milliseconds
+	 * @param schedule its moments
 	 * @param callerServer where callers' requests come in
-	 * @param openRequests counts the open requests
+	 * @param openRequests what it waits for
 	 * @param clock tells the time
 	 */
-	GracefulStop(String name, long graceMillis, HttpServer callerServer, IntSupplier openRequests,
+	public GracefulStop(String name, StopSchedule schedule, HttpServer callerServer, OpenRequests openRequests,
 			MonotonicClock clock) {
 		this.name = name;
-		this.graceMillis = graceMillis;
+		this.schedule = schedule;
 		this.callerServer = callerServer;
 		this.openRequests = openRequests;
 		this.clock = clock;
@@ -56,27 +45,35 @@
 	/**
 	 * Carries the stop out, and returns when it is done or the grace has passed.
 	 */
-	void run() {
-		long beganMillis = this.clock.nowMillis();
-		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.name, "graceMillis", this.graceMillis);
-		long mostMillis = beganMillis + this.graceMillis - CLOSING_MILLIS;
-		waitUntil(Math.min(mostMillis, beganMillis + LEAVE_ROTATION_MILLIS));
-		this.callerServer.closeIdleConnections();
+	public void run() {
+		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.name, "endsInMillis",
+				this.schedule.leftMillis(this.clock.nowMillis()));
+		waitUntil(this.schedule.noticedMillis());
+		closeIdleConnections();
 		// Callers may still be sent here if too few others are in rotation.
-		waitUntilIdle(Math.min(mostMillis, beganMillis + this.graceMillis / 2));
+		waitUntilIdle(this.schedule.stopListeningMillis());
 		this.callerServer.stopListening();
-		this.callerServer.closeIdleConnections();
-		waitUntilIdle(mostMillis);
-		logEnd(beganMillis);
+		closeIdleConnections();
+		waitUntilIdle(this.schedule.endMillis());
+		logEnd();
 		this.callerServer.close();
 	}
 
-	private void logEnd(long beganMillis) {
-		int left = this.openRequests.getAsInt();
+	private void closeIdleConnections() {
+		EventLog.log(Event.CONNECTIONS_CLOSING, "gateway", this.name, "connections", this.callerServer.connections(),
+				"openRequests", this.openRequests.count(), "afterMillis",
+				this.schedule.elapsedMillis(this.clock.nowMillis()));
+		this.callerServer.closeIdleConnections();
+	}
+
+	private void logEnd() {
+		int left = this.openRequests.count();
 		if (left > 0) {
+			this.openRequests.logCutOff();
 			EventLog.log(Event.DRAIN_BOUND_PASSED, "gateway", this.name, "cutOff", left);
 		}
-		EventLog.log(Event.GATEWAY_STOPPED, "gateway", this.name, "tookMillis", this.clock.nowMillis() - beganMillis);
+		EventLog.log(Event.GATEWAY_STOPPED, "gateway", this.name, "tookMillis",
+				this.schedule.elapsedMillis(this.clock.nowMillis()));
 	}
 
 	private void waitUntil(long untilMillis) {
@@ -86,7 +83,7 @@
 	}
 
 	private void waitUntilIdle(long untilMillis) {
-		while (this.openRequests.getAsInt() > 0 && this.clock.nowMillis() < untilMillis) {
+		while (this.openRequests.count() > 0 && this.clock.nowMillis() < untilMillis) {
 			Pause.millis(POLL_MILLIS);
 		}
 	}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/StopSchedule.java
@@ -0,0 +1,52 @@
+package org.snowwind.gateway.stop;
+
+/**
+ * The moments of one stop, all known when it begins.
+ *
+ * @param beganMillis when the gateway was told to stop, on its own clock
+ * @param noticedMillis from when on the balancer must have noticed
+ * @param stopListeningMillis from when on no new connections are taken
+ * @param endMillis when what is still open is cut off
+ */
+public record StopSchedule(long beganMillis, long noticedMillis, long stopListeningMillis, long endMillis) {
+
+	/**
+	 * The balancer notices within two questions, a second apart, that we stop, in
+	 * milliseconds.
+	 */
+	private static final long LEAVE_ROTATION_MILLIS = 2600;
+
+	/** What is kept of the grace for closing down, in milliseconds. */
+	private static final long CLOSING_MILLIS = 700;
+
+	/**
+	 * Plans a stop.
+	 * @param nowMillis when the gateway was told to stop
+	 * @param graceMillis the time that it was given, in milliseconds
+	 * @return the moments
+	 */
+	public static StopSchedule of(long nowMillis, long graceMillis) {
+		long endMillis = nowMillis + Math.max(0, graceMillis - CLOSING_MILLIS);
+		return new StopSchedule(nowMillis, Math.min(endMillis, nowMillis + LEAVE_ROTATION_MILLIS),
+				Math.min(endMillis, nowMillis + graceMillis / 2), endMillis);
+	}
+
+	/**
+	 * Returns how long the stop has lasted.
+	 * @param nowMillis the time now
+	 * @return milliseconds since it began
+	 */
+	public long elapsedMillis(long nowMillis) {
+		return nowMillis - this.beganMillis;
+	}
+
+	/**
+	 * Returns what is left of the stop.
+	 * @param nowMillis the time now
+	 * @return milliseconds until its end, 0 if that has passed
+	 */
+	public long leftMillis(long nowMillis) {
+		return Math.max(0, this.endMillis - nowMillis);
+	}
+
+}
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -19,6 +19,7 @@
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.Registry;
+import org.snowwind.gateway.stop.StopSchedule;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.gateway.table.KeyHolder;
 import org.snowwind.gateway.table.Repeat;
@@ -41,6 +42,8 @@
 
 	static final long TIMEOUT_MILLIS = 1500;
 
+	private static final long LONG_GRACE_MILLIS = 60_000;
+
 	private final DataLoop loop = new DataLoop("test");
 
 	private final UpstreamClient client = new UpstreamClient(this.loop, 300, UpstreamClient.Connections.FRESH,
@@ -152,8 +155,13 @@
 		onLoop(() -> this.backends.peersInFlight(elsewhere, 1));
 	}
 
+	/** Begins a stop with a long grace. */
 	void drain() {
-		onLoop(this.handler::drain);
+		drain(StopSchedule.of(this.clock.nowMillis(), LONG_GRACE_MILLIS));
+	}
+
+	void drain(StopSchedule schedule) {
+		onLoop(() -> this.handler.drain(schedule));
 	}
 
 	int open() {
--- a/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
+++ b/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 import org.snowwind.model.outcome.Problem;
@@ -34,6 +35,8 @@
 
 	private final HttpHandler handler;
 
+	private final MonotonicClock clock;
+
 	/** What one read brought beyond the request that is being answered. */
 	private final Deque<Object> held = new ArrayDeque<>();
 
@@ -41,8 +44,14 @@
 
 	private boolean replaying;
 
-	ConnectionHandler(HttpHandler handler) {
+	private final long openedMillis;
+
+	private int requests;
+
+	ConnectionHandler(HttpHandler handler, MonotonicClock clock) {
 		this.handler = handler;
+		this.clock = clock;
+		this.openedMillis = clock.nowMillis();
 	}
 
 	@Override
@@ -87,7 +96,9 @@
 	}
 
 	private void onHead(ChannelHandlerContext context, HttpRequest request) {
-		this.current = new NettyExchange(context, request, () -> nextRequest(context));
+		ConnectionUse use = new ConnectionUse(this.clock.nowMillis() - this.openedMillis, this.requests);
+		this.requests++;
+		this.current = new NettyExchange(context, request, use, () -> nextRequest(context));
 		DecoderResult decoded = request.decoderResult();
 		if (decoded.isFailure()) {
 			this.current.closeAfterAnswer();
--- a/http/src/main/java/org/snowwind/http/server/HttpExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/HttpExchange.java
@@ -39,6 +39,12 @@
 	 */
 	Map<String, String> headers();
 
+	/**
+	 * Tells of the connection on which the request came.
+	 * @return its age and what it carried before
+	 */
+	ConnectionUse connection();
+
 	/**
 	 * Reads the whole body.
 	 * @param maxBytes the most that is taken, in bytes; a longer one is answered with 413
--- a/http/src/main/java/org/snowwind/http/server/HttpServer.java
+++ b/http/src/main/java/org/snowwind/http/server/HttpServer.java
@@ -17,6 +17,7 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import org.snowwind.http.DataLoop;
+import org.snowwind.model.MonotonicClock;
 
 /**
  * Listens for HTTP/1.1 on one address.
@@ -117,7 +118,7 @@
 		channel.pipeline()
 			.addLast(new IdleStateHandler(this.limits.readTimeoutMillis(), 0, 0, TimeUnit.MILLISECONDS))
 			.addLast(new HttpServerCodec(decoder))
-			.addLast(new ConnectionHandler(this.handler));
+			.addLast(new ConnectionHandler(this.handler, MonotonicClock.system()));
 	}
 
 }
--- a/http/src/main/java/org/snowwind/http/server/NettyExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/NettyExchange.java
@@ -53,6 +53,8 @@
 
 	private final Runnable whenFinished;
 
+	private final ConnectionUse connection;
+
 	private boolean keepAlive;
 
 	private final boolean headOnly;
@@ -77,8 +79,9 @@
 
 	private Runnable whenWritableChanges = NOTHING;
 
-	NettyExchange(ChannelHandlerContext context, HttpRequest request, Runnable whenFinished) {
+	NettyExchange(ChannelHandlerContext context, HttpRequest request, ConnectionUse connection, Runnable whenFinished) {
 		this.context = context;
+		this.connection = connection;
 		this.whenFinished = whenFinished;
 		this.method = request.method().name();
 		this.target = request.uri();
@@ -114,6 +117,11 @@
 		return EndToEndHeaders.of(this.headers);
 	}
 
+	@Override
+	public ConnectionUse connection() {
+		return this.connection;
+	}
+
 	@Override
 	public void readBody(int maxBytes, Consumer<byte[]> whenRead, Runnable refused) {
 		this.whenRefused = refused;
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -145,6 +145,15 @@
 	/** The settings that were read again are not valid. */
 	SETTINGS_REJECTED(1206, Level.WARNING, "settings rejected, last good ones stay in force"),
 
+	/** A request came in while the gateway stopped, and was taken. */
+	TAKEN_IN_STOP(1207, Level.INFO, "request taken in a stop"),
+
+	/** A request was still open at the end of a stop. */
+	CUT_OFF_IN_STOP(1208, Level.WARNING, "request cut off by a stop"),
+
+	/** Connections without a request are closed in a stop. */
+	CONNECTIONS_CLOSING(1209, Level.INFO, "idle connections closed in a stop"),
+
 	/** This gateway plans expert maps from now on. */
 	EXPERT_DUTY_TAKEN(6001, Level.INFO, "expert duty taken"),
 
