Test that a gateway takes nothing that may outlast its stop; it fails

Cause: requests are taken in a stop without asking whether they can end before it does. Ruled out: nothing yet by the new lines; the test needs neither kept connections nor several gateways.

--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -19,6 +19,8 @@
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.Registry;
+import org.snowwind.gateway.stop.GracefulStop;
+import org.snowwind.gateway.stop.OpenRequests;
 import org.snowwind.gateway.stop.StopSchedule;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.gateway.table.KeyHolder;
@@ -164,10 +166,22 @@
 		onLoop(() -> this.handler.drain(schedule));
 	}
 
+	/** Begins a stop and carries it out on a thread of its own. */
+	Thread stop(StopSchedule schedule) {
+		drain(schedule);
+		Thread stop = new Thread(
+				new GracefulStop("gateway", schedule, this.server, new LoopRequests(), this.clock)::run, "stop");
+		stop.start();
+		return stop;
+	}
+
+	/** Returns the time by the gateway's clock. */
+	long nowMillis() {
+		return this.clock.nowMillis();
+	}
+
 	int open() {
-		CompletableFuture<Integer> open = new CompletableFuture<>();
-		this.loop.run(() -> open.complete(this.handler.open()));
-		return open.join();
+		return this.loop.ask(this.handler::open, -1);
 	}
 
 	private void onLoop(Runnable task) {
@@ -218,4 +232,18 @@
 		this.servers.forEach(ScriptedServer::close);
 	}
 
+	private final class LoopRequests implements OpenRequests {
+
+		@Override
+		public int count() {
+			return open();
+		}
+
+		@Override
+		public void logCutOff() {
+			GatewayFixture.this.loop.ask(GatewayFixture.this.handler::logCutOff, 0);
+		}
+
+	}
+
 }
