Take nothing behind the last answer of a connection, and cut no answer by closing it

Cause, found by reading what happens at the end of a connection: (1) a request that was pipelined behind one whose answer closes the connection was handed on and run, and never answered; (2) closing idle connections dropped what a slow caller had not read yet of an answer that was over for us; (3) a request whose handler threw was never counted off, so that a stop waited for it until its bound. Change: heads behind a last answer are dropped, idle connections close once all is written, and whoever asked to be told that a caller has gone is told of a fault too.

--- a/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
+++ b/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderResult;
@@ -44,6 +46,8 @@
 
 	private boolean replaying;
 
+	private boolean closing;
+
 	private final long openedMillis;
 
 	private int requests;
@@ -70,9 +74,9 @@
 	private void process(ChannelHandlerContext context, Object message) {
 		try {
 			if (message instanceof HttpRequest request) {
-				onHead(context, request);
+				takeOrDrop(context, request);
 			}
-			if (message instanceof HttpContent content) {
+			if (message instanceof HttpContent content && !this.closing) {
 				onContent(content);
 			}
 		}
@@ -95,6 +99,16 @@
 		}
 	}
 
+	// A request behind the last answer of its connection would run and never be answered.
+	private void takeOrDrop(ChannelHandlerContext context, HttpRequest request) {
+		if (this.current != null && this.current.endsConnection()) {
+			this.closing = true;
+		}
+		if (!this.closing) {
+			onHead(context, request);
+		}
+	}
+
 	private void onHead(ChannelHandlerContext context, HttpRequest request) {
 		ConnectionUse use = new ConnectionUse(this.clock.nowMillis() - this.openedMillis, this.requests);
 		this.requests++;
@@ -110,6 +124,8 @@
 		}
 		catch (RuntimeException ex) {
 			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "http handler");
+			// Whoever counts open requests must learn that this one has ended.
+			this.current.gone();
 			this.current.abort();
 		}
 	}
@@ -161,13 +177,23 @@
 	private void closeWhenIdle(ChannelHandlerContext context) {
 		boolean idle = this.current == null || this.current.finished();
 		if (idle) {
-			context.close();
+			this.closing = true;
+			closeOnceWritten(context);
 		}
 		else {
 			this.current.closeAfterAnswer();
 		}
 	}
 
+	/**
+	 * Closes a connection when the caller has taken what was written: closing at once
+	 * would drop the rest of an answer that a slow caller still reads.
+	 * @param context the connection
+	 */
+	static void closeOnceWritten(ChannelHandlerContext context) {
+		context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+	}
+
 	private static Problem problemOf(Throwable cause) {
 		if (cause instanceof TooLongHttpLineException) {
 			return Problem.notRun(ProblemKind.URI_TOO_LONG, "the request line is too long");
--- a/http/src/main/java/org/snowwind/http/server/NettyExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/NettyExchange.java
@@ -181,7 +181,7 @@
 			return;
 		}
 		if (last && this.ended && !this.keepAlive) {
-			this.context.close();
+			ConnectionHandler.closeOnceWritten(this.context);
 		}
 		else if (last) {
 			bodyFinished();
@@ -212,6 +212,10 @@
 		return this.bodyEnded && this.ended;
 	}
 
+	boolean endsConnection() {
+		return this.ended && !this.keepAlive;
+	}
+
 	boolean owesAnswer() {
 		return this.bodyEnded && !this.ended;
 	}
