Take nothing in a stop that is not certain to end before it

Cause: a stop's end is known when it begins, and so is how long a request may take; nobody compared the two. The class: work is taken in that cannot be certain to be finished before a bound that is already known. Change: StopSchedule holds the moments of one stop and decides for each request, when its head is read and again before it is sent: until the balancer must have noticed (2.6 s) all is taken as before, from then on only what ends 100 ms before the stop's end even if it takes all the time that the caller and its route allow. The stop ends when nothing is open in one step with taking nothing more, and after answers that slow callers still read.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -363,6 +363,11 @@
 			return GatewayDaemon.this.loop.ask(GatewayDaemon.this.handler::open, 1);
 		}
 
+		@Override
+		public boolean closeIfNone() {
+			return GatewayDaemon.this.loop.ask(GatewayDaemon.this.handler::closeIfNone, 1) == 0;
+		}
+
 		@Override
 		public void logCutOff() {
 			GatewayDaemon.this.loop.ask(GatewayDaemon.this.handler::logCutOff, 0);
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -28,6 +28,12 @@
 	 */
 	private static final long NOT_READY_RETRY_MILLIS = 300;
 
+	/**
+	 * When to come back to a gateway that stops, in milliseconds: at once, since a new
+	 * connection may lead to another one.
+	 */
+	private static final long STOPPING_RETRY_MILLIS = 20;
+
 	/** Lines about requests that a stop cuts off; SW-1104 counts them all. */
 	private static final int MAX_CUT_OFF_LINES = 50;
 
@@ -41,6 +47,8 @@
 	/** The stop that has begun, {@code null} before. */
 	private StopSchedule stop;
 
+	private boolean closed;
+
 	/**
 	 * Creates the handler.
 	 * @param context what requests work with
@@ -67,6 +75,15 @@
 		return this.open.size();
 	}
 
+	/**
+	 * Takes no more requests if none is open.
+	 * @return how many are open
+	 */
+	public int closeIfNone() {
+		this.closed = this.closed || this.open.isEmpty();
+		return this.open.size();
+	}
+
 	/**
 	 * Logs the requests that are cut off now.
 	 * @return how many lines were written
@@ -94,19 +111,44 @@
 			refuse(exchange, head, table, routed.problem(), counted);
 			return;
 		}
-		if (this.stop != null) {
-			logTakenInStop(exchange, head, routed.route(), arrivedMillis);
+		long deadlineMillis = arrivedMillis + head.allowedMillis(routed.route());
+		if (refusedByStop(exchange, counted, deadlineMillis)) {
+			return;
 		}
 		exchange.readBody(table.limits().maxBodyBytes(), (body) -> {
+			// The body may have taken long, and the stop may have begun or gone on.
+			if (refusedByStop(exchange, counted, deadlineMillis)) {
+				return;
+			}
 			CallerRequest request = new CallerRequest(head, exchange.method(), exchange.target(),
 					exchange.header("Host"), headers, body, routed.route(),
 					table.target(routed.route(), this.context.random()), routed.organisation(), table.version(),
 					arrivedMillis);
 			logRouted(request);
+			if (this.stop != null) {
+				logInStop(Event.TAKEN_IN_STOP, exchange, head, deadlineMillis);
+			}
 			new Relay(this.context, request, exchange, counted::ended).start();
 		}, counted::ended);
 	}
 
+	// A stop has one end, known when it begins: what is not certain to end before it is
+	// better off elsewhere, and is told so before anything is sent.
+	private boolean refusedByStop(HttpExchange exchange, OpenRequest request, long deadlineMillis) {
+		if (this.stop == null) {
+			return false;
+		}
+		exchange.closeAfterAnswer();
+		boolean taken = !this.closed && this.stop.takes(this.context.clock().nowMillis(), deadlineMillis);
+		if (!taken) {
+			logInStop(Event.REFUSED_IN_STOP, exchange, request.head, deadlineMillis);
+			request.ended();
+			OwnAnswers.problem(exchange, this.context.dialect(), request.head.requestId(),
+					Problem.notRun(ProblemKind.NOT_READY, "this gateway stops").retryAfter(STOPPING_RETRY_MILLIS));
+		}
+		return !taken;
+	}
+
 	private Routed route(HttpExchange exchange, CallerHead head, RouteTable table) {
 		if (table.version() == 0) {
 			return Routed.refused(Problem.notRun(ProblemKind.NOT_READY, "no configuration is known yet")
@@ -132,13 +174,13 @@
 		OwnAnswers.problem(exchange, this.context.dialect(), head.requestId(), problem);
 	}
 
-	private void logTakenInStop(HttpExchange exchange, CallerHead head, Route route, long nowMillis) {
+	private void logInStop(Event event, HttpExchange exchange, CallerHead head, long deadlineMillis) {
+		long nowMillis = this.context.clock().nowMillis();
 		ConnectionUse connection = exchange.connection();
-		long afterMillis = this.stop.elapsedMillis(nowMillis);
-		EventLog.log(Event.TAKEN_IN_STOP, "request", head.requestId(), "afterMillis", afterMillis, "newConnection",
-				connection.ageMillis() <= afterMillis, "connectionAgeMillis", connection.ageMillis(), "earlierRequests",
-				connection.earlierRequests(), "asksMillis", head.allowedMillis(route), "leftMillis",
-				this.stop.leftMillis(nowMillis));
+		EventLog.log(event, "request", head.requestId(), "afterMillis", this.stop.elapsedMillis(nowMillis),
+				"newConnection", connection.ageMillis() <= this.stop.elapsedMillis(nowMillis), "connectionAgeMillis",
+				connection.ageMillis(), "earlierRequests", connection.earlierRequests(), "asksMillis",
+				deadlineMillis - nowMillis, "leftMillis", this.stop.leftMillis(nowMillis));
 	}
 
 	private void logRouted(CallerRequest request) {
--- a/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
@@ -7,8 +7,9 @@
 import org.snowwind.model.event.EventLog;
 
 /**
- * Stops taking requests in a way that cuts none off: goes on serving until the balancer
- * has noticed, closes connections between requests, and waits for open requests.
+ * Stops in a way that cuts none off: goes on serving until the balancer has noticed,
+ * closes connections between requests, and waits for open requests and their answers.
+ * What is taken in meanwhile is decided by {@link StopSchedule}.
  */
 public final class GracefulStop {
 
@@ -55,6 +56,7 @@
 		this.callerServer.stopListening();
 		closeIdleConnections();
 		waitUntilIdle(this.schedule.endMillis());
+		waitUntilClosed(this.schedule.endMillis());
 		logEnd();
 		this.callerServer.close();
 	}
@@ -83,7 +85,14 @@
 	}
 
 	private void waitUntilIdle(long untilMillis) {
-		while (this.openRequests.count() > 0 && this.clock.nowMillis() < untilMillis) {
+		while (!this.openRequests.closeIfNone() && this.clock.nowMillis() < untilMillis) {
+			Pause.millis(POLL_MILLIS);
+		}
+	}
+
+	// A slow caller may still read an answer that has ended for us.
+	private void waitUntilClosed(long untilMillis) {
+		while (this.callerServer.connections() > 0 && this.clock.nowMillis() < untilMillis) {
 			Pause.millis(POLL_MILLIS);
 		}
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/stop/OpenRequests.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/OpenRequests.java
@@ -11,6 +11,13 @@
 	 */
 	int count();
 
+	/**
+	 * Takes no more requests if none is open, so that none comes between the count and
+	 * the end.
+	 * @return whether none is open, and none will be
+	 */
+	boolean closeIfNone();
+
 	/**
 	 * Logs each request that is still open when the stop cuts it off.
 	 */
--- a/gateway/src/main/java/org/snowwind/gateway/stop/StopSchedule.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/StopSchedule.java
@@ -19,6 +19,12 @@
 	/** What is kept of the grace for closing down, in milliseconds. */
 	private static final long CLOSING_MILLIS = 700;
 
+	/**
+	 * A request that takes all of its time must be answered this much before the end, in
+	 * milliseconds, so that its answer is written on a busy machine too.
+	 */
+	private static final long ANSWER_MARGIN_MILLIS = 100;
+
 	/**
 	 * Plans a stop.
 	 * @param nowMillis when the gateway was told to stop
@@ -27,8 +33,22 @@
 	 */
 	public static StopSchedule of(long nowMillis, long graceMillis) {
 		long endMillis = nowMillis + Math.max(0, graceMillis - CLOSING_MILLIS);
-		return new StopSchedule(nowMillis, Math.min(endMillis, nowMillis + LEAVE_ROTATION_MILLIS),
-				Math.min(endMillis, nowMillis + graceMillis / 2), endMillis);
+		long noticedMillis = Math.min(endMillis, nowMillis + LEAVE_ROTATION_MILLIS);
+		long stopListeningMillis = Math.max(noticedMillis, Math.min(endMillis, nowMillis + graceMillis / 2));
+		return new StopSchedule(nowMillis, noticedMillis, stopListeningMillis, endMillis);
+	}
+
+	/**
+	 * Tells whether a request may be taken in. Until the balancer must have noticed, all
+	 * are, since callers have no other choice; from then on only what certainly ends
+	 * before the stop does. How long such requests usually take does not count: the one
+	 * that takes longer would be cut off.
+	 * @param nowMillis the time now
+	 * @param deadlineMillis until when the request may last at most
+	 * @return false if it must be refused
+	 */
+	public boolean takes(long nowMillis, long deadlineMillis) {
+		return nowMillis < this.noticedMillis || deadlineMillis + ANSWER_MARGIN_MILLIS <= this.endMillis;
 	}
 
 	/**
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import org.snowwind.gateway.backend.Admission;
@@ -51,7 +52,9 @@
 	private final UpstreamClient client = new UpstreamClient(this.loop, 300, UpstreamClient.Connections.FRESH,
 			UpstreamClient.Answers.FRAMED_OR_CLOSED);
 
-	private final MonotonicClock clock = MonotonicClock.system();
+	private final AtomicLong aheadMillis = new AtomicLong();
+
+	private final MonotonicClock clock = () -> MonotonicClock.system().nowMillis() + this.aheadMillis.get();
 
 	private final BackendTable backends = new BackendTable(this.clock, new Random(1), "dc");
 
@@ -175,6 +178,11 @@
 		return stop;
 	}
 
+	/** Lets time pass on the gateway's clock, and only there. */
+	void passMillis(long millis) {
+		this.aheadMillis.addAndGet(millis);
+	}
+
 	/** Returns the time by the gateway's clock. */
 	long nowMillis() {
 		return this.clock.nowMillis();
@@ -217,6 +225,14 @@
 		return socket;
 	}
 
+	/** Opens a connection and sends what is given on it. */
+	Socket raw(String text) throws IOException {
+		Socket socket = new Socket(this.address.getAddress(), this.address.getPort());
+		socket.setSoTimeout(10_000);
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+		return socket;
+	}
+
 	static String readSome(Socket socket) throws IOException {
 		InputStream in = socket.getInputStream();
 		byte[] bytes = new byte[4096];
@@ -239,6 +255,11 @@
 			return open();
 		}
 
+		@Override
+		public boolean closeIfNone() {
+			return GatewayFixture.this.loop.ask(GatewayFixture.this.handler::closeIfNone, 1) == 0;
+		}
+
 		@Override
 		public void logCutOff() {
 			GatewayFixture.this.loop.ask(GatewayFixture.this.handler::logCutOff, 0);
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
@@ -29,6 +29,12 @@
 	/** Long enough that the request is sent before the bound; nothing waits for it. */
 	private static final long STOP_LEFT_MILLIS = 700;
 
+	private static final long HOUR_MILLIS = 3_600_000;
+
+	private static final String SIGNED = "t-signed: 1\r\nt-id: r1\r\n";
+
+	private static final String HEAD = "POST /many/a HTTP/1.1\r\nHost: gateway.test\r\nt-id: r1\r\nt-key: secret\r\n";
+
 	private static final String FIRST_EVENT = "id: 1\ndata: one\n\n";
 
 	private final GatewayFixture gateway = new GatewayFixture();
@@ -66,4 +72,98 @@
 		assertThat(server.received()).isEmpty();
 	}
 
+	@Test
+	void whatCertainlyEndsBeforeTheStopDoesIsServed() throws IOException {
+		this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
+		this.gateway.drain(noticed());
+		assertThat(this.gateway.call("/many/a", "t-patience: 400")).startsWith("HTTP/1.1 200")
+			.containsIgnoringCase("connection: close")
+			.endsWith("hello");
+	}
+
+	@Test
+	void theRoutesTimeoutBoundsACallerThatDoesNotSayHowLongItWaits() throws IOException {
+		ScriptedServer server = this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
+		this.gateway.drain(noticed());
+		assertThat(this.gateway.call("/many/a")).startsWith("HTTP/1.1 503");
+		assertThat(server.received()).isEmpty();
+	}
+
+	@Test
+	void everythingIsServedUntilTheBalancerMustHaveNoticed() throws IOException {
+		this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, FIRST_EVENT));
+		long nowMillis = this.gateway.nowMillis();
+		this.gateway.drain(
+				new StopSchedule(nowMillis, nowMillis + HOUR_MILLIS, nowMillis + HOUR_MILLIS, nowMillis + HOUR_MILLIS));
+		assertThat(this.gateway.call("/patient/a", "t-patience: " + 2 * HOUR_MILLIS)).startsWith("HTTP/1.1 200");
+	}
+
+	@Test
+	void aSlowBodyIsAskedAboutAgainBeforeAnythingIsSent() throws IOException {
+		ScriptedServer server = this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
+		try (Socket socket = this.gateway.raw(HEAD + "Content-Length: 4\r\n\r\nbo")) {
+			awaitOpen();
+			this.gateway.drain(noticed());
+			socket.getOutputStream().write("dy".getBytes(StandardCharsets.UTF_8));
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 503").containsIgnoringCase("connection: close");
+		}
+		assertThat(server.received()).isEmpty();
+		assertThat(this.gateway.open()).isZero();
+	}
+
+	@Test
+	void aBodyThatBeganInTimeIsRefusedWhenItEndsTooLate() throws IOException {
+		ScriptedServer server = this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
+		long nowMillis = this.gateway.nowMillis();
+		this.gateway.drain(new StopSchedule(nowMillis, nowMillis + HOUR_MILLIS, nowMillis + HOUR_MILLIS,
+				nowMillis + HOUR_MILLIS + 1));
+		try (Socket socket = this.gateway.raw(HEAD + "Content-Length: 4\r\n\r\nbo")) {
+			awaitOpen();
+			this.gateway.passMillis(HOUR_MILLIS);
+			socket.getOutputStream().write("dy".getBytes(StandardCharsets.UTF_8));
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 503");
+		}
+		assertThat(server.received()).isEmpty();
+	}
+
+	@Test
+	void aCallerThatAsksFirstIsNotToldToSendItsBody() throws IOException {
+		this.gateway.routed();
+		this.gateway.drain(noticed());
+		try (Socket socket = this.gateway.raw(HEAD + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n")) {
+			assertThat(GatewayFixture.readSome(socket)).startsWith("HTTP/1.1 503");
+		}
+	}
+
+	@Test
+	void aRequestBehindTheOneThatIsAnsweredInAStopIsNotTaken() throws IOException {
+		ScriptedServer server = this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
+		this.gateway.drain();
+		String request = HEAD + "Content-Length: 4\r\n\r\nbody";
+		try (Socket socket = this.gateway.raw(request + request)) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 200").endsWith("hello");
+		}
+		assertThat(server.received()).hasSize(1);
+	}
+
+	@Test
+	void nothingIsTakenOnceNothingIsOpenAndTheStopEnds() throws IOException, InterruptedException {
+		ScriptedServer server = this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
+		try (Socket held = this.gateway.raw(HEAD)) {
+			this.gateway.stop(noticed()).join();
+			assertThat(readAll(held)).isEmpty();
+		}
+		assertThat(server.received()).isEmpty();
+	}
+
+	private static String readAll(Socket socket) throws IOException {
+		return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+	}
+
+	private void awaitOpen() {
+		while (this.gateway.open() == 0) {
+			Thread.onSpinWait();
+		}
+	}
+
 }
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -154,6 +154,9 @@
 	/** Connections without a request are closed in a stop. */
 	CONNECTIONS_CLOSING(1209, Level.INFO, "idle connections closed in a stop"),
 
+	/** A request came in while the gateway stopped, too late to be taken. */
+	REFUSED_IN_STOP(1210, Level.INFO, "request refused in a stop"),
+
 	/** This gateway plans expert maps from now on. */
 	EXPERT_DUTY_TAKEN(6001, Level.INFO, "expert duty taken"),
 
