--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -1,12 +1,16 @@
 package org.snowwind.gateway.request;
 
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
+import org.snowwind.gateway.stop.StopSchedule;
 import org.snowwind.gateway.table.KeyHolder;
 import org.snowwind.gateway.table.Route;
 import org.snowwind.gateway.table.RouteTable;
 import org.snowwind.gateway.table.TableHolder;
+import org.snowwind.http.server.ConnectionUse;
 import org.snowwind.http.server.HttpExchange;
 import org.snowwind.http.server.HttpHandler;
 import org.snowwind.model.event.Event;
@@ -24,13 +28,26 @@
 	 */
 	private static final long NOT_READY_RETRY_MILLIS = 300;
 
+	/**
+	 * When to come back to a gateway that stops, in milliseconds: at once, since a new
+	 * connection may lead to another one.
+	 */
+	private static final long STOPPING_RETRY_MILLIS = 20;
+
+	/** Lines about requests that a stop cuts off; SW-1104 counts them all. */
+	private static final int MAX_CUT_OFF_LINES = 50;
+
 	private final RequestContext context;
 
 	private final TableHolder tables;
 
-	private boolean draining;
+	/** In the order in which they came. */
+	private final Set<OpenRequest> open = new LinkedHashSet<>();
+
+	/** The stop that has begun, {@code null} before. */
+	private StopSchedule stop;
 
-	private int open;
+	private boolean closed;
 
 	/**
 	 * Creates the handler.
@@ -44,9 +61,10 @@
 
 	/**
 	 * Closes each connection after its next answer from now on.
+	 * @param schedule the moments of the stop
 	 */
-	public void drain() {
-		this.draining = true;
+	public void drain(StopSchedule schedule) {
+		this.stop = schedule;
 	}
 
 	/**
@@ -54,36 +72,83 @@
 	 * @return a number of requests
 	 */
 	public int open() {
-		return this.open;
+		return this.open.size();
+	}
+
+	/**
+	 * Takes no more requests if none is open.
+	 * @return how many are open
+	 */
+	public int closeIfNone() {
+		this.closed = this.closed || this.open.isEmpty();
+		return this.open.size();
+	}
+
+	/**
+	 * Logs the requests that are cut off now.
+	 * @return how many lines were written
+	 */
+	public int logCutOff() {
+		long nowMillis = this.context.clock().nowMillis();
+		this.open.stream().limit(MAX_CUT_OFF_LINES).forEach((request) -> request.logCutOff(nowMillis));
+		return Math.min(this.open.size(), MAX_CUT_OFF_LINES);
 	}
 
 	@Override
 	public void handle(HttpExchange exchange) {
 		long arrivedMillis = this.context.clock().nowMillis();
-		this.open++;
-		OpenRequest counted = new OpenRequest();
+		Map<String, String> headers = exchange.headers();
+		CallerHead head = this.context.dialect().readCaller(headers);
+		OpenRequest counted = new OpenRequest(head, arrivedMillis);
+		this.open.add(counted);
 		exchange.onGone(counted::ended);
-		if (this.draining) {
+		if (this.stop != null) {
 			exchange.closeAfterAnswer();
 		}
-		Map<String, String> headers = exchange.headers();
-		CallerHead head = this.context.dialect().readCaller(headers);
 		RouteTable table = this.tables.current();
 		Routed routed = route(exchange, head, table);
 		if (routed.problem() != null) {
 			refuse(exchange, head, table, routed.problem(), counted);
 			return;
 		}
+		long deadlineMillis = arrivedMillis + head.allowedMillis(routed.route());
+		if (refusedByStop(exchange, counted, deadlineMillis)) {
+			return;
+		}
 		exchange.readBody(table.limits().maxBodyBytes(), (body) -> {
+			// The body may have taken long, and the stop may have begun or gone on.
+			if (refusedByStop(exchange, counted, deadlineMillis)) {
+				return;
+			}
 			CallerRequest request = new CallerRequest(head, exchange.method(), exchange.target(),
 					exchange.header("Host"), headers, body, routed.route(),
 					table.target(routed.route(), this.context.random()), routed.organisation(), table.version(),
 					arrivedMillis);
 			logRouted(request);
+			if (this.stop != null) {
+				logInStop(Event.TAKEN_IN_STOP, exchange, head, deadlineMillis);
+			}
 			new Relay(this.context, request, exchange, counted::ended).start();
 		}, counted::ended);
 	}
 
+	// A stop has one end, known when it begins: what is not certain to end before it is
+	// better off elsewhere, and is told so before anything is sent.
+	private boolean refusedByStop(HttpExchange exchange, OpenRequest request, long deadlineMillis) {
+		if (this.stop == null) {
+			return false;
+		}
+		exchange.closeAfterAnswer();
+		boolean taken = !this.closed && this.stop.takes(this.context.clock().nowMillis(), deadlineMillis);
+		if (!taken) {
+			logInStop(Event.REFUSED_IN_STOP, exchange, request.head, deadlineMillis);
+			request.ended();
+			OwnAnswers.problem(exchange, this.context.dialect(), request.head.requestId(),
+					Problem.notRun(ProblemKind.NOT_READY, "this gateway stops").retryAfter(STOPPING_RETRY_MILLIS));
+		}
+		return !taken;
+	}
+
 	private Routed route(HttpExchange exchange, CallerHead head, RouteTable table) {
 		if (table.version() == 0) {
 			return Routed.refused(Problem.notRun(ProblemKind.NOT_READY, "no configuration is known yet")
@@ -109,6 +174,15 @@
 		OwnAnswers.problem(exchange, this.context.dialect(), head.requestId(), problem);
 	}
 
+	private void logInStop(Event event, HttpExchange exchange, CallerHead head, long deadlineMillis) {
+		long nowMillis = this.context.clock().nowMillis();
+		ConnectionUse connection = exchange.connection();
+		EventLog.log(event, "request", head.requestId(), "afterMillis", this.stop.elapsedMillis(nowMillis),
+				"newConnection", connection.ageMillis() <= this.stop.elapsedMillis(nowMillis), "connectionAgeMillis",
+				connection.ageMillis(), "earlierRequests", connection.earlierRequests(), "asksMillis",
+				deadlineMillis - nowMillis, "leftMillis", this.stop.leftMillis(nowMillis));
+	}
+
 	private void logRouted(CallerRequest request) {
 		EventLog.log(Event.REQUEST_ROUTED, "request", request.id(), "route", request.route().name(), "service",
 				request.service(), "organisation", request.organisation(), "table", request.tableVersion(),
@@ -137,13 +211,24 @@
 	 */
 	private final class OpenRequest {
 
-		private boolean ended;
+		private final CallerHead head;
+
+		private final long arrivedMillis;
+
+		private OpenRequest(CallerHead head, long arrivedMillis) {
+			this.head = head;
+			this.arrivedMillis = arrivedMillis;
+		}
 
 		private void ended() {
-			if (!this.ended) {
-				this.ended = true;
-				GatewayHandler.this.open--;
-			}
+			GatewayHandler.this.open.remove(this);
+		}
+
+		private void logCutOff(long nowMillis) {
+			StopSchedule schedule = GatewayHandler.this.stop;
+			EventLog.log(Event.CUT_OFF_IN_STOP, "request", this.head.requestId(), "takenAfterMillis",
+					schedule.elapsedMillis(this.arrivedMillis), "openMillis", nowMillis - this.arrivedMillis,
+					"patienceMillis", this.head.patienceMillis());
 		}
 
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -13,12 +13,16 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.Registry;
+import org.snowwind.gateway.stop.GracefulStop;
+import org.snowwind.gateway.stop.OpenRequests;
+import org.snowwind.gateway.stop.StopSchedule;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.gateway.table.KeyHolder;
 import org.snowwind.gateway.table.Repeat;
@@ -41,12 +45,16 @@
 
 	static final long TIMEOUT_MILLIS = 1500;
 
+	private static final long LONG_GRACE_MILLIS = 60_000;
+
 	private final DataLoop loop = new DataLoop("test");
 
 	private final UpstreamClient client = new UpstreamClient(this.loop, 300, UpstreamClient.Connections.FRESH,
 			UpstreamClient.Answers.FRAMED_OR_CLOSED);
 
-	private final MonotonicClock clock = MonotonicClock.system();
+	private final AtomicLong aheadMillis = new AtomicLong();
+
+	private final MonotonicClock clock = () -> MonotonicClock.system().nowMillis() + this.aheadMillis.get();
 
 	private final BackendTable backends = new BackendTable(this.clock, new Random(1), "dc");
 
@@ -164,14 +172,36 @@
 		onLoop(() -> this.backends.peersInFlight(elsewhere, 1));
 	}
 
+	/** Begins a stop with a long grace. */
 	void drain() {
-		onLoop(this.handler::drain);
+		drain(StopSchedule.of(this.clock.nowMillis(), LONG_GRACE_MILLIS));
+	}
+
+	void drain(StopSchedule schedule) {
+		onLoop(() -> this.handler.drain(schedule));
+	}
+
+	/** Begins a stop and carries it out on a thread of its own. */
+	Thread stop(StopSchedule schedule) {
+		drain(schedule);
+		Thread stop = new Thread(
+				new GracefulStop("gateway", schedule, this.server, new LoopRequests(), this.clock)::run, "stop");
+		stop.start();
+		return stop;
+	}
+
+	/** Lets time pass on the gateway's clock, and only there. */
+	void passMillis(long millis) {
+		this.aheadMillis.addAndGet(millis);
+	}
+
+	/** Returns the time by the gateway's clock. */
+	long nowMillis() {
+		return this.clock.nowMillis();
 	}
 
 	int open() {
-		CompletableFuture<Integer> open = new CompletableFuture<>();
-		this.loop.run(() -> open.complete(this.handler.open()));
-		return open.join();
+		return this.loop.ask(this.handler::open, -1);
 	}
 
 	private void onLoop(Runnable task) {
@@ -222,6 +252,14 @@
 		return body.toString();
 	}
 
+	/** Opens a connection and sends what is given on it. */
+	Socket raw(String text) throws IOException {
+		Socket socket = new Socket(this.address.getAddress(), this.address.getPort());
+		socket.setSoTimeout(10_000);
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+		return socket;
+	}
+
 	static String readSome(Socket socket) throws IOException {
 		InputStream in = socket.getInputStream();
 		byte[] bytes = new byte[4096];
@@ -237,4 +275,23 @@
 		this.servers.forEach(ScriptedServer::close);
 	}
 
+	private final class LoopRequests implements OpenRequests {
+
+		@Override
+		public int count() {
+			return open();
+		}
+
+		@Override
+		public boolean closeIfNone() {
+			return GatewayFixture.this.loop.ask(GatewayFixture.this.handler::closeIfNone, 1) == 0;
+		}
+
+		@Override
+		public void logCutOff() {
+			GatewayFixture.this.loop.ask(GatewayFixture.this.handler::logCutOff, 0);
+		}
+
+	}
+
 }
--- a/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
+++ b/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderResult;
@@ -14,6 +16,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 import org.snowwind.model.outcome.Problem;
@@ -34,6 +37,8 @@
 
 	private final HttpHandler handler;
 
+	private final MonotonicClock clock;
+
 	/** What one read brought beyond the request that is being answered. */
 	private final Deque<Object> held = new ArrayDeque<>();
 
@@ -41,8 +46,16 @@
 
 	private boolean replaying;
 
-	ConnectionHandler(HttpHandler handler) {
+	private boolean closing;
+
+	private final long openedMillis;
+
+	private int requests;
+
+	ConnectionHandler(HttpHandler handler, MonotonicClock clock) {
 		this.handler = handler;
+		this.clock = clock;
+		this.openedMillis = clock.nowMillis();
 	}
 
 	@Override
@@ -61,9 +74,9 @@
 	private void process(ChannelHandlerContext context, Object message) {
 		try {
 			if (message instanceof HttpRequest request) {
-				onHead(context, request);
+				takeOrDrop(context, request);
 			}
-			if (message instanceof HttpContent content) {
+			if (message instanceof HttpContent content && !this.closing) {
 				onContent(content);
 			}
 		}
@@ -86,8 +99,20 @@
 		}
 	}
 
+	// A request behind the last answer of its connection would run and never be answered.
+	private void takeOrDrop(ChannelHandlerContext context, HttpRequest request) {
+		if (this.current != null && this.current.endsConnection()) {
+			this.closing = true;
+		}
+		if (!this.closing) {
+			onHead(context, request);
+		}
+	}
+
 	private void onHead(ChannelHandlerContext context, HttpRequest request) {
-		this.current = new NettyExchange(context, request, () -> nextRequest(context));
+		ConnectionUse use = new ConnectionUse(this.clock.nowMillis() - this.openedMillis, this.requests);
+		this.requests++;
+		this.current = new NettyExchange(context, request, use, () -> nextRequest(context));
 		DecoderResult decoded = request.decoderResult();
 		if (decoded.isFailure()) {
 			this.current.closeAfterAnswer();
@@ -99,6 +124,8 @@
 		}
 		catch (RuntimeException ex) {
 			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "http handler");
+			// Whoever counts open requests must learn that this one has ended.
+			this.current.gone();
 			this.current.abort();
 		}
 	}
@@ -150,13 +177,23 @@
 	private void closeWhenIdle(ChannelHandlerContext context) {
 		boolean idle = this.current == null || this.current.finished();
 		if (idle) {
-			context.close();
+			this.closing = true;
+			closeOnceWritten(context);
 		}
 		else {
 			this.current.closeAfterAnswer();
 		}
 	}
 
+	/**
+	 * Closes a connection when the caller has taken what was written: closing at once
+	 * would drop the rest of an answer that a slow caller still reads.
+	 * @param context the connection
+	 */
+	static void closeOnceWritten(ChannelHandlerContext context) {
+		context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+	}
+
 	private static Problem problemOf(Throwable cause) {
 		if (cause instanceof TooLongHttpLineException) {
 			return Problem.notRun(ProblemKind.URI_TOO_LONG, "the request line is too long");
