--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -64,6 +64,7 @@
 
 	private final StreamPosition position;
 
+	/** The type of the stream that the caller sees, {@code null} before it begins. */
 	private String mediaType;
 
 	private Future<?> deadlineTimer;
