Let no signal and no hold of a planner fall between start and stop

Cause, the class of the lost requests looked for elsewhere: (1) a gateway listened before it could be told to stop in an orderly way; SIGTERM in that window ended the process with what it had taken; (2) a planner that is told to stop gave up its token and interrupted its switches at once, also between the hold of a pass and its release; the group then stood still until the next planner found it. Change: the stop stands ready before the gateway listens, and one that comes first keeps it from listening; a planner that leaves begins no hold, finishes the one it has (1 s at most) and only then gives up its token.

--- a/app/src/main/java/org/snowwind/app/command/DaemonCommands.java
+++ b/app/src/main/java/org/snowwind/app/command/DaemonCommands.java
@@ -43,11 +43,29 @@
 	 * @param stop stops it; the process ends when it returns
 	 */
 	static void stopOnSignal(Runnable stop) {
+		await(onSignal(stop));
+	}
+
+	/**
+	 * Stops a daemon on SIGTERM or SIGINT from now on. A daemon that already listens when
+	 * this is called would be ended without a stop by a signal that comes before.
+	 * @param stop stops it; the process ends when it returns
+	 * @return open until the daemon has stopped
+	 */
+	static CountDownLatch onSignal(Runnable stop) {
 		CountDownLatch stopped = new CountDownLatch(1);
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
 			stop.run();
 			stopped.countDown();
 		}, "stop"));
+		return stopped;
+	}
+
+	/**
+	 * Waits for the end of a daemon.
+	 * @param stopped open until it has stopped
+	 */
+	static void await(CountDownLatch stopped) {
 		try {
 			stopped.await();
 		}
--- a/app/src/main/java/org/snowwind/app/command/GatewayCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/GatewayCommand.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 
 import org.apache.thrift.transport.TTransportException;
 import org.snowwind.app.logging.LogSetup;
@@ -57,6 +58,10 @@
 		LogSetup.useRing(settings.logFormat());
 		JsonClient platform = new JsonClient(Map.of(), CONNECT_MILLIS);
 		GatewayDaemon daemon = new GatewayDaemon(settings, PlatformAdapters.of(platform, settings.platform()));
+		CountDownLatch stopped = DaemonCommands.onSignal(() -> {
+			daemon.drainAndStop();
+			LogSetup.finish();
+		});
 		try {
 			daemon.start();
 		}
@@ -65,10 +70,7 @@
 			return ExitCodes.INVALID;
 		}
 		HangUpSignal.handle(() -> reload(daemon));
-		DaemonCommands.stopOnSignal(() -> {
-			daemon.drainAndStop();
-			LogSetup.finish();
-		});
+		DaemonCommands.await(stopped);
 		return ExitCodes.OK;
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -157,6 +157,9 @@
 
 	private volatile boolean draining;
 
+	/** Guarded by this object. */
+	private boolean listening;
+
 	private volatile long graceMillis;
 
 	private boolean ready;
@@ -246,7 +249,7 @@
 				new GatewayControl.Processor<>(new GatewayControlService(this.mesh, this.documents, this::ownReport)),
 				"peer-control");
 		this.readinessServer.start(this.settings.readiness());
-		this.callerServer.start(this.settings.callers());
+		listenForCallers();
 		this.admin.start(this.settings.admin());
 		this.loop.every(this::tell, REPORT_MILLIS);
 		this.mesh.start(this.settings.seeds());
@@ -257,6 +260,15 @@
 				"callers", Addresses.render(this.settings.callers()), "incarnation", this.incarnation);
 	}
 
+	// A stop that comes while the gateway starts finds it either listening, and ends its
+	// requests, or never listening.
+	private synchronized void listenForCallers() {
+		if (!this.draining) {
+			this.callerServer.start(this.settings.callers());
+			this.listening = true;
+		}
+	}
+
 	/**
 	 * Returns where callers send requests.
 	 * @return the address
@@ -326,8 +338,13 @@
 	 * requests have ended, and stops.
 	 */
 	public void drainAndStop() {
-		this.draining = true;
-		StopSchedule schedule = StopSchedule.of(this.clock.nowMillis(), this.graceMillis);
+		if (!beginDraining()) {
+			return;
+		}
+		// Settings that change later do not move the end of a stop that has begun.
+		long grantedMillis = this.graceMillis;
+		StopSchedule schedule = StopSchedule.of(this.clock.nowMillis(), grantedMillis);
+		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.settings.name(), "graceMillis", grantedMillis);
 		this.loop.run(() -> this.handler.drain(schedule));
 		new GracefulStop(this.settings.name(), schedule, this.callerServer, new LoopRequests(), this.clock).run();
 	}
@@ -352,6 +369,11 @@
 		this.loop.close();
 	}
 
+	private synchronized boolean beginDraining() {
+		this.draining = true;
+		return this.listening;
+	}
+
 	/**
 	 * Asks the loop for its open requests.
 	 */
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -60,6 +60,13 @@
 	/** How long after a failed claim the next one follows, in milliseconds. */
 	private static final long CLAIM_BACKOFF_MILLIS = 1000;
 
+	/**
+	 * How long a group's switch may take from the hold of a pass to its release before a
+	 * planner leaves without it, in milliseconds. With one order in ten unanswered a pass
+	 * is held for 4 ms on average, over drawn switches of 12 ranks.
+	 */
+	private static final long FINISH_MILLIS = 1000;
+
 	/** Each owner has this many versions to give before those of the next one. */
 	private static final long VERSIONS_PER_TOKEN = 10_000;
 
@@ -186,10 +193,18 @@
 		return service.engine() != null && service.engine().hasExperts();
 	}
 
+	// The token stands until no pass is held: a group whose pass is held makes no other
+	// until the next planner finds it.
 	private void leave(String reason) {
-		if (this.fence.getAndSet(0) != 0) {
+		long token = this.fence.get();
+		if (token == 0) {
+			return;
+		}
+		this.groups.values().forEach((group) -> group.balancer().leave());
+		this.groups.values().forEach((group) -> group.thread().finish(FINISH_MILLIS));
+		this.groups.clear();
+		if (this.fence.compareAndSet(token, 0)) {
 			EventLog.log(Event.EXPERT_DUTY_LEFT, "reason", reason);
-			closeGroups();
 		}
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -78,6 +78,8 @@
 
 	private volatile List<BackendEntry> members = List.of();
 
+	private volatile boolean leaving;
+
 	private ExpertPlacement placement;
 
 	private long switchingTo;
@@ -123,6 +125,11 @@
 		this.members = List.copyOf(servers);
 	}
 
+	/** Begins no more switches; one that holds a pass goes on to its end. */
+	void leave() {
+		this.leaving = true;
+	}
+
 	/**
 	 * Does one round: finishes what was left, reads counts, plans and switches.
 	 */
@@ -313,6 +320,11 @@
 		return this.fence.getAsLong() != 0;
 	}
 
+	@Override
+	public boolean leaving() {
+		return this.leaving;
+	}
+
 	/**
 	 * Gives versions of maps, which no other owner gives too.
 	 */
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -123,7 +123,9 @@
 		// Where orders go unanswered some must be given twice, which takes passes.
 		int spare = (this.unanswered > 0) ? PASSES_FOR_REPEATS : 0;
 		this.unanswered = 0;
-		for (int attempt = 0; attempt < HOLD_TRIES; attempt++) {
+		// A pass that is held while this process ends stands still until another planner
+		// finds it.
+		for (int attempt = 0; attempt < HOLD_TRIES && !this.group.leaving(); attempt++) {
 			long step = this.steps.stepAhead(attempt) + spare;
 			OrderResult held = untilAnswered(holder, new MapOrder.Hold(step), ranks);
 			if (held == OrderResult.TAKEN) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankGroupPort.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankGroupPort.java
@@ -34,4 +34,11 @@
 	 */
 	boolean onDuty();
 
+	/**
+	 * Tells whether this process leaves the duty: it finishes the pass that it holds, and
+	 * holds no other.
+	 * @return true once it leaves
+	 */
+	boolean leaving();
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
@@ -47,8 +47,6 @@
 	 * Carries the stop out, and returns when it is done or the grace has passed.
 	 */
 	public void run() {
-		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.name, "endsInMillis",
-				this.schedule.leftMillis(this.clock.nowMillis()));
 		waitUntil(this.schedule.noticedMillis());
 		closeIdleConnections();
 		// Callers may still be sent here if too few others are in rotation.
--- a/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankGroup.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankGroup.java
@@ -41,6 +41,12 @@
 
 	private boolean busy = true;
 
+	/** Whether the owner leaves the duty. */
+	boolean leaving;
+
+	/** Whether the owner leaves the duty while a pass is held. */
+	boolean leavesOnceHeld;
+
 	double unansweredShare;
 
 	/** Orders of both kinds that get no answer: half are done late, a quarter never. */
@@ -182,6 +188,11 @@
 			return !this.fenced;
 		}
 
+		@Override
+		public boolean leaving() {
+			return FakeRankGroup.this.leaving || (FakeRankGroup.this.leavesOnceHeld && held());
+		}
+
 	}
 
 	/**
--- a/gateway/src/test/java/org/snowwind/gateway/expert/MapSwitchTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/MapSwitchTests.java
@@ -111,6 +111,28 @@
 		assertThat(group.mapVersion()).isEqualTo(7);
 	}
 
+	@Test
+	void anOwnerThatLeavesHoldsNoPass() {
+		FakeRankGroup group = new FakeRankGroup(4, this.clock, new Random(1));
+		group.advance(500);
+		group.leaving = true;
+		assertThat(switchTo(group.port(1, Integer.MAX_VALUE), 7)).isEqualTo(SwitchOutcome.DROPPED);
+		group.advance(2000);
+		assertThat(group.longestHeldMillis()).isZero();
+		assertThat(group.mapVersion()).isZero();
+	}
+
+	@Test
+	void anOwnerThatLeavesReleasesThePassThatItHolds() {
+		FakeRankGroup group = new FakeRankGroup(4, this.clock, new Random(1));
+		group.advance(500);
+		group.leavesOnceHeld = true;
+		assertThat(switchTo(group.port(1, Integer.MAX_VALUE), 7)).isEqualTo(SwitchOutcome.RELEASED);
+		group.advance(2000);
+		assertThat(group.held()).isFalse();
+		assertThat(group.mapVersion()).isEqualTo(7);
+	}
+
 	@Test
 	void nothingIsRecoveredWhereNothingIsHeld() {
 		FakeRankGroup group = new FakeRankGroup(4, this.clock, new Random(1));
--- a/model/src/main/java/org/snowwind/model/duty/DutyThread.java
+++ b/model/src/main/java/org/snowwind/model/duty/DutyThread.java
@@ -78,12 +78,29 @@
 		return this.dropped.get();
 	}
 
+	/**
+	 * Lets the work that is under way end, and begins no other.
+	 * @param mostMillis how long it may take; then it is interrupted
+	 */
+	public void finish(long mostMillis) {
+		this.running = false;
+		// Wakes a thread that waits for its next tick.
+		this.ring.offer(() -> {
+		});
+		join(mostMillis);
+		close();
+	}
+
 	@Override
 	public void close() {
 		this.running = false;
 		this.thread.interrupt();
+		join(STOP_MILLIS);
+	}
+
+	private void join(long mostMillis) {
 		try {
-			this.thread.join(STOP_MILLIS);
+			this.thread.join(mostMillis);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
