Stop listening once the balancer must have noticed a stop

The decision on each request stays for those that come on connections that stand. The regression test opens its connection before the stop, since a later one is not accepted any more; what it asks for is the same: 503, not run, nothing sent.

--- a/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
@@ -48,9 +48,9 @@
 	 */
 	public void run() {
 		waitUntil(this.schedule.noticedMillis());
-		closeIdleConnections();
-		// Callers may still be sent here if too few others are in rotation.
-		waitUntilIdle(this.schedule.stopListeningMillis());
+		// Callers may still be sent here if too few others are in rotation. A connection
+		// that is not accepted leads them elsewhere; one that is accepted only to be
+		// refused uses up the one time that they come back.
 		this.callerServer.stopListening();
 		closeIdleConnections();
 		waitUntilIdle(this.schedule.endMillis());
--- a/gateway/src/main/java/org/snowwind/gateway/stop/StopSchedule.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/StopSchedule.java
@@ -5,10 +5,9 @@
  *
  * @param beganMillis when the gateway was told to stop, on its own clock
  * @param noticedMillis from when on the balancer must have noticed
- * @param stopListeningMillis from when on no new connections are taken
  * @param endMillis when what is still open is cut off
  */
-public record StopSchedule(long beganMillis, long noticedMillis, long stopListeningMillis, long endMillis) {
+public record StopSchedule(long beganMillis, long noticedMillis, long endMillis) {
 
 	/**
 	 * The balancer notices within two questions, a second apart, that we stop, in
@@ -33,9 +32,7 @@
 	 */
 	public static StopSchedule of(long nowMillis, long graceMillis) {
 		long endMillis = nowMillis + Math.max(0, graceMillis - CLOSING_MILLIS);
-		long noticedMillis = Math.min(endMillis, nowMillis + LEAVE_ROTATION_MILLIS);
-		long stopListeningMillis = Math.max(noticedMillis, Math.min(endMillis, nowMillis + graceMillis / 2));
-		return new StopSchedule(nowMillis, noticedMillis, stopListeningMillis, endMillis);
+		return new StopSchedule(nowMillis, Math.min(endMillis, nowMillis + LEAVE_ROTATION_MILLIS), endMillis);
 	}
 
 	/**
