--- a/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
@@ -47,12 +47,10 @@
 	 * Carries the stop out, and returns when it is done or the grace has passed.
 	 */
 	public void run() {
-		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.name, "endsInMillis",
-				this.schedule.leftMillis(this.clock.nowMillis()));
 		waitUntil(this.schedule.noticedMillis());
-		closeIdleConnections();
-		// Callers may still be sent here if too few others are in rotation.
-		waitUntilIdle(this.schedule.stopListeningMillis());
+		// Callers may still be sent here if too few others are in rotation. A connection
+		// that is not accepted leads them elsewhere; one that is accepted only to be
+		// refused uses up the one time that they come back.
 		this.callerServer.stopListening();
 		closeIdleConnections();
 		waitUntilIdle(this.schedule.endMillis());
