Show that an answer is taken for an attempt's by its place

Cause: an attempt's id is sent but comes back in no answer; on a kept connection only the place tells whose an answer is. A back end that answers twice, the second time when the next request has been written, answers another caller's request. Ruled out, at the agent and at the entry (these tests pass): the second answer in one piece with the first; the second answer while the connection is idle in the pool (the client library drops it); a late answer to an attempt that was given up or whose caller is gone (its connection is closed). Also at the agent: an answer that breaks in its body breaks for the entry; a failure before an answer is told as unknown. Change: a fixture of an agent before a scripted back end, and the tests.

--- a/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
+++ b/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
@@ -37,6 +37,7 @@
 import org.snowwind.model.resource.ResourceKind;
 import org.snowwind.model.resource.ResourceSpec;
 import org.snowwind.model.resource.ServiceSpec;
+import org.snowwind.standin.CallerAnswer;
 import org.snowwind.standin.ScriptedPeer;
 import org.snowwind.store.GetResult;
 import org.snowwind.store.ListResult;
--- a/entry/src/test/java/org/snowwind/entry/request/RequestFlowTests.java
+++ b/entry/src/test/java/org/snowwind/entry/request/RequestFlowTests.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.snowwind.standin.CallerAnswer;
 import org.snowwind.standin.ScriptedPeer;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/entry/src/test/java/org/snowwind/entry/request/Scripts.java
+++ b/entry/src/test/java/org/snowwind/entry/request/Scripts.java
@@ -23,6 +23,13 @@
 				+ "\r\n";
 	}
 
+	/** A refusal of a request that did not run, as an agent writes it. */
+	static String refusal(ScriptedPeer.Request request) {
+		return "HTTP/1.1 503 X\r\n" + AttemptHeaders.ATTEMPT + ": " + request.headers().get(AttemptHeaders.ATTEMPT)
+				+ "\r\nX-Snowwind-Outcome: not-run\r\n" + AttemptHeaders.REFUSAL
+				+ ": overloaded\r\nContent-Length: 0\r\n\r\n";
+	}
+
 	/** The head of an answer that comes in chunks. */
 	static String chunkedHead(ScriptedPeer.Request request) {
 		return head(request, 200, "Transfer-Encoding: chunked\r\n");
--- a/entry/src/test/java/org/snowwind/entry/request/CallerAnswer.java
+++ b/standin/src/main/java/org/snowwind/standin/CallerAnswer.java
@@ -1,4 +1,4 @@
-package org.snowwind.entry.request;
+package org.snowwind.standin;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -18,11 +18,24 @@
  * @param body the body, as far as it came
  * @param whole whether the answer ended as its head says
  */
-record CallerAnswer(int status, Map<String, String> headers, String body, boolean whole) {
+public record CallerAnswer(int status, Map<String, String> headers, String body, boolean whole) {
 
 	private static final int HEX = 16;
 
-	static CallerAnswer read(InputStream in) throws IOException {
+	/**
+	 * Copies the headers.
+	 */
+	public CallerAnswer {
+		headers = Map.copyOf(headers);
+	}
+
+	/**
+	 * Reads one answer.
+	 * @param in the bytes from the server
+	 * @return the answer
+	 * @throws IOException if nothing comes in time
+	 */
+	public static CallerAnswer read(InputStream in) throws IOException {
 		String line = readLine(in);
 		if (line.isEmpty()) {
 			return new CallerAnswer(0, Map.of(), "", false);
