Know an answer by the attempt that it names, not by its place

Cause: answers were matched to attempts by their order on a kept connection. Back ends name no request in their answers; agents could, but nobody asked. Change: an agent has a connection for each attempt at its back end, as gateways have; it names the attempt in every answer and refusal and drops the agents' own headers from a back end's answer. An entry takes an answer only if it names its attempt; bytes or an end without a head are no answer. Only a 4xx of the agent's HTTP server, which has read no id, may come without one. Connections from entry to agent stay kept. An agent must not be older than its entries, as before.

--- a/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
@@ -54,7 +54,11 @@
 
 	private final DataLoop loop = new DataLoop("agent-loop");
 
-	private final UpstreamClient client = new UpstreamClient(this.loop, CONNECT_TIMEOUT_MILLIS);
+	// Back ends name no request in their answers. On a connection that is used again, an
+	// answer that comes twice would be taken for that of the next attempt, which is
+	// another caller's.
+	private final UpstreamClient client = new UpstreamClient(this.loop, CONNECT_TIMEOUT_MILLIS,
+			UpstreamClient.Connections.FRESH, UpstreamClient.Answers.FRAMED);
 
 	private final AgentState state;
 
--- a/agent/src/main/java/org/snowwind/agent/admission/Refusals.java
+++ b/agent/src/main/java/org/snowwind/agent/admission/Refusals.java
@@ -27,6 +27,10 @@
 		headers.put("Content-Type", "application/json");
 		headers.put(Disclosure.HEADER, problem.disclosure().headerValue());
 		headers.put(AttemptHeaders.REFUSAL, problem.kind().code());
+		String attempt = exchange.header(AttemptHeaders.ATTEMPT);
+		if (attempt != null) {
+			headers.put(AttemptHeaders.ATTEMPT, attempt);
+		}
 		if (problem.retryAfterMillis() > 0) {
 			headers.put("Retry-After", Long.toString(problem.retryAfterSeconds()));
 		}
--- a/agent/src/main/java/org/snowwind/agent/admission/RunningWork.java
+++ b/agent/src/main/java/org/snowwind/agent/admission/RunningWork.java
@@ -6,6 +6,7 @@
 import org.snowwind.http.client.UpstreamCall;
 import org.snowwind.http.client.UpstreamListener;
 import org.snowwind.http.server.HttpExchange;
+import org.snowwind.model.AttemptHeaders;
 import org.snowwind.model.outcome.Disclosure;
 import org.snowwind.model.outcome.Problem;
 import org.snowwind.model.outcome.ProblemKind;
@@ -63,9 +64,17 @@
 		if (this.callerGone) {
 			return;
 		}
-		Map<String, String> passedOn = new LinkedHashMap<>(headers);
-		passedOn.put(Disclosure.HEADER, Disclosure.ANSWERED.headerValue());
-		this.exchange.begin(status, passedOn);
+		this.exchange.begin(status, agentHeaders(headers));
+	}
+
+	// A back end that used the agents' own headers would speak as its agent, which could
+	// say that work that ran did not.
+	private Map<String, String> agentHeaders(Map<String, String> backendHeaders) {
+		Map<String, String> headers = new LinkedHashMap<>(backendHeaders);
+		headers.keySet().removeIf((name) -> name.startsWith(AttemptHeaders.PREFIX));
+		headers.put(Disclosure.HEADER, Disclosure.ANSWERED.headerValue());
+		headers.put(AttemptHeaders.ATTEMPT, this.work.id().toString());
+		return headers;
 	}
 
 	@Override
--- a/agent/src/test/java/org/snowwind/agent/BackendConnectionTests.java
+++ b/agent/src/test/java/org/snowwind/agent/BackendConnectionTests.java
@@ -94,6 +94,21 @@
 		bothAttemptsGetTheirOwn();
 	}
 
+	@Test
+	void theRestOfAnAnswerThatBeganAfterAWhileGoesToNoOtherAttempt() throws IOException {
+		this.agent.meets((connection) -> {
+			connection.request();
+			connection.send(whole("", "first"));
+			await(this.firstIsDone);
+			this.surplusIsSent.countDown();
+			connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst");
+			connection.request();
+			connection.send("again");
+			always("own").play(connection);
+		}).meets(always("own"));
+		bothAttemptsGetTheirOwn();
+	}
+
 	@Test
 	void anAnswerThatComesAgainBehindTheNextRequestGoesToNoOtherAttempt() throws IOException {
 		this.surplusIsSent.countDown();
@@ -145,4 +160,29 @@
 			.containsEntry(AttemptHeaders.REFUSAL, "backend-failed");
 	}
 
+	@Test
+	void aBackEndCannotSpeakAsItsAgent() throws IOException {
+		this.agent.meets((connection) -> {
+			connection.request();
+			connection.send(whole(AttemptHeaders.REFUSAL + ": overloaded\r\nX-Snowwind-Outcome: not-run\r\n", "ran"));
+		});
+		CallerAnswer answer = this.agent.attempt("/first");
+		assertThat(answer.headers()).containsEntry("x-snowwind-outcome", "answered")
+			.doesNotContainKey(AttemptHeaders.REFUSAL);
+	}
+
+	@Test
+	void everyAnswerNamesItsAttempt() throws IOException {
+		this.agent.meets(always("own"));
+		try (Socket entry = this.agent.connect()) {
+			String id = this.agent.send(entry, "/answered");
+			assertThat(CallerAnswer.read(entry.getInputStream()).headers()).containsEntry(AttemptHeaders.ATTEMPT, id);
+			this.agent.drain();
+			String refused = this.agent.send(entry, "/refused");
+			assertThat(CallerAnswer.read(entry.getInputStream()).headers())
+				.containsEntry(AttemptHeaders.ATTEMPT, refused)
+				.containsEntry("x-snowwind-outcome", "not-run");
+		}
+	}
+
 }
--- a/entry/src/main/java/org/snowwind/entry/request/Attempt.java
+++ b/entry/src/main/java/org/snowwind/entry/request/Attempt.java
@@ -24,6 +24,10 @@
 
 	private static final int MIN_BUDGET_MILLIS = 1;
 
+	private static final int CLIENT_ERROR = 400;
+
+	private static final int SERVER_ERROR = 500;
+
 	private final RequestContext context;
 
 	private final CallerRequest request;
@@ -46,6 +50,8 @@
 
 	private boolean over;
 
+	private String cause = "none";
+
 	private ProblemKind refusal;
 
 	private Disclosure refusalDisclosure;
@@ -57,7 +63,7 @@
 		this.observer = observer;
 		this.id = context.sequence().begin();
 		this.agentIncarnation = server.incarnation();
-		this.whenLost = request.repeatable() ? this::fail : this::waitOn;
+		this.whenLost = request.repeatable() ? () -> fail("server suspected") : this::waitOn;
 	}
 
 	/**
@@ -69,7 +75,7 @@
 	void send(long budgetMillis, long headWithinMillis, int resumeAt) {
 		this.server.sent(this.whenLost);
 		this.server.breaker().sent();
-		this.timer = this.context.loop().later(this::fail, headWithinMillis);
+		this.timer = this.context.loop().later(() -> fail("no answer in time"), headWithinMillis);
 		Map<String, String> headers = new HashMap<>(this.request.headers());
 		headers.put(AttemptHeaders.ATTEMPT, this.id.toString());
 		headers.put(AttemptHeaders.INCARNATION, Long.toHexString(this.agentIncarnation));
@@ -107,6 +113,14 @@
 		return this.headArrived;
 	}
 
+	/**
+	 * Tells why the attempt ended.
+	 * @return a few words for the log
+	 */
+	String cause() {
+		return this.cause;
+	}
+
 	void reading(boolean reading) {
 		if (this.over || this.call == null) {
 			return;
@@ -134,6 +148,10 @@
 
 	@Override
 	public void onHead(int status, Map<String, String> headers) {
+		if (!answersThis(status, headers.get(AttemptHeaders.ATTEMPT))) {
+			fail("answer of attempt " + headers.get(AttemptHeaders.ATTEMPT));
+			return;
+		}
 		this.headArrived = true;
 		this.server.headArrived(this.whenLost);
 		String refusalCode = headers.get(AttemptHeaders.REFUSAL);
@@ -147,8 +165,23 @@
 		this.observer.answerBegins(status, headers);
 	}
 
+	// Known by the id that it names: on a connection that carries one attempt after
+	// another, the place of an answer does not tell whose it is. Only what an agent's
+	// HTTP
+	// server rejects before it has read an id is answered without one.
+	private boolean answersThis(int status, String namedId) {
+		if (namedId == null) {
+			return status >= CLIENT_ERROR && status < SERVER_ERROR;
+		}
+		return namedId.equals(this.id.toString());
+	}
+
 	@Override
 	public void onBytes(byte[] bytes) {
+		if (!this.headArrived) {
+			fail("bytes without a head");
+			return;
+		}
 		if (this.refusal == null) {
 			restartStallTimer(true);
 			this.observer.answerBytes(bytes);
@@ -157,6 +190,10 @@
 
 	@Override
 	public void onEnd() {
+		if (!this.headArrived) {
+			fail("an end without a head");
+			return;
+		}
 		if (this.refusal != null) {
 			finish((this.refusalDisclosure == Disclosure.NOT_RUN) ? AttemptEnd.REFUSED : AttemptEnd.BEGAN_THEN_BROKE);
 			return;
@@ -165,7 +202,8 @@
 	}
 
 	@Override
-	public void onFailure(boolean maybeSent, Throwable cause) {
+	public void onFailure(boolean maybeSent, Throwable thrown) {
+		this.cause = String.valueOf(thrown.getMessage());
 		if (!maybeSent) {
 			finish(AttemptEnd.NOT_SENT);
 			return;
@@ -181,9 +219,11 @@
 
 	/**
 	 * Gives the attempt up.
+	 * @param reason why, for the log
 	 */
-	void fail() {
+	void fail(String reason) {
 		if (!this.over) {
+			this.cause = reason;
 			cancelCall();
 			finish(this.headArrived ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.SENT_THEN_LOST);
 		}
@@ -192,7 +232,7 @@
 	private void restartStallTimer(boolean running) {
 		this.timer.cancel(false);
 		if (running && !this.over) {
-			this.timer = this.context.loop().later(this::fail, this.context.streamStallMillis());
+			this.timer = this.context.loop().later(() -> fail("silent"), this.context.streamStallMillis());
 		}
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
@@ -257,7 +257,7 @@
 		boolean engineFailed = this.request.engine() && status >= SERVER_ERROR;
 		boolean cannotContinue = this.exchange.begun() && status != OK;
 		if (engineFailed || cannotContinue) {
-			this.attempt.fail();
+			this.attempt.fail("status " + status);
 			return;
 		}
 		if (this.exchange.begun()) {
@@ -325,9 +325,9 @@
 			return;
 		}
 		EventLog.log(Event.ATTEMPT_ENDED, "attempt", this.attempt.id(), "server", this.attempt.server().name(), "end",
-				end, "headArrived", this.attempt.headArrived(), "deliveredBytes", this.bytesDelivered, "tornBytes",
-				this.tracker.tornBytes(), "remainingMillis", remainingMillis(), "next",
-				next.getClass().getSimpleName());
+				end, "cause", this.attempt.cause(), "headArrived", this.attempt.headArrived(), "deliveredBytes",
+				this.bytesDelivered, "tornBytes", this.tracker.tornBytes(), "remainingMillis", remainingMillis(),
+				"next", next.getClass().getSimpleName());
 	}
 
 	private void deadlinePassed() {
