End a call whose server changes the protocol

Cause: since provisional answers are left out, a 101 that nobody asked for is left out too; after it the decoder takes all that comes for another protocol, so the call ends by its caller's time-out only. Change: a 101 closes its connection, so that the call fails at once.

--- a/http/src/main/java/org/snowwind/http/client/FinalAnswersOnly.java
+++ b/http/src/main/java/org/snowwind/http/client/FinalAnswersOnly.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -20,6 +21,8 @@
 
 	private boolean provisional;
 
+	private boolean changesProtocol;
+
 	/**
 	 * Sets the handler up on a new connection.
 	 * @param connection the connection
@@ -32,13 +35,18 @@
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		if (message instanceof HttpResponse response) {
 			this.provisional = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+			// No answer in HTTP can follow; whoever waits for one must learn that.
+			this.changesProtocol = HttpResponseStatus.SWITCHING_PROTOCOLS.equals(response.status());
+			if (this.changesProtocol) {
+				context.close();
+			}
 		}
 		if (!this.provisional) {
 			context.fireChannelRead(message);
 			return;
 		}
 		ReferenceCountUtil.release(message);
-		this.provisional = !(message instanceof LastHttpContent);
+		this.provisional = this.changesProtocol || !(message instanceof LastHttpContent);
 	}
 
 }
