Do not continue a stream after an id that went back

Cause: ids that go back within one answer are passed on now, and moved the caller's position back with them. A stream that then broke went on after the lower id, and what the caller had came again, in an answer that looked whole. Ruled out: leaving such events out, which hid them. Change: the position is the furthest id; one that went back makes it unknown until it is passed, and the stream is cut visibly.

--- a/gateway/src/main/java/org/snowwind/gateway/request/CatchUp.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/CatchUp.java
@@ -51,7 +51,13 @@
 		return this.skippedId != null && !this.skippedId.equals(this.afterId);
 	}
 
-	private static boolean isAfter(String id, String last) {
+	/**
+	 * Tells whether an id comes after another.
+	 * @param id an id
+	 * @param last the other
+	 * @return true if its number is greater, or, without numbers, if it is another one
+	 */
+	static boolean isAfter(String id, String last) {
 		try {
 			return Long.parseLong(id) > Long.parseLong(last);
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/request/StreamPosition.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/StreamPosition.java
@@ -30,25 +30,37 @@
 		this.events++;
 		this.bytes += event.bytes().length;
 		if (event.id() != null) {
-			this.lastId = event.id();
-			this.known = true;
+			moveTo(event.id());
 		}
 		else if (event.data()) {
 			this.known = false;
 		}
 	}
 
+	// An id that went back names less than the caller has: a stream that went on after it
+	// would repeat the rest.
+	private void moveTo(String id) {
+		if (this.lastId == null || CatchUp.isAfter(id, this.lastId)) {
+			this.lastId = id;
+			this.known = true;
+		}
+		else if (!id.equals(this.lastId)) {
+			this.known = false;
+		}
+	}
+
 	/**
 	 * Returns where the stream can be continued.
-	 * @return the id of the last event that had one, {@code null} if there is none
+	 * @return the furthest id that was delivered, {@code null} if there is none
 	 */
 	String lastId() {
 		return this.lastId;
 	}
 
 	/**
-	 * Tells whether the last id names all that the caller has. After data without an id a
-	 * stream cannot be continued, for the next server would send that data once more.
+	 * Tells whether the last id names all that the caller has. After data without an id,
+	 * or with one that went back, a stream cannot be continued, for the next server would
+	 * send that data once more.
 	 * @return false if the caller has more than the last id says
 	 */
 	boolean known() {
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -234,6 +234,20 @@
 		assertWhole(this.gateway.call("/stream/a"), event(1));
 	}
 
+	/**
+	 * Ids within an answer may go backwards; the caller then has more than the last id
+	 * says, and what it has must not come again from another server.
+	 */
+	@Test
+	void aStreamThatBreaksAfterAnIdThatWentBackRepeatsNothing() throws IOException {
+		this.gateway.server(breaking(event(1) + event(2) + event(1)));
+		this.gateway.server((request, answer) -> {
+			int last = Integer.parseInt(request.headers().get("t-last"));
+			whole((last == 1) ? event(2) + event(3) : event(3)).answer(request, answer);
+		});
+		assertThat(GatewayFixture.bodyOf(this.gateway.call("/stream/a"))).containsOnlyOnce(event(2));
+	}
+
 	// ---- the end of a stream
 
 	@Test
--- a/gateway/src/test/java/org/snowwind/gateway/request/StreamPositionTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/StreamPositionTests.java
@@ -51,4 +51,18 @@
 		assertThat(position.known()).isTrue();
 	}
 
+	@Test
+	void anIdThatGoesBackLeavesThePositionUnknownUntilItIsPassed() {
+		StreamPosition position = new StreamPosition(null);
+		position.delivered(event("1", "data"));
+		position.delivered(event("2", "data"));
+		position.delivered(event("2", "again"));
+		assertThat(position.known()).isTrue();
+		position.delivered(event("1", "back"));
+		assertThat(position.known()).isFalse();
+		position.delivered(event("3", "data"));
+		assertThat(position.known()).isTrue();
+		assertThat(position.lastId()).isEqualTo("3");
+	}
+
 }
