Test answers to HEAD, without content, of one event, and stops that wait

Cover only: the head that an entry holds back reaches the caller for HEAD and for 204; a stream of one event is whole wherever its first server breaks; a caller that has all gets two attempts and 502, as before; a stop ends in time though a request waits for a server or a caller reads nothing.

--- a/entry/src/test/java/org/snowwind/entry/request/RequestFlowTests.java
+++ b/entry/src/test/java/org/snowwind/entry/request/RequestFlowTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -161,4 +162,52 @@
 		assertThat(answer.whole()).isTrue();
 	}
 
+	@Test
+	void anAnswerToHeadKeepsItsHead() throws IOException {
+		this.entry.meets((connection) -> {
+			connection.send(Scripts.head(connection.request(), 200, "X-From: first\r\nContent-Length: 100\r\n"));
+			connection.awaitClosed();
+		});
+		try (Socket socket = this.entry.connect()) {
+			ask(socket, "HEAD", "Connection: close\r\n");
+			assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+				.startsWith("HTTP/1.1 200")
+				.containsIgnoringCase("x-from: first")
+				.containsIgnoringCase("content-length: 100")
+				.endsWith("\r\n\r\n");
+		}
+	}
+
+	@Test
+	void anAnswerWithoutContentKeepsItsHeadAndItsConnection() throws IOException {
+		this.entry.meets((connection) -> {
+			connection.send(Scripts.head(connection.request(), 204, "X-From: first\r\n"));
+			connection.send(Scripts.whole(connection.request(), 200, "", "second"));
+			connection.awaitClosed();
+		});
+		try (Socket socket = this.entry.connect()) {
+			ask(socket, "GET", "");
+			String head = headOf(socket);
+			assertThat(head).startsWith("HTTP/1.1 204").containsIgnoringCase("x-from: first");
+			assertThat(head).doesNotContainIgnoringCase("transfer-encoding");
+			assertThat(this.entry.get(socket, "/lookup", "").body()).isEqualTo("second");
+		}
+	}
+
+	private static void ask(Socket socket, String method, String headers) throws IOException {
+		String line = method + " /v1/services/desk/lookup HTTP/1.1\r\n";
+		String text = line + "Host: test\r\nAuthorization: Bearer key\r\n" + headers + "\r\n";
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+	}
+
+	private static String headOf(Socket socket) throws IOException {
+		StringBuilder head = new StringBuilder();
+		int next = socket.getInputStream().read();
+		while (next >= 0 && head.indexOf("\r\n\r\n") < 0) {
+			head.append((char) next);
+			next = (head.indexOf("\r\n\r\n") < 0) ? socket.getInputStream().read() : -1;
+		}
+		return head.toString();
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
@@ -156,6 +156,30 @@
 		assertThat(server.received()).isEmpty();
 	}
 
+	@Test
+	void aRequestThatWaitsForAServerInAStopIsRefusedBeforeItEnds() throws IOException, InterruptedException {
+		this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
+		this.gateway.loadElsewhere(1000);
+		Thread stop = this.gateway.stop(noticed());
+		try (Socket socket = this.gateway.raw(HEAD + "t-patience: 400\r\nContent-Length: 4\r\n\r\nbody")) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 ");
+		}
+		stop.join();
+	}
+
+	@Test
+	void aCallerThatReadsNothingHoldsUpAStopNoLongerThanItsEnd() throws IOException, InterruptedException {
+		String body = "x".repeat(8 << 20);
+		this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, body));
+		long beganMillis = this.gateway.nowMillis();
+		try (Socket silent = this.gateway.raw(HEAD + "t-patience: 400\r\nContent-Length: 4\r\n\r\nbody")) {
+			assertThat(silent.getInputStream().read()).isEqualTo('H');
+			Thread stop = this.gateway.stop(noticed());
+			stop.join();
+		}
+		assertThat(this.gateway.nowMillis() - beganMillis).isLessThan(2 * STOP_LEFT_MILLIS);
+	}
+
 	private static String readAll(Socket socket) throws IOException {
 		return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -248,6 +248,26 @@
 		assertThat(GatewayFixture.bodyOf(this.gateway.call("/stream/a"))).containsOnlyOnce(event(2));
 	}
 
+	@Test
+	void aCallerThatHasAllGetsNoEndlessAttempts() throws IOException {
+		ScriptedServer first = this.gateway.server(whole(""));
+		ScriptedServer second = this.gateway.server(whole(event(1) + event(2)));
+		assertThat(this.gateway.call("/stream/a", "t-last: 2")).startsWith("HTTP/1.1 502");
+		assertThat(first.received().size() + second.received().size()).isEqualTo(2);
+	}
+
+	@Test
+	void aStreamOfOneEventThatBreaksAnywhereIsWhole() throws IOException {
+		for (int length = 0; length <= event(1).length(); length++) {
+			try (GatewayFixture fresh = new GatewayFixture().routed()) {
+				fresh.server(breaking(event(1).substring(0, length)));
+				fresh.server((request, answer) -> whole(request.headers().containsKey("t-last") ? "" : event(1))
+					.answer(request, answer));
+				assertWhole(fresh.call("/stream/a"), event(1));
+			}
+		}
+	}
+
 	// ---- the end of a stream
 
 	@Test
