Show that a call that stopped reading goes on reading

Cause, not proved: the library asks for the next read itself after each one, so that switching automatic reading off changes nothing. Change: a test over a real socket; it fails.

Conclusion: what a slow caller does not take lies in this process's memory, at gateways, entries and agents.

--- a/http/src/test/java/org/snowwind/http/client/KeptConnectionStateTests.java
+++ b/http/src/test/java/org/snowwind/http/client/KeptConnectionStateTests.java
@@ -54,6 +54,27 @@
 		assertThat(send(true).ended.get(CALL_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo("end");
 	}
 
+	/**
+	 * A caller reads nothing and its call stops reading, so that the answer waits at its
+	 * server and not in this process's memory.
+	 */
+	@Test
+	void aCallThatStoppedReadingTakesNoMoreThanWhatIsUnderWay() throws Exception {
+		int answerBytes = 64 << 20;
+		this.server = new ScriptedServer((connection) -> {
+			connection.nextPath();
+			connection.write("HTTP/1.1 200 X\r\nContent-Length: " + answerBytes + "\r\n\r\n");
+			String part = "x".repeat(1 << 20);
+			for (int sent = 0; sent < answerBytes; sent += part.length()) {
+				connection.write(part);
+			}
+			connection.nextPath();
+		});
+		Call stopped = send(false);
+		TimeUnit.MILLISECONDS.sleep(1500);
+		assertThat(stopped.receivedBytes.get()).isLessThan(answerBytes / 4);
+	}
+
 	@Test
 	void aChangeOfProtocolThatNobodyAskedForEndsTheCall() throws Exception {
 		this.server = new ScriptedServer((connection) -> {
