Show three ways in which a stream still repeats or mixes

RelayStreamTests aServerThatBeginsAnewWithIdsThatAreNoNumbersRepeatsNothing ids got: a b a b c dataWithoutAnIdAtTheBeginningIsNotRepeatedByAServerThatBeginsAnew "data: begin" twice aSecondAnswerBehindOneWithoutLengthIsNoPartOfTheStream got event 1, then "HTTP/1.1 200 OK", "t-signed: 1", "t-id: r1", event 1

The last is of the class 'an answer is taken by its position': an answer that ends with its connection has no end by which a second one could be told.

--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -248,6 +248,22 @@
 		assertThat(GatewayFixture.bodyOf(this.gateway.call("/stream/a"))).containsOnlyOnce(event(2));
 	}
 
+	@Test
+	void aServerThatBeginsAnewWithIdsThatAreNoNumbersRepeatsNothing() throws IOException {
+		this.gateway.server(breaking("id: a\ndata: 1\n\nid: b\ndata: 2\n\n"));
+		this.gateway.server(whole("id: a\ndata: 1\n\nid: b\ndata: 2\n\nid: c\ndata: 3\n\n"));
+		assertThat(GatewayFixture.bodyOf(this.gateway.call("/stream/a"))).containsOnlyOnce("id: a\n")
+			.containsOnlyOnce("id: b\n");
+	}
+
+	@Test
+	void dataWithoutAnIdAtTheBeginningIsNotRepeatedByAServerThatBeginsAnew() throws IOException {
+		String begin = "data: begin\n\n" + event(1);
+		this.gateway.server(breaking(begin));
+		this.gateway.server(whole(begin + event(2)));
+		assertThat(GatewayFixture.bodyOf(this.gateway.call("/stream/a"))).containsOnlyOnce("data: begin");
+	}
+
 	@Test
 	void aCallerThatHasAllGetsNoEndlessAttempts() throws IOException {
 		ScriptedServer first = this.gateway.server(whole(""));
@@ -268,6 +284,16 @@
 		}
 	}
 
+	@Test
+	void aSecondAnswerBehindOneWithoutLengthIsNoPartOfTheStream() throws IOException {
+		this.gateway.server((request, answer) -> {
+			answer.raw(UNFRAMED + event(1));
+			answer.until(new CountDownLatch(1), 50);
+			answer.raw(UNFRAMED + event(1));
+		});
+		assertThat(GatewayFixture.bodyOf(this.gateway.call("/frail/a"))).isEqualTo(event(1));
+	}
+
 	// ---- the end of a stream
 
 	@Test
