Show that a stop still cuts off what has begun no answer

Cause: what is taken before the balancer must have noticed, or before the stop, is bounded by its own time alone, and a body that is awaited by none. The end of the stop is known; nothing brings requests to an answer before it. Change: two tests over real sockets; they fail.

GatewayHandlerTests whatIsStillOpenAtTheEndAndHasBegunNoAnswerIsAnsweredNotCutOff Expecting actual: "" to start with: "HTTP/1.1 5" aBodyThatNeverComesIsAnsweredBeforeTheStopEnds (it had 0.3 s) Expecting actual: "" to start with: "HTTP/1.1 "

--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
@@ -156,6 +156,32 @@
 		assertThat(server.received()).isEmpty();
 	}
 
+	/**
+	 * Whoever was taken before the balancer noticed may ask for more than the stop has
+	 * left; the end is known, so that there is time for a true answer.
+	 */
+	@Test
+	void whatIsStillOpenAtTheEndAndHasBegunNoAnswerIsAnsweredNotCutOff() throws IOException, InterruptedException {
+		this.gateway.routed().server((request, answer) -> answer.until(this.never));
+		long nowMillis = this.gateway.nowMillis();
+		long endMillis = nowMillis + STOP_LEFT_MILLIS;
+		Thread stop = this.gateway.stop(new StopSchedule(nowMillis, endMillis, endMillis, endMillis));
+		try (Socket socket = this.gateway.send("/patient/a", "t-patience: 8000")) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 5");
+		}
+		stop.join();
+	}
+
+	@Test
+	void aBodyThatNeverComesIsAnsweredBeforeTheStopEnds() throws IOException, InterruptedException {
+		this.gateway.routed();
+		Thread stop = this.gateway.stop(noticed());
+		try (Socket socket = this.gateway.raw(HEAD + "t-patience: 300\r\nContent-Length: 4\r\n\r\nbo")) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 ");
+		}
+		stop.join();
+	}
+
 	@Test
 	void aRequestThatWaitsForAServerInAStopIsRefusedBeforeItEnds() throws IOException, InterruptedException {
 		this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
