--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
@@ -159,6 +159,56 @@
 		assertThat(server.received()).isEmpty();
 	}
 
+	/**
+	 * Whoever was taken before the balancer noticed may ask for more than the stop has
+	 * left; the end is known, so that there is time for a true answer.
+	 */
+	@Test
+	void whatIsStillOpenAtTheEndAndHasBegunNoAnswerIsAnsweredNotCutOff() throws IOException, InterruptedException {
+		this.gateway.routed().server((request, answer) -> answer.until(this.never));
+		long nowMillis = this.gateway.nowMillis();
+		long endMillis = nowMillis + STOP_LEFT_MILLIS;
+		Thread stop = this.gateway.stop(new StopSchedule(nowMillis, endMillis, endMillis, endMillis));
+		try (Socket socket = this.gateway.send("/patient/a", "t-patience: 8000")) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 5");
+		}
+		stop.join();
+	}
+
+	@Test
+	void aBodyThatNeverComesIsAnsweredBeforeTheStopEnds() throws IOException, InterruptedException {
+		this.gateway.routed();
+		Thread stop = this.gateway.stop(noticed());
+		try (Socket socket = this.gateway.raw(HEAD + "t-patience: 300\r\nContent-Length: 4\r\n\r\nbo")) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 ");
+		}
+		stop.join();
+	}
+
+	@Test
+	void aRequestThatWaitsForAServerInAStopIsRefusedBeforeItEnds() throws IOException, InterruptedException {
+		this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
+		this.gateway.loadElsewhere(1000);
+		Thread stop = this.gateway.stop(noticed());
+		try (Socket socket = this.gateway.raw(HEAD + "t-patience: 400\r\nContent-Length: 4\r\n\r\nbody")) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 ");
+		}
+		stop.join();
+	}
+
+	@Test
+	void aCallerThatReadsNothingHoldsUpAStopNoLongerThanItsEnd() throws IOException, InterruptedException {
+		String body = "x".repeat(8 << 20);
+		this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, body));
+		long beganMillis = this.gateway.nowMillis();
+		try (Socket silent = this.gateway.raw(HEAD + "t-patience: 400\r\nContent-Length: 4\r\n\r\nbody")) {
+			assertThat(silent.getInputStream().read()).isEqualTo('H');
+			Thread stop = this.gateway.stop(noticed());
+			stop.join();
+		}
+		assertThat(this.gateway.nowMillis() - beganMillis).isLessThan(2 * STOP_LEFT_MILLIS);
+	}
+
 	private static String readAll(Socket socket) throws IOException {
 		return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -234,6 +234,66 @@
 		assertWhole(this.gateway.call("/stream/a"), event(1));
 	}
 
+	/**
+	 * Ids within an answer may go backwards; the caller then has more than the last id
+	 * says, and what it has must not come again from another server.
+	 */
+	@Test
+	void aStreamThatBreaksAfterAnIdThatWentBackRepeatsNothing() throws IOException {
+		this.gateway.server(breaking(event(1) + event(2) + event(1)));
+		this.gateway.server((request, answer) -> {
+			int last = Integer.parseInt(request.headers().get("t-last"));
+			whole((last == 1) ? event(2) + event(3) : event(3)).answer(request, answer);
+		});
+		assertThat(GatewayFixture.bodyOf(this.gateway.call("/stream/a"))).containsOnlyOnce(event(2));
+	}
+
+	@Test
+	void aServerThatBeginsAnewWithIdsThatAreNoNumbersRepeatsNothing() throws IOException {
+		this.gateway.server(breaking("id: a\ndata: 1\n\nid: b\ndata: 2\n\n"));
+		this.gateway.server(whole("id: a\ndata: 1\n\nid: b\ndata: 2\n\nid: c\ndata: 3\n\n"));
+		assertThat(GatewayFixture.bodyOf(this.gateway.call("/stream/a"))).containsOnlyOnce("id: a\n")
+			.containsOnlyOnce("id: b\n");
+	}
+
+	@Test
+	void dataWithoutAnIdAtTheBeginningIsNotRepeatedByAServerThatBeginsAnew() throws IOException {
+		String begin = "data: begin\n\n" + event(1);
+		this.gateway.server(breaking(begin));
+		this.gateway.server(whole(begin + event(2)));
+		assertThat(GatewayFixture.bodyOf(this.gateway.call("/stream/a"))).containsOnlyOnce("data: begin");
+	}
+
+	@Test
+	void aCallerThatHasAllGetsNoEndlessAttempts() throws IOException {
+		ScriptedServer first = this.gateway.server(whole(""));
+		ScriptedServer second = this.gateway.server(whole(event(1) + event(2)));
+		assertThat(this.gateway.call("/stream/a", "t-last: 2")).startsWith("HTTP/1.1 502");
+		assertThat(first.received().size() + second.received().size()).isEqualTo(2);
+	}
+
+	@Test
+	void aStreamOfOneEventThatBreaksAnywhereIsWhole() throws IOException {
+		for (int length = 0; length <= event(1).length(); length++) {
+			try (GatewayFixture fresh = new GatewayFixture().routed()) {
+				fresh.server(breaking(event(1).substring(0, length)));
+				fresh.server((request, answer) -> whole(request.headers().containsKey("t-last") ? "" : event(1))
+					.answer(request, answer));
+				assertWhole(fresh.call("/stream/a"), event(1));
+			}
+		}
+	}
+
+	@Test
+	void aSecondAnswerBehindOneWithoutLengthIsNoPartOfTheStream() throws IOException {
+		this.gateway.server((request, answer) -> {
+			answer.raw(UNFRAMED + event(1));
+			answer.until(new CountDownLatch(1), 50);
+			answer.raw(UNFRAMED + event(1));
+		});
+		assertThat(GatewayFixture.bodyOf(this.gateway.call("/frail/a"))).isEqualTo(event(1));
+	}
+
 	// ---- the end of a stream
 
 	@Test
