Answer what a stop leaves open; take no second answer for a part of a stream

Class: work that cannot be finished before a bound that is known. Now all that has begun no answer gets a true one 0.1 s before the end (504, or 503 and not run). - an answer that ends with its connection has no other end, so a second answer of its server was passed on as events (got event 1, then a status line and event 1 again). Class: an answer is taken by its place. A line that begins another answer now breaks the stream, which goes on elsewhere or is cut. - a server that began anew was not recognised by ids without order, nor by data without an id before the first id: events came twice. Such a stream is not continued; such data waits for the id that follows it. - a call that stopped reading read on (64 MiB of 64 arrived): the library asks for reads itself, and the transport reads on while reading is automatic. ReadGate holds both back, and opens again for the next call. - a thread that was interrupted while it asked the loop was told 0, so that a stop would have seen nothing open. Change to tests: aBodyThatNeverComes... opens its connection before the stop and now asks for 503; CatchUpTests ask newOnes, which replaces isNew, the same questions and more.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -391,8 +391,8 @@
 		}
 
 		@Override
-		public void logCutOff() {
-			GatewayDaemon.this.loop.ask(GatewayDaemon.this.handler::logCutOff, 0);
+		public void endAll() {
+			GatewayDaemon.this.loop.ask(GatewayDaemon.this.handler::endAll, 0);
 		}
 
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/request/AnswerBuffer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/AnswerBuffer.java
@@ -108,6 +108,14 @@
 		return stream() && this.events.unfinished();
 	}
 
+	/**
+	 * Tells whether another answer began within a stream.
+	 * @return true if it did, false for a plain answer
+	 */
+	boolean overrun() {
+		return stream() && this.events.overrun();
+	}
+
 	/**
 	 * Counts the bytes that are held because their event is not whole yet.
 	 * @return a number of bytes, 0 for a plain answer
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -185,6 +185,9 @@
 		if (!events.isEmpty()) {
 			this.listener.eventsArrived(events);
 		}
+		if (this.answer.overrun()) {
+			giveUp("another answer within the stream");
+		}
 	}
 
 	@Override
--- a/gateway/src/main/java/org/snowwind/gateway/request/CatchUp.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/CatchUp.java
@@ -1,5 +1,8 @@
 package org.snowwind.gateway.request;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * Leaves out what the caller has where a stream that is continued begins earlier.
  *
@@ -15,6 +18,9 @@
 
 	private String skippedId;
 
+	/** Data without an id that came first: the next id tells whether it is new. */
+	private final List<StreamEvent> undecided = new ArrayList<>();
+
 	/**
 	 * Creates the beginning of an attempt's stream.
 	 * @param afterId the last event that the caller has, {@code null} for none
@@ -25,30 +31,63 @@
 	}
 
 	/**
-	 * Tells whether the caller does not have an event yet. One without an id goes the way
-	 * of the one before it.
-	 * @param event the next event of the attempt
-	 * @return false if it is left out
+	 * Takes the next event of the attempt.
+	 * @param event the event
+	 * @return what the caller does not have, of this event and those before it
 	 */
-	boolean isNew(StreamEvent event) {
+	List<StreamEvent> newOnes(StreamEvent event) {
 		if (this.caughtUp) {
-			return true;
-		}
-		if (event.id() == null) {
-			return this.skippedId == null || this.skippedId.equals(this.afterId);
+			return List.of(event);
 		}
+		return (event.id() != null) ? withId(event) : withoutId(event);
+	}
+
+	private List<StreamEvent> withId(StreamEvent event) {
 		this.caughtUp = isAfter(event.id(), this.afterId);
+		List<StreamEvent> newOnes = new ArrayList<>();
+		if (this.caughtUp) {
+			newOnes.addAll(this.undecided);
+			newOnes.add(event);
+		}
 		this.skippedId = this.caughtUp ? null : event.id();
-		return this.caughtUp;
+		this.undecided.clear();
+		return newOnes;
+	}
+
+	// One without an id goes the way of the one before it.
+	private List<StreamEvent> withoutId(StreamEvent event) {
+		if (this.skippedId != null) {
+			return this.skippedId.equals(this.afterId) ? List.of(event) : List.of();
+		}
+		if (event.data()) {
+			this.undecided.add(event);
+			return List.of();
+		}
+		return List.of(event);
 	}
 
 	/**
-	 * Tells whether the attempt began before the caller's position and has not reached
-	 * it.
+	 * Tells whether the attempt has not passed the caller's position for certain.
 	 * @return true if the stream cannot be whole here
 	 */
 	boolean behind() {
-		return this.skippedId != null && !this.skippedId.equals(this.afterId);
+		boolean beforePosition = this.skippedId != null && !this.skippedId.equals(this.afterId);
+		return beforePosition || !this.undecided.isEmpty();
+	}
+
+	/**
+	 * Tells whether ids have an order, by which a server that begins anew is recognised.
+	 * @param id an id
+	 * @return true if it is a number
+	 */
+	static boolean ordered(String id) {
+		try {
+			Long.parseLong(id);
+			return true;
+		}
+		catch (NumberFormatException ex) {
+			return false;
+		}
 	}
 
 	/**
@@ -58,12 +97,10 @@
 	 * @return true if its number is greater, or, without numbers, if it is another one
 	 */
 	static boolean isAfter(String id, String last) {
-		try {
+		if (ordered(id) && ordered(last)) {
 			return Long.parseLong(id) > Long.parseLong(last);
 		}
-		catch (NumberFormatException ex) {
-			return !id.equals(last);
-		}
+		return !id.equals(last);
 	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/EventStream.java
@@ -24,6 +24,8 @@
 
 	private static final String DATA_FIELD = "data";
 
+	private static final String STATUS_LINE = "HTTP/1.";
+
 	private final ByteArrayOutputStream event = new ByteArrayOutputStream();
 
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -34,6 +36,8 @@
 
 	private boolean data;
 
+	private boolean overrun;
+
 	/**
 	 * Creates the stream of an attempt that has received nothing.
 	 * @param afterId the event after which the stream is continued, {@code null} if it
@@ -52,6 +56,9 @@
 	List<StreamEvent> take(byte[] bytes) {
 		List<StreamEvent> whole = new ArrayList<>();
 		for (byte next : bytes) {
+			if (this.overrun) {
+				break;
+			}
 			this.event.write(next);
 			if (next != LINE_FEED) {
 				this.line.write(next);
@@ -75,6 +82,7 @@
 			this.eventId = id.isEmpty() ? null : id;
 		}
 		this.data = this.data || text.startsWith(DATA_FIELD);
+		this.overrun = text.startsWith(STATUS_LINE);
 		return text.isEmpty();
 	}
 
@@ -83,9 +91,17 @@
 		this.event.reset();
 		this.eventId = null;
 		this.data = false;
-		if (this.catchUp.isNew(finished)) {
-			whole.add(finished);
-		}
+		whole.addAll(this.catchUp.newOnes(finished));
+	}
+
+	/**
+	 * Tells whether another answer began within the stream. One that ends with its
+	 * connection has no other end by which a second answer of its server could be told;
+	 * that answer is nobody's, and nothing after its head is taken.
+	 * @return true once a line was the first of another answer
+	 */
+	boolean overrun() {
+		return this.overrun;
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -1,6 +1,7 @@
 package org.snowwind.gateway.request;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -85,13 +86,17 @@
 	}
 
 	/**
-	 * Logs the requests that are cut off now.
-	 * @return how many lines were written
+	 * Ends the open requests and takes no more. One whose answer has not begun gets a
+	 * true one, since its caller cannot tell a connection that closes from a loss.
+	 * @return how many were open
 	 */
-	public int logCutOff() {
+	public int endAll() {
+		this.closed = true;
 		long nowMillis = this.context.clock().nowMillis();
-		this.open.stream().limit(MAX_CUT_OFF_LINES).forEach((request) -> request.logCutOff(nowMillis));
-		return Math.min(this.open.size(), MAX_CUT_OFF_LINES);
+		List<OpenRequest> left = List.copyOf(this.open);
+		left.stream().limit(MAX_CUT_OFF_LINES).forEach((request) -> request.logCutOff(nowMillis));
+		left.forEach(OpenRequest::end);
+		return left.size();
 	}
 
 	@Override
@@ -99,7 +104,7 @@
 		long arrivedMillis = this.context.clock().nowMillis();
 		Map<String, String> headers = exchange.headers();
 		CallerHead head = this.context.dialect().readCaller(headers);
-		OpenRequest counted = new OpenRequest(head, arrivedMillis);
+		OpenRequest counted = new OpenRequest(exchange, head, arrivedMillis);
 		this.open.add(counted);
 		exchange.onGone(counted::ended);
 		if (this.stop != null) {
@@ -116,8 +121,9 @@
 			return;
 		}
 		exchange.readBody(table.limits().maxBodyBytes(), (body) -> {
-			// The body may have taken long, and the stop may have begun or gone on.
-			if (refusedByStop(exchange, counted, deadlineMillis)) {
+			// The body may have taken long, and the stop may have begun, gone on or ended
+			// the request.
+			if (!this.open.contains(counted) || refusedByStop(exchange, counted, deadlineMillis)) {
 				return;
 			}
 			CallerRequest request = new CallerRequest(head, exchange.method(), exchange.target(),
@@ -128,7 +134,7 @@
 			if (this.stop != null) {
 				logInStop(Event.TAKEN_IN_STOP, exchange, head, deadlineMillis);
 			}
-			new Relay(this.context, request, exchange, counted::ended).start();
+			counted.carry(request);
 		}, counted::ended);
 	}
 
@@ -142,9 +148,7 @@
 		boolean taken = !this.closed && this.stop.takes(this.context.clock().nowMillis(), deadlineMillis);
 		if (!taken) {
 			logInStop(Event.REFUSED_IN_STOP, exchange, request.head, deadlineMillis);
-			request.ended();
-			OwnAnswers.problem(exchange, this.context.dialect(), request.head.requestId(),
-					Problem.notRun(ProblemKind.NOT_READY, "this gateway stops").retryAfter(STOPPING_RETRY_MILLIS));
+			request.refuse();
 		}
 		return !taken;
 	}
@@ -211,15 +215,43 @@
 	 */
 	private final class OpenRequest {
 
+		private final HttpExchange exchange;
+
 		private final CallerHead head;
 
 		private final long arrivedMillis;
 
-		private OpenRequest(CallerHead head, long arrivedMillis) {
+		/** {@code null} until the whole request is read. */
+		private Relay relay;
+
+		private OpenRequest(HttpExchange exchange, CallerHead head, long arrivedMillis) {
+			this.exchange = exchange;
 			this.head = head;
 			this.arrivedMillis = arrivedMillis;
 		}
 
+		private void carry(CallerRequest request) {
+			this.relay = new Relay(GatewayHandler.this.context, request, this.exchange, this::ended);
+			this.relay.start();
+		}
+
+		// Nothing was sent, so that it may run elsewhere.
+		private void refuse() {
+			ended();
+			OwnAnswers.problem(this.exchange, GatewayHandler.this.context.dialect(), this.head.requestId(),
+					Problem.notRun(ProblemKind.NOT_READY, "this gateway stops").retryAfter(STOPPING_RETRY_MILLIS));
+		}
+
+		private void end() {
+			this.exchange.closeAfterAnswer();
+			if (this.relay == null) {
+				refuse();
+			}
+			else {
+				this.relay.endNow();
+			}
+		}
+
 		private void ended() {
 			GatewayHandler.this.open.remove(this);
 		}
@@ -227,8 +259,8 @@
 		private void logCutOff(long nowMillis) {
 			StopSchedule schedule = GatewayHandler.this.stop;
 			EventLog.log(Event.CUT_OFF_IN_STOP, "request", this.head.requestId(), "takenAfterMillis",
-					schedule.elapsedMillis(this.arrivedMillis), "openMillis", nowMillis - this.arrivedMillis,
-					"patienceMillis", this.head.patienceMillis());
+					schedule.elapsedMillis(this.arrivedMillis), "openMillis", nowMillis - this.arrivedMillis, "begun",
+					this.exchange.begun(), "patienceMillis", this.head.patienceMillis());
 		}
 
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -95,10 +95,8 @@
 		this.whenEnded = whenEnded;
 		this.timing = Timing.of(request.route());
 		this.wantedSinceMillis = request.arrivedMillis();
-		long patience = request.head().patienceMillis();
-		long allowed = (patience >= 0) ? Math.min(patience, request.route().timeoutMillis())
-				: request.route().timeoutMillis();
-		this.deadlineMillis = request.arrivedMillis() + allowed - ANSWER_MARGIN_MILLIS;
+		this.deadlineMillis = request.arrivedMillis() + request.head().allowedMillis(request.route())
+				- ANSWER_MARGIN_MILLIS;
 		this.times = new EventTimes(request.arrivedMillis());
 		this.position = new StreamPosition(request.head().lastEventId());
 	}
@@ -106,7 +104,7 @@
 	void start() {
 		this.exchange.onGone(this::callerGone);
 		this.exchange.onWritableChange(this::adjustReading);
-		this.deadlineTimer = this.context.loop().later(this::deadlinePassed, remainingMillis());
+		this.deadlineTimer = this.context.loop().later(this::endNow, remainingMillis());
 		this.context.budgets().request(this.request.service());
 		dispatch();
 	}
@@ -390,7 +388,11 @@
 				"remainingMillis", situation.remainingMillis());
 	}
 
-	private void deadlinePassed() {
+	/**
+	 * Ends the request, since its time is over or that of its gateway: with what is known
+	 * to be true of it, or by breaking off an answer that has begun.
+	 */
+	void endNow() {
 		if (this.finished) {
 			return;
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/request/StreamPosition.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/StreamPosition.java
@@ -42,7 +42,7 @@
 	private void moveTo(String id) {
 		if (this.lastId == null || CatchUp.isAfter(id, this.lastId)) {
 			this.lastId = id;
-			this.known = true;
+			this.known = CatchUp.ordered(id);
 		}
 		else if (!id.equals(this.lastId)) {
 			this.known = false;
@@ -59,8 +59,8 @@
 
 	/**
 	 * Tells whether the last id names all that the caller has. After data without an id,
-	 * or with one that went back, a stream cannot be continued, for the next server would
-	 * send that data once more.
+	 * with one that went back or with one that has no order, a stream cannot be
+	 * continued, for the next server could send that data once more.
 	 * @return false if the caller has more than the last id says
 	 */
 	boolean known() {
--- a/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
@@ -53,9 +53,11 @@
 		// refused uses up the one time that they come back.
 		this.callerServer.stopListening();
 		closeIdleConnections();
-		waitUntilIdle(this.schedule.endMillis());
+		waitUntilIdle(this.schedule.lastAnswersMillis());
+		endWhatIsOpen();
 		waitUntilClosed(this.schedule.endMillis());
-		logEnd();
+		EventLog.log(Event.GATEWAY_STOPPED, "gateway", this.name, "tookMillis",
+				this.schedule.elapsedMillis(this.clock.nowMillis()));
 		this.callerServer.close();
 	}
 
@@ -66,14 +68,12 @@
 		this.callerServer.closeIdleConnections();
 	}
 
-	private void logEnd() {
+	private void endWhatIsOpen() {
 		int left = this.openRequests.count();
 		if (left > 0) {
-			this.openRequests.logCutOff();
+			this.openRequests.endAll();
 			EventLog.log(Event.DRAIN_BOUND_PASSED, "gateway", this.name, "cutOff", left);
 		}
-		EventLog.log(Event.GATEWAY_STOPPED, "gateway", this.name, "tookMillis",
-				this.schedule.elapsedMillis(this.clock.nowMillis()));
 	}
 
 	private void waitUntil(long untilMillis) {
--- a/gateway/src/main/java/org/snowwind/gateway/stop/OpenRequests.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/OpenRequests.java
@@ -19,8 +19,9 @@
 	boolean closeIfNone();
 
 	/**
-	 * Logs each request that is still open when the stop cuts it off.
+	 * Ends each request that is still open: with a true answer where none has begun, and
+	 * by breaking off an answer that has. Takes no more requests.
 	 */
-	void logCutOff();
+	void endAll();
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/stop/StopSchedule.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/StopSchedule.java
@@ -20,7 +20,8 @@
 
 	/**
 	 * A request that takes all of its time must be answered this much before the end, in
-	 * milliseconds, so that its answer is written on a busy machine too.
+	 * milliseconds, so that its answer is written on a busy machine too; what is open
+	 * then is answered as far as it can be.
 	 */
 	private static final long ANSWER_MARGIN_MILLIS = 100;
 
@@ -48,6 +49,14 @@
 		return nowMillis < this.noticedMillis || deadlineMillis + ANSWER_MARGIN_MILLIS <= this.endMillis;
 	}
 
+	/**
+	 * Returns when the last answers are given.
+	 * @return a little before the end, so that they are written
+	 */
+	public long lastAnswersMillis() {
+		return Math.max(this.beganMillis, this.endMillis - ANSWER_MARGIN_MILLIS);
+	}
+
 	/**
 	 * Returns how long the stop has lasted.
 	 * @param nowMillis the time now
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -288,8 +288,8 @@
 		}
 
 		@Override
-		public void logCutOff() {
-			GatewayFixture.this.loop.ask(GatewayFixture.this.handler::logCutOff, 0);
+		public void endAll() {
+			GatewayFixture.this.loop.ask(GatewayFixture.this.handler::endAll, 0);
 		}
 
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
@@ -168,7 +168,7 @@
 		this.gateway.routed().server((request, answer) -> answer.until(this.never));
 		long nowMillis = this.gateway.nowMillis();
 		long endMillis = nowMillis + STOP_LEFT_MILLIS;
-		Thread stop = this.gateway.stop(new StopSchedule(nowMillis, endMillis, endMillis, endMillis));
+		Thread stop = this.gateway.stop(new StopSchedule(nowMillis, endMillis, endMillis));
 		try (Socket socket = this.gateway.send("/patient/a", "t-patience: 8000")) {
 			assertThat(readAll(socket)).startsWith("HTTP/1.1 5");
 		}
@@ -178,9 +178,12 @@
 	@Test
 	void aBodyThatNeverComesIsAnsweredBeforeTheStopEnds() throws IOException, InterruptedException {
 		this.gateway.routed();
-		Thread stop = this.gateway.stop(noticed());
+		Thread stop;
+		// Its connection stands when the gateway stops listening.
 		try (Socket socket = this.gateway.raw(HEAD + "t-patience: 300\r\nContent-Length: 4\r\n\r\nbo")) {
-			assertThat(readAll(socket)).startsWith("HTTP/1.1 ");
+			awaitOpen();
+			stop = this.gateway.stop(noticed());
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 503");
 		}
 		stop.join();
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/StreamPositionTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/StreamPositionTests.java
@@ -65,4 +65,11 @@
 		assertThat(position.lastId()).isEqualTo("3");
 	}
 
+	@Test
+	void anIdWithoutOrderLeavesThePositionUnknown() {
+		StreamPosition position = new StreamPosition(null);
+		position.delivered(event("a", "data"));
+		assertThat(position.known()).isFalse();
+	}
+
 }
--- a/http/src/main/java/org/snowwind/http/DataLoop.java
+++ b/http/src/main/java/org/snowwind/http/DataLoop.java
@@ -96,7 +96,8 @@
 	/**
 	 * Asks for a number that only the thread may read, and waits for it.
 	 * @param question reads the number
-	 * @param otherwise taken if the thread does not answer within a second
+	 * @param otherwise taken if the thread does not answer within a second, or the asking
+	 * one is interrupted
 	 * @return the number
 	 */
 	public int ask(IntSupplier question, int otherwise) {
@@ -107,7 +108,7 @@
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
-			return 0;
+			return otherwise;
 		}
 		catch (ExecutionException | TimeoutException ex) {
 			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "asking the loop");
--- a/http/src/main/java/org/snowwind/http/client/UpstreamCall.java
+++ b/http/src/main/java/org/snowwind/http/client/UpstreamCall.java
@@ -60,7 +60,7 @@
 	public void reading(boolean reading) {
 		Channel current = this.channel;
 		if (current != null && !this.over) {
-			current.config().setAutoRead(reading);
+			ReadGate.set(current, reading);
 		}
 	}
 
@@ -78,7 +78,10 @@
 		this.channel = connection;
 		if (this.over) {
 			connection.close();
+			return;
 		}
+		// An earlier call on a kept connection may have stopped reading.
+		ReadGate.set(connection, true);
 	}
 
 	@Override
--- a/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
+++ b/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 
+import io.netty.channel.Channel;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.netty.channel.ChannelManager;
 import org.snowwind.http.DataLoop;
 
 /**
@@ -56,11 +58,16 @@
 			.setPooledConnectionIdleTimeout(Duration.ofSeconds(20))
 			.setTcpNoDelay(true)
 			.setCookieStore(null)
-			.setHttpAdditionalChannelInitializer(FinalAnswersOnly::on)
+			.setHttpAdditionalChannelInitializer(UpstreamClient::prepare)
 			.setUserAgent("snowwind");
 		this.client = Dsl.asyncHttpClient(config);
 	}
 
+	private static void prepare(Channel connection) {
+		FinalAnswersOnly.on(connection);
+		connection.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, new ReadGate());
+	}
+
 	/**
 	 * Sends a request.
 	 * @param request the request
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -152,7 +152,7 @@
 	TAKEN_IN_STOP(1207, Level.INFO, "request taken in a stop"),
 
 	/** A request was still open at the end of a stop. */
-	CUT_OFF_IN_STOP(1208, Level.WARNING, "request cut off by a stop"),
+	CUT_OFF_IN_STOP(1208, Level.WARNING, "request ended by a stop"),
 
 	/** Connections without a request are closed in a stop. */
 	CONNECTIONS_CLOSING(1209, Level.INFO, "idle connections closed in a stop"),
