Listen to the end of a stop, and take all for 2.9 s of it

Change: connections are taken, and answered, until nothing is open or the stop ends. All is taken until 2.9 s instead of 2.6 s after the signal, which is what the balancer is given.

--- a/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
@@ -48,12 +48,12 @@
 	 */
 	public void run() {
 		waitUntil(this.schedule.noticedMillis());
-		// Callers may still be sent here if too few others are in rotation. A connection
-		// that is not accepted leads them elsewhere; one that is accepted only to be
-		// refused uses up the one time that they come back.
-		this.callerServer.stopListening();
 		closeIdleConnections();
+		// Callers may still be sent here if too few others are in rotation: they are told
+		// more by an answer than by a connection that fails.
 		waitUntilIdle(this.schedule.endMillis());
+		this.callerServer.stopListening();
+		closeIdleConnections();
 		waitUntilClosed(this.schedule.endMillis());
 		logEnd();
 		this.callerServer.close();
--- a/gateway/src/main/java/org/snowwind/gateway/stop/StopSchedule.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/StopSchedule.java
@@ -10,10 +10,11 @@
 public record StopSchedule(long beganMillis, long noticedMillis, long endMillis) {
 
 	/**
-	 * The balancer notices within two questions, a second apart, that we stop, in
-	 * milliseconds.
+	 * The balancer notices within two questions, a second apart, that we stop; what it
+	 * sends later than 3 s after the signal must be answered in full. A tenth of a second
+	 * is for the way here. In milliseconds.
 	 */
-	private static final long LEAVE_ROTATION_MILLIS = 2600;
+	private static final long LEAVE_ROTATION_MILLIS = 2900;
 
 	/** What is kept of the grace for closing down, in milliseconds. */
 	private static final long CLOSING_MILLIS = 700;
--- a/gateway/src/test/java/org/snowwind/gateway/stop/StopScheduleTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/stop/StopScheduleTests.java
@@ -23,12 +23,12 @@
 	@Test
 	void theMomentsFollowFromTheGrace() {
 		long beganMillis = this.clock.nowMillis();
-		assertThat(this.schedule).isEqualTo(new StopSchedule(beganMillis, beganMillis + 2600, beganMillis + 7300));
+		assertThat(this.schedule).isEqualTo(new StopSchedule(beganMillis, beganMillis + 2900, beganMillis + 7300));
 	}
 
 	@Test
 	void allIsTakenUntilTheBalancerMustHaveNoticed() {
-		this.clock.advance(2599);
+		this.clock.advance(2899);
 		assertThat(takes(STREAM_MILLIS)).isTrue();
 		this.clock.advance(1);
 		assertThat(takes(STREAM_MILLIS)).isFalse();
@@ -36,10 +36,10 @@
 
 	@Test
 	void thenOnlyWhatCertainlyEndsBeforeTheStopIsTaken() {
-		this.clock.advance(2600);
-		assertThat(takes(4600)).isTrue();
-		assertThat(takes(4601)).as("no time is left to write the answer").isFalse();
-		this.clock.advance(4000);
+		this.clock.advance(2900);
+		assertThat(takes(4300)).isTrue();
+		assertThat(takes(4301)).as("no time is left to write the answer").isFalse();
+		this.clock.advance(3700);
 		assertThat(takes(600)).isTrue();
 		assertThat(takes(601)).isFalse();
 	}
