--- a/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
+++ b/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
@@ -1,5 +1,6 @@
 package org.snowwind.http.server;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -171,6 +172,10 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		boolean callerLeft = cause instanceof IOException;
+		if (!callerLeft) {
+			EventLog.log(Event.INTERNAL_FAULT, cause, "where", "connection");
+		}
 		context.close();
 	}
 
