Test a body that does not come at a stop, and slow callers on kept connections

Cause: two questions were left. Is a request whose body is still on its way at the end of a stop told the truth? Does a connection whose reading was stopped by a slow caller serve the next attempt? Change: a test for each.

Conclusion: a body that doesn't come is told as not run since the repair.

--- a/app/src/test/java/org/snowwind/app/proof/EntryStopTests.java
+++ b/app/src/test/java/org/snowwind/app/proof/EntryStopTests.java
@@ -155,6 +155,22 @@
 		}
 	}
 
+	@Test
+	void aRequestWhoseBodyDoesNotComeInTimeIsToldThatItDidNotRun() throws Exception {
+		try (Socket caller = connect()) {
+			send(caller, "POST /v1/services/desk/charge", StandInPlainService.TAG + ": halted\r\n", 2, "{");
+			awaitOpen();
+			stop();
+			CallerAnswer answer = CallerAnswer.read(caller.getInputStream());
+			assertThat(answer.status()).isEqualTo(503);
+			assertThat(answer.headers()).containsEntry("x-snowwind-outcome", "not-run")
+				.containsEntry("connection", "close");
+			caller.getOutputStream().write('}');
+			this.stopped.join();
+			assertThat(this.fleet.effects()).doesNotContainKey("halted");
+		}
+	}
+
 	@Test
 	void whoeverHearsOfAnEntryThatStopsHearsToLeaveIt() throws Exception {
 		try (Socket slow = connect(); Socket caller = connect()) {
@@ -180,10 +196,15 @@
 			stop();
 			assertThat(idle.getInputStream().read()).isEqualTo(-1);
 			assertThat(this.stopped).isNotDone();
-			assertThat(slow.getInputStream().available()).as("the slow request is still open").isZero();
+			assertThat(CallerAnswer.read(slow.getInputStream()).status()).as("the slow request goes on").isEqualTo(504);
 		}
 	}
 
+	private void awaitOpen() throws InterruptedException {
+		assertThat(ProcessFleet.eventually(() -> admin(this.entry.addresses().admin(), "/metrics").body()
+			.contains("snowwind_entry_open_requests 1.0"))).isTrue();
+	}
+
 	private void awaitDraining() throws InterruptedException {
 		assertThat(ProcessFleet.eventually(() -> admin(this.entry.addresses().admin(), "/readyz").status() != 200))
 			.isTrue();
