Plan all stops by one class

Cause: gateway, entry and agent had two classes of the same name, one with a clock and one with moments, and slightly different rules. Change: StopSchedule in decide is a record of the moments of a stop; gateway, entry and agent plan theirs with their own constants. boundedMillis, which nobody called, is gone with its two assertions; the margin for the last answers is part of the schedule and has a test. Ruled out: a change of behaviour: a request is taken by the same comparison.

--- a/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
@@ -155,20 +155,21 @@
 	 * that is gone may have run, for all that anybody can say.
 	 */
 	public void drainAndStop() {
-		StopSchedule schedule = new StopSchedule(this.clock, ENTRIES_KNOW_MILLIS, this.settings.drainMillis());
+		StopSchedule schedule = StopSchedule.of(this.clock.nowMillis(), ENTRIES_KNOW_MILLIS,
+				this.settings.drainMillis(), 0);
 		this.loop.ask(() -> {
 			this.state.drain("stop");
 			return 0;
 		}, 0);
 		long drainedMillis = this.clock.nowMillis();
-		waitUntil(() -> schedule.known() || entriesKnow(drainedMillis));
+		waitUntil(() -> schedule.known(this.clock.nowMillis()) || entriesKnow(drainedMillis));
 		this.server.stopListening();
 		this.server.closeIdleConnections();
-		waitUntil(() -> schedule.over() || running() == 0);
+		waitUntil(() -> schedule.over(this.clock.nowMillis()) || running() == 0);
 		this.loop.run(this.state::cutOff);
 		this.server.closeIdleConnections();
-		StopSchedule closing = new StopSchedule(this.clock, 0, CLOSING_MILLIS);
-		waitUntil(() -> closing.over() || this.server.connections() == 0);
+		StopSchedule closing = StopSchedule.of(this.clock.nowMillis(), 0, CLOSING_MILLIS, 0);
+		waitUntil(() -> closing.over(this.clock.nowMillis()) || this.server.connections() == 0);
 		close();
 		EventLog.log(Event.AGENT_STOPPED, "agent", this.settings.name());
 	}
--- a/decide/src/main/java/org/snowwind/decide/stop/StopSchedule.java
+++ b/decide/src/main/java/org/snowwind/decide/stop/StopSchedule.java
@@ -1,84 +1,84 @@
 package org.snowwind.decide.stop;
 
-import org.snowwind.model.MonotonicClock;
-
 /**
- * A stop whose one end is known from its beginning.
+ * The moments of one stop, all known when it begins.
  *
  * <p>
  * Until whoever sends requests can know of the stop, all are taken: refusing them would
  * fail callers that had no way to go elsewhere. From then on a request is taken only if
- * it surely ends before the stop does, because one that is cut off is lost, and one that
- * is refused at once runs elsewhere. The end never moves, so that the answer to "can this
- * still be finished?" is the same for all that ask.
+ * it certainly ends before the stop does, because one that is cut off is lost, and one
+ * that is refused at once runs elsewhere. The end never moves, so that the answer to "can
+ * this still be finished?" is the same for all that ask.
+ *
+ * @param beganMillis when the process was told to stop, on its own clock
+ * @param knownMillis from when on balancers, or whoever else sends requests, know of it
+ * @param lastAnswersMillis when what is still open is answered as far as it can be
+ * @param endMillis when what is open then is cut off
  */
-public final class StopSchedule {
-
-	private final MonotonicClock clock;
-
-	private final long knownMillis;
-
-	private final long endMillis;
+public record StopSchedule(long beganMillis, long knownMillis, long lastAnswersMillis, long endMillis) {
 
 	/**
-	 * Begins a stop now.
-	 * @param clock tells the time
-	 * @param knownAfterMillis after how long balancers, or whoever else sends requests,
-	 * can know of the stop, in milliseconds
+	 * Plans a stop.
+	 * @param nowMillis when the process was told to stop
+	 * @param knownAfterMillis after how long those who send requests know of it, in
+	 * milliseconds
 	 * @param totalMillis how long the stop may last, without what closing down takes, in
 	 * milliseconds
+	 * @param answerMarginMillis how long before the end the last answers are given, in
+	 * milliseconds, so that they are written on a busy machine too
+	 * @return the moments
 	 */
-	public StopSchedule(MonotonicClock clock, long knownAfterMillis, long totalMillis) {
-		this.clock = clock;
-		long beganMillis = clock.nowMillis();
-		this.endMillis = beganMillis + totalMillis;
-		this.knownMillis = Math.min(beganMillis + knownAfterMillis, this.endMillis);
+	public static StopSchedule of(long nowMillis, long knownAfterMillis, long totalMillis, long answerMarginMillis) {
+		long endMillis = nowMillis + Math.max(0, totalMillis);
+		long knownMillis = Math.min(endMillis, nowMillis + knownAfterMillis);
+		return new StopSchedule(nowMillis, knownMillis, Math.max(nowMillis, endMillis - answerMarginMillis), endMillis);
 	}
 
 	/**
-	 * Tells whether a request that arrives now is to be taken in.
-	 * @param neededMillis the longest that it may take, in milliseconds
-	 * @return true if it surely ends in time, or if its sender can't know of the stop yet
+	 * Tells whether a request may be taken in. How long such requests usually take does
+	 * not count: the one that takes longer would be cut off.
+	 * @param nowMillis the time now
+	 * @param deadlineMillis until when the request may last at most
+	 * @return false if it must be refused
 	 */
-	public boolean takes(long neededMillis) {
-		if (over()) {
-			return false;
-		}
-		return !known() || neededMillis <= leftMillis();
+	public boolean takes(long nowMillis, long deadlineMillis) {
+		return !known(nowMillis) || (!over(nowMillis) && deadlineMillis <= this.lastAnswersMillis);
 	}
 
 	/**
-	 * Tells whether those who send requests can know of the stop.
-	 * @return true if they can
+	 * Tells whether those who send requests know of the stop.
+	 * @param nowMillis the time now
+	 * @return true if they do
 	 */
-	public boolean known() {
-		return this.clock.nowMillis() >= this.knownMillis;
+	public boolean known(long nowMillis) {
+		return nowMillis >= this.knownMillis;
 	}
 
 	/**
 	 * Tells whether the end has come.
+	 * @param nowMillis the time now
 	 * @return true if what still runs is cut off now
 	 */
-	public boolean over() {
-		return leftMillis() == 0;
+	public boolean over(long nowMillis) {
+		return nowMillis >= this.endMillis;
 	}
 
 	/**
-	 * Returns how long the stop still lasts.
-	 * @return the time left, in milliseconds; 0 if the end has come
+	 * Returns how long the stop has lasted.
+	 * @param nowMillis the time now
+	 * @return milliseconds since it began
 	 */
-	public long leftMillis() {
-		return Math.max(0, this.endMillis - this.clock.nowMillis());
+	public long elapsedMillis(long nowMillis) {
+		return nowMillis - this.beganMillis;
 	}
 
 	/**
-	 * Bounds the time that a request may take by what the stop has left, so that it ends
-	 * with a true answer before it would be cut off.
-	 * @param neededMillis the longest that it may take, in milliseconds
-	 * @return the time that it may take now, in milliseconds
+	 * Returns what is left of the stop.
+	 * @param nowMillis the time now
+	 * @return milliseconds until its end, 0 if that has passed
 	 */
-	public long boundedMillis(long neededMillis) {
-		return Math.min(neededMillis, leftMillis());
+	public long leftMillis(long nowMillis) {
+		return Math.max(0, this.endMillis - nowMillis);
 	}
 
 }
--- a/decide/src/test/java/org/snowwind/decide/stop/StopScheduleTests.java
+++ b/decide/src/test/java/org/snowwind/decide/stop/StopScheduleTests.java
@@ -4,7 +4,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
-import org.snowwind.model.ManualClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -13,62 +12,72 @@
  */
 class StopScheduleTests {
 
+	private static final long BEGAN_MILLIS = 50_000;
+
 	private static final long KNOWN_AFTER_MILLIS = 3000;
 
 	private static final long TOTAL_MILLIS = 8000;
 
-	private final ManualClock clock = new ManualClock(50_000);
+	private final StopSchedule stop = StopSchedule.of(BEGAN_MILLIS, KNOWN_AFTER_MILLIS, TOTAL_MILLIS, 0);
 
-	private final StopSchedule stop = new StopSchedule(this.clock, KNOWN_AFTER_MILLIS, TOTAL_MILLIS);
+	private static boolean takes(StopSchedule stop, long elapsedMillis, long neededMillis) {
+		long nowMillis = stop.beganMillis() + elapsedMillis;
+		return stop.takes(nowMillis, nowMillis + neededMillis);
+	}
 
 	@Test
 	void whileNobodyCanKnowOfTheStopAllIsTaken() {
-		this.clock.advance(KNOWN_AFTER_MILLIS - 1);
-		assertThat(this.stop.known()).isFalse();
-		assertThat(this.stop.takes(60_000)).isTrue();
+		assertThat(this.stop.known(BEGAN_MILLIS + KNOWN_AFTER_MILLIS - 1)).isFalse();
+		assertThat(takes(this.stop, KNOWN_AFTER_MILLIS - 1, 60_000)).isTrue();
 	}
 
 	@Test
 	void onceKnownOnlyWhatSurelyEndsInTimeIsTaken() {
-		this.clock.advance(KNOWN_AFTER_MILLIS);
-		assertThat(this.stop.known()).isTrue();
-		assertThat(this.stop.takes(TOTAL_MILLIS - KNOWN_AFTER_MILLIS)).isTrue();
-		assertThat(this.stop.takes(TOTAL_MILLIS - KNOWN_AFTER_MILLIS + 1)).isFalse();
+		assertThat(this.stop.known(BEGAN_MILLIS + KNOWN_AFTER_MILLIS)).isTrue();
+		assertThat(takes(this.stop, KNOWN_AFTER_MILLIS, TOTAL_MILLIS - KNOWN_AFTER_MILLIS)).isTrue();
+		assertThat(takes(this.stop, KNOWN_AFTER_MILLIS, TOTAL_MILLIS - KNOWN_AFTER_MILLIS + 1)).isFalse();
 	}
 
 	@Test
-	void atTheEndNothingIsTaken() {
-		this.clock.advance(TOTAL_MILLIS);
-		assertThat(this.stop.over()).isTrue();
-		assertThat(this.stop.takes(0)).isFalse();
-		assertThat(this.stop.boundedMillis(100)).isZero();
+	void theLastAnswersNeedTimeToBeWritten() {
+		StopSchedule withMargin = StopSchedule.of(BEGAN_MILLIS, KNOWN_AFTER_MILLIS, TOTAL_MILLIS, 100);
+		assertThat(withMargin.lastAnswersMillis()).isEqualTo(BEGAN_MILLIS + TOTAL_MILLIS - 100);
+		assertThat(takes(withMargin, KNOWN_AFTER_MILLIS, 4900)).isTrue();
+		assertThat(takes(withMargin, KNOWN_AFTER_MILLIS, 4901)).isFalse();
 	}
 
 	@Test
-	void whatIsTakenEarlyIsBoundedByTheEnd() {
-		this.clock.advance(1000);
-		assertThat(this.stop.takes(60_000)).isTrue();
-		assertThat(this.stop.boundedMillis(60_000)).isEqualTo(TOTAL_MILLIS - 1000);
-		assertThat(this.stop.boundedMillis(200)).isEqualTo(200);
+	void atTheEndNothingIsTaken() {
+		assertThat(this.stop.over(BEGAN_MILLIS + TOTAL_MILLIS)).isTrue();
+		assertThat(takes(this.stop, TOTAL_MILLIS, 0)).isFalse();
 	}
 
 	@Test
 	void aStopThatIsShorterThanTheNoticeTakesNothingAfterItsEnd() {
-		StopSchedule shortStop = new StopSchedule(this.clock, KNOWN_AFTER_MILLIS, 100);
-		this.clock.advance(100);
-		assertThat(shortStop.known()).isTrue();
-		assertThat(shortStop.takes(1)).isFalse();
+		StopSchedule shortStop = StopSchedule.of(BEGAN_MILLIS, KNOWN_AFTER_MILLIS, 100, 0);
+		assertThat(shortStop.known(BEGAN_MILLIS + 100)).isTrue();
+		assertThat(takes(shortStop, 100, 1)).isFalse();
+	}
+
+	@Test
+	void aStopWithoutTimeEndsAtOnce() {
+		assertThat(StopSchedule.of(5, 3000, -600, 100)).isEqualTo(new StopSchedule(5, 5, 5, 5));
+	}
+
+	@Test
+	void whatIsLeftNeverFallsBelowNothing() {
+		assertThat(this.stop.leftMillis(BEGAN_MILLIS + 7000)).isEqualTo(1000);
+		assertThat(this.stop.elapsedMillis(BEGAN_MILLIS + 7000)).isEqualTo(7000);
+		assertThat(this.stop.leftMillis(BEGAN_MILLIS + 14_000)).isZero();
 	}
 
 	@Property(seed = "20261202")
 	void whatIsTakenOnceTheStopIsKnownEndsBeforeIt(@ForAll @LongRange(max = 10_000) long knownAfterMillis,
-			@ForAll @LongRange(max = 10_000) long totalMillis, @ForAll @LongRange(max = 12_000) long atMillis,
-			@ForAll @LongRange(max = 12_000) long neededMillis) {
-		ManualClock time = new ManualClock(0);
-		StopSchedule subject = new StopSchedule(time, knownAfterMillis, totalMillis);
-		time.advance(atMillis);
-		if (subject.known() && subject.takes(neededMillis)) {
-			assertThat(atMillis + neededMillis).isLessThanOrEqualTo(totalMillis);
+			@ForAll @LongRange(max = 10_000) long totalMillis, @ForAll @LongRange(max = 500) long marginMillis,
+			@ForAll @LongRange(max = 12_000) long atMillis, @ForAll @LongRange(max = 12_000) long neededMillis) {
+		StopSchedule subject = StopSchedule.of(0, knownAfterMillis, totalMillis, marginMillis);
+		if (subject.known(atMillis) && takes(subject, atMillis, neededMillis)) {
+			assertThat(atMillis + neededMillis).isLessThanOrEqualTo(Math.max(0, totalMillis - marginMillis));
 		}
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
@@ -262,12 +262,12 @@
 	 */
 	public void drainAndStop() {
 		this.draining = true;
-		StopSchedule schedule = new StopSchedule(this.clock, this.settings.graceMillis(),
-				this.settings.graceMillis() + this.settings.drainMillis());
+		StopSchedule schedule = StopSchedule.of(this.clock.nowMillis(), this.settings.graceMillis(),
+				this.settings.graceMillis() + this.settings.drainMillis(), 0);
 		EventLog.log(Event.ENTRY_DRAINING, "entry", this.settings.name(), "graceMillis", this.settings.graceMillis(),
-				"endsInMillis", schedule.leftMillis());
+				"endsInMillis", schedule.leftMillis(this.clock.nowMillis()));
 		this.membership.drain();
-		new GracefulStop(this.settings.name(), schedule, this.callerServer, this.callers, this.loop).run();
+		new GracefulStop(this.settings.name(), schedule, this.callerServer, this.callers, this.loop, this.clock).run();
 		close();
 		EventLog.log(Event.ENTRY_STOPPED, "entry", this.settings.name());
 	}
--- a/entry/src/main/java/org/snowwind/entry/GracefulStop.java
+++ b/entry/src/main/java/org/snowwind/entry/GracefulStop.java
@@ -6,6 +6,7 @@
 import org.snowwind.entry.request.CallerHandler;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.server.HttpServer;
+import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.Pause;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -42,6 +43,8 @@
 
 	private final DataLoop loop;
 
+	private final MonotonicClock clock;
+
 	/**
 	 * Creates a stop that has not begun.
 	 * @param name the entry's name
@@ -49,13 +52,16 @@
 	 * @param callerServer where callers' requests come in
 	 * @param callers takes the requests
 	 * @param loop the thread that owns them
+	 * @param clock tells the time
 	 */
-	GracefulStop(String name, StopSchedule schedule, HttpServer callerServer, CallerHandler callers, DataLoop loop) {
+	GracefulStop(String name, StopSchedule schedule, HttpServer callerServer, CallerHandler callers, DataLoop loop,
+			MonotonicClock clock) {
 		this.name = name;
 		this.schedule = schedule;
 		this.callerServer = callerServer;
 		this.callers = callers;
 		this.loop = loop;
+		this.clock = clock;
 	}
 
 	/**
@@ -63,16 +69,24 @@
 	 */
 	void run() {
 		this.loop.run(() -> this.callers.stop(this.schedule));
-		waitUntil(this.schedule::known, this.schedule.leftMillis());
+		waitUntil(() -> this.schedule.known(nowMillis()), leftMillis());
 		this.callerServer.stopListening();
 		this.callerServer.closeIdleConnections();
-		waitUntil(this::idle, this.schedule.leftMillis() - COUNT_BEFORE_END_MILLIS);
+		waitUntil(this::idle, leftMillis() - COUNT_BEFORE_END_MILLIS);
 		logCutOff();
-		waitUntil(this::idle, this.schedule.leftMillis() + CLOSING_MILLIS);
+		waitUntil(this::idle, leftMillis() + CLOSING_MILLIS);
 		this.callerServer.closeIdleConnections();
 		waitUntil(() -> this.callerServer.connections() == 0, CLOSING_MILLIS);
 	}
 
+	private long nowMillis() {
+		return this.clock.nowMillis();
+	}
+
+	private long leftMillis() {
+		return this.schedule.leftMillis(nowMillis());
+	}
+
 	// A loop that does not answer may still have some open.
 	private boolean idle() {
 		return this.loop.ask(this.callers::closeIfIdle, 1) == 0;
@@ -81,8 +95,7 @@
 	private void logCutOff() {
 		int left = this.loop.ask(this.callers::open, 1);
 		if (left > 0) {
-			EventLog.log(Event.DRAIN_BOUND_PASSED, "entry", this.name, "cutOff", left, "leftMillis",
-					this.schedule.leftMillis());
+			EventLog.log(Event.DRAIN_BOUND_PASSED, "entry", this.name, "cutOff", left, "leftMillis", leftMillis());
 		}
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
+++ b/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
@@ -75,7 +75,7 @@
 		this.stop = schedule;
 		for (OpenRequest open : Set.copyOf(this.openRequests)) {
 			open.exchange.closeAfterAnswer();
-			open.endWithin(schedule.leftMillis());
+			open.endWithin(schedule.leftMillis(nowMillis()));
 		}
 	}
 
@@ -146,7 +146,7 @@
 				this.context.clock().nowMillis());
 		this.openRequests.add(open);
 		if (this.stop != null) {
-			open.endWithin(this.stop.leftMillis());
+			open.endWithin(this.stop.leftMillis(nowMillis()));
 		}
 		exchange.onGone(open::leave);
 		exchange.readBody(organisation.spec().maxBodyBytes(), (body) -> read(exchange, target, body, open),
@@ -189,14 +189,19 @@
 			return true;
 		}
 		long neededMillis = leftMillis(request, open);
-		boolean takes = this.stop.takes(neededMillis);
+		boolean takes = this.stop.takes(nowMillis(), nowMillis() + neededMillis);
 		if (!takes) {
 			EventLog.log(Event.REQUEST_REFUSED, "organisation", open.organisation, "target", request.target(),
-					"neededMillis", neededMillis, "stopLeftMillis", this.stop.leftMillis(), "reason", "stop");
+					"neededMillis", neededMillis, "stopLeftMillis", this.stop.leftMillis(nowMillis()), "reason",
+					"stop");
 		}
 		return takes;
 	}
 
+	private long nowMillis() {
+		return this.context.clock().nowMillis();
+	}
+
 	private long leftMillis(CallerRequest request, OpenRequest open) {
 		return open.arrivedMillis + request.budgetMillis() - this.context.clock().nowMillis();
 	}
@@ -255,7 +260,7 @@
 		open.flow = new RequestFlow(this.context, request, open.exchange, open.arrivedMillis, whenEnded);
 		open.flow.start();
 		if (this.stop != null) {
-			open.flow.endWithin(this.stop.leftMillis());
+			open.flow.endWithin(this.stop.leftMillis(nowMillis()));
 		}
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -11,6 +11,7 @@
 import org.apache.thrift.transport.TTransportException;
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.config.settings.GatewaySettings;
+import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.expert.ExpertDuty;
@@ -30,7 +31,6 @@
 import org.snowwind.gateway.request.RetryBudgets;
 import org.snowwind.gateway.stop.GracefulStop;
 import org.snowwind.gateway.stop.OpenRequests;
-import org.snowwind.gateway.stop.StopSchedule;
 import org.snowwind.gateway.table.TableHolder;
 import org.snowwind.gateway.table.TableWatcher;
 import org.snowwind.http.DataLoop;
@@ -343,7 +343,7 @@
 		}
 		// Settings that change later do not move the end of a stop that has begun.
 		long grantedMillis = this.graceMillis;
-		StopSchedule schedule = StopSchedule.of(this.clock.nowMillis(), grantedMillis);
+		StopSchedule schedule = GracefulStop.plan(this.clock.nowMillis(), grantedMillis);
 		EventLog.log(Event.GATEWAY_DRAINING, "gateway", this.settings.name(), "graceMillis", grantedMillis);
 		this.loop.run(() -> this.handler.drain(schedule));
 		new GracefulStop(this.settings.name(), schedule, this.callerServer, new LoopRequests(), this.clock).run();
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.snowwind.gateway.stop.StopSchedule;
+import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.gateway.table.KeyHolder;
 import org.snowwind.gateway.table.Route;
 import org.snowwind.gateway.table.RouteTable;
--- a/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
@@ -1,5 +1,6 @@
 package org.snowwind.gateway.stop;
 
+import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.http.server.HttpServer;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.Pause;
@@ -16,6 +17,22 @@
 	/** How often open requests are counted, in milliseconds. */
 	private static final long POLL_MILLIS = 20;
 
+	/**
+	 * The balancer notices within two questions, a second apart, that we stop; what it
+	 * sends later than 3 s after the signal must be answered in full. A tenth of a second
+	 * is for the way here. In milliseconds.
+	 */
+	private static final long LEAVE_ROTATION_MILLIS = 2900;
+
+	/** What is kept of the grace for closing down, in milliseconds. */
+	private static final long CLOSING_MILLIS = 700;
+
+	/**
+	 * A request that takes all of its time must be answered this much before the end, in
+	 * milliseconds, so that its answer is written on a busy machine too.
+	 */
+	private static final long ANSWER_MARGIN_MILLIS = 100;
+
 	private final String name;
 
 	private final StopSchedule schedule;
@@ -43,11 +60,21 @@
 		this.clock = clock;
 	}
 
+	/**
+	 * Plans a stop.
+	 * @param nowMillis when the gateway was told to stop
+	 * @param graceMillis the time that it was given, in milliseconds
+	 * @return its moments
+	 */
+	public static StopSchedule plan(long nowMillis, long graceMillis) {
+		return StopSchedule.of(nowMillis, LEAVE_ROTATION_MILLIS, graceMillis - CLOSING_MILLIS, ANSWER_MARGIN_MILLIS);
+	}
+
 	/**
 	 * Carries the stop out, and returns when it is done or the grace has passed.
 	 */
 	public void run() {
-		waitUntil(this.schedule.noticedMillis());
+		waitUntil(this.schedule.knownMillis());
 		closeIdleConnections();
 		// Callers may still be sent here if too few others are in rotation. They fare
 		// better with an answer than with a connection that fails: 96.8 in 100 were
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -16,13 +16,13 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.Registry;
 import org.snowwind.gateway.stop.GracefulStop;
 import org.snowwind.gateway.stop.OpenRequests;
-import org.snowwind.gateway.stop.StopSchedule;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.gateway.table.KeyHolder;
 import org.snowwind.gateway.table.Repeat;
@@ -174,7 +174,7 @@
 
 	/** Begins a stop with a long grace. */
 	void drain() {
-		drain(StopSchedule.of(this.clock.nowMillis(), LONG_GRACE_MILLIS));
+		drain(GracefulStop.plan(this.clock.nowMillis(), LONG_GRACE_MILLIS));
 	}
 
 	void drain(StopSchedule schedule) {
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
@@ -7,7 +7,7 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.snowwind.gateway.stop.StopSchedule;
+import org.snowwind.decide.stop.StopSchedule;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -31,6 +31,8 @@
 
 	private static final long HOUR_MILLIS = 3_600_000;
 
+	private static final long ANSWER_MARGIN_MILLIS = 100;
+
 	private static final String SIGNED = "t-signed: 1\r\nt-id: r1\r\n";
 
 	private static final String HEAD = "POST /many/a HTTP/1.1\r\nHost: gateway.test\r\nt-id: r1\r\nt-key: secret\r\n";
@@ -49,7 +51,7 @@
 
 	private StopSchedule noticed() {
 		long nowMillis = this.gateway.nowMillis();
-		return new StopSchedule(nowMillis, nowMillis, nowMillis + STOP_LEFT_MILLIS);
+		return StopSchedule.of(nowMillis, 0, STOP_LEFT_MILLIS, ANSWER_MARGIN_MILLIS);
 	}
 
 	private ScriptedServer serverWithAnEndlessStream() {
@@ -98,7 +100,7 @@
 	void everythingIsServedUntilTheBalancerMustHaveNoticed() throws IOException {
 		this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, FIRST_EVENT));
 		long nowMillis = this.gateway.nowMillis();
-		this.gateway.drain(new StopSchedule(nowMillis, nowMillis + HOUR_MILLIS, nowMillis + HOUR_MILLIS));
+		this.gateway.drain(StopSchedule.of(nowMillis, HOUR_MILLIS, HOUR_MILLIS, ANSWER_MARGIN_MILLIS));
 		assertThat(this.gateway.call("/patient/a", "t-patience: " + 2 * HOUR_MILLIS)).startsWith("HTTP/1.1 200");
 	}
 
@@ -119,7 +121,7 @@
 	void aBodyThatBeganInTimeIsRefusedWhenItEndsTooLate() throws IOException {
 		ScriptedServer server = this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
 		long nowMillis = this.gateway.nowMillis();
-		this.gateway.drain(new StopSchedule(nowMillis, nowMillis + HOUR_MILLIS, nowMillis + HOUR_MILLIS + 1));
+		this.gateway.drain(StopSchedule.of(nowMillis, HOUR_MILLIS, HOUR_MILLIS + 1, ANSWER_MARGIN_MILLIS));
 		try (Socket socket = this.gateway.raw(HEAD + "Content-Length: 4\r\n\r\nbo")) {
 			awaitOpen();
 			this.gateway.passMillis(HOUR_MILLIS);
@@ -167,8 +169,8 @@
 	void whatIsStillOpenAtTheEndAndHasBegunNoAnswerIsAnsweredNotCutOff() throws IOException, InterruptedException {
 		this.gateway.routed().server((request, answer) -> answer.until(this.never));
 		long nowMillis = this.gateway.nowMillis();
-		long endMillis = nowMillis + STOP_LEFT_MILLIS;
-		Thread stop = this.gateway.stop(new StopSchedule(nowMillis, endMillis, endMillis));
+		Thread stop = this.gateway
+			.stop(StopSchedule.of(nowMillis, STOP_LEFT_MILLIS, STOP_LEFT_MILLIS, ANSWER_MARGIN_MILLIS));
 		try (Socket socket = this.gateway.send("/patient/a", "t-patience: 8000")) {
 			assertThat(readAll(socket)).startsWith("HTTP/1.1 5");
 		}
--- a/gateway/src/test/java/org/snowwind/gateway/stop/StopScheduleTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/stop/GracefulStopTests.java
@@ -1,11 +1,15 @@
 package org.snowwind.gateway.stop;
 
 import org.junit.jupiter.api.Test;
+import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.model.ManualClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class StopScheduleTests {
+/**
+ * Tests for the plan of a {@link GracefulStop}.
+ */
+class GracefulStopTests {
 
 	private static final long GRACE_MILLIS = 8000;
 
@@ -14,7 +18,7 @@
 
 	private final ManualClock clock = new ManualClock(50_000);
 
-	private final StopSchedule schedule = StopSchedule.of(this.clock.nowMillis(), GRACE_MILLIS);
+	private final StopSchedule schedule = GracefulStop.plan(this.clock.nowMillis(), GRACE_MILLIS);
 
 	private boolean takes(long allowedMillis) {
 		return this.schedule.takes(this.clock.nowMillis(), this.clock.nowMillis() + allowedMillis);
@@ -23,7 +27,8 @@
 	@Test
 	void theMomentsFollowFromTheGrace() {
 		long beganMillis = this.clock.nowMillis();
-		assertThat(this.schedule).isEqualTo(new StopSchedule(beganMillis, beganMillis + 2900, beganMillis + 7300));
+		assertThat(this.schedule)
+			.isEqualTo(new StopSchedule(beganMillis, beganMillis + 2900, beganMillis + 7200, beganMillis + 7300));
 	}
 
 	@Test
@@ -46,15 +51,15 @@
 
 	@Test
 	void aGraceThatIsShorterThanTheBalancerNeedsStillHasOneEnd() {
-		StopSchedule brief = StopSchedule.of(0, 2000);
-		assertThat(brief).isEqualTo(new StopSchedule(0, 1300, 1300));
+		StopSchedule brief = GracefulStop.plan(0, 2000);
+		assertThat(brief).isEqualTo(new StopSchedule(0, 1300, 1200, 1300));
 		assertThat(brief.takes(1299, 9000)).isTrue();
 		assertThat(brief.takes(1300, 1301)).isFalse();
 	}
 
 	@Test
 	void aGraceWithoutRoomEndsAtOnce() {
-		assertThat(StopSchedule.of(5, 100)).isEqualTo(new StopSchedule(5, 5, 5));
+		assertThat(GracefulStop.plan(5, 100)).isEqualTo(new StopSchedule(5, 5, 5, 5));
 	}
 
 	@Test
