--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -138,7 +138,7 @@
 			RegistryHolder registries, Local local, MonotonicClock clock) {
 		this.store = store;
 		this.writes = new VerifiedWrites(store, Pause::millis);
-		this.calls = new RankCalls(client, protocol);
+		this.calls = RankCalls.of(client, protocol);
 		this.tables = tables;
 		this.registries = registries;
 		this.local = local;
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupDirectory.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupDirectory.java
@@ -30,7 +30,7 @@
 	 */
 	public GroupDirectory(JsonClient client, RankProtocol protocol, Supplier<List<BackendEntry>> ungrouped,
 			BiConsumer<String, String> found) {
-		this.calls = new RankCalls(client, protocol);
+		this.calls = RankCalls.of(client, protocol);
 		this.ungrouped = ungrouped;
 		this.found = found;
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
@@ -34,14 +34,28 @@
 
 	private final RankProtocol protocol;
 
+	private final long orderMillis;
+
 	/**
 	 * Creates the calls.
 	 * @param client carries them
 	 * @param protocol names what is said
+	 * @param orderMillis how long an order waits for its answer, in milliseconds
 	 */
-	RankCalls(JsonClient client, RankProtocol protocol) {
+	RankCalls(JsonClient client, RankProtocol protocol, long orderMillis) {
 		this.client = client;
 		this.protocol = protocol;
+		this.orderMillis = orderMillis;
+	}
+
+	/**
+	 * Creates the calls with the time for an order that groups can bear.
+	 * @param client carries them
+	 * @param protocol names what is said
+	 * @return the calls
+	 */
+	static RankCalls of(JsonClient client, RankProtocol protocol) {
+		return new RankCalls(client, protocol, ORDER_MILLIS);
 	}
 
 	/**
@@ -128,7 +142,7 @@
 		for (Rank rank : ranks) {
 			JsonNode body = this.protocol.body(order, rank.report().epoch(), fence);
 			pending.add(this.client.start("POST", "http://" + rank.address() + this.protocol.orderPath(),
-					this.protocol.headers(rank.serverId()), body, ORDER_MILLIS));
+					this.protocol.headers(rank.serverId()), body, this.orderMillis));
 		}
 		List<OrderResult> results = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i++) {
