Let requests of the tests of stops be open before the stop begins

Its stop began with nothing open, so it ended at once, as it should, before the request came; the test raced with it. A second test had the same order. Ruled out: a request that was read and cut off: none was open. Change: both open their request first and end its body in the stop; the first asks for 503 now.

--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayHandlerTests.java
@@ -169,9 +169,14 @@
 	void whatIsStillOpenAtTheEndAndHasBegunNoAnswerIsAnsweredNotCutOff() throws IOException, InterruptedException {
 		this.gateway.routed().server((request, answer) -> answer.until(this.never));
 		long nowMillis = this.gateway.nowMillis();
-		Thread stop = this.gateway
-			.stop(StopSchedule.of(nowMillis, STOP_LEFT_MILLIS, STOP_LEFT_MILLIS, ANSWER_MARGIN_MILLIS));
-		try (Socket socket = this.gateway.send("/patient/a", "t-patience: 8000")) {
+		Thread stop;
+		// Its connection stands when the gateway stops listening.
+		try (Socket socket = this.gateway
+			.raw(HEAD.replace("many", "patient") + "t-patience: 8000\r\nContent-Length: 4\r\n\r\nbo")) {
+			awaitOpen();
+			stop = this.gateway
+				.stop(StopSchedule.of(nowMillis, STOP_LEFT_MILLIS, STOP_LEFT_MILLIS, ANSWER_MARGIN_MILLIS));
+			socket.getOutputStream().write("dy".getBytes(StandardCharsets.UTF_8));
 			assertThat(readAll(socket)).startsWith("HTTP/1.1 5");
 		}
 		stop.join();
@@ -194,9 +199,12 @@
 	void aRequestThatWaitsForAServerInAStopIsRefusedBeforeItEnds() throws IOException, InterruptedException {
 		this.gateway.routed().server((request, answer) -> answer.whole(200, SIGNED, "hello"));
 		this.gateway.loadElsewhere(1000);
-		Thread stop = this.gateway.stop(noticed());
-		try (Socket socket = this.gateway.raw(HEAD + "t-patience: 400\r\nContent-Length: 4\r\n\r\nbody")) {
-			assertThat(readAll(socket)).startsWith("HTTP/1.1 ");
+		Thread stop;
+		try (Socket socket = this.gateway.raw(HEAD + "t-patience: 400\r\nContent-Length: 4\r\n\r\nbo")) {
+			awaitOpen();
+			stop = this.gateway.stop(noticed());
+			socket.getOutputStream().write("dy".getBytes(StandardCharsets.UTF_8));
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 503");
 		}
 		stop.join();
 	}
