Tell what a stop refused or ended when a request is explained

Change: the request's story names what was asked and left, or that the stop ended it; a period counts refusals by stops. A comment of the entry is wrapped.

--- a/app/src/main/java/org/snowwind/app/explain/LossCause.java
+++ b/app/src/main/java/org/snowwind/app/explain/LossCause.java
@@ -11,6 +11,9 @@
 	/** It was refused before a server was looked for. */
 	REFUSED_BY_TABLE("refused by the configuration"),
 
+	/** Its gateway stopped and might not have ended it in time. */
+	REFUSED_BY_STOP("refused by a gateway that stops"),
+
 	/** All groups of its service took nothing. */
 	GROUPS_CLOSED("turned away: all groups closed"),
 
--- a/app/src/main/java/org/snowwind/app/explain/PeriodStory.java
+++ b/app/src/main/java/org/snowwind/app/explain/PeriodStory.java
@@ -75,6 +75,9 @@
 		if (request.refused != null) {
 			return LossCause.REFUSED_BY_TABLE;
 		}
+		if (request.refusedInStop != null) {
+			return LossCause.REFUSED_BY_STOP;
+		}
 		if (request.ended == null) {
 			return LossCause.END_NOT_LOGGED;
 		}
@@ -148,6 +151,8 @@
 
 		private LogLine refused;
 
+		private LogLine refusedInStop;
+
 		private LogLine turnedAway;
 
 		private LogLine ended;
@@ -161,6 +166,9 @@
 			else if (line.event().equals(Event.REQUEST_REFUSED.id())) {
 				this.refused = line;
 			}
+			else if (line.event().equals(Event.REFUSED_IN_STOP.id())) {
+				this.refusedInStop = line;
+			}
 			else if (line.event().equals(Event.REQUEST_TURNED_AWAY.id())) {
 				this.turnedAway = line;
 			}
@@ -173,12 +181,18 @@
 		}
 
 		private Instant came() {
-			return ((this.routed != null) ? this.routed : this.refused).time();
+			return first().time();
+		}
+
+		private LogLine first() {
+			if (this.routed != null) {
+				return this.routed;
+			}
+			return (this.refused != null) ? this.refused : this.refusedInStop;
 		}
 
 		private boolean cameWithin(Instant from, Instant until) {
-			boolean begun = this.routed != null || this.refused != null;
-			return begun && !came().isBefore(from) && came().isBefore(until);
+			return first() != null && !came().isBefore(from) && came().isBefore(until);
 		}
 
 		private boolean groupsClosed() {
--- a/app/src/main/java/org/snowwind/app/explain/RequestStory.java
+++ b/app/src/main/java/org/snowwind/app/explain/RequestStory.java
@@ -94,13 +94,19 @@
 		if (refused != null) {
 			return "refused before anything was sent: " + refused.text("kind") + " by table " + refused.text("table");
 		}
+		LogLine stopped = last(Event.REFUSED_IN_STOP);
+		if (stopped != null) {
+			return "refused before anything was sent: it asks for " + stopped.text("asksMillis")
+					+ " ms, and the stop of " + "its gateway had " + stopped.text("leftMillis") + " ms left";
+		}
 		LogLine ended = last(Event.REQUEST_ENDED);
 		if (ended == null) {
 			return known() ? "its end was not logged: the process died, or the line was left out (SW-5002)"
 					: "no line names request " + this.requestId;
 		}
 		LogLine attempt = last(Event.ATTEMPT_ENDED);
-		return explain(ended, attempt);
+		String stop = (last(Event.CUT_OFF_IN_STOP) != null) ? "its gateway's stop ended it; " : "";
+		return stop + explain(ended, attempt);
 	}
 
 	private static String explain(LogLine ended, LogLine attempt) {
--- a/app/src/test/java/org/snowwind/app/explain/PeriodStoryTests.java
+++ b/app/src/test/java/org/snowwind/app/explain/PeriodStoryTests.java
@@ -55,6 +55,12 @@
 		assertThat(only()).isEqualTo(LossCause.NONE);
 	}
 
+	@Test
+	void aRefusalInAStopIsCountedAsOne() {
+		log(1000, "SW-1210", "\"request\":\"a\",\"asksMillis\":8000,\"leftMillis\":3500");
+		assertThat(only()).isEqualTo(LossCause.REFUSED_BY_STOP);
+	}
+
 	@Test
 	void aLateFirstEventIsSaidSo() {
 		routed(0, "a");
--- a/app/src/test/java/org/snowwind/app/explain/RequestStoryTests.java
+++ b/app/src/test/java/org/snowwind/app/explain/RequestStoryTests.java
@@ -56,6 +56,21 @@
 			.isEqualTo("refused before anything was sent: unknown-path by table 12");
 	}
 
+	@Test
+	void aRefusalInAStopNamesWhatWasAskedAndLeft() {
+		String refused = ROUTED.replace("SW-4101", "SW-1210")
+			.replace("\"route\":\"r-1\"", "\"asksMillis\":8000,\"leftMillis\":3537");
+		assertThat(RequestStory.of("bc48", List.of(refused)).cause()).isEqualTo(
+				"refused before anything was sent: it asks for 8000 ms, and the stop of its gateway had 3537 ms left");
+	}
+
+	@Test
+	void aRequestThatAStopEndedIsSaidSo() {
+		String cutOff = ROUTED.replace("SW-4101", "SW-1208");
+		assertThat(RequestStory.of("bc48", List.of(ROUTED, SENT, cutOff, LOST, ENDED)).cause())
+			.startsWith("its gateway's stop ended it; a server failed");
+	}
+
 	@Test
 	void aLateAnswerNamesItsPauses() {
 		String late = ENDED.replace("backend-failed", "200")
--- a/entry/src/main/java/org/snowwind/entry/request/Attempt.java
+++ b/entry/src/main/java/org/snowwind/entry/request/Attempt.java
@@ -167,8 +167,7 @@
 
 	// Known by the id that it names: on a connection that carries one attempt after
 	// another, the place of an answer does not tell whose it is. Only what an agent's
-	// HTTP
-	// server rejects before it has read an id is answered without one.
+	// HTTP server rejects before it has read an id is answered without one.
 	private boolean answersThis(int status, String namedId) {
 		if (namedId == null) {
 			return status >= CLIENT_ERROR && status < SERVER_ERROR;
