--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -22,6 +24,7 @@
 import org.snowwind.gateway.peer.PeerMesh;
 import org.snowwind.gateway.peer.PeerTable;
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.RegistryHolder;
 import org.snowwind.gateway.registry.RegistryView;
 import org.snowwind.gateway.registry.RegistryWatcher;
@@ -190,18 +193,27 @@
 		this.registryThread = watchThread("registry-watch",
 				watch(adapters.servers().prefix(), this.registryWatcher, true));
 		GatewayDirectory directory = new GatewayDirectory(adapters.store(), settings.name(), ownAddress,
-				this.mesh::mayBeAt, () -> this.mesh.view().liveAddresses());
+				this.mesh::listed, () -> this.mesh.view().liveAddresses());
 		this.directoryThread = new DutyThread("directory", SMALL_RING, DIRECTORY_MILLIS, directory::round);
-		GroupDirectory groups = new GroupDirectory(this.rankClient, adapters.ranks(), () -> this.ungrouped,
-				(server, group) -> this.loop.run(() -> this.backends.grouped(server, group)));
+		GroupDirectory groups = new GroupDirectory(this.rankClient, adapters.ranks(), adapters.store(),
+				new GroupDirectory.Sources(() -> this.ungrouped, this::registeredRuns, this::plansExperts),
+				(run, group) -> this.loop.run(() -> this.backends.grouped(run, group)), this.clock);
 		this.groupThread = new DutyThread("groups", SMALL_RING, GROUPS_MILLIS, groups::round);
 		this.experts = new ExpertDuty(adapters.store(), this.rankClient, adapters.ranks(), this.tables, this.registries,
 				new ExpertDuty.Local(settings.name(), this::shouldPlanExperts,
-						(group) -> this.passJumps.getOrDefault(group, Long.MIN_VALUE)),
+						(group) -> this.passJumps.getOrDefault(group, Long.MIN_VALUE), groups.known()),
 				this.clock);
 		registerMeters(this.admin.registry());
 	}
 
+	private Set<BackendRun> registeredRuns() {
+		return this.registries.current().list().stream().map(BackendEntry::run).collect(Collectors.toSet());
+	}
+
+	private boolean plansExperts() {
+		return this.experts.fence() != 0;
+	}
+
 	private boolean shouldPlanExperts() {
 		PeerMesh.View peers = this.mesh.view();
 		return !this.draining
@@ -211,7 +223,8 @@
 	private RequestContext newContext() {
 		RetryBudgets.RetryBound bound = new RetryBudgets.RetryBound(this.settings.retryFraction(),
 				this.settings.retryExtra(), this.settings.retryWindowMillis());
-		RetryBudgets budgets = new RetryBudgets(bound, () -> this.mesh.view().known() + 1, this.clock);
+		RetryBudgets budgets = new RetryBudgets(bound, () -> this.mesh.view().fleetSize(), this.clock,
+				this.clock.nowMillis());
 		return new RequestContext(this.loop, this.client, this.adapters.dialect(), this.backends,
 				new Admission(this.backends, this.clock), budgets, new GatewayMeters(this.admin.registry()), this.clock,
 				this.random);
@@ -233,6 +246,8 @@
 			.register(registry);
 		Gauge.builder("snowwind.gateway.servers", this.registries, (holder) -> holder.current().servers().size())
 			.register(registry);
+		Gauge.builder("snowwind.gateway.servers.unreadable", this.registryWatcher, RegistryWatcher::unreadable)
+			.register(registry);
 		Gauge.builder("snowwind.gateway.connections", () -> this.callerServer.connections()).register(registry);
 		Gauge.builder("snowwind.gateway.peers.live", () -> this.mesh.view().liveNames().size()).register(registry);
 	}
@@ -312,7 +327,8 @@
 	// ---- readiness
 
 	private boolean readyNow() {
-		boolean nowReady = !this.draining && this.tables.current().version() > 0 && this.backends.anyTakesNewWork();
+		boolean nowReady = !this.draining && this.tables.current().version() > 0
+				&& this.backends.anyTakesNewWork(this.tables.current().services().keySet());
 		if (nowReady != this.ready) {
 			this.ready = nowReady;
 			EventLog.log(Event.GATEWAY_READINESS, "ready", nowReady, "draining", this.draining, "table",
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.Registry;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
@@ -78,6 +79,12 @@
 
 	private void put(BackendEntry entry) {
 		Backend standing = this.byId.get(entry.id());
+		if (standing != null && !standing.entry().run().mayBe(entry.run())) {
+			EventLog.log(Event.SERVER_RESTARTED, "server", entry.id(), "bornMillis", entry.bornMillis(), "before",
+					standing.entry().bornMillis(), "inFlight", standing.inFlight(), "registry", this.revision);
+			this.byId.remove(entry.id()).remove();
+			standing = null;
+		}
 		if (standing == null) {
 			this.byId.put(entry.id(), new Backend(entry));
 			EventLog.log(Event.SERVER_ADDED, "server", entry.id(), "service", entry.service(), "address",
@@ -119,10 +126,13 @@
 
 	/**
 	 * Tells whether any server may be sent new work.
+	 * @param services the services that there are; a server of another one serves nobody
 	 * @return true if one may
 	 */
-	public boolean anyTakesNewWork() {
-		return this.byId.values().stream().anyMatch(Backend::takesNewWork);
+	public boolean anyTakesNewWork(Set<String> services) {
+		return this.byId.values()
+			.stream()
+			.anyMatch((backend) -> backend.takesNewWork() && services.contains(backend.entry().service()));
 	}
 
 	/**
@@ -200,11 +210,11 @@
 
 	/**
 	 * Takes note of the group of a server.
-	 * @param id the server's id
+	 * @param run which life of the server it is
 	 * @param group the group's name
 	 */
-	public void grouped(String id, String group) {
-		find(id).ifPresent((backend) -> {
+	public void grouped(BackendRun run, String group) {
+		find(run.id()).filter((backend) -> backend.entry().run().mayBe(run)).ifPresent((backend) -> {
 			backend.group(this.groups.computeIfAbsent(group, (name) -> new GroupLoad(name, this.groupLimit)),
 					this.clock.nowMillis());
 			countGroups();
--- a/gateway/src/main/java/org/snowwind/gateway/expert/CountWindows.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/CountWindows.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.snowwind.gateway.registry.BackendRun;
+
 /**
  * Turns the running counts of ranks into what was chosen since each was last read.
  * Confined to one thread.
@@ -16,26 +18,26 @@
 	 */
 	private static final long MOST_SINCE_MILLIS = 1000;
 
-	private final Map<String, CountsRead> lastByServer = new HashMap<>();
+	private final Map<BackendRun, CountsRead> lastByRun = new HashMap<>();
 
 	/**
 	 * Forgets all reads, since the ranks have begun to count anew.
 	 */
 	void clear() {
-		this.lastByServer.clear();
+		this.lastByRun.clear();
 	}
 
 	/**
 	 * Takes the counts of a rank.
-	 * @param serverId the rank's server
+	 * @param run which life of the rank it is; another one counts from zero
 	 * @param counts how often each expert was chosen since the rank began, by set and
 	 * expert
 	 * @param nowMillis the time, in milliseconds
 	 * @return how often each was chosen since the last read, empty if there was none or
 	 * it is too long ago
 	 */
-	Optional<long[][]> since(String serverId, long[][] counts, long nowMillis) {
-		CountsRead last = this.lastByServer.put(serverId, new CountsRead(counts, nowMillis));
+	Optional<long[][]> since(BackendRun run, long[][] counts, long nowMillis) {
+		CountsRead last = this.lastByRun.put(run, new CountsRead(counts, nowMillis));
 		if (last == null || nowMillis - last.atMillis() > MOST_SINCE_MILLIS) {
 			return Optional.empty();
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
@@ -74,11 +75,11 @@
 		List<Rank> counted = ranks.subList(0, Math.min(COUNTED_RANKS, ranks.size()));
 		List<Optional<RankCounts>> answers = this.calls.counts(counted);
 		for (int i = 0; i < counted.size(); i++) {
-			String serverId = counted.get(i).serverId();
+			BackendRun run = counted.get(i).run();
 			answers.get(i)
 				.map((counts) -> counts.bySet(this.profile.expertSets(), this.profile.experts()))
-				.flatMap((counts) -> this.windows.since(serverId, counts, nowMillis))
-				.ifPresent((chosen) -> note(serverId, chosen, nowMillis));
+				.flatMap((counts) -> this.windows.since(run, counts, nowMillis))
+				.ifPresent((chosen) -> note(run.id(), chosen, nowMillis));
 		}
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.ToLongFunction;
@@ -12,6 +11,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.balance.plan.IncrementalPlanner;
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
+import org.snowwind.gateway.registry.Registry;
 import org.snowwind.gateway.registry.RegistryHolder;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.gateway.table.ServiceEntry;
@@ -48,9 +49,6 @@
 	/** How often it is looked whether a group needs something, in milliseconds. */
 	private static final long GROUP_TICK_MILLIS = 40;
 
-	/** How often all servers are asked which group they are in, in milliseconds. */
-	private static final long DISCOVERY_MILLIS = 4000;
-
 	/**
 	 * How long a gateway that was started listens for an owner before it claims the duty,
 	 * in milliseconds: three reports of each peer. Of two owners the older one stops.
@@ -118,10 +116,6 @@
 
 	private long nextClaimMillis;
 
-	private long nextDiscoveryMillis;
-
-	private long discoveredRevision;
-
 	private long claims;
 
 	/**
@@ -182,7 +176,7 @@
 			}
 			return;
 		}
-		discover(nowMillis);
+		discover();
 	}
 
 	private boolean hasGroups() {
@@ -228,46 +222,30 @@
 		if (result instanceof WriteResult.Written written) {
 			this.given.set(0);
 			this.fence.set(written.revision());
-			this.nextDiscoveryMillis = 0;
 			EventLog.log(Event.EXPERT_DUTY_TAKEN, "fence", written.revision(), "before", revision);
 			return;
 		}
 		EventLog.log(Event.EXPERT_DUTY_NOT_CLAIMED, "reason", result);
 	}
 
-	private void discover(long nowMillis) {
-		long revision = this.registries.current().revision();
-		if (nowMillis < this.nextDiscoveryMillis && revision == this.discoveredRevision) {
-			return;
-		}
-		this.nextDiscoveryMillis = nowMillis + DISCOVERY_MILLIS;
-		this.discoveredRevision = revision;
+	private void discover() {
+		Registry registry = this.registries.current();
 		for (ServiceEntry service : this.tables.current().services().values()) {
 			if (sharesExperts(service)) {
-				discover(service);
+				discover(service, registry);
 			}
 		}
 	}
 
-	private void discover(ServiceEntry service) {
-		List<BackendEntry> servers = this.registries.current()
-			.list()
-			.stream()
-			.filter((server) -> server.service().equals(service.name()))
-			.toList();
+	private void discover(ServiceEntry service, Registry registry) {
 		Map<String, List<BackendEntry>> members = new HashMap<>();
-		Map<String, BackendEntry> byId = new HashMap<>();
-		servers.forEach((server) -> byId.put(server.id(), server));
-		this.calls.reports(servers)
-			.forEach((rank) -> members.computeIfAbsent(rank.report().group(), (group) -> new ArrayList<>())
-				.add(byId.get(rank.serverId())));
+		for (BackendEntry server : registry.list()) {
+			String group = this.local.groups().get(server.run());
+			if (group != null && server.service().equals(service.name())) {
+				members.computeIfAbsent(group, (name) -> new ArrayList<>()).add(server);
+			}
+		}
 		members.forEach((group, ranks) -> balanced(service, group).members(ranks));
-		// A group of which no rank answers keeps its members until some do.
-		Set<String> known = members.keySet();
-		this.groups.keySet()
-			.stream()
-			.filter((group) -> !known.contains(group))
-			.forEach((group) -> EventLog.log(Event.GROUP_INCOMPLETE, "group", group, "answered", 0));
 	}
 
 	private GroupBalancer balanced(ServiceEntry service, String group) {
@@ -335,8 +313,10 @@
 	 * @param candidate whether it should have the duty
 	 * @param passJumpedMillis by a group's name, when its passes have last become much
 	 * longer at once, in milliseconds
+	 * @param groups the group of each server of which it is known
 	 */
-	public record Local(String name, BooleanSupplier candidate, ToLongFunction<String> passJumpedMillis) {
+	public record Local(String name, BooleanSupplier candidate, ToLongFunction<String> passJumpedMillis,
+			Map<BackendRun, String> groups) {
 
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -21,11 +21,17 @@
  */
 final class GroupBalancer implements RankGroupPort {
 
+	/** How often a few ranks are asked for the state of the group, in milliseconds. */
+	private static final long REPORTS_MILLIS = 600;
+
+	/** How often all ranks are asked, in milliseconds. */
+	private static final long ALL_REPORTS_MILLIS = 5000;
+
 	/**
-	 * How often all ranks are asked for their state, in milliseconds: a group that an
-	 * owner has left held waits no longer.
+	 * The same while the group makes no passes, in milliseconds: it may have no work, or
+	 * one rank may hold a pass.
 	 */
-	private static final long REPORTS_MILLIS = 600;
+	private static final long ALL_REPORTS_IDLE_MILLIS = 1200;
 
 	/**
 	 * The same while a rank is missing, in milliseconds: a group that is formed anew has
@@ -88,8 +94,12 @@
 
 	private List<Rank> standing = List.of();
 
+	private final RankSample turns = new RankSample();
+
 	private long nextReportsMillis;
 
+	private long lastAllMillis = Long.MIN_VALUE;
+
 	private long plannedAsOfMillis = Long.MIN_VALUE;
 
 	private boolean incomplete;
@@ -144,14 +154,51 @@
 		}
 	}
 
-	// Asks all ranks for their state and finishes what was left.
+	// Asks a few ranks for the state of the group, and all where something has changed.
 	private boolean look() {
+		List<Rank> few = sample();
+		long lastStep = this.steps.step();
+		if (!open(few)) {
+			noteIncomplete(few);
+			return false;
+		}
+		if (!asBefore(few)) {
+			return lookAtAll();
+		}
+		this.steps.observe(few);
+		boolean idle = this.steps.step() == lastStep;
+		long allMillis = this.lastAllMillis + (idle ? ALL_REPORTS_IDLE_MILLIS : ALL_REPORTS_MILLIS);
+		if (this.clock.nowMillis() >= allMillis) {
+			return lookAtAll();
+		}
+		noteSwitch(few);
+		this.nextReportsMillis = this.clock.nowMillis() + REPORTS_MILLIS;
+		return true;
+	}
+
+	private boolean open(List<Rank> ranks) {
+		boolean enough = 2 * ranks.size() > Math.min(RankSample.RANKS, this.members.size());
+		return enough && ranks.stream().map((rank) -> rank.report().epoch()).distinct().count() == 1
+				&& ranks.stream().allMatch((rank) -> rank.report().open());
+	}
+
+	private boolean asBefore(List<Rank> few) {
+		long token = this.fence.getAsLong();
+		return !this.standing.isEmpty() && few.stream()
+			.allMatch((rank) -> rank.report().epoch() == this.epoch && !rank.report().held()
+					&& !this.versions.newer(token, rank.report().highestVersion()));
+	}
+
+	// Asks all ranks for their state and finishes what was left.
+	private boolean lookAtAll() {
 		this.standing = List.of();
 		this.nextReportsMillis = this.clock.nowMillis() + INCOMPLETE_MILLIS;
 		List<Rank> ranks = reports();
 		if (!complete(ranks)) {
+			noteIncomplete(ranks);
 			return false;
 		}
+		this.incomplete = false;
 		if (newerPlanner(ranks)) {
 			return false;
 		}
@@ -164,20 +211,23 @@
 			return false;
 		}
 		this.standing = ranks;
-		this.nextReportsMillis = this.clock.nowMillis() + REPORTS_MILLIS;
+		this.lastAllMillis = this.clock.nowMillis();
+		this.nextReportsMillis = this.lastAllMillis + REPORTS_MILLIS;
 		return true;
 	}
 
 	private boolean complete(List<Rank> ranks) {
-		int size = ranks.isEmpty() ? 0 : ranks.get(0).report().size();
-		boolean all = size > 0 && ranks.size() == size
-				&& ranks.stream().map((rank) -> rank.report().epoch()).distinct().count() == 1
-				&& ranks.stream().allMatch((rank) -> rank.report().open());
-		if (!all && !this.incomplete) {
-			EventLog.log(Event.GROUP_INCOMPLETE, "group", this.name, "answered", ranks.size(), "size", size);
+		return !ranks.isEmpty() && ranks.size() == ranks.get(0).report().size() && open(ranks);
+	}
+
+	private void noteIncomplete(List<Rank> answered) {
+		this.standing = List.of();
+		this.nextReportsMillis = this.clock.nowMillis() + INCOMPLETE_MILLIS;
+		if (!this.incomplete) {
+			int size = answered.isEmpty() ? 0 : answered.get(0).report().size();
+			EventLog.log(Event.GROUP_INCOMPLETE, "group", this.name, "answered", answered.size(), "size", size);
 		}
-		this.incomplete = !all;
-		return all;
+		this.incomplete = true;
 	}
 
 	// Ranks that do not check tokens still tell which maps they were given.
@@ -247,7 +297,7 @@
 		ExpertPlacement current = this.placement;
 		ExpertPlacement next = this.planner.plan(current, expected);
 		double gain = current.skew(expected) - next.skew(expected);
-		if (gain < leastGain() || !look() || this.epoch != plannedEpoch) {
+		if (gain < leastGain() || !lookAtAll() || this.epoch != plannedEpoch) {
 			return;
 		}
 		int copies = Holdings.mostCopies(current, next);
@@ -284,7 +334,16 @@
 
 	@Override
 	public List<Rank> reports() {
-		return this.calls.reports(this.members)
+		return reports(this.members);
+	}
+
+	@Override
+	public List<Rank> sample() {
+		return reports(this.turns.of(this.members));
+	}
+
+	private List<Rank> reports(List<BackendEntry> asked) {
+		return this.calls.reports(asked)
 			.stream()
 			.filter((rank) -> this.name.equals(rank.report().group()))
 			.sorted(Comparator.comparingInt((rank) -> rank.report().rank()))
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBook.java
@@ -0,0 +1,77 @@
+package org.snowwind.gateway.expert;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.snowwind.gateway.registry.BackendRun;
+import org.snowwind.model.Json;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+import org.snowwind.store.ObjectStore;
+import org.snowwind.store.StoredObject;
+import org.snowwind.store.WriteResult;
+
+/**
+ * Which server is in which group, as one gateway has written it down for the others.
+ *
+ * <p>
+ * It stands in the platform as an object of groups, each an object of server ids with the
+ * start of the server. What cannot be read says nothing.
+ */
+final class GroupBook {
+
+	private static final String KEY = "groups/members";
+
+	private final ObjectStore store;
+
+	/**
+	 * Creates a book.
+	 * @param store the platform
+	 */
+	GroupBook(ObjectStore store) {
+		this.store = store;
+	}
+
+	/**
+	 * Reads the book as it may have stood some seconds ago.
+	 * @return the group of each server that is in it, none if the platform does not
+	 * answer
+	 */
+	Map<BackendRun, String> read() {
+		return this.store.getStale(KEY)
+			.match((object) -> membersOf(object.value()), Map::<BackendRun, String>of,
+					(reason) -> Map.<BackendRun, String>of());
+	}
+
+	private static Map<BackendRun, String> membersOf(JsonNode value) {
+		Map<BackendRun, String> members = new HashMap<>();
+		if (value != null) {
+			value.properties()
+				.forEach((group) -> group.getValue()
+					.properties()
+					.forEach((server) -> members.put(new BackendRun(server.getKey(), server.getValue().asLong()),
+							group.getKey())));
+		}
+		return members;
+	}
+
+	/**
+	 * Writes the whole book, unless another gateway has changed it meanwhile.
+	 * @param members the group of each server
+	 * @return whether it stands
+	 */
+	boolean write(Map<BackendRun, String> members) {
+		Long revision = this.store.get(KEY).match(StoredObject::revision, () -> 0L, (reason) -> null);
+		if (revision == null) {
+			return false;
+		}
+		ObjectNode value = Json.MAPPER.createObjectNode();
+		members.forEach((run, group) -> value.withObjectProperty(group).put(run.id(), run.bornMillis()));
+		WriteResult result = this.store.put(KEY, revision, value);
+		EventLog.log(Event.GROUPS_WRITTEN, "servers", members.size(), "groups", value.size(), "result", result);
+		return result instanceof WriteResult.Written;
+	}
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupDirectory.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupDirectory.java
@@ -1,48 +1,172 @@
 package org.snowwind.gateway.expert;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.http.client.JsonClient;
+import org.snowwind.model.MonotonicClock;
+import org.snowwind.store.ObjectStore;
 
 /**
  * Finds out which group each rank is in. Confined to one thread, which it blocks.
  *
  * <p>
- * A run of a server stays in its group, so that each is asked only until it has one.
+ * A life of a server stays in its group. Whoever plans maps asks each server once and
+ * writes down what it learns; all others read that, so that questions grow with servers
+ * and not with gateways times servers: 49 gateways before 192 ranks asked 9,408 times
+ * whenever all were started, where 192 do. A gateway asks by itself only what nobody has
+ * written down for long.
  */
 public final class GroupDirectory {
 
+	/**
+	 * How long others are relied on, in milliseconds: a planner is found and has asked
+	 * within a second of the start of all gateways. Until then a rank takes requests
+	 * without a look at its group.
+	 */
+	private static final long PATIENCE_MILLIS = 2500;
+
+	/** How often what is written down is read while something is missing, in ms. */
+	private static final long READ_MILLIS = 1000;
+
+	/**
+	 * How long a gateway that does not plan waits before it asks the same server again,
+	 * in milliseconds: one that does not answer is dead or cut off.
+	 */
+	private static final long ASK_AGAIN_MILLIS = 4000;
+
 	private final RankCalls calls;
 
-	private final Supplier<List<BackendEntry>> ungrouped;
+	private final GroupBook book;
+
+	private final Sources sources;
+
+	private final BiConsumer<BackendRun, String> found;
+
+	private final MonotonicClock clock;
 
-	private final BiConsumer<String, String> found;
+	private final Map<BackendRun, String> known = new ConcurrentHashMap<>();
+
+	private final Map<BackendRun, Long> askMillis = new HashMap<>();
+
+	private long nextReadMillis = Long.MIN_VALUE;
+
+	private boolean unwritten;
 
 	/**
 	 * Creates a directory that has asked nobody.
 	 * @param client carries calls to ranks
 	 * @param protocol names what is said to ranks
-	 * @param ungrouped lists servers whose group is not known
-	 * @param found is told the id of a server and the name of its group
+	 * @param store keeps what one gateway has learnt for the others
+	 * @param sources tells of servers and of the own duty
+	 * @param found is told the life of a server and the name of its group
+	 * @param clock tells the time
 	 */
-	public GroupDirectory(JsonClient client, RankProtocol protocol, Supplier<List<BackendEntry>> ungrouped,
-			BiConsumer<String, String> found) {
+	public GroupDirectory(JsonClient client, RankProtocol protocol, ObjectStore store, Sources sources,
+			BiConsumer<BackendRun, String> found, MonotonicClock clock) {
 		this.calls = RankCalls.of(client, protocol);
-		this.ungrouped = ungrouped;
+		this.book = new GroupBook(store);
+		this.sources = sources;
 		this.found = found;
+		this.clock = clock;
 	}
 
 	/**
-	 * Asks each server whose group is not known.
+	 * Finds the groups of servers whose group is not known.
 	 */
 	public void round() {
-		List<BackendEntry> servers = this.ungrouped.get();
-		if (!servers.isEmpty()) {
-			this.calls.reports(servers).forEach((rank) -> this.found.accept(rank.serverId(), rank.report().group()));
+		List<BackendEntry> missing = this.sources.ungrouped().get();
+		Set<BackendRun> runs = missing.stream().map(BackendEntry::run).collect(Collectors.toSet());
+		this.askMillis.keySet().retainAll(runs);
+		if (!missing.isEmpty()) {
+			ask(due(unwrittenOf(missing)));
+		}
+		if (this.unwritten && this.sources.planning().getAsBoolean()) {
+			this.known.keySet().retainAll(this.sources.registered().get());
+			this.unwritten = !this.book.write(this.known);
 		}
 	}
 
+	/**
+	 * Returns the group of each server of which it is known.
+	 * @return the names of groups by the life of the server, a view that changes
+	 */
+	public Map<BackendRun, String> known() {
+		return this.known;
+	}
+
+	private List<BackendEntry> unwrittenOf(List<BackendEntry> missing) {
+		long nowMillis = this.clock.nowMillis();
+		if (nowMillis < this.nextReadMillis) {
+			return missing;
+		}
+		this.nextReadMillis = nowMillis + READ_MILLIS;
+		Map<BackendRun, String> written = this.book.read();
+		List<BackendEntry> left = new ArrayList<>();
+		for (BackendEntry server : missing) {
+			String group = written.get(server.run());
+			if (group != null) {
+				learn(server.run(), group);
+			}
+			else {
+				left.add(server);
+			}
+		}
+		return left;
+	}
+
+	private List<BackendEntry> due(List<BackendEntry> missing) {
+		long nowMillis = this.clock.nowMillis();
+		if (this.sources.planning().getAsBoolean()) {
+			return missing;
+		}
+		return missing.stream()
+			.filter((server) -> nowMillis >= this.askMillis.computeIfAbsent(server.run(),
+					(run) -> nowMillis + PATIENCE_MILLIS))
+			.toList();
+	}
+
+	private void ask(List<BackendEntry> servers) {
+		if (servers.isEmpty()) {
+			return;
+		}
+		long againMillis = this.clock.nowMillis() + ASK_AGAIN_MILLIS;
+		Map<String, BackendRun> runs = new HashMap<>();
+		servers.forEach((server) -> {
+			this.askMillis.put(server.run(), againMillis);
+			runs.put(server.id(), server.run());
+		});
+		this.calls.reports(servers).forEach((rank) -> {
+			learn(runs.get(rank.serverId()), rank.report().group());
+			this.unwritten = true;
+		});
+	}
+
+	private void learn(BackendRun run, String group) {
+		this.known.put(run, group);
+		this.found.accept(run, group);
+	}
+
+	/**
+	 * What the directory asks this gateway.
+	 *
+	 * @param ungrouped lists servers whose group is not known
+	 * @param registered lists the lives of all servers
+	 * @param planning tells whether this gateway plans maps
+	 */
+	public record Sources(Supplier<List<BackendEntry>> ungrouped, Supplier<Set<BackendRun>> registered,
+			BooleanSupplier planning) {
+
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -71,12 +71,12 @@
 	 * @return how it ended
 	 */
 	SwitchOutcome run(List<Rank> ranks, MapOrder.Prepare prepare, long copyMillis) {
-		Optional<SwitchOutcome> stopped = beginCopies(ranks, prepare);
+		List<Rank> pending = new ArrayList<>();
+		Optional<SwitchOutcome> stopped = beginCopies(ranks, prepare, pending);
 		if (stopped.isPresent()) {
 			return stopped.get();
 		}
 		this.group.pause(copyMillis);
-		List<Rank> pending = new ArrayList<>(ranks);
 		for (int attempt = 0; attempt < PREPARE_TRIES && !pending.isEmpty(); attempt++) {
 			// The same order again tells whether the copies are done.
 			List<OrderResult> results = give(pending, prepare);
@@ -93,8 +93,9 @@
 	}
 
 	// An order that got no answer is given again before anything is waited for: else its
-	// rank would begin to copy when the others are done.
-	private Optional<SwitchOutcome> beginCopies(List<Rank> ranks, MapOrder.Prepare prepare) {
+	// rank would begin to copy when the others are done. A rank that has nothing to copy
+	// says at once that it is done, and is not asked again.
+	private Optional<SwitchOutcome> beginCopies(List<Rank> ranks, MapOrder.Prepare prepare, List<Rank> copying) {
 		List<Rank> unreached = ranks;
 		for (int attempt = 0; attempt < REPEATS && !unreached.isEmpty(); attempt++) {
 			List<OrderResult> results = give(unreached, prepare);
@@ -102,8 +103,10 @@
 			if (stopped.isPresent()) {
 				return stopped;
 			}
+			copying.addAll(without(unreached, results, Set.of(OrderResult.TAKEN, OrderResult.UNKNOWN)));
 			unreached = without(unreached, results, Set.of(OrderResult.TAKEN, OrderResult.BEGUN));
 		}
+		copying.addAll(unreached);
 		return Optional.empty();
 	}
 
@@ -115,7 +118,7 @@
 
 	private SwitchOutcome holdAndArm(List<Rank> ranks, long version) {
 		Rank holder = ranks.get(0);
-		List<Rank> now = this.group.reports();
+		List<Rank> now = this.group.sample();
 		if (formedAnew(ranks, now)) {
 			return SwitchOutcome.FORMED_ANEW;
 		}
@@ -158,7 +161,7 @@
 				return lost.get();
 			}
 			boolean check = results.contains(OrderResult.UNFIT) || attempt % TRIES_BEFORE_CHECK == 0;
-			if (check && formedAnew(ranks, this.group.reports())) {
+			if (check && formedAnew(ranks, this.group.sample())) {
 				return SwitchOutcome.FORMED_ANEW;
 			}
 			if (results.contains(OrderResult.UNFIT)) {
@@ -185,7 +188,7 @@
 			}
 			// Unfit means that the pass has begun after all, and with it the map.
 			pending = without(pending, results, Set.of(OrderResult.TAKEN, OrderResult.UNFIT));
-			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.reports())) {
+			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.sample())) {
 				return SwitchOutcome.FORMED_ANEW;
 			}
 		}
@@ -216,7 +219,7 @@
 			if (result != OrderResult.UNKNOWN && result != OrderResult.BEGUN) {
 				return result;
 			}
-			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.reports())) {
+			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.sample())) {
 				return OrderResult.RESTARTED;
 			}
 			this.group.pause(RETRY_MILLIS);
--- a/gateway/src/main/java/org/snowwind/gateway/expert/Rank.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/Rank.java
@@ -1,12 +1,18 @@
 package org.snowwind.gateway.expert;
 
+import org.snowwind.gateway.registry.BackendRun;
+
 /**
  * One rank of a group, as of its last report.
  *
- * @param serverId the run of the server
+ * @param run which life of the server it is
  * @param address where it listens, {@code IP:PORT}
  * @param report what it says of itself
  */
-record Rank(String serverId, String address, RankReport report) {
+record Rank(BackendRun run, String address, RankReport report) {
+
+	String serverId() {
+		return this.run.id();
+	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
@@ -8,6 +8,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.table.DocumentException;
 import org.snowwind.http.client.JsonClient;
 import org.snowwind.http.client.JsonClient.JsonAnswer;
@@ -72,18 +73,39 @@
 		for (int i = 0; i < servers.size(); i++) {
 			BackendEntry server = servers.get(i);
 			read(pending.get(i), this.protocol::report, server.id()).filter((report) -> report.group() != null)
-				.ifPresent((report) -> ranks.add(new Rank(server.id(), server.address(), report)));
+				.filter((report) -> sameLife(server.run(), report.bornMillis()))
+				.ifPresent((report) -> ranks.add(rankOf(server, report)));
 		}
 		return ranks;
 	}
 
+	private static Rank rankOf(BackendEntry server, RankReport report) {
+		return new Rank(new BackendRun(server.id(), report.bornMillis()), server.address(), report);
+	}
+
+	// What another life of a server says changes nothing: it holds nothing of this one.
+	private static boolean sameLife(BackendRun run, long bornMillis) {
+		boolean same = run.mayBe(new BackendRun(run.id(), bornMillis));
+		if (!same) {
+			EventLog.log(Event.RANK_SILENT, "server", run.id(), "reason",
+					"born at " + bornMillis + ", expected " + run.bornMillis());
+		}
+		return same;
+	}
+
 	/**
 	 * Asks ranks which experts were chosen.
 	 * @param ranks the ranks
 	 * @return the counts in the same order, empty where no answer came
 	 */
 	List<Optional<RankCounts>> counts(List<Rank> ranks) {
-		return askAll(ranks, this.protocol.countsPath(), this.protocol::counts);
+		List<Optional<RankCounts>> answers = askAll(ranks, this.protocol.countsPath(), this.protocol::counts);
+		List<Optional<RankCounts>> ofThisLife = new ArrayList<>();
+		for (int i = 0; i < ranks.size(); i++) {
+			BackendRun run = ranks.get(i).run();
+			ofThisLife.add(answers.get(i).filter((counts) -> sameLife(run, counts.bornMillis())));
+		}
+		return ofThisLife;
 	}
 
 	/**
@@ -146,22 +168,24 @@
 		}
 		List<OrderResult> results = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i++) {
-			OrderResult result = resultOf(pending.get(i));
+			OrderResult result = resultOf(pending.get(i), ranks.get(i).run());
 			logOrder(ranks.get(i), order, fence, result);
 			results.add(result);
 		}
 		return results;
 	}
 
-	private OrderResult resultOf(CompletableFuture<JsonAnswer> pending) {
+	private OrderResult resultOf(CompletableFuture<JsonAnswer> pending, BackendRun run) {
 		try {
-			return this.protocol.result(pending.get().status());
+			JsonAnswer answer = pending.get();
+			boolean same = sameLife(run, this.protocol.bornMillis(answer.body()));
+			return same ? this.protocol.result(answer.status()) : OrderResult.RESTARTED;
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 			return OrderResult.UNKNOWN;
 		}
-		catch (ExecutionException ex) {
+		catch (ExecutionException | DocumentException ex) {
 			return OrderResult.UNKNOWN;
 		}
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankCounts.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankCounts.java
@@ -2,14 +2,18 @@
 
 import java.util.List;
 
+import org.snowwind.gateway.registry.BackendRun;
+
 /**
  * How often a rank's requests chose each expert since the rank started.
  *
  * @param epoch the epoch of its group
  * @param counts how often, all experts of the first set, then all of the second, and so
  * on
+ * @param bornMillis when the rank was started, in Unix milliseconds by its own clock;
+ * {@link BackendRun#UNKNOWN} if it does not say
  */
-public record RankCounts(long epoch, List<Long> counts) {
+public record RankCounts(long epoch, List<Long> counts, long bornMillis) {
 
 	/**
 	 * Copies the counts.
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankGroupPort.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankGroupPort.java
@@ -14,6 +14,13 @@
 	 */
 	List<Rank> reports();
 
+	/**
+	 * Asks a few ranks for their state, in turn: enough to know which pass the group is
+	 * at and whether it still stands.
+	 * @return the ranks that answered, by place
+	 */
+	List<Rank> sample();
+
 	/**
 	 * Gives one order to each of several ranks.
 	 * @param ranks the ranks
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankProtocol.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankProtocol.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.table.DocumentException;
 
 /**
@@ -75,6 +76,14 @@
 	 */
 	Map<String, String> headers(String serverId);
 
+	/**
+	 * Reads from any answer of a rank when the rank was started.
+	 * @param document the answer
+	 * @return the Unix milliseconds, {@link BackendRun#UNKNOWN} if it does not say
+	 * @throws DocumentException if it says something that is no such number
+	 */
+	long bornMillis(JsonNode document) throws DocumentException;
+
 	/**
 	 * Reads what became of an order.
 	 * @param status the HTTP status of the answer
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankReport.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankReport.java
@@ -1,5 +1,7 @@
 package org.snowwind.gateway.expert;
 
+import org.snowwind.gateway.registry.BackendRun;
+
 /**
  * What a rank says of itself, as of some hundred milliseconds ago.
  *
@@ -13,9 +15,11 @@
  * @param preparedVersion the version whose experts it has copied; 0 for none
  * @param armedVersion the version that it will run from some pass on; 0 for none
  * @param heldStep the pass that it may not begin; -1 for none
+ * @param bornMillis when it was started, in Unix milliseconds by its own clock;
+ * {@link BackendRun#UNKNOWN} if it does not say
  */
 public record RankReport(String group, long epoch, int rank, int size, boolean open, long step, long mapVersion,
-		long preparedVersion, long armedVersion, long heldStep) {
+		long preparedVersion, long armedVersion, long heldStep, long bornMillis) {
 
 	/** No pass is held. */
 	public static final long NOT_HELD = -1;
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankSample.java
@@ -0,0 +1,39 @@
+package org.snowwind.gateway.expert;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.snowwind.gateway.registry.BackendEntry;
+
+/**
+ * Chooses which ranks are asked how their group is, a few in turn. Confined to one
+ * thread.
+ *
+ * <p>
+ * All ranks of a group step together and break together, so that a few tell of all; what
+ * one rank alone may have, a pass that was left held, is found as each has its turn. With
+ * all of 96 ranks asked each time, two groups made most of 62,017 questions on a day of a
+ * minute.
+ */
+final class RankSample {
+
+	/** So many are asked, so that one lost answer hides nothing. */
+	static final int RANKS = 3;
+
+	private int next;
+
+	/**
+	 * Chooses the next ranks.
+	 * @param members all ranks of the group
+	 * @return a few of them, all if there are no more than that
+	 */
+	List<BackendEntry> of(List<BackendEntry> members) {
+		List<BackendEntry> chosen = new ArrayList<>();
+		for (int i = 0; i < Math.min(RANKS, members.size()); i++) {
+			chosen.add(members.get((this.next + i) % members.size()));
+		}
+		this.next = members.isEmpty() ? 0 : (this.next + RANKS) % members.size();
+		return chosen;
+	}
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
@@ -68,6 +68,14 @@
 		this.seenMillis = nowMillis;
 	}
 
+	/**
+	 * Returns the last pass that was seen.
+	 * @return the pass, 0 before any
+	 */
+	long step() {
+		return this.step;
+	}
+
 	/**
 	 * Returns a pass that has surely not begun.
 	 * @param attempt how many passes before it had begun all the same
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -64,7 +64,9 @@
 
 	private long rounds;
 
-	private volatile View view = new View(0, Set.of(), Set.of(), Set.of(), 0);
+	private final FleetSize fleet = new FleetSize();
+
+	private volatile View view = new View(FleetSize.UNKNOWN, Set.of(), Set.of(), Set.of(), 0);
 
 	/**
 	 * Creates a mesh that calls nobody yet.
@@ -192,11 +194,24 @@
 	}
 
 	private void publish(long nowMillis) {
-		this.view = new View(this.peers.known(), this.peers.liveNames(), Set.copyOf(this.peers.liveAddresses()),
-				this.peers.promptNames(nowMillis), this.peers.plannerFence(nowMillis));
+		Set<String> live = Set.copyOf(this.peers.liveAddresses());
+		this.fleet.observe(this.peers.known(), live.size());
+		this.view = new View(this.fleet.size(), this.peers.liveNames(), live, this.peers.promptNames(nowMillis),
+				this.peers.plannerFence(nowMillis));
 		this.consumers.peersChanged(this.peers.inFlight(nowMillis), this.peers.unheardFactor(nowMillis));
 	}
 
+	/**
+	 * Takes note of the platform's list of gateways.
+	 * @param addresses control addresses of all others in it
+	 */
+	public void listed(List<String> addresses) {
+		this.thread.offer(() -> {
+			this.fleet.listed(addresses.size());
+			addresses.forEach((address) -> this.peers.mayBeAt(address, this.clock.nowMillis()));
+		});
+	}
+
 	/**
 	 * Takes note of addresses at which peers may be.
 	 * @param addresses control addresses
@@ -214,14 +229,15 @@
 	/**
 	 * What is known of other gateways.
 	 *
-	 * @param known how many there are, those out of reach included
+	 * @param fleetSize how many gateways there may be, this one and those out of reach
+	 * included; 0 before any other or the platform was heard
 	 * @param liveNames the names of those that answer and do not leave
 	 * @param liveAddresses the control addresses of those that answer
 	 * @param promptNames the names of those that were heard a moment ago and do not leave
 	 * @param plannerFence the newest fencing token with which one of them was heard a
 	 * moment ago to plan expert maps, 0 if none does
 	 */
-	public record View(int known, Set<String> liveNames, Set<String> liveAddresses, Set<String> promptNames,
+	public record View(int fleetSize, Set<String> liveNames, Set<String> liveAddresses, Set<String> promptNames,
 			long plannerFence) {
 
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/registry/BackendEntry.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/BackendEntry.java
@@ -5,7 +5,9 @@
 /**
  * A backend server as it has registered itself.
  *
- * @param id names one run of the server; a restart has a new id
+ * @param id its id, which a restart may keep
+ * @param bornMillis when it was started, in Unix milliseconds by its own clock;
+ * {@link BackendRun#UNKNOWN} if it does not say
  * @param service the service that it serves
  * @param host its IP number
  * @param port its port
@@ -14,8 +16,16 @@
  * @param draining whether it takes no new work
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
-public record BackendEntry(String id, String service, String host, int port, String dataCentre, int slots,
-		boolean draining) {
+public record BackendEntry(String id, long bornMillis, String service, String host, int port, String dataCentre,
+		int slots, boolean draining) {
+
+	/**
+	 * Returns which life of the server has registered.
+	 * @return the life
+	 */
+	public BackendRun run() {
+		return new BackendRun(this.id, this.bornMillis);
+	}
 
 	/**
 	 * Returns the address.
--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
@@ -26,6 +26,8 @@
 
 	private final MonotonicClock clock;
 
+	private final UnreadableEntries unreadable = new UnreadableEntries();
+
 	private volatile boolean away;
 
 	/**
@@ -53,6 +55,7 @@
 	@Override
 	public void listed(ListResult.Listed listing) {
 		List<BackendEntry> servers = new ArrayList<>();
+		this.unreadable.retain(listing.objects().stream().map(this::idOf).toList());
 		listing.objects().forEach((object) -> decode(object).ifPresent(servers::add));
 		this.view.listed(listing.revision(), servers, this.clock.nowMillis());
 		publish();
@@ -62,12 +65,11 @@
 	public void changed(WatchResult.Changes changes) {
 		long nowMillis = this.clock.nowMillis();
 		for (StoredObject object : changes.objects()) {
+			Optional<BackendEntry> server = object.deleted() ? Optional.empty() : decode(object);
 			if (object.deleted()) {
-				this.view.removed(idOf(object), nowMillis);
-			}
-			else {
-				decode(object).ifPresent(this.view::changed);
+				this.unreadable.readable(idOf(object));
 			}
+			server.ifPresentOrElse(this.view::changed, () -> this.view.removed(idOf(object), nowMillis));
 		}
 		this.view.knownUpTo(changes.revision());
 		publish();
@@ -108,14 +110,26 @@
 		return object.key().substring(this.decoder.prefix().length());
 	}
 
+	// An entry may come from another writer. One that cannot be read names no server,
+	// whatever it said before; the others hold.
 	private Optional<BackendEntry> decode(StoredObject object) {
 		try {
-			return Optional.of(this.decoder.decode(idOf(object), object.value()));
+			BackendEntry server = this.decoder.decode(idOf(object), object.value());
+			this.unreadable.readable(idOf(object));
+			return Optional.of(server);
 		}
 		catch (DocumentException ex) {
-			EventLog.log(Event.SERVER_UNREADABLE, "server", idOf(object), "reason", ex.getMessage());
+			this.unreadable.unreadable(idOf(object), ex.getMessage());
 			return Optional.empty();
 		}
 	}
 
+	/**
+	 * Counts the entries that cannot be read as they stand now.
+	 * @return a number of entries, bounded
+	 */
+	public int unreadable() {
+		return this.unreadable.count();
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -75,6 +75,9 @@
 
 	private int sends;
 
+	/** How many sends a server may have received; the others reached none. */
+	private int arrivals;
+
 	private int runs;
 
 	private final EventTimes times;
@@ -168,11 +171,17 @@
 	}
 
 	private void sendTo(Backend backend) {
+		// While a request waited others may have spent what was left when it was allowed.
+		if (!retryAllowed()) {
+			giveUpUnsent(ProblemKind.OVERLOADED);
+			return;
+		}
 		long remaining = remainingMillis();
-		if (this.sends > 0) {
+		if (this.arrivals > 0) {
 			this.context.budgets().retried(this.request.service());
 		}
 		this.sends++;
+		this.arrivals++;
 		this.tried.add(backend.id());
 		EventLog.log(Event.REQUEST_SENT, "request", this.request.id(), "server", backend.id(), "attempt", this.sends,
 				"load", backend.load(), "group", groupOf(backend), "groupLoad", groupLoadOf(backend), "passMillis",
@@ -359,16 +368,23 @@
 		return tryAgain ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.ANSWERED;
 	}
 
+	// What reached no server is no load on any, so that another send is no retry.
+	private boolean retryAllowed() {
+		return this.arrivals == 0 || this.context.budgets().allows(this.request.service());
+	}
+
 	private void decide(AttemptEnd end) {
 		if (!end.provesNotRun()) {
 			this.runs++;
 		}
+		if (end == AttemptEnd.NOT_SENT) {
+			this.arrivals--;
+		}
 		boolean serverLeft = this.sends < MAX_SENDS
 				&& this.context.backends().anyLeft(this.request.service(), Set.of());
 		Situation situation = new Situation(end, this.request.route().repeatable(),
 				this.request.route().resumable() && this.position.known(), this.position.bytes(), this.runs,
-				this.request.route().maxAttempts(), remainingMillis() - LEAST_USEFUL_MILLIS,
-				this.context.budgets().allows(this.request.service()), serverLeft,
+				this.request.route().maxAttempts(), remainingMillis() - LEAST_USEFUL_MILLIS, retryAllowed(), serverLeft,
 				(end == AttemptEnd.REFUSED) ? ProblemKind.OVERLOADED : null);
 		NextStep step = NextStepRules.decide(situation);
 		if (end != AttemptEnd.ANSWERED) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/RetryBudgets.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RetryBudgets.java
@@ -20,21 +20,26 @@
 
 	private final MonotonicClock clock;
 
+	private final long startedMillis;
+
 	/**
 	 * Creates the budgets.
 	 * @param bound what all processes together may spend
-	 * @param processes how many processes there may be, those out of reach included
+	 * @param processes how many processes there may be, those out of reach included; 0
+	 * while that is not known
 	 * @param clock tells the time
+	 * @param startedMillis when this process was started, in milliseconds
 	 */
-	public RetryBudgets(RetryBound bound, IntSupplier processes, MonotonicClock clock) {
+	public RetryBudgets(RetryBound bound, IntSupplier processes, MonotonicClock clock, long startedMillis) {
 		this.bound = bound;
 		this.processes = processes;
 		this.clock = clock;
+		this.startedMillis = startedMillis;
 	}
 
 	private WindowedRetryBudget of(String service) {
 		return this.byService.computeIfAbsent(service, (name) -> new WindowedRetryBudget(this.bound.fraction(),
-				this.bound.extra(), this.bound.windowMillis()));
+				this.bound.extra(), this.bound.windowMillis(), this.startedMillis));
 	}
 
 	void request(String service) {
@@ -45,6 +50,11 @@
 		of(service).retried(this.clock.nowMillis());
 	}
 
+	/**
+	 * Tells whether a retry is allowed.
+	 * @param service the service's name
+	 * @return false once this process has spent its part
+	 */
 	boolean allows(String service) {
 		return of(service).allows(this.clock.nowMillis(), this.processes.getAsInt());
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.Registry;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.model.ManualClock;
@@ -31,8 +32,9 @@
 
 	@BeforeEach
 	void oneRank() {
-		this.table.use(new Registry(1, Map.of("r", new BackendEntry("r", "s", "10.0.0.1", 80, "dc", 2, false))));
-		this.table.grouped("r", "g");
+		this.table.use(new Registry(1,
+				Map.of("r", new BackendEntry("r", BackendRun.UNKNOWN, "s", "10.0.0.1", 80, "dc", 2, false))));
+		this.table.grouped(BackendRun.of("r"), "g");
 	}
 
 	private Admission.Verdict decide(long arrivedMillis) {
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -10,6 +10,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.Registry;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.model.ManualClock;
@@ -35,7 +36,7 @@
 	private final BackendTable table = new BackendTable(this.clock, new Random(1), "dc");
 
 	private static BackendEntry server(String id, boolean draining) {
-		return new BackendEntry(id, "s", "10.0.0.1", 80, "dc", 2, draining);
+		return new BackendEntry(id, BackendRun.UNKNOWN, "s", "10.0.0.1", 80, "dc", 2, draining);
 	}
 
 	private void registered(BackendEntry... servers) {
@@ -114,7 +115,8 @@
 		Map<String, Integer> oldNews = new HashMap<>();
 		BackendEntry[] ranks = new BackendEntry[SERVERS];
 		for (int i = 0; i < SERVERS; i++) {
-			ranks[i] = new BackendEntry("r" + i, "s", "10.0.0.1", 80 + i, "dc", ENGINE.slots(), false);
+			ranks[i] = new BackendEntry("r" + i, BackendRun.UNKNOWN, "s", "10.0.0.1", 80 + i, "dc", ENGINE.slots(),
+					false);
 			oldNews.put("r" + i, (i == 0) ? 0 : 4);
 		}
 		// Neighbouring seeds give nearly the same first draw.
@@ -137,7 +139,7 @@
 	@Test
 	void aServerOfAFullGroupIsNotChosen() {
 		registered(server("a", false), server("b", false));
-		this.table.grouped("a", "g");
+		this.table.grouped(BackendRun.of("a"), "g");
 		server("a").sent();
 		Wanted wanted = new Wanted("s", Set.of("b"), 9, ENGINE, 120);
 		assertThat(this.table.choose(wanted)).isPresent();
@@ -150,7 +152,7 @@
 	@Test
 	void aGroupWhoseRanksCannotBeReachedIsClosed() {
 		registered(server("a", false), server("b", false), server("c", false));
-		Stream.of("a", "b", "c").forEach((id) -> this.table.grouped(id, "g"));
+		Stream.of("a", "b", "c").forEach((id) -> this.table.grouped(BackendRun.of(id), "g"));
 		Stream.of("a", "b").forEach(this::unreachable);
 		assertThat(this.table.allClosed("s")).as("two ranks may be dead").isFalse();
 		unreachable("c");
@@ -162,7 +164,7 @@
 		registered(server("a", false));
 		server("a").sent();
 		server("a").streamBegan(10_000);
-		this.table.grouped("a", "g");
+		this.table.grouped(BackendRun.of("a"), "g");
 		this.clock.advance(600);
 		choose(NONE);
 		this.table.choose(new Wanted("s", NONE, 9, ENGINE, 120));
@@ -184,7 +186,7 @@
 	@Test
 	void aGatewayThatHasJustBegunLeavesRoomForOthersThatItHasNotHeard() {
 		registered(server("a", false), server("b", false));
-		Stream.of("a", "b").forEach((id) -> this.table.grouped(id, "g"));
+		Stream.of("a", "b").forEach((id) -> this.table.grouped(BackendRun.of(id), "g"));
 		Wanted wanted = new Wanted("s", NONE, 9, ENGINE, 120);
 		server("a").sent();
 		this.table.peersInFlight(Map.of(), 1);
@@ -193,4 +195,48 @@
 		assertThat(this.table.choose(wanted)).as("20 gateways with one each fill 14 slots").isEmpty();
 	}
 
+	// ---- another life of a server
+
+	private static BackendEntry born(long bornMillis) {
+		return new BackendEntry("a", bornMillis, "s", "10.0.0.1", 80, "dc", 2, false);
+	}
+
+	@Test
+	void aServerThatStartsAgainUnderItsIdHasNothingOfBefore() {
+		registered(born(1000));
+		Backend before = server("a");
+		this.table.grouped(new BackendRun("a", 1000), "g");
+		before.sent();
+		before.refusesNewWork();
+		registered(born(2000));
+		assertThat(server("a").load()).isZero();
+		assertThat(server("a").group()).isNull();
+		assertThat(server("a").takesNewWork()).isTrue();
+		assertThat(before.takesNewWork()).isFalse();
+	}
+
+	@Test
+	void aServerThatOnlyWritesAgainGoesOn() {
+		registered(born(1000));
+		server("a").sent();
+		registered(born(1000));
+		assertThat(server("a").load()).isEqualTo(1);
+	}
+
+	@Test
+	void whatIsLearntOfAnEarlierLifeChangesNothing() {
+		registered(born(2000));
+		this.table.grouped(new BackendRun("a", 1000), "g");
+		assertThat(server("a").group()).isNull();
+		this.table.grouped(new BackendRun("a", 2000), "g");
+		assertThat(server("a").group()).isNotNull();
+	}
+
+	@Test
+	void aServerOfAServiceThatIsNotConfiguredMakesNobodyReady() {
+		registered(server("a", false));
+		assertThat(this.table.anyTakesNewWork(Set.of("other"))).isFalse();
+		assertThat(this.table.anyTakesNewWork(Set.of("s"))).isTrue();
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
@@ -13,6 +13,7 @@
 import java.util.stream.IntStream;
 
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.Registry;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.model.ManualClock;
@@ -66,14 +67,14 @@
 		this.scenario = scenario;
 		this.random = new Random(seed);
 		Map<String, BackendEntry> entries = IntStream.range(0, scenario.ranks())
-			.mapToObj((i) -> new BackendEntry("r" + i, SERVICE, "10.0.0.1", 80 + i, dataCentre(i),
+			.mapToObj((i) -> new BackendEntry("r" + i, BackendRun.UNKNOWN, SERVICE, "10.0.0.1", 80 + i, dataCentre(i),
 					scenario.engine().slots(), false))
 			.collect(Collectors.toMap(BackendEntry::id, (entry) -> entry));
 		entries.keySet().forEach((id) -> this.running.put(id, new ArrayList<>()));
 		for (int i = 0; i < scenario.gateways(); i++) {
 			BackendTable table = new BackendTable(this.clock, new Random(this.random.nextLong()), dataCentre(i), limit);
 			table.use(new Registry(1, entries));
-			entries.keySet().forEach((id) -> table.grouped(id, "g"));
+			entries.keySet().forEach((id) -> table.grouped(BackendRun.of(id), "g"));
 			this.gateways.add(new Gateway(table, new Admission(table, this.clock)));
 		}
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/backend/ServerPickTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/ServerPickTests.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -24,8 +25,8 @@
 	}
 
 	private static Candidate candidate(String id, double fullness, double roomShare, boolean near) {
-		return new Candidate(new Backend(new BackendEntry(id, "s", "10.0.0.1", 80, "dc", 8, false)), fullness,
-				roomShare, near);
+		return new Candidate(new Backend(new BackendEntry(id, BackendRun.UNKNOWN, "s", "10.0.0.1", 80, "dc", 8, false)),
+				fullness, roomShare, near);
 	}
 
 	private Map<String, Integer> draw(ServerPick pick, List<Candidate> candidates) {
--- a/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankGroup.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankGroup.java
@@ -6,6 +6,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.model.ManualClock;
 
 /**
@@ -49,6 +50,11 @@
 
 	double unansweredShare;
 
+	/** How many ranks, the first ones, have something to copy for a new map. */
+	int copyingRanks = Integer.MAX_VALUE;
+
+	private int prepareOrders;
+
 	/** Orders of both kinds that get no answer: half are done late, a quarter never. */
 	FakeRankGroup(int size, ManualClock clock, Random random) {
 		this.clock = clock;
@@ -70,6 +76,10 @@
 		return this.heldMillis;
 	}
 
+	int prepareOrders() {
+		return this.prepareOrders;
+	}
+
 	boolean held() {
 		return this.ranks.stream().anyMatch((rank) -> rank.heldStep != RankReport.NOT_HELD);
 	}
@@ -146,10 +156,16 @@
 		public List<Rank> reports() {
 			advance(3);
 			return FakeRankGroup.this.ranks.stream()
-				.map((rank) -> new Rank("i-" + rank.place, "address", rank.reportAsOf(FakeRankGroup.this.nowMillis)))
+				.map((rank) -> new Rank(BackendRun.of("i-" + rank.place), "address",
+						rank.reportAsOf(FakeRankGroup.this.nowMillis)))
 				.toList();
 		}
 
+		@Override
+		public List<Rank> sample() {
+			return reports().subList(0, Math.min(RankSample.RANKS, FakeRankGroup.this.ranks.size()));
+		}
+
 		@Override
 		public List<OrderResult> order(List<Rank> to, MapOrder order) {
 			List<OrderResult> results = new ArrayList<>();
@@ -256,7 +272,8 @@
 		private RankReport current() {
 			boolean copied = this.preparedVersion != 0 && FakeRankGroup.this.nowMillis >= this.preparedMillis;
 			return new RankReport("g", 1, this.place, FakeRankGroup.this.ranks.size(), true, FakeRankGroup.this.step,
-					this.mapVersion, copied ? this.preparedVersion : 0, this.armedVersion, this.heldStep);
+					this.mapVersion, copied ? this.preparedVersion : 0, this.armedVersion, this.heldStep,
+					BackendRun.UNKNOWN);
 		}
 
 		private RankReport reportAsOf(long millis) {
@@ -293,6 +310,7 @@
 		}
 
 		private OrderResult prepare(MapOrder.Prepare prepare) {
+			FakeRankGroup.this.prepareOrders++;
 			if (prepare.version() == this.preparedVersion) {
 				boolean copied = FakeRankGroup.this.nowMillis >= this.preparedMillis;
 				return copied ? OrderResult.TAKEN : OrderResult.BEGUN;
@@ -303,8 +321,9 @@
 			this.highestVersion = prepare.version();
 			this.preparedVersion = prepare.version();
 			this.preparedContent = prepare.expertsOfRank().hashCode();
-			this.preparedMillis = FakeRankGroup.this.nowMillis + 300;
-			return OrderResult.BEGUN;
+			boolean copies = this.place < FakeRankGroup.this.copyingRanks;
+			this.preparedMillis = FakeRankGroup.this.nowMillis + (copies ? 300 : 0);
+			return copies ? OrderResult.BEGUN : OrderResult.TAKEN;
 		}
 
 		private OrderResult arm(MapOrder.Arm arm) {
--- a/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankProtocol.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankProtocol.java
@@ -26,7 +26,8 @@
 
 	@Override
 	public RankReport report(JsonNode document) {
-		return new RankReport("g", 1, 0, 1, true, document.path("step").asLong(), 1, 0, 0, RankReport.NOT_HELD);
+		return new RankReport("g", 1, 0, 1, true, document.path("step").asLong(), 1, 0, 0, RankReport.NOT_HELD,
+				bornMillis(document));
 	}
 
 	@Override
@@ -36,7 +37,7 @@
 
 	@Override
 	public RankCounts counts(JsonNode document) {
-		return new RankCounts(1, List.of());
+		return new RankCounts(1, List.of(), bornMillis(document));
 	}
 
 	@Override
@@ -64,6 +65,11 @@
 		return Map.of(SERVER, serverId);
 	}
 
+	@Override
+	public long bornMillis(JsonNode document) {
+		return document.path("born").asLong();
+	}
+
 	@Override
 	public OrderResult result(int status) {
 		return switch (status) {
--- a/gateway/src/test/java/org/snowwind/gateway/expert/MapSwitchTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/MapSwitchTests.java
@@ -205,4 +205,13 @@
 		assertThat(size).isPositive();
 	}
 
+	@Test
+	void aRankThatHasNothingToCopyIsToldToPrepareOnce() {
+		FakeRankGroup group = new FakeRankGroup(96, this.clock, new Random(1));
+		group.copyingRanks = 10;
+		group.advance(1000);
+		assertThat(switchTo(group.port(1, Integer.MAX_VALUE), 7)).isEqualTo(SwitchOutcome.RELEASED);
+		assertThat(group.prepareOrders()).as("192 where all were asked again").isEqualTo(96 + 10);
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/expert/RankCallsTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/RankCallsTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.http.client.JsonClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -113,8 +114,8 @@
 	}
 
 	private Rank rank(String serverId) {
-		RankReport report = new RankReport("g", 1, 0, 1, true, 0, 1, 0, 0, RankReport.NOT_HELD);
-		return new Rank(serverId, "127.0.0.1:" + this.socket.getLocalPort(), report);
+		RankReport report = new RankReport("g", 1, 0, 1, true, 0, 1, 0, 0, RankReport.NOT_HELD, BackendRun.UNKNOWN);
+		return new Rank(BackendRun.of(serverId), "127.0.0.1:" + this.socket.getLocalPort(), report);
 	}
 
 	private OrderResult order(String serverId, MapOrder order) {
@@ -122,8 +123,8 @@
 	}
 
 	private long reportedStep() {
-		BackendEntry server = new BackendEntry(SERVER, "model", "127.0.0.1", this.socket.getLocalPort(), "dc", 8,
-				false);
+		BackendEntry server = new BackendEntry(SERVER, BackendRun.UNKNOWN, "model", "127.0.0.1",
+				this.socket.getLocalPort(), "dc", 8, false);
 		return this.calls.reports(List.of(server)).get(0).report().step();
 	}
 
@@ -153,4 +154,29 @@
 		assertThat(order("run-0", new MapOrder.Hold(5))).isEqualTo(OrderResult.RESTARTED);
 	}
 
+	private List<Rank> reportsOfBorn(long bornMillis, String answeredBorn) {
+		this.answers.add(answer(200, "{\"step\":1" + answeredBorn + "}"));
+		BackendEntry server = new BackendEntry(SERVER, bornMillis, "model", "127.0.0.1", this.socket.getLocalPort(),
+				"dc", 8, false);
+		return this.calls.reports(List.of(server));
+	}
+
+	@Test
+	void aReportOfAnotherLifeOfTheServerIsNotBelieved() {
+		assertThat(reportsOfBorn(1000, ",\"born\":2000")).isEmpty();
+		assertThat(reportsOfBorn(2000, ",\"born\":1000")).isEmpty();
+		assertThat(reportsOfBorn(1000, ",\"born\":1000")).hasSize(1);
+		assertThat(reportsOfBorn(1000, "")).hasSize(1);
+	}
+
+	@Test
+	void anOrderThatAnotherLifeOfTheServerTookIsNotTaken() {
+		this.answers.add(answer(200, "{\"born\":2000}"));
+		this.answers.add(answer(200, "{\"born\":1000}"));
+		Rank rank = new Rank(new BackendRun(SERVER, 1000), "127.0.0.1:" + this.socket.getLocalPort(),
+				rank(SERVER).report());
+		assertThat(this.calls.order(List.of(rank), new MapOrder.Hold(5), 1)).containsExactly(OrderResult.RESTARTED);
+		assertThat(this.calls.order(List.of(rank), new MapOrder.Hold(5), 1)).containsExactly(OrderResult.TAKEN);
+	}
+
 }
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/FleetSizeTests.java
@@ -0,0 +1,56 @@
+package org.snowwind.gateway.peer;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link FleetSize}.
+ */
+class FleetSizeTests {
+
+	private final FleetSize fleet = new FleetSize();
+
+	@Test
+	void whoWasJustStartedDoesNotTakeItselfForTheOnlyOne() {
+		this.fleet.observe(3, 0);
+		assertThat(this.fleet.size()).isEqualTo(FleetSize.UNKNOWN);
+	}
+
+	@Test
+	void whoIsAloneInThePlatformsListIsAlone() {
+		this.fleet.listed(0);
+		assertThat(this.fleet.size()).isEqualTo(1);
+	}
+
+	@Test
+	void whoIsCutOffGoesOnCountingTheOthers() {
+		this.fleet.observe(6, 6);
+		this.fleet.observe(6, 0);
+		this.fleet.observe(0, 0);
+		this.fleet.observe(2, 2);
+		assertThat(this.fleet.size()).isEqualTo(7);
+	}
+
+	@Test
+	void othersThatAreGoneAreForgottenWhileMostAreHeard() {
+		this.fleet.observe(6, 6);
+		this.fleet.observe(4, 4);
+		assertThat(this.fleet.size()).isEqualTo(5);
+	}
+
+	@Test
+	void thoseThatWereHeardOfCountBeforeTheyAreHeard() {
+		this.fleet.observe(2, 1);
+		this.fleet.observe(6, 1);
+		assertThat(this.fleet.size()).isEqualTo(7);
+	}
+
+	@Test
+	void aListDoesNotLowerWhatIsKnown() {
+		this.fleet.observe(6, 6);
+		this.fleet.listed(2);
+		assertThat(this.fleet.size()).isEqualTo(7);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/registry/RegistryWatcherTests.java
@@ -0,0 +1,78 @@
+package org.snowwind.gateway.registry;
+
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.Test;
+import org.snowwind.gateway.table.DocumentException;
+import org.snowwind.model.Json;
+import org.snowwind.model.ManualClock;
+import org.snowwind.store.ListResult;
+import org.snowwind.store.StoredObject;
+import org.snowwind.store.WatchResult;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RegistryWatcher} with entries of other writers.
+ */
+class RegistryWatcherTests {
+
+	private final ManualClock clock = new ManualClock(0);
+
+	private final RegistryHolder holder = new RegistryHolder();
+
+	private final RegistryWatcher watcher = new RegistryWatcher(new NumberDecoder(), new RegistryView(1000),
+			this.holder, this.clock);
+
+	private static StoredObject entry(String name, String value) {
+		try {
+			return new StoredObject("servers/" + name, 1, Json.MAPPER.readTree(value));
+		}
+		catch (java.io.IOException ex) {
+			throw new IllegalArgumentException(ex);
+		}
+	}
+
+	private Iterable<String> servers() {
+		return this.holder.current().servers().keySet();
+	}
+
+	@Test
+	void oddEntriesOfAListingNameNoServerAndTheOthersHold() {
+		this.watcher.listed(new ListResult.Listed(5, List.of(entry("a", "1"), entry("odd", "[]"), entry("b", "2"))));
+		assertThat(servers()).containsExactlyInAnyOrder("a", "b");
+		assertThat(this.watcher.unreadable()).isEqualTo(1);
+	}
+
+	@Test
+	void anEntryThatBecomesOddNamesNoServerAndTheOthersOfTheSameAnswerHold() {
+		this.watcher.listed(new ListResult.Listed(5, List.of(entry("a", "1"))));
+		this.watcher.changed(new WatchResult.Changes(List.of(entry("a", "null"), entry("b", "2")), 7));
+		assertThat(servers()).containsExactly("b");
+		this.watcher.changed(new WatchResult.Changes(List.of(entry("a", "1")), 8));
+		assertThat(servers()).containsExactlyInAnyOrder("a", "b");
+		assertThat(this.watcher.unreadable()).isZero();
+	}
+
+	/**
+	 * Every number is a server.
+	 */
+	private static final class NumberDecoder implements RegistryDecoder {
+
+		@Override
+		public String prefix() {
+			return "servers/";
+		}
+
+		@Override
+		public BackendEntry decode(String id, JsonNode document) throws DocumentException {
+			if (document == null || !document.isNumber()) {
+				throw new DocumentException("no number");
+			}
+			return new BackendEntry(id, BackendRun.UNKNOWN, "s", "10.0.0.1", 80, "dc", 1, false);
+		}
+
+	}
+
+}
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -20,6 +20,7 @@
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.registry.BackendEntry;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.Registry;
 import org.snowwind.gateway.stop.GracefulStop;
 import org.snowwind.gateway.stop.OpenRequests;
@@ -71,7 +72,8 @@
 	private final InetSocketAddress address;
 
 	GatewayFixture() {
-		RetryBudgets budgets = new RetryBudgets(new RetryBudgets.RetryBound(0, 100, 10_000), () -> 1, this.clock);
+		RetryBudgets budgets = new RetryBudgets(new RetryBudgets.RetryBound(0, 100, 10_000), () -> 1, this.clock,
+				this.clock.nowMillis() - 10_000);
 		RequestContext context = new RequestContext(this.loop, this.client, new TestDialect(), this.backends,
 				new Admission(this.backends, this.clock), budgets, new GatewayMeters(new SimpleMeterRegistry()),
 				this.clock, new Random(1));
@@ -131,7 +133,7 @@
 
 	private void register(int port) {
 		String id = "server-" + this.entries.size();
-		this.entries.put(id, new BackendEntry(id, "service", "127.0.0.1", port, "dc", 8, false));
+		this.entries.put(id, new BackendEntry(id, BackendRun.UNKNOWN, "service", "127.0.0.1", port, "dc", 8, false));
 		Map<String, Integer> elsewhere = new HashMap<>();
 		for (int i = 0; i < this.entries.size(); i++) {
 			elsewhere.put("server-" + i, i);
@@ -145,7 +147,7 @@
 	/** Puts all servers into one group, which has refused several requests in a row. */
 	void closeGroup() {
 		onLoop(() -> this.entries.keySet().forEach((id) -> {
-			this.backends.grouped(id, "group");
+			this.backends.grouped(BackendRun.of(id), "group");
 			for (int i = 0; i < 3; i++) {
 				this.backends.find(id).orElseThrow().sent();
 				this.backends.find(id).orElseThrow().refused(this.clock.nowMillis());
@@ -155,7 +157,7 @@
 
 	/** Puts a server into a group. */
 	void grouped(String id, String group) {
-		onLoop(() -> this.backends.grouped(id, group));
+		onLoop(() -> this.backends.grouped(BackendRun.of(id), group));
 	}
 
 	/** Returns how long a pass of a server's group takes, as far as its pauses tell. */
--- a/http/src/main/java/org/snowwind/http/client/JsonClient.java
+++ b/http/src/main/java/org/snowwind/http/client/JsonClient.java
@@ -123,8 +123,7 @@
 	private static JsonAnswer answerOf(Response response) {
 		byte[] bytes = response.getResponseBodyAsBytes();
 		try {
-			JsonNode json = (bytes.length > 0) ? Json.MAPPER.readTree(bytes) : Json.MAPPER.missingNode();
-			return new JsonAnswer(response.getStatusCode(), json);
+			return new JsonAnswer(response.getStatusCode(), Json.readForeign(bytes));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -181,6 +181,9 @@
 	/** A group is not open, or ranks of it do not answer. */
 	GROUP_INCOMPLETE(6104, Level.WARNING, "group incomplete"),
 
+	/** Which rank is in which group was written down for other gateways. */
+	GROUPS_WRITTEN(6105, Level.INFO, "groups written down"),
+
 	/** A new expert map was planned. */
 	MAP_PLANNED(6201, Level.INFO, "expert map planned"),
 
--- a/store/src/main/java/org/snowwind/store/ObjectStore.java
+++ b/store/src/main/java/org/snowwind/store/ObjectStore.java
@@ -25,6 +25,16 @@
 	 */
 	GetResult get(String key);
 
+	/**
+	 * Reads one object as it may have stood some seconds ago, where the platform sells
+	 * that for less.
+	 * @param key its key
+	 * @return the object
+	 */
+	default GetResult getStale(String key) {
+		return get(key);
+	}
+
 	/**
 	 * Writes one object on condition.
 	 * @param key its key
