--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
@@ -1,6 +1,7 @@
 package org.snowwind.gateway.expert;
 
 import java.util.Arrays;
+import java.util.List;
 
 /**
  * How much each expert has been asked for lately. Several threads add to it.
@@ -12,11 +13,6 @@
  */
 final class DemandBook {
 
-	/**
-	 * Beyond this part of choices that went elsewhere demand has moved, below it wavers.
-	 */
-	static final double MOVED_SHARE = 0.25;
-
 	/** Fewer choices of a set than this tell nothing of a move. */
 	private static final double LEAST_CHOICES = 500;
 
@@ -32,6 +28,8 @@
 
 	private final double halfLifeMillis;
 
+	private final MoveThreshold threshold = new MoveThreshold();
+
 	private long asOfMillis = Long.MIN_VALUE;
 
 	private String lastReader = "";
@@ -48,33 +46,48 @@
 	}
 
 	/**
-	 * Adds what was chosen since a rank was last read, and forgets all before if demand
+	 * Adds what was chosen since ranks were last read, and forgets all before if demand
 	 * has moved since.
 	 * @param group the group that has read it
-	 * @param chosen how often, by set and expert
+	 * @param chosenByRank how often, by set and expert, for each rank that was read
 	 * @param nowMillis the time, in milliseconds
-	 * @return which part of the choices went to other experts than before, from 0 to 1
+	 * @return whether demand has moved, and how far
 	 */
-	synchronized double add(String group, long[][] chosen, long nowMillis) {
+	synchronized Move add(String group, List<long[][]> chosenByRank, long nowMillis) {
 		this.lastReader = group;
+		double[][] chosen = scaledSum(chosenByRank);
 		double movedShare = movedShare(chosen);
-		double kept = (movedShare > MOVED_SHARE) ? 0
+		double movedBeyond = this.threshold.share();
+		boolean moved = this.threshold.exceededBy(movedShare);
+		double kept = moved ? 0
 				: Math.pow(0.5, Math.max(0, (double) nowMillis - this.asOfMillis) / this.halfLifeMillis);
 		this.asOfMillis = nowMillis;
 		for (int set = 0; set < this.weights.length; set++) {
-			double scale = Math.min(1, MOST_CHOICES / Math.max(1, Arrays.stream(chosen[set]).sum()));
 			for (int expert = 0; expert < this.weights[set].length; expert++) {
-				this.weights[set][expert] = kept * this.weights[set][expert] + scale * chosen[set][expert];
+				this.weights[set][expert] = kept * this.weights[set][expert] + chosen[set][expert];
+			}
+		}
+		return new Move(moved, movedShare, movedBeyond);
+	}
+
+	private double[][] scaledSum(List<long[][]> chosenByRank) {
+		double[][] sum = new double[this.weights.length][this.weights[0].length];
+		for (long[][] chosen : chosenByRank) {
+			for (int set = 0; set < sum.length; set++) {
+				double scale = Math.min(1, MOST_CHOICES / Math.max(1, Arrays.stream(chosen[set]).sum()));
+				for (int expert = 0; expert < sum[set].length; expert++) {
+					sum[set][expert] += scale * chosen[set][expert];
+				}
 			}
 		}
-		return movedShare;
+		return sum;
 	}
 
-	private double movedShare(long[][] chosen) {
+	private double movedShare(double[][] chosen) {
 		double sum = 0;
 		for (int set = 0; set < chosen.length; set++) {
 			double before = Arrays.stream(this.weights[set]).sum();
-			long now = Arrays.stream(chosen[set]).sum();
+			double now = Arrays.stream(chosen[set]).sum();
 			if (before < LEAST_CHOICES || now < LEAST_CHOICES) {
 				return 0;
 			}
@@ -83,10 +96,10 @@
 		return sum / chosen.length;
 	}
 
-	private static double distance(double[] before, double beforeSum, long[] now, long nowSum) {
+	private static double distance(double[] before, double beforeSum, double[] now, double nowSum) {
 		double distance = 0;
 		for (int expert = 0; expert < now.length; expert++) {
-			distance += Math.abs(now[expert] / (double) nowSum - before[expert] / beforeSum);
+			distance += Math.abs(now[expert] / nowSum - before[expert] / beforeSum);
 		}
 		return distance / 2;
 	}
@@ -132,4 +145,15 @@
 		return sum;
 	}
 
+	/**
+	 * How far demand is from what it was.
+	 *
+	 * @param moved whether it has moved, so that what was chosen before is forgotten
+	 * @param share which part of the choices went to other experts than before, 0 to 1
+	 * @param threshold beyond which share demand had moved
+	 */
+	record Move(boolean moved, double share, double threshold) {
+
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
@@ -1,5 +1,6 @@
 package org.snowwind.gateway.expert;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -16,8 +17,12 @@
  */
 final class DemandReader {
 
-	/** Of how many ranks counts are read each time. */
-	private static final int COUNTED_RANKS = 1;
+	/**
+	 * Of one rank in so many counts are read each time. A rank reads a prompt or two
+	 * between two reads, which tell of a subject or two: enough where eight ranks share
+	 * all requests, little where 96 do.
+	 */
+	private static final int RANKS_FOR_ONE_COUNTED = 24;
 
 	private final String group;
 
@@ -72,24 +77,42 @@
 		if (!this.schedule.due(nowMillis, this.passJumpedMillis.getAsLong(), othersMillis)) {
 			return;
 		}
-		List<Rank> counted = ranks.subList(0, Math.min(COUNTED_RANKS, ranks.size()));
+		List<Rank> counted = counted(ranks);
 		List<Optional<RankCounts>> answers = this.calls.counts(counted);
+		List<long[][]> chosen = new ArrayList<>();
 		for (int i = 0; i < counted.size(); i++) {
 			BackendRun run = counted.get(i).run();
 			answers.get(i)
 				.map((counts) -> counts.bySet(this.profile.expertSets(), this.profile.experts()))
 				.flatMap((counts) -> this.windows.since(run, counts, nowMillis))
-				.ifPresent((chosen) -> note(run.id(), chosen, nowMillis));
+				.ifPresent(chosen::add);
+		}
+		if (!chosen.isEmpty()) {
+			note(chosen, nowMillis);
+		}
+	}
+
+	// Always the same ranks, spread over the group: a window begins with the last read.
+	private static List<Rank> counted(List<Rank> ranks) {
+		List<Rank> counted = new ArrayList<>();
+		for (int i = 0; i < ranks.size(); i += RANKS_FOR_ONE_COUNTED) {
+			counted.add(ranks.get(i));
 		}
+		return counted;
 	}
 
-	private void note(String serverId, long[][] chosen, long nowMillis) {
-		double movedShare = this.demand.add(this.group, chosen, nowMillis);
-		if (movedShare > DemandBook.MOVED_SHARE) {
+	private void note(List<long[][]> chosen, long nowMillis) {
+		DemandBook.Move move = this.demand.add(this.group, chosen, nowMillis);
+		if (move.moved()) {
 			this.schedule.moved();
-			EventLog.log(Event.DEMAND_MOVED, "group", this.group, "server", serverId, "movedShare",
-					Math.round(movedShare * 1000) / 1000.0);
 		}
+		EventLog.log(move.moved() ? Event.DEMAND_MOVED : Event.DEMAND_READ, "group", this.group, "ranks", chosen.size(),
+				"movedShare", rounded(move.share()), "threshold", rounded(move.threshold()), "evidence",
+				Math.round(this.demand.evidence()));
+	}
+
+	private static double rounded(double value) {
+		return Math.round(value * 1000) / 1000.0;
 	}
 
 }
--- a/gateway/src/test/java/org/snowwind/gateway/expert/DemandBookTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/DemandBookTests.java
@@ -1,5 +1,7 @@
 package org.snowwind.gateway.expert;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -14,8 +16,8 @@
 
 	private final DemandBook book = new DemandBook(1, 3, HALF_LIFE_MILLIS);
 
-	private double add(long nowMillis, long... chosen) {
-		return this.book.add("g", new long[][] { chosen }, nowMillis);
+	private DemandBook.Move add(long nowMillis, long... chosen) {
+		return this.book.add("g", List.of(new long[][] { chosen }), nowMillis);
 	}
 
 	@Test
@@ -28,23 +30,21 @@
 	@Test
 	void whatWasChosenBeforeAMoveIsForgotten() {
 		add(0, 900, 50, 50);
-		double movedShare = add(100, 50, 500, 450);
-		assertThat(movedShare).isGreaterThan(DemandBook.MOVED_SHARE);
+		assertThat(add(100, 50, 500, 450).moved()).isTrue();
 		assertThat(this.book.demand()[0]).containsExactly(50, 500, 450);
 	}
 
 	@Test
 	void aWaverIsNoMove() {
 		add(0, 500, 300, 200);
-		double movedShare = add(0, 550, 270, 180);
-		assertThat(movedShare).isLessThan(DemandBook.MOVED_SHARE);
+		assertThat(add(0, 550, 270, 180).moved()).isFalse();
 		assertThat(this.book.demand()[0]).containsExactly(1050, 570, 380);
 	}
 
 	@Test
 	void aFewChoicesAreNoMove() {
 		add(0, 900, 50, 50);
-		assertThat(add(0, 0, 10, 0)).isZero();
+		assertThat(add(0, 0, 10, 0).share()).isZero();
 		assertThat(this.book.demand()[0]).containsExactly(900, 60, 50);
 	}
 
@@ -55,6 +55,12 @@
 		assertThat(this.book.demand()[0]).containsExactly(new double[] { 850, 600, 550 }, within(1e-9));
 	}
 
+	@Test
+	void whatSeveralRanksChoseIsAddedUpAlike() {
+		this.book.add("g", List.of(new long[][] { { 100, 200, 300 } }, new long[][] { { 60_000, 20_000, 20_000 } }), 0);
+		assertThat(this.book.demand()[0]).containsExactly(new double[] { 700, 400, 500 }, within(1e-9));
+	}
+
 	@Test
 	void theGroupThatReadLastIsKnown() {
 		assertThat(this.book.lastReadBy("g")).isFalse();
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/MoveThresholdTests.java
@@ -0,0 +1,49 @@
+package org.snowwind.gateway.expert;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link MoveThreshold}.
+ */
+class MoveThresholdTests {
+
+	private final MoveThreshold threshold = new MoveThreshold();
+
+	private void stays(double share, int reads) {
+		for (int i = 0; i < reads; i++) {
+			this.threshold.exceededBy(share);
+		}
+	}
+
+	@Test
+	void whereReadsStrayLittleASmallMoveIsSeen() {
+		assertThat(this.threshold.exceededBy(0.17)).isFalse();
+		stays(0.06, 30);
+		assertThat(this.threshold.exceededBy(0.17)).isTrue();
+	}
+
+	@Test
+	void whereReadsStrayFarOnlyALargeMoveIsSeen() {
+		stays(0.2, 30);
+		assertThat(this.threshold.exceededBy(0.24)).isFalse();
+		assertThat(this.threshold.exceededBy(0.26)).isTrue();
+	}
+
+	@Test
+	void aMoveIsNotLearntFrom() {
+		stays(0.06, 30);
+		double before = this.threshold.share();
+		this.threshold.exceededBy(0.9);
+		assertThat(this.threshold.share()).isEqualTo(before);
+	}
+
+	@Test
+	void readsThatTellNothingAreNotLearntFrom() {
+		double before = this.threshold.share();
+		stays(0, 50);
+		assertThat(this.threshold.share()).isEqualTo(before);
+	}
+
+}
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -184,6 +184,9 @@
 	/** Which rank is in which group was written down for other gateways. */
 	GROUPS_WRITTEN(6105, Level.INFO, "groups written down"),
 
+	/** It was read which experts ranks have chosen. */
+	DEMAND_READ(6106, Level.INFO, "demand read"),
+
 	/** A new expert map was planned. */
 	MAP_PLANNED(6201, Level.INFO, "expert map planned"),
 
