--- a/gateway/src/test/java/org/snowwind/gateway/expert/DemandBookTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/DemandBookTests.java
@@ -17,7 +17,7 @@
 	private final DemandBook book = new DemandBook(1, 3, HALF_LIFE_MILLIS);
 
 	private DemandBook.Move add(long nowMillis, long... chosen) {
-		return this.book.add("g", List.of(new long[][] { chosen }), nowMillis);
+		return this.book.add("g", List.<long[][]>of(new long[][] { chosen }), nowMillis);
 	}
 
 	@Test
