Learn from the spread of reads when demand has moved; gather changes of servers for a quarter of the drain time

Change: four mean deviations beyond the mean, never beyond what it was before. Store: each change of a server cost each gateway a call after 400 ms; now a quarter of the bound for leaving servers, one second at most.

--- a/config/src/main/java/org/snowwind/config/settings/GatewaySettings.java
+++ b/config/src/main/java/org/snowwind/config/settings/GatewaySettings.java
@@ -18,11 +18,14 @@
  * @param retryFraction retries per request, for all gateways together
  * @param retryExtra further retries in a window, for all gateways together
  * @param retryWindowMillis the window, in milliseconds
+ * @param drainMillis within which a server that says that it leaves must get nothing new,
+ * in milliseconds
  * @param logFormat how log lines look
  */
 public record GatewaySettings(String name, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
 		InetSocketAddress peers, InetSocketAddress admin, List<InetSocketAddress> seeds, InetSocketAddress platform,
-		long graceMillis, double retryFraction, int retryExtra, long retryWindowMillis, LogFormat logFormat) {
+		long graceMillis, double retryFraction, int retryExtra, long retryWindowMillis, long drainMillis,
+		LogFormat logFormat) {
 
 	private static final double MILLIS_PER_SECOND = 1000;
 
@@ -38,6 +41,7 @@
 				millis(reader.decimal("stop.grace_seconds", 8, 1, 600)), reader.decimal("retries.fraction", 0.2, 0, 10),
 				(int) reader.decimal("retries.extra", 50, 0, 1_000_000),
 				millis(reader.decimal("retries.window_seconds", 10, 1, 600)),
+				(long) reader.decimal("servers.drain_millis", 2000, 100, 600_000),
 				reader.oneOf("log.format", LogFormat.JSON));
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -73,6 +73,18 @@
 
 	private static final long WATCH_TICK_MILLIS = 40;
 
+	/**
+	 * How long changes that come together are gathered, in milliseconds; a fifth of the
+	 * time in which a configuration must be in force.
+	 */
+	private static final long GATHER_MILLIS = 400;
+
+	/**
+	 * The longest time for changes of servers, in milliseconds: a new server gets
+	 * requests, and one that is gone gets none, so much later.
+	 */
+	private static final long MOST_GATHER_MILLIS = 1000;
+
 	/** How often registered gateways are looked up, in milliseconds: 4 calls a minute. */
 	private static final long DIRECTORY_MILLIS = 15_000;
 
@@ -189,9 +201,8 @@
 		String ownAddress = Addresses.render(settings.peers());
 		this.mesh = new PeerMesh(new PeerTable(ownAddress), this.documents, this.calls, this::ownReport,
 				new LoopConsumers(), this.clock);
-		this.tableThread = watchThread("table-watch", watch(adapters.tables().key(), this.tableWatcher, false));
-		this.registryThread = watchThread("registry-watch",
-				watch(adapters.servers().prefix(), this.registryWatcher, true));
+		this.tableThread = watchThread("table-watch", tableWatch());
+		this.registryThread = watchThread("registry-watch", registryWatch());
 		GatewayDirectory directory = new GatewayDirectory(adapters.store(), settings.name(), ownAddress,
 				this.mesh::listed, () -> this.mesh.view().liveAddresses());
 		this.directoryThread = new DutyThread("directory", SMALL_RING, DIRECTORY_MILLIS, directory::round);
@@ -230,9 +241,20 @@
 				this.random);
 	}
 
-	private StoreWatch watch(String prefix, StoreWatch.Listener listener, boolean keepsLapsed) {
-		return new StoreWatch(this.adapters.store(), prefix.substring(0, prefix.indexOf('/') + 1),
-				() -> (keepsLapsed && this.registryView.keepsLapsed()) ? SHORT_WATCH_MILLIS : WATCH_MILLIS, listener,
+	private StoreWatch tableWatch() {
+		StoreWatch.Pace pace = new StoreWatch.Pace(() -> WATCH_MILLIS, GATHER_MILLIS);
+		return watch(this.adapters.tables().key(), pace, this.tableWatcher);
+	}
+
+	private StoreWatch registryWatch() {
+		long gatherMillis = Math.max(GATHER_MILLIS, Math.min(MOST_GATHER_MILLIS, this.settings.drainMillis() / 4));
+		StoreWatch.Pace pace = new StoreWatch.Pace(
+				() -> this.registryView.keepsLapsed() ? SHORT_WATCH_MILLIS : WATCH_MILLIS, gatherMillis);
+		return watch(this.adapters.servers().prefix(), pace, this.registryWatcher);
+	}
+
+	private StoreWatch watch(String prefix, StoreWatch.Pace pace, StoreWatch.Listener listener) {
+		return new StoreWatch(this.adapters.store(), prefix.substring(0, prefix.indexOf('/') + 1), pace, listener,
 				this.clock, this.random);
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MoveThreshold.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MoveThreshold.java
@@ -18,13 +18,19 @@
 	/** A share below which a new map would not be worth its copies. */
 	private static final double LEAST = 0.07;
 
-	/** How many times the usual distance a move is. */
-	private static final double FACTOR = 1.6;
+	/**
+	 * How many mean deviations beyond the usual distance a move is. At 1.6 times the
+	 * usual distance instead, a quiet minute of 8 ranks was given 1,378 orders for 771,
+	 * and nobody was served better.
+	 */
+	private static final double DEVIATIONS = 4;
 
 	/** The least part of a new distance in the mean; the first ones count more. */
 	private static final double LEAST_SHARE = 0.15;
 
-	private double usual = MOST / FACTOR;
+	private double usual;
+
+	private double deviation = MOST / DEVIATIONS;
 
 	private int learnt;
 
@@ -33,7 +39,7 @@
 	 * @return the share, from 0 to 1
 	 */
 	double share() {
-		return Math.max(LEAST, Math.min(MOST, FACTOR * this.usual));
+		return Math.max(LEAST, Math.min(MOST, this.usual + DEVIATIONS * this.deviation));
 	}
 
 	/**
@@ -47,10 +53,21 @@
 			return true;
 		}
 		if (share > 0) {
-			this.learnt++;
-			this.usual += Math.max(LEAST_SHARE, 1.0 / this.learnt) * (share - this.usual);
+			learn(share);
 		}
 		return false;
 	}
 
+	private void learn(double share) {
+		this.learnt++;
+		if (this.learnt == 1) {
+			this.usual = share;
+			this.deviation = share / 2;
+			return;
+		}
+		double part = Math.max(LEAST_SHARE, 1.0 / this.learnt);
+		this.deviation += part * (Math.abs(share - this.usual) - this.deviation);
+		this.usual += part * (share - this.usual);
+	}
+
 }
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -20,17 +20,11 @@
 	 */
 	private static final long MOST_BACKOFF_MILLIS = 800;
 
-	/**
-	 * After a change the next call waits so long, in milliseconds, that changes which
-	 * come together cost one call; a fifth of the time in which any must be in force.
-	 */
-	private static final long GATHER_MILLIS = 400;
-
 	private final ObjectStore store;
 
 	private final String prefix;
 
-	private final LongSupplier waitMillis;
+	private final Pace pace;
 
 	private final Listener listener;
 
@@ -52,16 +46,16 @@
 	 * Creates a watch that has made no call.
 	 * @param store the platform
 	 * @param prefix the start of the keys
-	 * @param waitMillis asked how long the next call waits for a change, in milliseconds
+	 * @param pace how long calls wait
 	 * @param listener is told of objects and of the platform's state
 	 * @param clock tells the time
 	 * @param random spreads the back-off
 	 */
-	public StoreWatch(ObjectStore store, String prefix, LongSupplier waitMillis, Listener listener,
-			MonotonicClock clock, RandomGenerator random) {
+	public StoreWatch(ObjectStore store, String prefix, Pace pace, Listener listener, MonotonicClock clock,
+			RandomGenerator random) {
 		this.store = store;
 		this.prefix = prefix;
-		this.waitMillis = waitMillis;
+		this.pace = pace;
 		this.listener = listener;
 		this.clock = clock;
 		this.random = random;
@@ -93,11 +87,11 @@
 	}
 
 	private void watch() {
-		this.store.watch(this.prefix, this.revision, this.waitMillis.getAsLong()).match((changes) -> {
+		this.store.watch(this.prefix, this.revision, this.pace.waitMillis().getAsLong()).match((changes) -> {
 			answered();
 			this.revision = changes.revision();
 			if (!changes.objects().isEmpty()) {
-				this.resumeMillis = this.clock.nowMillis() + GATHER_MILLIS;
+				this.resumeMillis = this.clock.nowMillis() + this.pace.gatherMillis();
 			}
 			this.listener.changed(changes);
 			return true;
@@ -129,6 +123,17 @@
 		return false;
 	}
 
+	/**
+	 * How long calls wait.
+	 *
+	 * @param waitMillis asked how long the next call waits for a change, in milliseconds
+	 * @param gatherMillis how long the next call waits after a change, in milliseconds,
+	 * so that changes which come together cost one call
+	 */
+	public record Pace(LongSupplier waitMillis, long gatherMillis) {
+
+	}
+
 	/**
 	 * Is told of objects and of the platform's state, on the watch's thread.
 	 */
