Say in comments only what a run showed; round for the log in one place

Found on reading the change again. Four comments gave figures that were worked out or guessed as if measured (what filled a link, how many questions two groups made, how long a plan takes, what a read adds to a pass); they now give what logs and reports show. Rounding for the log stood twice (GroupBalancer, DemandReader), giving up what is believed of a group twice in GroupBalancer, counting a budget out twice in a test. Behaviour and assertions as before. Ruled out: one check for a newer planner in place of two in GroupBalancer, since they differ for a rank that is armed only. Shown: with the reserve of a first window set to the whole part, two tests and the property of WindowedRetryBudgetTests fail; with no time to settle, DemandBookTests#afterAMoveReadsThatStray... fails.

--- a/decide/src/test/java/org/snowwind/decide/admission/WindowedRetryBudgetTests.java
+++ b/decide/src/test/java/org/snowwind/decide/admission/WindowedRetryBudgetTests.java
@@ -26,12 +26,7 @@
 	@Test
 	void aQuietProcessMaySpendItsPartOfTheExtra() {
 		WindowedRetryBudget budget = new WindowedRetryBudget(0.2, 50, WINDOW_MILLIS, LONG_AGO);
-		int spent = 0;
-		while (budget.allows(0, 10)) {
-			budget.retried(0);
-			spent++;
-		}
-		assertThat(spent).isEqualTo(4);
+		assertThat(spendAll(budget, 0, 10)).isEqualTo(4);
 	}
 
 	@Test
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
@@ -20,9 +20,9 @@
 	/**
 	 * Of one rank in so many counts are read. A rank reads a prompt or two between two
 	 * reads, which tell of a subject or two: enough where eight ranks share all requests,
-	 * little where 96 do. They have their turns, since the group rests for each: four
-	 * ranks read at once made one pass in five 15 ms longer, and a stream is late by its
-	 * longest pass.
+	 * little where 96 do. They have their turns, since the group rests for each, and a
+	 * stream is late by its longest pass: with four ranks read at once 811 streams were
+	 * late by a pause within eight seconds, with turns 227, one run each.
 	 */
 	static final int RANKS_FOR_ONE_COUNTED = 24;
 
@@ -135,13 +135,9 @@
 			this.schedule.moved();
 		}
 		EventLog.log(move.moved() ? Event.DEMAND_MOVED : Event.DEMAND_READ, "group", this.group, "ranks", chosen.size(),
-				"movedShare", rounded(move.share()), "threshold", rounded(move.threshold()), "evidence",
+				"movedShare", Thousandths.of(move.share()), "threshold", Thousandths.of(move.threshold()), "evidence",
 				Math.round(this.demand.evidence()));
 		return move.moved();
 	}
 
-	private static double rounded(double value) {
-		return Math.round(value * 1000) / 1000.0;
-	}
-
 }
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -193,8 +193,7 @@
 
 	// Asks all ranks for their state and finishes what was left.
 	private boolean lookAtAll() {
-		this.standing = List.of();
-		this.nextReportsMillis = this.clock.nowMillis() + INCOMPLETE_MILLIS;
+		believeNothing();
 		List<Rank> ranks = reports();
 		if (!complete(ranks)) {
 			noteIncomplete(ranks);
@@ -222,9 +221,13 @@
 		return !ranks.isEmpty() && ranks.size() == ranks.get(0).report().size() && open(ranks);
 	}
 
-	private void noteIncomplete(List<Rank> answered) {
+	private void believeNothing() {
 		this.standing = List.of();
 		this.nextReportsMillis = this.clock.nowMillis() + INCOMPLETE_MILLIS;
+	}
+
+	private void noteIncomplete(List<Rank> answered) {
+		believeNothing();
 		if (!this.incomplete) {
 			int size = answered.isEmpty() ? 0 : answered.get(0).report().size();
 			EventLog.log(Event.GROUP_INCOMPLETE, "group", this.name, "answered", answered.size(), "size", size);
@@ -306,9 +309,9 @@
 		int copies = Holdings.mostCopies(current, next);
 		long version = this.versions.next(this.fence.getAsLong());
 		EventLog.log(Event.MAP_PLANNED, "group", this.name, "version", version, "skewBefore",
-				rounded(this.placement.skew(expected)), "skewAfter", rounded(next.skew(expected)), "moves",
-				next.movesFrom(this.placement), "mostCopies", copies, "passMillis", Math.round(this.steps.passMillis()),
-				"evidence", Math.round(this.demand.evidence()));
+				Thousandths.of(this.placement.skew(expected)), "skewAfter", Thousandths.of(next.skew(expected)),
+				"moves", next.movesFrom(this.placement), "mostCopies", copies, "passMillis",
+				Math.round(this.steps.passMillis()), "evidence", Math.round(this.demand.evidence()));
 		long copyMillis = Math.round(copies * this.profile.copyMillis() * COPY_SLACK);
 		this.nextReportsMillis = 0;
 		SwitchOutcome outcome = this.mapSwitch.run(this.standing,
@@ -329,10 +332,6 @@
 		return relaxed ? LEAST_GAIN_RELAXED : LEAST_GAIN;
 	}
 
-	private static double rounded(double value) {
-		return Math.round(value * 1000) / 1000.0;
-	}
-
 	// ---- the ranks
 
 	@Override
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupDirectory.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupDirectory.java
@@ -23,8 +23,8 @@
  * <p>
  * A life of a server stays in its group. Whoever plans maps asks each server once and
  * writes down what it learns; all others read that, so that questions grow with servers
- * and not with gateways times servers: 49 gateways before 192 ranks asked 9,408 times
- * whenever all were started, where 192 do. A gateway asks by itself only what nobody has
+ * and not with gateways times servers: 49 gateways before 192 ranks would ask 9,408 times
+ * whenever all are started, where 192 do. A gateway asks by itself only what nobody has
  * written down for long.
  */
 public final class GroupDirectory {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -27,7 +27,8 @@
 	/**
 	 * In larger groups ranks are not told again to prepare to learn whether they have,
 	 * but asked for their state, which is older and much shorter: the map of 96 ranks is
-	 * 20 KB, and telling all of them took 250 ms of a gateway's link of 140 Mbit/s.
+	 * 20 KB, and telling all of them again took 240 of the 510 ms of a switch, by the log
+	 * of its planner.
 	 */
 	private static final int MOST_ASKED_BY_ORDER = 32;
 
@@ -121,9 +122,8 @@
 		return Optional.empty();
 	}
 
-	// No rank may be armed before all are prepared: a planner that takes over frees a
-	// held
-	// pass for the old map if one is not.
+	// No rank may be armed before all are prepared: a planner that takes over lets a held
+	// pass begin with the old map if one is not.
 	private List<Rank> unprepared(List<Rank> copying, long version) {
 		this.group.pause(StepClock.REPORT_LAG_MILLIS);
 		Set<Integer> prepared = this.group.reports()
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankSample.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankSample.java
@@ -12,8 +12,8 @@
  * <p>
  * All ranks of a group step together and break together, so that a few tell of all; what
  * one rank alone may have, a pass that was left held, is found as each has its turn. With
- * all of 96 ranks asked each time, two groups made most of 62,017 questions on a day of a
- * minute.
+ * all of 96 ranks asked each time, and groups asked for by each gateway, a minute saw
+ * 62,017 questions to ranks; it sees 11,770 without either.
  */
 final class RankSample {
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/SharedPlans.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/SharedPlans.java
@@ -8,8 +8,8 @@
 /**
  * Plans for all groups of a service, once for those that stand alike: groups whose
  * requests are spread by chance have the same demand, and after their first switch mostly
- * the same map. Planning for 96 ranks takes a tenth of a second, in which the map is
- * behind. Several threads may plan; one waits for the other.
+ * the same map. From a read to its plan it took 0.12 to 0.17 s for 96 ranks, in which the
+ * map is behind. Several threads may plan; one waits for the other.
  */
 final class SharedPlans {
 
