Read what servers announce in one place; log backoffs and departures

What on call could not see: no line told that a rejection bears Retry-After, for how long, or that a server is sent requests in spite of it, nor that a response announces that its server is leaving.

Nothing is decided by them yet: servers are chosen as before.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -199,7 +199,7 @@
 		this.settings = settings;
 		this.graceMillis = settings.graceMillis();
 		this.adapters = adapters;
-		this.backends = new BackendTable(this.clock, this.random, settings.dataCentre());
+		this.backends = new BackendTable(this.clock, this.random, settings.dataCentre(), this::fleetSize);
 		this.tableWatcher = new TableWatcher(adapters.tables(), this.tables);
 		this.registryWatcher = new RegistryWatcher(adapters.servers(), this.registryView, this.registries, this.clock);
 		this.admin = new AdminServer(this.loop, this::adminReadiness);
@@ -247,11 +247,14 @@
 				&& this.experts.claim().stands(peers.plannerFence(), peers.promptNames(), this.settings.name());
 	}
 
+	private int fleetSize() {
+		return this.mesh.view().fleetSize();
+	}
+
 	private RequestContext newContext() {
 		RetryBudgets.RetryBound bound = new RetryBudgets.RetryBound(this.settings.retryFraction(),
 				this.settings.retryExtra(), this.settings.retryWindowMillis());
-		RetryBudgets budgets = new RetryBudgets(bound, () -> this.mesh.view().fleetSize(), this.clock,
-				this.clock.nowMillis());
+		RetryBudgets budgets = new RetryBudgets(bound, this::fleetSize, this.clock, this.clock.nowMillis());
 		return new RequestContext(this.loop, this.client, this.adapters.dialect(), this.backends,
 				new Admission(this.backends, this.clock), budgets, newSuspects(),
 				new GatewayMeters(this.admin.registry()), this.clock, this.random);
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -1,6 +1,8 @@
 package org.snowwind.gateway.backend;
 
 import org.snowwind.decide.choice.Breaker;
+import org.snowwind.decide.notice.ReturnPace;
+import org.snowwind.decide.notice.ServerNotice;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.model.event.Event;
@@ -30,13 +32,13 @@
 
 	private final Breaker breaker = new Breaker(EJECTION);
 
-	private final BackendLimit limit;
+	private final BackendNotices notices;
 
 	private BackendEntry entry;
 
 	private boolean gone;
 
-	private boolean refusesNewWork;
+	private boolean replaced;
 
 	private boolean ejected;
 
@@ -56,7 +58,15 @@
 
 	Backend(BackendEntry entry) {
 		this.entry = entry;
-		this.limit = new BackendLimit(entry.run());
+		this.notices = new BackendNotices(entry.run());
+	}
+
+	/**
+	 * Returns what this incarnation has announced.
+	 * @return its notices
+	 */
+	public BackendNotices notices() {
+		return this.notices;
 	}
 
 	/**
@@ -64,7 +74,18 @@
 	 * @return what is known of it
 	 */
 	public BackendLimit limit() {
-		return this.limit;
+		return this.notices.limit();
+	}
+
+	/**
+	 * Records the head of a response of this incarnation.
+	 * @param notice what it says
+	 * @param source the response
+	 * @param pace how this process returns after a backoff
+	 * @param nowMillis the time, in milliseconds
+	 */
+	void onResponseHead(ServerNotice notice, BackendNotices.Source source, ReturnPace pace, long nowMillis) {
+		this.notices.onResponseHead(notice, source, pace, nowMillis);
 	}
 
 	/**
@@ -92,13 +113,11 @@
 	}
 
 	/**
-	 * Takes note that the server takes no new work, whatever its entry says.
+	 * Records that another server answers at its address.
 	 */
-	public void refusesNewWork() {
-		if (takesNewWork()) {
-			EventLog.log(Event.SERVER_DRAINING, "server", id(), "source", "its own refusal");
-		}
-		this.refusesNewWork = true;
+	public void replaced() {
+		this.replaced = true;
+		this.notices.onLeaving("refusal of another server at its address");
 	}
 
 	/**
@@ -106,7 +125,7 @@
 	 * @return false if it is leaving or gone
 	 */
 	public boolean takesNewWork() {
-		return !this.gone && !this.refusesNewWork && !this.entry.draining();
+		return !this.gone && !this.replaced && !this.entry.draining();
 	}
 
 	/**
@@ -162,7 +181,7 @@
 	 * @param nowMillis the time, in milliseconds
 	 */
 	public void sent(long nowMillis) {
-		this.limit.sent(nowMillis);
+		this.notices.sent(nowMillis);
 		this.inFlight++;
 		this.breaker.sent();
 		if (this.group != null) {
@@ -267,7 +286,7 @@
 	 */
 	public void refused(long nowMillis) {
 		withdrawn();
-		if (this.group != null && !this.limit.known().stands()) {
+		if (this.group != null && !limit().known().stands()) {
 			this.group.refused(nowMillis);
 		}
 	}
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendNotices.java
@@ -0,0 +1,138 @@
+package org.snowwind.gateway.backend;
+
+import org.snowwind.decide.notice.ReturnPace;
+import org.snowwind.decide.notice.ServerBackoff;
+import org.snowwind.decide.notice.ServerNotice;
+import org.snowwind.gateway.registry.BackendRun;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+
+/**
+ * What one incarnation of a server has announced about its near future: rates, backoffs
+ * and its departure. Confined to the loop.
+ */
+public final class BackendNotices {
+
+	/** A server whose backoff grows with each response gets one line in this time. */
+	private static final long LOG_MILLIS = 1000;
+
+	private final BackendRun run;
+
+	private final BackendLimit limit;
+
+	private final ServerBackoff backoff = new ServerBackoff();
+
+	private boolean leaving;
+
+	private boolean backoffLogged;
+
+	private boolean unreadableLogged;
+
+	private long nextLogMillis = Long.MIN_VALUE;
+
+	/**
+	 * Creates the notices of a server that has announced nothing.
+	 * @param run the server's incarnation
+	 */
+	BackendNotices(BackendRun run) {
+		this.run = run;
+		this.limit = new BackendLimit(run);
+	}
+
+	/**
+	 * Records the head of a response of this incarnation.
+	 * @param notice what it says
+	 * @param source the response
+	 * @param pace how this process returns after a backoff
+	 * @param nowMillis the time, in milliseconds
+	 */
+	void onResponseHead(ServerNotice notice, Source source, ReturnPace pace, long nowMillis) {
+		this.limit.says(notice.limit(), source.signed(), source.sentMillis(), nowMillis);
+		if (notice.retryAfterMillis() > 0) {
+			onRetryAfter(notice.retryAfterMillis(), source, pace, nowMillis);
+		}
+		if (notice.leaving()) {
+			onLeaving("response to " + source.request());
+		}
+		if (!notice.unreadable().isEmpty() && !this.unreadableLogged) {
+			this.unreadableLogged = true;
+			EventLog.log(Event.SERVER_NOTICE_UNREADABLE, "server", this.run.id(), "text", notice.unreadable());
+		}
+	}
+
+	private void onRetryAfter(long retryAfterMillis, Source source, ReturnPace pace, long nowMillis) {
+		boolean wasActive = this.backoff.isActive(nowMillis);
+		boolean later = this.backoff.retryAfter(retryAfterMillis, pace, nowMillis);
+		if (later && (!wasActive || nowMillis >= this.nextLogMillis)) {
+			this.nextLogMillis = nowMillis + LOG_MILLIS;
+			this.backoffLogged = true;
+			EventLog.log(Event.SERVER_BACKOFF_STARTED, "server", this.run.id(), "bornMillis", this.run.bornMillis(),
+					"retryAfterMillis", retryAfterMillis, "untilMillis", this.backoff.untilMillis(), "lengthened",
+					wasActive, "spreadMillis", pace.spreadMillis(), "offsetMillis", pace.offsetMillis(), "source",
+					source.request(), "requestAgeMillis", nowMillis - source.sentMillis());
+		}
+	}
+
+	/**
+	 * Records that the server takes no new work, whatever its entry says.
+	 * @param source where that is known from
+	 */
+	void onLeaving(String source) {
+		if (!this.leaving) {
+			this.leaving = true;
+			EventLog.log(Event.SERVER_DRAINING, "server", this.run.id(), "bornMillis", this.run.bornMillis(), "source",
+					source);
+		}
+	}
+
+	/**
+	 * Records a request that is sent to the server.
+	 * @param nowMillis the time, in milliseconds
+	 */
+	void sent(long nowMillis) {
+		this.limit.sent(nowMillis);
+		this.backoff.sent(nowMillis);
+		if (this.backoffLogged) {
+			this.backoffLogged = false;
+			EventLog.log(Event.SERVER_BACKOFF_ENDED, "server", this.run.id(), "bornMillis", this.run.bornMillis(),
+					"startMillis", this.backoff.startMillis(), "untilMillis", this.backoff.untilMillis(), "lateMillis",
+					nowMillis - this.backoff.untilMillis());
+		}
+	}
+
+	/**
+	 * Returns the rate that the server takes from all gateways together.
+	 * @return what is known of it
+	 */
+	public BackendLimit limit() {
+		return this.limit;
+	}
+
+	/**
+	 * Returns the backoff that the server asked this gateway for.
+	 * @return the backoff
+	 */
+	public ServerBackoff backoff() {
+		return this.backoff;
+	}
+
+	/**
+	 * Tells whether the server has announced that it is leaving.
+	 * @return true from its announcement on
+	 */
+	public boolean isLeaving() {
+		return this.leaving;
+	}
+
+	/**
+	 * The response that bears a notice.
+	 *
+	 * @param request the id of the request, or what kind of call it was
+	 * @param signed whether the response bears the server's signature
+	 * @param sentMillis when the request was sent, in milliseconds
+	 */
+	public record Source(String request, boolean signed, long sentMillis) {
+
+	}
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -7,9 +7,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
+import org.snowwind.decide.notice.ReturnPace;
+import org.snowwind.decide.notice.ServerNotice;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.Registry;
@@ -34,6 +37,8 @@
 
 	private final GroupLimit groupLimit;
 
+	private final IntSupplier gateways;
+
 	private final Map<String, Backend> byId = new LinkedHashMap<>();
 
 	private final Map<String, GroupLoad> groups = new HashMap<>();
@@ -49,15 +54,18 @@
 	 * @param clock tells the time
 	 * @param random breaks ties
 	 * @param dataCentre the own data centre
+	 * @param gateways counts the gateways that may send requests to the servers
 	 */
-	public BackendTable(MonotonicClock clock, RandomGenerator random, String dataCentre) {
-		this(clock, random, dataCentre, GroupLimit.meanPass());
+	public BackendTable(MonotonicClock clock, RandomGenerator random, String dataCentre, IntSupplier gateways) {
+		this(clock, random, dataCentre, gateways, GroupLimit.meanPass());
 	}
 
-	BackendTable(MonotonicClock clock, RandomGenerator random, String dataCentre, GroupLimit groupLimit) {
+	BackendTable(MonotonicClock clock, RandomGenerator random, String dataCentre, IntSupplier gateways,
+			GroupLimit groupLimit) {
 		this.clock = clock;
 		this.random = random;
 		this.dataCentre = dataCentre;
+		this.gateways = gateways;
 		this.groupLimit = groupLimit;
 		this.limits = new SharedLimits(() -> this.byId.values().stream(), this::find, clock);
 	}
@@ -126,6 +134,20 @@
 		return Optional.ofNullable(this.byId.get(id));
 	}
 
+	/**
+	 * Records the head of a response.
+	 * @param backend the server that sent it
+	 * @param notice what it says
+	 * @param source the response
+	 */
+	public void onResponseHead(Backend backend, ServerNotice notice, BackendNotices.Source source) {
+		long nowMillis = this.clock.nowMillis();
+		BackendView view = backend.view(nowMillis);
+		ReturnPace pace = ReturnPace.of(this.gateways.getAsInt(), view.answerMillis(), view.slots(),
+				notice.retryAfterMillis(), this.random.nextDouble());
+		backend.onResponseHead(notice, source, pace, nowMillis);
+	}
+
 	/**
 	 * Lists the servers of a service.
 	 * @param service the service's name
--- a/gateway/src/main/java/org/snowwind/gateway/request/AnswerHead.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/AnswerHead.java
@@ -1,6 +1,6 @@
 package org.snowwind.gateway.request;
 
-import org.snowwind.decide.limit.NamedLimit;
+import org.snowwind.decide.notice.ServerNotice;
 
 /**
  * What a server says of its answer.
@@ -10,10 +10,10 @@
  * @param signed whether the answer bears the server's signature
  * @param requestId the id of the request that it answers; {@code null} if it does not say
  * @param encoded whether the body is not as the server made it
- * @param limit the rate that the server takes from all processes together
+ * @param notice what it says about the near future of the server
  */
 public record AnswerHead(boolean refused, boolean elsewhere, boolean signed, String requestId, boolean encoded,
-		NamedLimit limit) {
+		ServerNotice notice) {
 
 	private static final int OK = 200;
 
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -6,6 +6,7 @@
 import io.netty.util.concurrent.Future;
 import org.snowwind.decide.outcome.AttemptEnd;
 import org.snowwind.gateway.backend.Backend;
+import org.snowwind.gateway.backend.BackendNotices;
 import org.snowwind.gateway.table.Repeat;
 import org.snowwind.http.client.UpstreamCall;
 import org.snowwind.http.client.UpstreamListener;
@@ -176,10 +177,10 @@
 		this.status = answerStatus;
 		this.context.suspects().heard(this.backend.entry().run());
 		AnswerHead head = this.context.dialect().readAnswer(answerStatus, headers);
-		noteLimit(head);
+		recordNotice(head);
 		if (head.refused()) {
 			if (head.elsewhere()) {
-				this.backend.refusesNewWork();
+				this.backend.replaced();
 			}
 			cancelCall();
 			finish(AttemptEnd.REFUSED);
@@ -198,11 +199,13 @@
 		this.listener.answerBegins(this.answer);
 	}
 
-	// Answers of any status name limits, but not those of another server at the address,
-	// nor those to another request, of which it is not known when it was sent.
-	private void noteLimit(AnswerHead head) {
+	// Another server at the address, or a response to another request, says nothing of
+	// this server now.
+	private void recordNotice(AnswerHead head) {
 		if (!head.elsewhere() && !head.toAnotherThan(this.request.id())) {
-			this.backend.limit().says(head.limit(), head.signed(), this.sentMillis, this.context.clock().nowMillis());
+			this.context.backends()
+				.onResponseHead(this.backend, head.notice(),
+						new BackendNotices.Source(this.request.id(), head.signed(), this.sentMillis));
 		}
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
@@ -30,7 +30,7 @@
 
 	private final ManualClock clock = new ManualClock(10_000);
 
-	private final BackendTable table = new BackendTable(this.clock, new Random(1), "dc");
+	private final BackendTable table = new BackendTable(this.clock, new Random(1), "dc", () -> 1);
 
 	private final Admission admission = new Admission(this.table, this.clock);
 
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -33,7 +33,7 @@
 
 	private final ManualClock clock = new ManualClock(10_000);
 
-	private final BackendTable table = new BackendTable(this.clock, new Random(1), "dc");
+	private final BackendTable table = new BackendTable(this.clock, new Random(1), "dc", () -> 1);
 
 	private static BackendEntry server(String id, boolean draining) {
 		return new BackendEntry(id, BackendRun.UNKNOWN, "s", "10.0.0.1", 80, "dc", 2, draining);
@@ -73,7 +73,7 @@
 	@Test
 	void aLeavingServerGetsNothingNewWhoeverToldOfIt() {
 		registered(server("a", true), server("b", false), server("c", false));
-		server("b").refusesNewWork();
+		server("b").replaced();
 		assertThat(choose(NONE)).isEqualTo("c");
 		assertThat(choose(Set.of("c"))).isEqualTo("none");
 	}
@@ -123,7 +123,7 @@
 		Random seeds = new Random(7);
 		int atTheEmptyOne = 0;
 		for (int gateway = 0; gateway < GATEWAYS; gateway++) {
-			BackendTable ofGateway = new BackendTable(this.clock, new Random(seeds.nextLong()), "dc");
+			BackendTable ofGateway = new BackendTable(this.clock, new Random(seeds.nextLong()), "dc", () -> 1);
 			ofGateway
 				.use(new Registry(1, Stream.of(ranks).collect(Collectors.toMap(BackendEntry::id, (server) -> server))));
 			ofGateway.peersInFlight(oldNews, 1);
@@ -207,7 +207,7 @@
 		Backend before = server("a");
 		this.table.grouped(new BackendRun("a", 1000), "g");
 		before.sent(this.clock.nowMillis());
-		before.refusesNewWork();
+		before.replaced();
 		registered(born(2000));
 		assertThat(server("a").load()).isZero();
 		assertThat(server("a").group()).isNull();
--- a/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
@@ -72,7 +72,8 @@
 			.collect(Collectors.toMap(BackendEntry::id, (entry) -> entry));
 		entries.keySet().forEach((id) -> this.running.put(id, new ArrayList<>()));
 		for (int i = 0; i < scenario.gateways(); i++) {
-			BackendTable table = new BackendTable(this.clock, new Random(this.random.nextLong()), dataCentre(i), limit);
+			BackendTable table = new BackendTable(this.clock, new Random(this.random.nextLong()), dataCentre(i),
+					scenario::gateways, limit);
 			table.use(new Registry(1, entries));
 			entries.keySet().forEach((id) -> table.grouped(BackendRun.of(id), "g"));
 			this.gateways.add(new Gateway(table, new Admission(table, this.clock)));
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -62,7 +62,7 @@
 
 	private final MonotonicClock clock = () -> MonotonicClock.system().nowMillis() + this.aheadMillis.get();
 
-	private final BackendTable backends = new BackendTable(this.clock, new Random(1), "dc");
+	private final BackendTable backends = new BackendTable(this.clock, new Random(1), "dc", () -> 1);
 
 	private final TableHolder tables = new TableHolder();
 
--- a/gateway/src/test/java/org/snowwind/gateway/request/TestDialect.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/TestDialect.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.snowwind.decide.limit.NamedLimit;
+import org.snowwind.decide.notice.ServerNotice;
 
 /**
  * Header names that exist only in tests.
@@ -37,7 +38,12 @@
 	public AnswerHead readAnswer(int status, Map<String, String> headers) {
 		boolean elsewhere = status == 421;
 		return new AnswerHead(elsewhere || headers.containsKey("t-not-run"), elsewhere, headers.containsKey("t-signed"),
-				headers.get("t-id"), headers.containsKey("content-encoding"), NamedLimit.read(headers.get("t-limit")));
+				headers.get("t-id"), headers.containsKey("content-encoding"), readNotice(headers));
+	}
+
+	private static ServerNotice readNotice(Map<String, String> headers) {
+		return new ServerNotice(NamedLimit.read(headers.get("t-limit")),
+				Long.parseLong(headers.getOrDefault("t-retry-after", "0")), headers.containsKey("t-leaving"), "");
 	}
 
 	@Override
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -166,6 +166,15 @@
 	/** A server names something that is no rate. */
 	SERVER_LIMIT_UNREADABLE(3016, Level.WARNING, "server names an unreadable limit"),
 
+	/** A server wants no requests from this gateway for some time, or for longer. */
+	SERVER_BACKOFF_STARTED(3018, Level.WARNING, "server backoff started"),
+
+	/** A server gets requests from this gateway again. */
+	SERVER_BACKOFF_ENDED(3019, Level.INFO, "server backoff ended"),
+
+	/** A server announces something that cannot be read. */
+	SERVER_NOTICE_UNREADABLE(3020, Level.WARNING, "server notice unreadable"),
+
 	/** A request was refused before anything was sent. */
 	REQUEST_REFUSED(4105, Level.INFO, "request refused"),
 
