Add failing tests: Retry-After and announced departures of servers are not kept

The soak's judges RetryAfterIsKept and AnnouncedLeavingIsKept count at the servers, by gateway, from what was answered; SoakRulesTests shows that each finds a history that breaks it, and only that.

--- a/app/src/test/java/org/snowwind/app/soak/SoakHistory.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakHistory.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.snowwind.platform.standin.BackoffRequest;
+import org.snowwind.platform.standin.Departure;
 import org.snowwind.platform.standin.LimitChange;
 import org.snowwind.platform.standin.Run;
 import org.snowwind.platform.standin.ServerArrival;
@@ -20,9 +22,12 @@
  * @param services the services that each kind of request was ever sent to
  * @param arrivals what has reached servers, run or not
  * @param limits the limits that servers have named
+ * @param backoffs the rejections with {@code Retry-After}
+ * @param departures the announcements of servers that they are leaving
  */
 record SoakHistory(List<Call> calls, List<Run> runs, List<Disturbance> disturbances, Map<String, Long> drains,
-		Map<CallKind, Set<String>> services, List<ServerArrival> arrivals, List<LimitChange> limits) {
+		Map<CallKind, Set<String>> services, List<ServerArrival> arrivals, List<LimitChange> limits,
+		List<BackoffRequest> backoffs, List<Departure> departures) {
 
 	Map<String, List<Run>> runsByRequest() {
 		Map<String, List<Run>> byRequest = new HashMap<>();
--- a/app/src/test/java/org/snowwind/app/soak/SoakRules.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRules.java
@@ -9,7 +9,8 @@
 
 	private static final List<SoakRule> ALL = List.of(new AnswersAreWholeAndOwn(), new RunsOnceAtMost(),
 			new RefusalsAreTrue(), new RunsWereAskedFor(), new AnswersComeInTime(), new LeavingServersGetNothing(),
-			new StopsCutNothingOff(), new FatalRequestsAreKeptBack(), new LimitsAreKept());
+			new StopsCutNothingOff(), new FatalRequestsAreKeptBack(), new LimitsAreKept(), new RetryAfterIsKept(),
+			new AnnouncedLeavingIsKept());
 
 	private SoakRules() {
 	}
--- a/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
@@ -8,6 +8,8 @@
 
 import org.junit.jupiter.api.Test;
 import org.snowwind.platform.standin.Answers;
+import org.snowwind.platform.standin.BackoffRequest;
+import org.snowwind.platform.standin.Departure;
 import org.snowwind.platform.standin.LimitChange;
 import org.snowwind.platform.standin.Run;
 import org.snowwind.platform.standin.ServerArrival;
@@ -33,13 +35,17 @@
 
 	private final List<LimitChange> limits = new ArrayList<>();
 
+	private final List<BackoffRequest> backoffs = new ArrayList<>();
+
+	private final List<Departure> departures = new ArrayList<>();
+
 	private Map<String, Long> drains = Map.of();
 
 	private List<String> broken() {
 		return SoakRules.broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains,
 				Map.of(CallKind.ONCE, Set.of("desk"), CallKind.AGAIN, Set.of("desk"), CallKind.STREAM, Set.of("desk"),
 						CallKind.LONG, Set.of("desk"), CallKind.FATAL, Set.of("desk"), CallKind.MOVING, Set.of("desk")),
-				this.arrivals, this.limits));
+				this.arrivals, this.limits, this.backoffs, this.departures));
 	}
 
 	private void call(CallKind kind, int status, String answer, boolean whole, long tookMillis) {
@@ -232,7 +238,7 @@
 
 	private List<String> limitBroken() {
 		return new LimitsAreKept().broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains,
-				Map.of(), this.arrivals, this.limits));
+				Map.of(), this.arrivals, this.limits, this.backoffs, this.departures));
 	}
 
 	private void limitedArrivals(int count) {
@@ -268,4 +274,41 @@
 				Answers.signature(SERVER, "c1"), answer, true));
 	}
 
+	private void answeredBy(String id, long sentMillis, int status) {
+		long sentNanos = START + TimeUnit.MILLISECONDS.toNanos(sentMillis);
+		this.calls.add(new Call(id, id, CallKind.AGAIN, "", 0, "g0", sentNanos, sentNanos + 1, status,
+				(status == 200) ? Answers.signature(SERVER, id) : null, (status == 200) ? Answers.plain(id) : "",
+				true));
+		this.arrivals.add(new ServerArrival(SERVER, id, sentNanos));
+		if (status == 200) {
+			this.runs.add(new Run(id, "desk", SERVER, "GET", CallKind.AGAIN.target(id), "", SoakWorld.ORGANISATION,
+					false, sentNanos));
+		}
+	}
+
+	@Test
+	void theThirdRequestWithinRetryAfterBreaksTheRule() {
+		answeredBy("c1", 0, 503);
+		this.backoffs.add(new BackoffRequest(SERVER, "c1", 3, START));
+		answeredBy("c2", 400, 503);
+		answeredBy("c3", 600, 503);
+		answeredBy("c4", 700, 503);
+		answeredBy("c5", 3100, 503);
+		assertThat(broken()).isEmpty();
+		answeredBy("c6", 2900, 503);
+		assertThat(broken()).singleElement().asString().startsWith("RetryAfterIsKept");
+		disturbed("kill", "g0");
+		assertThat(broken()).as("a restart excuses the gateway").isEmpty();
+	}
+
+	@Test
+	void aRequestThatIsSentAfterAnAnnouncedDepartureBreaksTheRule() {
+		this.departures.add(new Departure(SERVER, START - 1));
+		answeredBy("c1", 0, 200);
+		answeredBy("c2", 1900, 200);
+		assertThat(broken()).isEmpty();
+		answeredBy("c3", 2200, 200);
+		assertThat(broken()).singleElement().asString().startsWith("AnnouncedLeavingIsKept");
+	}
+
 }
--- a/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -20,7 +20,9 @@
 import org.snowwind.http.DataLoop;
 import org.snowwind.platform.standin.BackendBehaviour;
 import org.snowwind.platform.standin.BackendStandIn;
+import org.snowwind.platform.standin.BackoffRequest;
 import org.snowwind.platform.standin.Configurations;
+import org.snowwind.platform.standin.Departure;
 import org.snowwind.platform.standin.LimitChange;
 import org.snowwind.platform.standin.Run;
 import org.snowwind.platform.standin.ServerArrival;
@@ -58,6 +60,10 @@
 
 	private final Queue<LimitChange> pastLimits = new ConcurrentLinkedQueue<>();
 
+	private final Queue<BackoffRequest> pastBackoffs = new ConcurrentLinkedQueue<>();
+
+	private final Queue<Departure> pastDepartures = new ConcurrentLinkedQueue<>();
+
 	private final Map<String, Long> drains = new ConcurrentHashMap<>();
 
 	private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
@@ -193,6 +199,8 @@
 			this.pastRuns.addAll(server.server().runs());
 			this.pastArrivals.addAll(server.server().arrivals());
 			this.pastLimits.addAll(server.server().limits());
+			this.pastBackoffs.addAll(server.server().backoffs());
+			this.pastDepartures.addAll(server.server().departures());
 		}
 	}
 
@@ -213,13 +221,17 @@
 		List<Run> runs = new ArrayList<>(this.pastRuns);
 		List<ServerArrival> arrivals = new ArrayList<>(this.pastArrivals);
 		List<LimitChange> limits = new ArrayList<>(this.pastLimits);
+		List<BackoffRequest> backoffs = new ArrayList<>(this.pastBackoffs);
+		List<Departure> departures = new ArrayList<>(this.pastDepartures);
 		this.servers.forEach((server) -> {
 			runs.addAll(server.server().runs());
 			arrivals.addAll(server.server().arrivals());
 			limits.addAll(server.server().limits());
+			backoffs.addAll(server.server().backoffs());
+			departures.addAll(server.server().departures());
 		});
 		return new SoakHistory(calls, runs, List.copyOf(this.disturbances), Map.copyOf(this.drains),
-				Map.copyOf(this.services), arrivals, limits);
+				Map.copyOf(this.services), arrivals, limits, backoffs, departures);
 	}
 
 	@Override
