--- a/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
@@ -7,15 +7,15 @@
 import org.snowwind.model.MonotonicClock;
 
 /**
- * Decides whether a request is sent to a server, waits for one or is turned away.
- * Confined to the loop.
+ * Decides whether a request is sent to a server, waits for one or is rejected. Confined
+ * to the loop.
  *
  * <p>
  * Load answered: moments in which the servers have no room for all that arrives. A
- * request that can still begin on time waits for a place; one that cannot is turned away
- * at once, so that its caller can come back while there is time. Nothing waits for
- * servers that are known to take nothing, nor more requests than servers that take a
- * limited rate will be sent in time.
+ * request that can still begin on time waits for a place; one that cannot is rejected at
+ * once, so that its caller can come back while there is time. Nothing waits for servers
+ * that are known to take nothing, nor more requests than servers that take a limited rate
+ * will be sent in time.
  */
 public final class Admission {
 
@@ -62,14 +62,14 @@
 		}
 		long startMillis = startTime(arrival.service()).nearlyAllMillis();
 		if (this.backends.allClosed(arrival.service())) {
-			return new Verdict.TurnAway(true, startMillis, 0);
+			return new Verdict.Reject(true, startMillis, 0);
 		}
 		long waitsUntilMillis = arrival.arrivedMillis() + arrival.targetMillis() - startMillis;
 		long leftMillis = waitsUntilMillis - this.clock.nowMillis();
 		// What waits already keeps its place: those that came later wait behind it.
 		long queueMillis = arrival.waits() ? 0 : this.backends.limits().queueMillis(arrival.service());
 		boolean inTime = leftMillis > queueMillis;
-		return inTime ? new Verdict.Wait() : new Verdict.TurnAway(false, startMillis, queueMillis);
+		return inTime ? new Verdict.Wait() : new Verdict.Reject(false, startMillis, queueMillis);
 	}
 
 	private Optional<Backend> choose(Arrival arrival) {
@@ -104,7 +104,7 @@
 		}
 
 		/**
-		 * It is turned away.
+		 * It is rejected.
 		 *
 		 * @param closed whether no server takes anything now, which lasts for seconds
 		 * @param startMillis within which time nearly all answers of the service have
@@ -112,7 +112,7 @@
 		 * @param queueMillis after which time a limited server could be sent it, in
 		 * milliseconds; 0 if no limit is the reason
 		 */
-		record TurnAway(boolean closed, long startMillis, long queueMillis) implements Verdict {
+		record Reject(boolean closed, long startMillis, long queueMillis) implements Verdict {
 
 		}
 
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -167,9 +167,9 @@
 		else if (verdict instanceof Admission.Verdict.Wait) {
 			this.waitTimer = this.context.loop().later(this::dispatch, WAIT_STEP_MILLIS);
 		}
-		else if (verdict instanceof Admission.Verdict.TurnAway turnAway) {
-			logTurnedAway(turnAway);
-			this.queueMillis = turnAway.queueMillis();
+		else if (verdict instanceof Admission.Verdict.Reject reject) {
+			logRejected(reject);
+			this.queueMillis = reject.queueMillis();
 			giveUpUnsent(ProblemKind.OVERLOADED);
 		}
 	}
@@ -186,9 +186,9 @@
 				"organisation", this.request.organisation(), "sends", this.sends);
 	}
 
-	private void logTurnedAway(Admission.Verdict.TurnAway turnAway) {
-		EventLog.log(Event.REQUEST_TURNED_AWAY, "request", this.request.id(), "closed", turnAway.closed(),
-				"startMillis", turnAway.startMillis(), "queueMillis", turnAway.queueMillis(), "waitedMillis",
+	private void logRejected(Admission.Verdict.Reject reject) {
+		EventLog.log(Event.REQUEST_TURNED_AWAY, "request", this.request.id(), "closed", reject.closed(), "startMillis",
+				reject.startMillis(), "queueMillis", reject.queueMillis(), "waitedMillis",
 				this.context.clock().nowMillis() - this.wantedSinceMillis, "targetMillis",
 				this.request.route().targetMillis(), "sends", this.sends, "registry",
 				this.context.backends().revision());
--- a/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
@@ -71,14 +71,14 @@
 		this.admission.began("s", 100);
 		assertThat(decide(9_800)).as("100 ms and twice their deviation of 50 fit")
 			.isInstanceOf(Admission.Verdict.Wait.class);
-		assertThat(decide(9_700)).isEqualTo(new Admission.Verdict.TurnAway(false, 200, 0));
+		assertThat(decide(9_700)).isEqualTo(new Admission.Verdict.Reject(false, 200, 0));
 	}
 
 	@Test
 	void nobodyWaitsWhereAnswersBeginTooLateAnyway() {
 		fill();
 		this.admission.began("s", 400);
-		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.TurnAway(false, 800, 0));
+		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.Reject(false, 800, 0));
 	}
 
 	@Test
@@ -87,7 +87,7 @@
 			rank().sent(this.clock.nowMillis());
 			rank().refused(10_000);
 		}
-		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.TurnAway(true, 0, 0));
+		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.Reject(true, 0, 0));
 	}
 
 	private void limited(double perSecond) {
@@ -116,7 +116,7 @@
 		limited(4);
 		granted(4);
 		this.table.limits().waits("s", 1);
-		assertThat(decide(10_000)).as("two need 500 ms").isEqualTo(new Admission.Verdict.TurnAway(false, 0, 500));
+		assertThat(decide(10_000)).as("two need 500 ms").isEqualTo(new Admission.Verdict.Reject(false, 0, 500));
 		assertThat(decide(10_001)).isInstanceOf(Admission.Verdict.Wait.class);
 	}
 
@@ -125,7 +125,7 @@
 		limited(4);
 		assertThat(decide(10_000)).isInstanceOf(Admission.Verdict.Wait.class);
 		this.table.limits().waits("s", 1);
-		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.TurnAway(false, 0, Long.MAX_VALUE));
+		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.Reject(false, 0, Long.MAX_VALUE));
 	}
 
 	@Test
--- a/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
@@ -240,7 +240,7 @@
 				this.waiting.add(one);
 			}
 			else {
-				turnAway(one.call());
+				reject(one.call());
 			}
 		}
 
@@ -256,7 +256,7 @@
 			ofRank.add(new Stream(this, backend, one.call()));
 		}
 
-		private void turnAway(Call call) {
+		private void reject(Call call) {
 			if (call.returned()) {
 				LoadModel.this.result.refusedTwice++;
 				return;
