Send servers nothing while they back off or once they announced their departure

What callers saw: servers that had rejected a request with Retry-After: 3 were sent 5 to 8 more by the same gateway within that time; each send cost its caller a try and the service a unit of its retry budget, and callers were refused.

Cause: what a server says of its future ended with the response that said it. A server that rejects is the emptiest one, so the next request chose it again.

Change: BackendNotices keeps rates, backoffs and the departure for one incarnation of a server. Backend.admits is the one gate, asked by the choice of a server, which every first send, retry, resumed stream and waiting request passes in the same turn of the loop as it is sent. It is no failure and closes no group. Where all servers back off a request is rejected at once with the time to return, unless a server returns in time for it; no more wait than servers return. Each gateway begins its return at a random point of a spread that grows with the number of gateways (ReturnPace).

--- a/app/src/test/java/org/snowwind/app/soak/ServerBackoffTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/ServerNoticeFleetTests.java
@@ -17,7 +17,7 @@
  * Servers that reject requests with {@code Retry-After} or announce in their responses
  * that they are leaving.
  */
-class ServerBackoffTests {
+class ServerNoticeFleetTests {
 
 	private static final int GATEWAYS = 7;
 
@@ -29,12 +29,16 @@
 
 	private static final long HOLD_MILLIS = 200;
 
+	/** A gateway that has just started retries nothing for one window of its budget. */
+	private static final long RETRY_WINDOW_MILLIS = 10_500;
+
 	private FleetUnderLoad fleet;
 
 	@BeforeEach
 	void start(@TempDir Path folder) throws Exception {
 		this.fleet = new FleetUnderLoad(folder, GATEWAYS);
 		this.fleet.startLoad();
+		playFor(RETRY_WINDOW_MILLIS);
 	}
 
 	@AfterEach
--- /dev/null
+++ b/decide/src/test/java/org/snowwind/decide/notice/ReturnPaceTests.java
@@ -0,0 +1,38 @@
+package org.snowwind.decide.notice;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ReturnPace}.
+ */
+class ReturnPaceTests {
+
+	@Test
+	void spreadGrowsWithTheNumberOfProcesses() {
+		assertThat(ReturnPace.of(7, 100, 8, 3000, 0).spreadMillis()).isEqualTo(175);
+		assertThat(ReturnPace.of(49, 100, 8, 3000, 0).spreadMillis()).isEqualTo(1225);
+	}
+
+	@Test
+	void spreadIsNoLongerThanTheBackoffOrOneSecond() {
+		assertThat(ReturnPace.of(370, 100, 8, 3000, 0).spreadMillis()).isEqualTo(3000);
+		assertThat(ReturnPace.of(370, 100, 8, 200, 0).spreadMillis()).isEqualTo(1000);
+	}
+
+	@Test
+	void unknownResponseTimesAndSlotsGiveAPace() {
+		assertThat(ReturnPace.of(0, 0, 0, 3000, 0.5)).isEqualTo(new ReturnPace(100, 50));
+	}
+
+	@Test
+	void rateGrowsUntilItIsNotRestricted() {
+		ReturnPace pace = new ReturnPace(400, 0);
+		assertThat(pace.intervalMillis(0)).isEqualTo(400);
+		assertThat(pace.intervalMillis(800)).isEqualTo(200);
+		assertThat(pace.intervalMillis(1600)).isZero();
+		assertThat(ReturnPace.AT_ONCE.intervalMillis(0)).isZero();
+	}
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
@@ -61,15 +61,24 @@
 			return new Verdict.Send(chosen.get());
 		}
 		long startMillis = startTime(arrival.service()).nearlyAllMillis();
-		if (this.backends.allClosed(arrival.service())) {
-			return new Verdict.Reject(true, startMillis, 0);
-		}
 		long waitsUntilMillis = arrival.arrivedMillis() + arrival.targetMillis() - startMillis;
+		ServiceOutage outage = this.backends.outage(arrival.service());
+		if (outage.total()) {
+			return decideInOutage(arrival, outage, waitsUntilMillis, startMillis);
+		}
 		long leftMillis = waitsUntilMillis - this.clock.nowMillis();
-		// What waits already keeps its place: those that came later wait behind it.
+		// Queued requests keep their position; new arrivals queue behind them.
 		long queueMillis = arrival.waits() ? 0 : this.backends.limits().queueMillis(arrival.service());
 		boolean inTime = leftMillis > queueMillis;
-		return inTime ? new Verdict.Wait() : new Verdict.Reject(false, startMillis, queueMillis);
+		return inTime ? new Verdict.Wait() : new Verdict.Reject(false, startMillis, queueMillis, 0);
+	}
+
+	private Verdict decideInOutage(Arrival arrival, ServiceOutage outage, long waitsUntilMillis, long startMillis) {
+		int ahead = arrival.waits() ? 0 : this.backends.limits().waiting(arrival.service());
+		if (ahead < outage.returningBy(waitsUntilMillis)) {
+			return new Verdict.Wait();
+		}
+		return new Verdict.Reject(true, startMillis, 0, outage.millisToReturn(this.clock.nowMillis()));
 	}
 
 	private Optional<Backend> choose(Arrival arrival) {
@@ -111,8 +120,10 @@
 		 * begun lately, in milliseconds
 		 * @param queueMillis after which time a limited server could be sent it, in
 		 * milliseconds; 0 if no limit is the reason
+		 * @param returnMillis in how long the first server that backs off may be sent
+		 * requests again, in milliseconds; 0 if none backs off
 		 */
-		record Reject(boolean closed, long startMillis, long queueMillis) implements Verdict {
+		record Reject(boolean closed, long startMillis, long queueMillis, long returnMillis) implements Verdict {
 
 		}
 
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -38,8 +38,6 @@
 
 	private boolean gone;
 
-	private boolean replaced;
-
 	private boolean ejected;
 
 	private GroupLoad group;
@@ -116,7 +114,6 @@
 	 * Records that another server answers at its address.
 	 */
 	public void replaced() {
-		this.replaced = true;
 		this.notices.onLeaving("refusal of another server at its address");
 	}
 
@@ -125,7 +122,17 @@
 	 * @return false if it is leaving or gone
 	 */
 	public boolean takesNewWork() {
-		return !this.gone && !this.replaced && !this.entry.draining();
+		return !this.gone && !this.notices.isLeaving() && !this.entry.draining();
+	}
+
+	/**
+	 * The gate that each request passes right before it is sent: first ones, retries,
+	 * streams that are resumed, and those that have waited.
+	 * @param nowMillis the time, in milliseconds
+	 * @return whether nothing that the server has announced forbids it
+	 */
+	public boolean admits(long nowMillis) {
+		return takesNewWork() && this.notices.admits(nowMillis);
 	}
 
 	/**
@@ -280,13 +287,14 @@
 	}
 
 	/**
-	 * Takes note that it refused a request, which it surely has not run. That of a server
-	 * that takes a limited rate says nothing of its group.
+	 * Records that it rejected a request, which it surely has not run. A server that has
+	 * announced a limit or a backoff speaks for itself and not for its group.
 	 * @param nowMillis the time, in milliseconds
 	 */
 	public void refused(long nowMillis) {
 		withdrawn();
-		if (this.group != null && !limit().known().stands()) {
+		boolean speaksForItself = limit().known().stands() || this.notices.backoff().isActive(nowMillis);
+		if (this.group != null && !speaksForItself) {
 			this.group.refused(nowMillis);
 		}
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendNotices.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendNotices.java
@@ -100,6 +100,15 @@
 		}
 	}
 
+	/**
+	 * Tells whether a request may be sent as far as rates and backoffs go.
+	 * @param nowMillis the time, in milliseconds
+	 * @return false while the server backs off or nothing is left of its rate
+	 */
+	boolean admits(long nowMillis) {
+		return this.backoff.admits(nowMillis) && this.limit.allows(nowMillis);
+	}
+
 	/**
 	 * Returns the rate that the server takes from all gateways together.
 	 * @return what is known of it
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -169,13 +169,25 @@
 	}
 
 	/**
-	 * Tells whether a service has another server to try.
+	 * Tells whether a service has a server that takes new work, now or later.
 	 * @param service the service's name
-	 * @param tried ids of servers that are not wanted
 	 * @return true if it has
 	 */
+	public boolean anyTakesNewWork(String service) {
+		return this.byId.values().stream().anyMatch((backend) -> eligible(backend, service, Set.of()));
+	}
+
+	/**
+	 * Tells whether a service has another server to try now.
+	 * @param service the service's name
+	 * @param tried ids of servers that are not wanted
+	 * @return true if it has one that does not back off
+	 */
 	public boolean anyLeft(String service, Set<String> tried) {
-		return this.byId.values().stream().anyMatch((backend) -> eligible(backend, service, tried));
+		long nowMillis = this.clock.nowMillis();
+		return this.byId.values()
+			.stream()
+			.anyMatch((backend) -> eligible(backend, service, tried) && backend.notices().backoff().admits(nowMillis));
 	}
 
 	/**
@@ -215,21 +227,20 @@
 	private void addIfRoom(List<Candidate> candidates, Backend backend, Wanted wanted, double groupRoom,
 			long nowMillis) {
 		BackendView view = backend.view(nowMillis);
-		if (groupRoom > 0 && backend.limit().allows(nowMillis) && view.room(wanted.mayWait()) > 0) {
+		if (groupRoom > 0 && backend.admits(nowMillis) && view.room(wanted.mayWait()) > 0) {
 			candidates.add(new Candidate(backend, view.fullness(), groupRoom * view.roomShare(wanted.mayWait()),
 					backend.entry().dataCentre().equals(this.dataCentre)));
 		}
 	}
 
 	/**
-	 * Tells whether a service has servers and all of them refuse for now.
+	 * Tells whether all servers of a service are known to reject requests now.
 	 * @param service the service's name
-	 * @return true if each is in a group that is closed
+	 * @return the outage, {@link ServiceOutage#NONE} if a server may take one
 	 */
-	public boolean allClosed(String service) {
-		List<Backend> servers = of(service);
-		return !servers.isEmpty()
-				&& servers.stream().allMatch((backend) -> backend.group() != null && backend.group().closed());
+	public ServiceOutage outage(String service) {
+		List<Backend> serving = of(service).stream().filter(Backend::takesNewWork).toList();
+		return ServiceOutage.of(serving, this.clock.nowMillis());
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/backend/SharedLimits.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/SharedLimits.java
@@ -68,6 +68,15 @@
 		this.waiting.merge(service, more, Integer::sum);
 	}
 
+	/**
+	 * Counts the requests that wait for a server.
+	 * @param service the service's name
+	 * @return how many wait
+	 */
+	int waiting(String service) {
+		return this.waiting.getOrDefault(service, 0);
+	}
+
 	/**
 	 * Tells how long a further request waits for a server where all servers of its
 	 * service take a limited rate.
@@ -76,13 +85,14 @@
 	 * rate, {@link Long#MAX_VALUE} if as many wait as can be expected to be sent
 	 */
 	long queueMillis(String service) {
-		int ahead = this.waiting.getOrDefault(service, 0);
+		int ahead = waiting(service);
 		if (ahead == 0) {
 			return 0;
 		}
 		long nowMillis = this.clock.nowMillis();
 		double perSecond = this.backends.get()
-			.filter((backend) -> backend.takesNewWork() && backend.entry().service().equals(service))
+			.filter((backend) -> backend.takesNewWork() && backend.entry().service().equals(service)
+					&& backend.notices().backoff().admits(nowMillis))
 			.mapToDouble((backend) -> backend.limit().expectedPerSecond(nowMillis))
 			.sum();
 		if (Double.isInfinite(perSecond)) {
@@ -139,7 +149,7 @@
 			String service = backend.entry().service();
 			double wanted = perSecond(service, nowMillis) * usable(backend) / rates.get(service);
 			return new Wish(backend.entry().run(), new RateWish(backend.limit().known().perSecond(), wanted,
-					backend.limit().grantedPerSecond(nowMillis), this.waiting.getOrDefault(service, 0)));
+					backend.limit().grantedPerSecond(nowMillis), waiting(service)));
 		}).toList();
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -13,6 +13,7 @@
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.Arrival;
 import org.snowwind.gateway.backend.Backend;
+import org.snowwind.gateway.backend.ServiceOutage;
 import org.snowwind.http.server.HttpExchange;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -188,8 +189,8 @@
 
 	private void logRejected(Admission.Verdict.Reject reject) {
 		EventLog.log(Event.REQUEST_TURNED_AWAY, "request", this.request.id(), "closed", reject.closed(), "startMillis",
-				reject.startMillis(), "queueMillis", reject.queueMillis(), "waitedMillis",
-				this.context.clock().nowMillis() - this.wantedSinceMillis, "targetMillis",
+				reject.startMillis(), "queueMillis", reject.queueMillis(), "returnMillis", reject.returnMillis(),
+				"waitedMillis", this.context.clock().nowMillis() - this.wantedSinceMillis, "targetMillis",
 				this.request.route().targetMillis(), "sends", this.sends, "registry",
 				this.context.backends().revision());
 	}
@@ -296,9 +297,13 @@
 		if (disclosure != Disclosure.NOT_RUN) {
 			return problem;
 		}
-		boolean allClosed = this.context.backends().allClosed(this.request.service());
-		return problem.retryAfter(
-				this.timing.retryAfterMillis(remainingMillis(), allClosed, this.queueMillis, this.context.random()));
+		ServiceOutage outage = this.context.backends().outage(this.request.service());
+		long returnMillis = outage.millisToReturn(this.context.clock().nowMillis());
+		if (returnMillis > 0) {
+			return problem.retryAfter(this.timing.returnMillis(remainingMillis(), returnMillis, this.context.random()));
+		}
+		return problem.retryAfter(this.timing.retryAfterMillis(remainingMillis(), outage.total(), this.queueMillis,
+				this.context.random()));
 	}
 
 	private void close(Disclosure disclosure, String outcome) {
@@ -421,8 +426,7 @@
 		if (end == AttemptEnd.NOT_SENT) {
 			this.arrivals--;
 		}
-		boolean serverLeft = this.sends < MAX_SENDS
-				&& this.context.backends().anyLeft(this.request.service(), Set.of());
+		boolean serverLeft = this.sends < MAX_SENDS && this.context.backends().anyTakesNewWork(this.request.service());
 		Situation situation = new Situation(end, this.request.route().repeatable(),
 				this.request.route().resumable() && this.position.known(), this.position.bytes(), this.runs,
 				this.request.route().maxAttempts(), remainingMillis() - LEAST_USEFUL_MILLIS, retryAllowed(), serverLeft,
--- a/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
@@ -46,6 +46,9 @@
 	 */
 	private static final double RETRY_CLOSED = 0.95;
 
+	/** The spread of callers behind the return of a server, in parts of the target. */
+	private static final double RETURN_SPREAD = 0.5;
+
 	static Timing of(Route route) {
 		return new Timing(route.repeat() == Repeat.STREAM, route.targetMillis());
 	}
@@ -83,4 +86,19 @@
 		return Math.max(1, (long) Math.min(Math.max(wanted, queueMillis), most));
 	}
 
+	/**
+	 * Returns when a caller should come back that is rejected since all servers back off.
+	 * Callers are spread behind the return of the first server. One that would come back
+	 * in vain is told the time all the same, not an earlier one.
+	 * @param remainingMillis the time that it has, in milliseconds
+	 * @param returnMillis in how long the first server returns, in milliseconds
+	 * @param random spreads the callers
+	 * @return the time, in milliseconds
+	 */
+	long returnMillis(long remainingMillis, long returnMillis, RandomGenerator random) {
+		long wanted = returnMillis + (long) (this.targetMillis * RETURN_SPREAD * random.nextDouble());
+		return (returnMillis >= remainingMillis) ? wanted
+				: Math.max(1, Math.min(wanted, (long) (RETRY_MOST * remainingMillis)));
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
@@ -10,6 +10,8 @@
 import org.snowwind.decide.limit.LimitWord;
 import org.snowwind.decide.limit.NamedLimit;
 import org.snowwind.decide.limit.RateGrant;
+import org.snowwind.decide.notice.ReturnPace;
+import org.snowwind.decide.notice.ServerNotice;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.Registry;
@@ -71,14 +73,14 @@
 		this.admission.began("s", 100);
 		assertThat(decide(9_800)).as("100 ms and twice their deviation of 50 fit")
 			.isInstanceOf(Admission.Verdict.Wait.class);
-		assertThat(decide(9_700)).isEqualTo(new Admission.Verdict.Reject(false, 200, 0));
+		assertThat(decide(9_700)).isEqualTo(new Admission.Verdict.Reject(false, 200, 0, 0));
 	}
 
 	@Test
 	void nobodyWaitsWhereAnswersBeginTooLateAnyway() {
 		fill();
 		this.admission.began("s", 400);
-		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.Reject(false, 800, 0));
+		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.Reject(false, 800, 0, 0));
 	}
 
 	@Test
@@ -87,7 +89,7 @@
 			rank().sent(this.clock.nowMillis());
 			rank().refused(10_000);
 		}
-		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.Reject(true, 0, 0));
+		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.Reject(true, 0, 0, 0));
 	}
 
 	private void limited(double perSecond) {
@@ -116,7 +118,7 @@
 		limited(4);
 		granted(4);
 		this.table.limits().waits("s", 1);
-		assertThat(decide(10_000)).as("two need 500 ms").isEqualTo(new Admission.Verdict.Reject(false, 0, 500));
+		assertThat(decide(10_000)).as("two need 500 ms").isEqualTo(new Admission.Verdict.Reject(false, 0, 500, 0));
 		assertThat(decide(10_001)).isInstanceOf(Admission.Verdict.Wait.class);
 	}
 
@@ -125,7 +127,7 @@
 		limited(4);
 		assertThat(decide(10_000)).isInstanceOf(Admission.Verdict.Wait.class);
 		this.table.limits().waits("s", 1);
-		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.Reject(false, 0, Long.MAX_VALUE));
+		assertThat(decide(10_000)).isEqualTo(new Admission.Verdict.Reject(false, 0, Long.MAX_VALUE, 0));
 	}
 
 	@Test
@@ -169,4 +171,81 @@
 		assertThat(time.nearlyAllMillis()).isBetween(130L, 150L);
 	}
 
+	private void twoServers() {
+		this.table.use(new Registry(2, Map.of("r", plain("r"), "q", plain("q"))));
+	}
+
+	private static BackendEntry plain(String id) {
+		return new BackendEntry(id, BackendRun.UNKNOWN, "s", "10.0.0.1", 80, "dc", 2, false);
+	}
+
+	private void rejects(String id, long retryAfterMillis) {
+		Backend backend = this.table.find(id).orElseThrow();
+		long nowMillis = this.clock.nowMillis();
+		backend.sent(nowMillis);
+		backend.onResponseHead(new ServerNotice(NamedLimit.NONE, retryAfterMillis, false, ""),
+				new BackendNotices.Source("test", false, nowMillis), ReturnPace.AT_ONCE, nowMillis);
+		backend.refused(nowMillis);
+	}
+
+	private Admission.Verdict decideTried(String... tried) {
+		return this.admission.decide(new Arrival("s", Set.of(tried), 0, null, TARGET_MILLIS, 0, 10_000, false));
+	}
+
+	@Test
+	void retryDoesNotFallBackToTriedServerThatBacksOff() {
+		twoServers();
+		rejects("r", 3000);
+		assertThat(decideTried("r", "q")).isEqualTo(new Admission.Verdict.Send(this.table.find("q").orElseThrow()));
+		assertThat(decideTried("q")).as("untried, but backing off").isInstanceOf(Admission.Verdict.Send.class);
+	}
+
+	@Test
+	void requestIsRejectedAtOnceIfNoServerReturnsInTime() {
+		twoServers();
+		rejects("r", 3000);
+		rejects("q", 2000);
+		assertThat(decideTried()).isEqualTo(new Admission.Verdict.Reject(true, 0, 0, 2000));
+	}
+
+	@Test
+	void noMoreRequestsWaitThanServersReturnInTime() {
+		twoServers();
+		rejects("r", 3000);
+		rejects("q", 300);
+		assertThat(decideTried()).isInstanceOf(Admission.Verdict.Wait.class);
+		this.table.limits().waits("s", 1);
+		assertThat(decideTried()).isEqualTo(new Admission.Verdict.Reject(true, 0, 0, 300));
+		this.clock.advance(300);
+		assertThat(decideTried()).isEqualTo(new Admission.Verdict.Send(this.table.find("q").orElseThrow()));
+	}
+
+	@Test
+	void backoffOfRanksDoesNotCloseTheirGroup() {
+		for (int i = 0; i < 3; i++) {
+			rejects("r", 1000);
+		}
+		assertThat(rank().group().closed()).isFalse();
+		assertThat(rank().trusted(10_000)).as("nor is it a failure").isTrue();
+	}
+
+	@Test
+	void backoffBelongsToOneIncarnationOfTheServer() {
+		rejects("r", 60_000);
+		this.table.use(new Registry(2, Map.of("r", new BackendEntry("r", 7, "s", "10.0.0.1", 80, "dc", 2, false))));
+		assertThat(decide(10_000)).as("its start was only not known").isInstanceOf(Admission.Verdict.Reject.class);
+		this.table.use(new Registry(3, Map.of("r", new BackendEntry("r", 8, "s", "10.0.0.1", 80, "dc", 2, false))));
+		assertThat(decide(10_000)).isInstanceOf(Admission.Verdict.Send.class);
+	}
+
+	@Test
+	void serverThatAnnouncedItsDepartureIsNotChosenWhateverTheRegistrySays() {
+		twoServers();
+		this.table.onResponseHead(rank(), new ServerNotice(NamedLimit.NONE, 0, true, ""),
+				new BackendNotices.Source("test", true, 10_000));
+		this.table.use(new Registry(3, Map.of("r", plain("r"), "q", plain("q"))));
+		assertThat(decideTried("q")).isEqualTo(new Admission.Verdict.Send(this.table.find("q").orElseThrow()));
+		assertThat(rank().takesNewWork()).isFalse();
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -154,9 +154,9 @@
 		registered(server("a", false), server("b", false), server("c", false));
 		Stream.of("a", "b", "c").forEach((id) -> this.table.grouped(BackendRun.of(id), "g"));
 		Stream.of("a", "b").forEach(this::unreachable);
-		assertThat(this.table.allClosed("s")).as("two ranks may be dead").isFalse();
+		assertThat(this.table.outage("s").total()).as("two ranks may be dead").isFalse();
 		unreachable("c");
-		assertThat(this.table.allClosed("s")).isTrue();
+		assertThat(this.table.outage("s").total()).isTrue();
 	}
 
 	@Test
@@ -168,14 +168,14 @@
 		this.clock.advance(600);
 		choose(NONE);
 		this.table.choose(new Wanted("s", NONE, 9, ENGINE, 120));
-		assertThat(this.table.allClosed("s")).as("its only stream is silent").isTrue();
+		assertThat(this.table.outage("s").total()).as("its only stream is silent").isTrue();
 		server("a").streamEnded();
 		server("a").sent(this.clock.nowMillis());
 		server("a").streamBegan(this.clock.nowMillis());
-		assertThat(this.table.allClosed("s")).isFalse();
+		assertThat(this.table.outage("s").total()).isFalse();
 		this.clock.advance(600);
 		this.table.choose(new Wanted("s", NONE, 9, ENGINE, 120));
-		assertThat(this.table.allClosed("s")).as("the next one too").isTrue();
+		assertThat(this.table.outage("s").total()).as("the next one too").isTrue();
 	}
 
 	private void unreachable(String id) {
