Model the return of gateways to servers that backed off, in virtual time

The tests hold: at most half of the rejections of a return at once, 0.85 served in the first second, 0.99 after it.

--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/ReturnModelTests.java
@@ -0,0 +1,40 @@
+package org.snowwind.gateway.backend;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * All servers of a service reject everything for a second, are left alone for three, and
+ * get requests again.
+ */
+class ReturnModelTests {
+
+	private static final long WORK_MILLIS = 100;
+
+	private static final long PLAY_MILLIS = 9000;
+
+	/** The first second in which servers are returned to. */
+	private static final long RETURN_SECOND = 5;
+
+	private static ReturnModel.Result play(int gateways, long newsMillis, int servers, double load, long seed,
+			boolean paced) {
+		return new ReturnModel(
+				new ReturnModel.Scenario(gateways, servers, servers, WORK_MILLIS, newsMillis, load, paced), seed)
+			.run(PLAY_MILLIS);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "7, 100, 16, 0.3, 1", "7, 100, 16, 0.6, 1", "7, 100, 16, 0.6, 2", "49, 500, 32, 0.3, 1",
+			"370, 3700, 85, 0.15, 1" })
+	void returningGatewaysDoNotFloodServers(int gateways, long newsMillis, int servers, double load, long seed) {
+		ReturnModel.Result paced = play(gateways, newsMillis, servers, load, seed, true);
+		ReturnModel.Result atOnce = play(gateways, newsMillis, servers, load, seed, false);
+		int rejected = paced.rejectedBetween(RETURN_SECOND, RETURN_SECOND + 4);
+		assertThat(rejected).isLessThanOrEqualTo(atOnce.rejectedBetween(RETURN_SECOND, RETURN_SECOND + 4) / 2);
+		assertThat(paced.servedShare(RETURN_SECOND, RETURN_SECOND + 1)).isGreaterThanOrEqualTo(0.85);
+		assertThat(paced.servedShare(RETURN_SECOND + 1, RETURN_SECOND + 3)).isGreaterThanOrEqualTo(0.99);
+	}
+
+}
