Ask the same gate before reports, counts and orders to ranks

ServerCalls is the gate of these calls: none is sent to a rank that backs off, it is spared where another rank can tell, and no switch of maps begins while one does. Orders that follow a hold may use the two requests that a server bears in a backoff, since its group makes no pass until they arrive. RankCalls reads the head of each response; what it announces reaches the same BackendNotices as that of callers' requests. An error whose body is no JSON keeps its status and headers.

RankCallsTests and RankSampleTests fail with the gate's check taken out (3 tests), and pass. Gauge snowwind.gateway.servers.backing.off.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -213,7 +213,7 @@
 		String ownAddress = Addresses.render(settings.peers());
 		this.mesh = new PeerMesh(new PeerTable(ownAddress), this.documents, this.calls, this::ownReport,
 				new LoopConsumers(), this.clock);
-		this.limits = new GatewayLimits(settings.name(), this.loop, this.backends.limits(),
+		this.limits = new GatewayLimits(settings.name(), this.loop, this.backends,
 				new GatewayLimits.Parts(() -> this.mesh.view().liveByName(), () -> this.draining, this.calls,
 						this.admin.registry(), this.clock));
 		this.tableThread = watchThread("table-watch", tableWatch());
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayLimits.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayLimits.java
@@ -7,23 +7,28 @@
 
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import org.snowwind.decide.notice.ServerNotice;
+import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.backend.SharedLimits;
 import org.snowwind.gateway.limit.LimitDuty;
 import org.snowwind.gateway.limit.LimitMessages;
 import org.snowwind.gateway.limit.ServerCalls;
+import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.http.DataLoop;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.wire.ThriftCalls;
 import org.snowwind.wire.generated.LimitNews;
 
 /**
- * Hands what the loop knows of limits to the threads that tell peers, ask for parts of
- * rates and ask ranks, and back.
+ * Hands what the loop knows of limits and backoffs to the threads that tell peers, ask
+ * for parts of rates and ask ranks, and back.
  */
 final class GatewayLimits implements AutoCloseable {
 
 	private final DataLoop loop;
 
+	private final BackendTable backends;
+
 	private final SharedLimits limits;
 
 	private final MonotonicClock clock;
@@ -34,21 +39,27 @@
 
 	private volatile SharedLimits.Snapshot told = SharedLimits.Snapshot.NONE;
 
+	private volatile Map<String, Long> backoffs = Map.of();
+
 	/**
 	 * Creates limits that ask nobody yet.
 	 * @param name the name of this gateway
 	 * @param loop owns the limits
-	 * @param limits the limits of all servers
+	 * @param backends the servers
 	 * @param parts what they work with
 	 */
-	GatewayLimits(String name, DataLoop loop, SharedLimits limits, Parts parts) {
+	GatewayLimits(String name, DataLoop loop, BackendTable backends, Parts parts) {
 		this.loop = loop;
-		this.limits = limits;
+		this.backends = backends;
+		this.limits = backends.limits();
 		this.clock = parts.clock();
 		this.duty = new LimitDuty(name,
 				new LimitDuty.Local(parts.peers(), parts.leaving(), () -> this.told.wishes(), this::granted),
 				parts.thriftCalls(), parts.clock());
-		this.calls = new ServerCalls(parts.registry(), () -> this.told.standing(), parts.clock());
+		this.calls = new ServerCalls(parts.registry(),
+				new ServerCalls.Restrictions(() -> this.told.standing(), () -> this.backoffs), this::onNotice,
+				parts.clock());
+		Gauge.builder("snowwind.gateway.servers.backing.off", () -> this.backoffs.size()).register(parts.registry());
 		Gauge.builder("snowwind.gateway.servers.limited", () -> this.told.standing().size()).register(parts.registry());
 		Gauge.builder("snowwind.gateway.limits.granted.per.second", () -> this.told.grantedPerSecond())
 			.register(parts.registry());
@@ -58,6 +69,10 @@
 		this.loop.run(() -> this.limits.granted(grants, askedMillis));
 	}
 
+	private void onNotice(BackendRun run, ServerNotice notice, long sentMillis) {
+		this.loop.run(() -> this.backends.onNotice(run, notice, sentMillis));
+	}
+
 	void start() {
 		this.duty.start();
 	}
@@ -67,6 +82,7 @@
 	 */
 	void tell() {
 		this.told = this.limits.snapshot();
+		this.backoffs = this.backends.backoffs();
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -148,6 +148,30 @@
 		backend.onResponseHead(notice, source, pace, nowMillis);
 	}
 
+	/**
+	 * Records what the response to a call beside callers' requests announces.
+	 * @param run the incarnation that was called
+	 * @param notice what it announces
+	 * @param sentMillis when the call was sent, in milliseconds
+	 */
+	public void onNotice(BackendRun run, ServerNotice notice, long sentMillis) {
+		find(run.id()).filter((backend) -> backend.entry().run().mayBe(run))
+			.ifPresent((backend) -> onResponseHead(backend, notice,
+					new BackendNotices.Source("report or order", false, sentMillis)));
+	}
+
+	/**
+	 * Lists the servers that back off.
+	 * @return until when, in milliseconds by the server's id
+	 */
+	public Map<String, Long> backoffs() {
+		long nowMillis = this.clock.nowMillis();
+		return this.byId.values()
+			.stream()
+			.filter((backend) -> backend.notices().backoff().isActive(nowMillis))
+			.collect(Collectors.toUnmodifiableMap(Backend::id, (backend) -> backend.notices().backoff().untilMillis()));
+	}
+
 	/**
 	 * Lists the servers of a service.
 	 * @param service the service's name
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
@@ -127,7 +127,8 @@
 	private List<Rank> counted(List<Rank> ranks) {
 		List<Rank> counted = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i += RANKS_FOR_ONE_COUNTED) {
-			counted.add(this.calls.firstUnlimited(ranks.subList(i, Math.min(i + RANKS_FOR_ONE_COUNTED, ranks.size()))));
+			counted
+				.add(this.calls.firstUnrestricted(ranks.subList(i, Math.min(i + RANKS_FOR_ONE_COUNTED, ranks.size()))));
 		}
 		return counted;
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -373,7 +373,7 @@
 
 	@Override
 	public Rank holderOf(List<Rank> ranks) {
-		return this.calls.firstUnlimited(ranks);
+		return this.calls.firstUnrestricted(ranks);
 	}
 
 	private List<Rank> reports(List<BackendEntry> asked) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapOrder.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapOrder.java
@@ -8,6 +8,14 @@
 public sealed interface MapOrder
 		permits MapOrder.Prepare, MapOrder.Arm, MapOrder.Disarm, MapOrder.Hold, MapOrder.Release {
 
+	/**
+	 * Tells whether a group may stand still until the order arrives.
+	 * @return true for an order that follows a hold
+	 */
+	default boolean completesSwitch() {
+		return this instanceof Arm || this instanceof Disarm || this instanceof Release;
+	}
+
 	/**
 	 * Copies the experts that are new to the rank in a map.
 	 *
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
@@ -1,5 +1,6 @@
 package org.snowwind.gateway.expert;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -78,10 +79,13 @@
 	/**
 	 * Chooses a rank that is sent more than the others.
 	 * @param ranks ranks of a group, at least one
-	 * @return the first that takes any rate, the first of all if none does
+	 * @return the first that is not restricted, the first of all if all are
 	 */
-	Rank firstUnlimited(List<Rank> ranks) {
-		return ranks.stream().filter((rank) -> !this.made.limited(rank.serverId())).findFirst().orElse(ranks.get(0));
+	Rank firstUnrestricted(List<Rank> ranks) {
+		return ranks.stream()
+			.filter((rank) -> !this.made.isRestricted(rank.serverId()))
+			.findFirst()
+			.orElse(ranks.get(0));
 	}
 
 	/**
@@ -92,7 +96,7 @@
 	List<Rank> reports(List<BackendEntry> servers) {
 		List<CompletableFuture<JsonAnswer>> pending = new ArrayList<>();
 		for (BackendEntry server : servers) {
-			pending.add(get(server.id(), server.address(), this.protocol.reportPath()));
+			pending.add(get(server.run(), server.address(), this.protocol.reportPath()));
 		}
 		List<Rank> ranks = new ArrayList<>();
 		for (int i = 0; i < servers.size(); i++) {
@@ -145,7 +149,7 @@
 	private <T> List<Optional<T>> askAll(List<Rank> ranks, String path, Reader<T> reader) {
 		List<CompletableFuture<JsonAnswer>> pending = new ArrayList<>();
 		for (Rank rank : ranks) {
-			pending.add(get(rank.serverId(), rank.address(), path));
+			pending.add(get(rank.run(), rank.address(), path));
 		}
 		List<Optional<T>> answers = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i++) {
@@ -154,9 +158,25 @@
 		return answers;
 	}
 
-	private CompletableFuture<JsonAnswer> get(String serverId, String address, String path) {
-		this.made.made(serverId);
-		return this.client.start("GET", "http://" + address + path, this.protocol.headers(serverId), null, CALL_MILLIS);
+	private CompletableFuture<JsonAnswer> get(BackendRun run, String address, String path) {
+		if (!this.made.acquire(run.id())) {
+			return backsOff();
+		}
+		return start("GET", run, "http://" + address + path, null, CALL_MILLIS);
+	}
+
+	private CompletableFuture<JsonAnswer> start(String method, BackendRun run, String url, byte[] body,
+			long timeoutMillis) {
+		long sentMillis = this.made.nowMillis();
+		return this.client.start(method, url, this.protocol.headers(run.id()), body, timeoutMillis)
+			.thenApply((answer) -> {
+				this.made.onResponseHead(run, this.protocol.notice(answer.status(), answer.headers()), sentMillis);
+				return answer;
+			});
+	}
+
+	private static CompletableFuture<JsonAnswer> backsOff() {
+		return CompletableFuture.failedFuture(new IOException("not sent, the server backs off"));
 	}
 
 	private static <T> Optional<T> read(CompletableFuture<JsonAnswer> pending, Reader<T> reader, String serverId) {
@@ -192,9 +212,10 @@
 		for (Rank rank : ranks) {
 			byte[] body = bodies.computeIfAbsent(rank.report().epoch(),
 					(epoch) -> JsonClient.encode(this.protocol.body(order, epoch, fence)));
-			this.made.made(rank.serverId());
-			pending.add(this.client.start("POST", "http://" + rank.address() + this.protocol.orderPath(),
-					this.protocol.headers(rank.serverId()), body, this.orderMillis));
+			boolean acquired = order.completesSwitch() ? this.made.acquireCompletion(rank.serverId())
+					: this.made.acquire(rank.serverId());
+			pending.add(acquired ? start("POST", rank.run(), "http://" + rank.address() + this.protocol.orderPath(),
+					body, this.orderMillis) : backsOff());
 		}
 		List<OrderResult> results = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i++) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankProtocol.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankProtocol.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.decide.notice.ServerNotice;
 import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.table.DocumentException;
 
@@ -91,4 +92,12 @@
 	 */
 	OrderResult result(int status);
 
+	/**
+	 * Reads what a rank announces about its near future in the head of any response.
+	 * @param status the HTTP status
+	 * @param headers its headers by lower-case name
+	 * @return what it says
+	 */
+	ServerNotice notice(int status, Map<String, String> headers);
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankSample.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankSample.java
@@ -32,7 +32,7 @@
 	 * be asked
 	 */
 	List<BackendEntry> of(List<BackendEntry> group, ServerCalls made) {
-		List<BackendEntry> unlimited = group.stream().filter((member) -> !made.limited(member.id())).toList();
+		List<BackendEntry> unlimited = group.stream().filter((member) -> !made.isRestricted(member.id())).toList();
 		boolean enough = unlimited.size() >= Math.min(RANKS, group.size());
 		return next(enough ? unlimited : group.stream().filter((member) -> made.allows(member.id(), 1)).toList());
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankProtocol.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/FakeRankProtocol.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.decide.limit.NamedLimit;
+import org.snowwind.decide.notice.ServerNotice;
 import org.snowwind.model.Json;
 
 /**
@@ -80,4 +82,10 @@
 		};
 	}
 
+	@Override
+	public ServerNotice notice(int status, Map<String, String> headers) {
+		long retryAfterMillis = Long.parseLong(headers.getOrDefault("t-retry-after", "0"));
+		return new ServerNotice(NamedLimit.NONE, retryAfterMillis, headers.containsKey("t-leaving"), "");
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/expert/GroupDirectoryTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/GroupDirectoryTests.java
@@ -56,6 +56,8 @@
 
 	private Map<String, Double> limits = Map.of();
 
+	private final Map<String, Long> backoffs = new HashMap<>();
+
 	private final OneObjectStore store = new OneObjectStore();
 
 	private final List<BackendEntry> servers = new ArrayList<>();
@@ -81,8 +83,9 @@
 	}
 
 	private GroupDirectory directory(boolean planning) {
-		return new GroupDirectory(this.client, new FakeRankProtocol(),
-				new ServerCalls(new SimpleMeterRegistry(), () -> this.limits, this.clock), this.store,
+		return new GroupDirectory(this.client, new FakeRankProtocol(), new ServerCalls(new SimpleMeterRegistry(),
+				new ServerCalls.Restrictions(() -> this.limits, () -> this.backoffs), (run, notice, sentMillis) -> {
+				}, this.clock), this.store,
 				new GroupDirectory.Sources(
 						() -> this.servers.stream().filter((one) -> !this.found.containsKey(one.run())).toList(),
 						() -> Set.copyOf(this.servers.stream().map(BackendEntry::run).toList()), () -> planning),
--- a/gateway/src/test/java/org/snowwind/gateway/expert/RankCallsTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/RankCallsTests.java
@@ -9,12 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.snowwind.decide.notice.ServerNotice;
 import org.snowwind.gateway.limit.ServerCalls;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendRun;
@@ -33,10 +35,14 @@
 	/** Long enough that a busy machine does not decide what an order came to. */
 	private static final long ORDER_MILLIS = 5000;
 
+	private final Map<String, Long> backoffs = new ConcurrentHashMap<>();
+
 	private final JsonClient client = new JsonClient(Map.of(), 500);
 
 	private final RankCalls calls = new RankCalls(this.client, new FakeRankProtocol(),
-			new ServerCalls(new SimpleMeterRegistry(), Map::of, MonotonicClock.system()), ORDER_MILLIS);
+			new ServerCalls(new SimpleMeterRegistry(), new ServerCalls.Restrictions(Map::of, () -> this.backoffs),
+					this::onNotice, MonotonicClock.system()),
+			ORDER_MILLIS);
 
 	private final Queue<String> answers = new ConcurrentLinkedQueue<>();
 
@@ -54,6 +60,10 @@
 		this.socket.close();
 	}
 
+	private void onNotice(BackendRun run, ServerNotice notice, long sentMillis) {
+		this.backoffs.put(run.id(), sentMillis + notice.retryAfterMillis());
+	}
+
 	private static void daemon(Runnable work) {
 		Thread thread = new Thread(work, "scripted-rank");
 		thread.setDaemon(true);
@@ -183,4 +193,38 @@
 		assertThat(this.calls.order(List.of(rank), new MapOrder.Hold(5), 1)).containsExactly(OrderResult.TAKEN);
 	}
 
+	private List<Rank> reports() {
+		return this.calls.reports(List.of(new BackendEntry(SERVER, BackendRun.UNKNOWN, "model", "127.0.0.1",
+				this.socket.getLocalPort(), "dc", 8, false)));
+	}
+
+	private static String rejection() {
+		return "HTTP/1.1 503 Scripted\r\nt-retry-after: 60000\r\nContent-Length: 4\r\n\r\nbusy";
+	}
+
+	@Test
+	void rankIsNotAskedBeforeItsRetryAfterExpires() {
+		this.answers.add(rejection());
+		this.answers.add(answer(200, "{\"step\":1}"));
+		assertThat(reports()).isEmpty();
+		assertThat(this.backoffs).containsOnlyKeys(SERVER);
+		assertThat(reports()).isEmpty();
+		assertThat(order(SERVER, new MapOrder.Hold(5))).isEqualTo(OrderResult.UNKNOWN);
+		assertThat(this.answers).as("nothing more was sent").hasSize(1);
+		this.backoffs.clear();
+		assertThat(reports()).hasSize(1);
+	}
+
+	@Test
+	void rankThatBacksOffGetsOnlyTwoOrdersThatCompleteSwitch() {
+		this.backoffs.put(SERVER, Long.MAX_VALUE);
+		for (int i = 0; i < 3; i++) {
+			this.answers.add(answer(200, ""));
+		}
+		assertThat(order(SERVER, new MapOrder.Arm(2, 5))).isEqualTo(OrderResult.TAKEN);
+		assertThat(order(SERVER, new MapOrder.Release(5))).isEqualTo(OrderResult.TAKEN);
+		assertThat(order(SERVER, new MapOrder.Release(5))).isEqualTo(OrderResult.UNKNOWN);
+		assertThat(this.answers).hasSize(1);
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/expert/RankSampleTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/RankSampleTests.java
@@ -1,5 +1,6 @@
 package org.snowwind.gateway.expert;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +27,11 @@
 
 	private Map<String, Double> limits = Map.of();
 
-	private final ServerCalls made = new ServerCalls(new SimpleMeterRegistry(), () -> this.limits, this.clock);
+	private final Map<String, Long> backoffs = new HashMap<>();
+
+	private final ServerCalls made = new ServerCalls(new SimpleMeterRegistry(),
+			new ServerCalls.Restrictions(() -> this.limits, () -> this.backoffs), (run, notice, sentMillis) -> {
+			}, this.clock);
 
 	private static List<BackendEntry> ranks(int count) {
 		return IntStream.range(0, count)
@@ -70,7 +75,7 @@
 		int asked = 0;
 		for (int round = 0; round < 16; round++) {
 			List<BackendEntry> chosen = this.sample.of(ranks(3), this.made);
-			chosen.forEach((rank) -> this.made.made(rank.id()));
+			chosen.forEach((rank) -> this.made.acquire(rank.id()));
 			asked += chosen.size();
 		}
 		assertThat(asked).isEqualTo(12);
@@ -78,4 +83,12 @@
 		assertThat(this.sample.of(ranks(3), this.made)).hasSize(3);
 	}
 
+	@Test
+	void ranksThatBackOffAreNotAsked() {
+		this.backoffs.put("r0", Long.MAX_VALUE);
+		assertThat(this.made.allows("r0", 1)).isFalse();
+		assertThat(this.made.isRestricted("r0")).isTrue();
+		assertThat(this.made.allows("r1", 1)).isTrue();
+	}
+
 }
--- a/http/src/main/java/org/snowwind/http/client/JsonClient.java
+++ b/http/src/main/java/org/snowwind/http/client/JsonClient.java
@@ -13,10 +13,12 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
+import org.snowwind.http.EndToEndHeaders;
 import org.snowwind.model.Json;
 
 /**
@@ -32,6 +34,8 @@
 	/** How much later than the library's own time-out a call is given up for lost. */
 	private static final long TIMEOUT_MARGIN_MILLIS = 500;
 
+	private static final int FIRST_ERROR = 400;
+
 	private final AsyncHttpClient client;
 
 	private final Map<String, String> headers;
@@ -151,11 +155,16 @@
 	}
 
 	private static JsonAnswer answerOf(Response response) {
-		byte[] bytes = response.getResponseBodyAsBytes();
+		int status = response.getStatusCode();
+		Map<String, String> headers = EndToEndHeaders.of(response.getHeaders());
 		try {
-			return new JsonAnswer(response.getStatusCode(), Json.readForeign(bytes));
+			return new JsonAnswer(status, headers, Json.readForeign(response.getResponseBodyAsBytes()));
 		}
 		catch (IOException ex) {
+			// The status and headers of an error count whatever its body is.
+			if (status >= FIRST_ERROR) {
+				return new JsonAnswer(status, headers, MissingNode.getInstance());
+			}
 			throw new UncheckedIOException(ex);
 		}
 	}
@@ -174,9 +183,10 @@
 	 * An answer.
 	 *
 	 * @param status the HTTP status
+	 * @param headers its headers by lower-case name
 	 * @param body the body, a missing node if there is none
 	 */
-	public record JsonAnswer(int status, JsonNode body) {
+	public record JsonAnswer(int status, Map<String, String> headers, JsonNode body) {
 
 	}
 
