--- a/decide/src/main/java/org/snowwind/decide/notice/ReturnPace.java
+++ b/decide/src/main/java/org/snowwind/decide/notice/ReturnPace.java
@@ -5,9 +5,9 @@
  *
  * <p>
  * Load answered: processes that were rejected within the same moment would all return in
- * the same moment, fill the queue of the server and be rejected again. Each begins at a
- * random point of a spread in which the server can take one request from every process,
- * and sends at growing rates after that until its peers' reports show the server's load.
+ * the same moment, fill the queue of the server and be rejected again. Those that do not
+ * fit into its slots begin at random points of the time that it needs for them, and each
+ * sends at growing rates until its peers' reports show the server's load.
  *
  * @param spreadMillis the time in which the server can take one request from every
  * process, in milliseconds
@@ -41,9 +41,10 @@
 	 */
 	public static ReturnPace of(int processes, double answerMillis, int slots, long backoffMillis, double draw) {
 		double perRequestMillis = ((answerMillis > 0) ? answerMillis : DEFAULT_ANSWER_MILLIS) / Math.max(1, slots);
-		double wantedMillis = Math.max(1, processes) * perRequestMillis / SHARE;
-		long spread = (long) Math.min(wantedMillis, Math.max(LEAST_CAP_MILLIS, backoffMillis));
-		return new ReturnPace(spread, (long) (spread * draw));
+		double mostMillis = Math.max(LEAST_CAP_MILLIS, backoffMillis);
+		double spread = Math.min(mostMillis, processes * perRequestMillis / SHARE);
+		double begin = Math.min(mostMillis, Math.max(0, processes - slots) * perRequestMillis / SHARE);
+		return new ReturnPace((long) spread, (long) (begin * draw));
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -141,11 +141,15 @@
 	 * @param source the response
 	 */
 	public void onResponseHead(Backend backend, ServerNotice notice, BackendNotices.Source source) {
-		long nowMillis = this.clock.nowMillis();
-		BackendView view = backend.view(nowMillis);
-		ReturnPace pace = ReturnPace.of(this.gateways.getAsInt(), view.answerMillis(), view.slots(),
-				notice.retryAfterMillis(), this.random.nextDouble());
-		backend.onResponseHead(notice, source, pace, nowMillis);
+		boolean startsBackoff = notice.retryAfterMillis() > 0;
+		backend.onResponseHead(notice, source,
+				startsBackoff ? pace(backend, notice.retryAfterMillis()) : ReturnPace.AT_ONCE, this.clock.nowMillis());
+	}
+
+	private ReturnPace pace(Backend backend, long backoffMillis) {
+		BackendView view = backend.view(this.clock.nowMillis());
+		return ReturnPace.of(this.gateways.getAsInt(), view.answerMillis(), view.slots(), backoffMillis,
+				this.random.nextDouble());
 	}
 
 	/**
--- a/gateway/src/test/java/org/snowwind/gateway/backend/ReturnModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/ReturnModel.java
@@ -206,6 +206,10 @@
 			return sum(this.rejected, from, until);
 		}
 
+		int arrivedBetween(long from, long until) {
+			return sum(this.arrived, from, until);
+		}
+
 		double servedShare(long from, long until) {
 			return sum(this.served, from, until) / (double) Math.max(1, sum(this.arrived, from, until));
 		}
