Let servers of the soak back off and leave; tell backed-off servers in the story of losses

The extras of a soak are one record in place of a third flag. LimitedServerTests uses FleetUnderLoad in place of its own copy; its tests and bounds stay.

'explain' counts losses while all servers back off by themselves.

--- a/app/src/main/java/org/snowwind/app/explain/LossCause.java
+++ b/app/src/main/java/org/snowwind/app/explain/LossCause.java
@@ -17,6 +17,9 @@
 	/** All groups of its service took nothing. */
 	GROUPS_CLOSED("turned away: all groups closed"),
 
+	/** All servers of its service backed off. */
+	SERVERS_BACKED_OFF("rejected: all servers back off"),
+
 	/** No server had room in time. */
 	NO_ROOM("turned away: no room in time"),
 
--- a/app/src/main/java/org/snowwind/app/explain/PeriodStory.java
+++ b/app/src/main/java/org/snowwind/app/explain/PeriodStory.java
@@ -83,7 +83,7 @@
 		}
 		return switch (request.ended.text("outcome")) {
 			case OK -> lateness(request);
-			case "overloaded" -> request.groupsClosed() ? LossCause.GROUPS_CLOSED : LossCause.NO_ROOM;
+			case "overloaded" -> request.rejection();
 			case "no-server" -> LossCause.NO_SERVER;
 			case "ends-servers" -> LossCause.ENDS_SERVERS;
 			case "backend-failed", "500", "503" -> LossCause.SERVER_FAILED;
@@ -196,8 +196,12 @@
 			return first() != null && !came().isBefore(from) && came().isBefore(until);
 		}
 
-		private boolean groupsClosed() {
-			return this.turnedAway != null && this.turnedAway.fields().path("closed").asBoolean();
+		private LossCause rejection() {
+			if (this.turnedAway == null || !this.turnedAway.fields().path("closed").asBoolean()) {
+				return LossCause.NO_ROOM;
+			}
+			boolean backedOff = this.turnedAway.number("returnMillis") > 0;
+			return backedOff ? LossCause.SERVERS_BACKED_OFF : LossCause.GROUPS_CLOSED;
 		}
 
 	}
--- a/app/src/test/java/org/snowwind/app/explain/PeriodStoryTests.java
+++ b/app/src/test/java/org/snowwind/app/explain/PeriodStoryTests.java
@@ -103,6 +103,10 @@
 		log(300, "SW-4106", "\"request\":\"b\",\"closed\":false");
 		ended(300, "b", "overloaded", 0, 0, 0);
 		assertThat(story().count(LossCause.NO_ROOM)).isEqualTo(1);
+		routed(400, "c");
+		log(401, "SW-4106", "\"request\":\"c\",\"closed\":true,\"returnMillis\":2000");
+		ended(401, "c", "overloaded", 0, 0, 0);
+		assertThat(story().count(LossCause.SERVERS_BACKED_OFF)).isEqualTo(1);
 	}
 
 	@Test
--- a/app/src/test/java/org/snowwind/app/soak/LimitedServerTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/LimitedServerTests.java
@@ -1,19 +1,13 @@
 package org.snowwind.app.soak;
 
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.snowwind.http.DataLoop;
 import org.snowwind.platform.standin.LimitChange;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -37,12 +31,6 @@
 
 	private static final int GATEWAYS = 7;
 
-	private static final String SERVICE = "desk";
-
-	private static final long CALL_EVERY_MILLIS = 25;
-
-	private static final long START_MILLIS = 30_000;
-
 	private static final long PLAY_MILLIS = 14_000;
 
 	/** Within this time all gateways know of a limit and hold their parts of it. */
@@ -51,73 +39,39 @@
 	/** The stated aim: so much of the rates is used while callers wait. */
 	private static final int USED_PERCENT = 90;
 
-	private final DataLoop callerLoop = new DataLoop("limit-callers");
-
-	private final SoakCaller caller = new SoakCaller(this.callerLoop);
-
-	private final ScheduledExecutorService calling = Executors.newSingleThreadScheduledExecutor();
-
-	private final AtomicInteger calls = new AtomicInteger();
-
-	private SoakWorld world;
+	private FleetUnderLoad fleet;
 
 	@BeforeEach
 	void start(@TempDir Path folder) throws Exception {
-		this.world = new SoakWorld(Files.createDirectories(folder), GATEWAYS, new Random(1));
-		for (int i = 0; i < 5; i++) {
-			this.world.addServer(SERVICE);
-		}
-		for (SoakGateway gateway : this.world.gateways()) {
-			awaitServing(gateway);
-		}
+		this.fleet = new FleetUnderLoad(folder, GATEWAYS);
 	}
 
 	@AfterEach
 	void stop() throws Exception {
-		this.calling.shutdownNow();
-		this.caller.close();
-		this.world.close();
-		this.callerLoop.close();
-	}
-
-	private void awaitServing(SoakGateway gateway) throws Exception {
-		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
-		while (!this.caller.send(gateway, CallKind.AGAIN, SoakWorld.KEY).get().served()) {
-			assertThat(System.nanoTime()).as("the gateway serves in time").isLessThan(endNanos);
-			TimeUnit.MILLISECONDS.sleep(200);
-		}
-	}
-
-	private void call() {
-		int gateway = this.calls.incrementAndGet() % GATEWAYS;
-		this.caller.send(this.world.gateways().get(gateway), CallKind.AGAIN, SoakWorld.KEY);
+		this.fleet.close();
 	}
 
 	private List<SoakWorld.SoakServer> servers() {
-		return this.world.servers().stream().filter((server) -> server.server().service().equals(SERVICE)).toList();
+		return this.fleet.servers();
 	}
 
 	private void play() throws InterruptedException {
-		this.calling.scheduleAtFixedRate(this::call, 0, CALL_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+		this.fleet.startLoad();
 		TimeUnit.MILLISECONDS.sleep(PLAY_MILLIS);
 	}
 
-	private long served(long sinceNanos) {
-		return this.caller.calls().stream().filter((call) -> call.served() && call.sentNanos() > sinceNanos).count();
-	}
-
 	private void assertKept() {
-		assertThat(new LimitsAreKept().broken(this.world.history(this.caller.calls()))).isEmpty();
+		assertThat(this.fleet.broken(new LimitsAreKept())).isEmpty();
 	}
 
 	@Test
 	void whatLimitedServersTakeIsUsedUpWhileCallersWait() throws Exception {
 		servers().forEach((server) -> server.server().limit(2));
-		this.calling.scheduleAtFixedRate(this::call, 0, CALL_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+		this.fleet.startLoad();
 		TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
 		long fromNanos = System.nanoTime();
 		TimeUnit.MILLISECONDS.sleep(PLAY_MILLIS);
-		assertThat(served(fromNanos))
+		assertThat(this.fleet.callsSince(fromNanos).stream().filter(Call::served).count())
 			.isGreaterThanOrEqualTo(USED_PERCENT * 2L * servers().size() * PLAY_MILLIS / 100_000);
 		assertKept();
 	}
@@ -142,12 +96,13 @@
 	@Test
 	void aLimitIsKeptWhileGatewaysAreKilledAndStartAgain() throws Exception {
 		servers().subList(0, 2).forEach((server) -> server.server().limit(1));
-		this.calling.scheduleAtFixedRate(this::call, 0, CALL_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+		this.fleet.startLoad();
 		TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
 		for (int i = 0; i < 4; i++) {
-			SoakGateway gateway = this.world.gateways().get(i);
-			this.world.disturbed(new Disturbance("kill", gateway.name(), System.nanoTime(),
-					System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PLAY_MILLIS / 4)));
+			SoakGateway gateway = this.fleet.world().gateways().get(i);
+			this.fleet.world()
+				.disturbed(new Disturbance("kill", gateway.name(), System.nanoTime(),
+						System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PLAY_MILLIS / 4)));
 			gateway.process().kill();
 			TimeUnit.MILLISECONDS.sleep(PLAY_MILLIS / 8);
 			gateway.process().close();
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakExtras.java
@@ -0,0 +1,19 @@
+package org.snowwind.app.soak;
+
+/**
+ * What a soak plays beside the usual faults.
+ *
+ * @param fatal whether a caller sends a request that ends each server that runs it
+ * @param limits whether servers name limits
+ * @param notices whether servers reject with {@code Retry-After} and announce departures
+ */
+record SoakExtras(boolean fatal, boolean limits, boolean notices) {
+
+	static final SoakExtras NONE = new SoakExtras(false, false, false);
+
+	/** Chooses the extras of a soak by hand, so that seeds have all combinations. */
+	static SoakExtras of(long seed) {
+		return new SoakExtras(seed % 2 == 0, seed % 4 < 2, seed % 8 < 4);
+	}
+
+}
--- a/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
@@ -10,6 +10,7 @@
 import org.snowwind.app.harness.Link;
 import org.snowwind.app.harness.SnowwindProcess;
 import org.snowwind.platform.standin.BackendBehaviour;
+import org.snowwind.platform.standin.BackoffRequest;
 import org.snowwind.platform.standin.LimitChange;
 import org.snowwind.platform.standin.StoreFault;
 
@@ -25,6 +26,14 @@
 	private static final List<Double> LIMITS = List.of(0.0, 0.3, 1.0, 3.0, 10.0, 50.0, LimitChange.NONE,
 			LimitChange.NONE);
 
+	private static final List<Double> RETRY_AFTER_SECONDS = List.of(0.0, 0.4, 1.0, 2.0, 3.0);
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private static final int LEAVING_ONE_IN = 4;
+
+	private static final int ALL_REJECT_ONE_IN = 5;
+
 	private static final List<StoreFault> STORE_FAULTS = List.of(StoreFault.DOWN, StoreFault.SILENT, StoreFault.SLOW,
 			StoreFault.LOSES_ANSWERS);
 
@@ -214,6 +223,41 @@
 		anyServer(world, random).server().limit(perSecond);
 	}
 
+	/**
+	 * Lets a server, or now and then all servers of its service, reject all requests with
+	 * {@code Retry-After} for a while, or one announce that it is leaving.
+	 * @param world holds the servers
+	 * @param random decides which ones, what and for how long
+	 * @param later ends it
+	 */
+	static void announce(SoakWorld world, Random random, SoakFault.Later later) {
+		SoakWorld.SoakServer server = anyServer(world, random);
+		if (random.nextInt(LEAVING_ONE_IN) == 0 && !world.drainsAlready(server)) {
+			leave(world, server, later);
+			return;
+		}
+		String service = server.server().service();
+		boolean all = random.nextInt(ALL_REJECT_ONE_IN) == 0;
+		List<SoakWorld.SoakServer> rejecting = world.servers()
+			.stream()
+			.filter((other) -> other.equals(server) || (all && other.server().service().equals(service)))
+			.toList();
+		long millis = between(random, 100, 1500);
+		double seconds = RETRY_AFTER_SECONDS.get(random.nextInt(RETRY_AFTER_SECONDS.size()));
+		disturb(world, "server-rejects", Disturbance.SERVERS, millis + Math.round(MILLIS_PER_SECOND * seconds) + 1000);
+		rejecting.forEach((one) -> one.server().reject(seconds));
+		later.after(millis, () -> rejecting.forEach((one) -> one.server().reject(BackoffRequest.NONE)));
+	}
+
+	private static void leave(SoakWorld world, SoakWorld.SoakServer server, SoakFault.Later later) {
+		server.server().announceLeaving();
+		later.after(0, () -> world.addServer(server.server().service()));
+		later.after(6000, () -> {
+			server.server().deregister();
+			later.after(1000, () -> world.end(server));
+		});
+	}
+
 	private static void serverLink(SoakWorld world, Random random, SoakFault.Later later) {
 		SoakWorld.SoakServer server = anyServer(world, random);
 		long millis = between(random, 300, 3000);
--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -64,6 +64,9 @@
 	/** How often a server names another limit, or none any more. */
 	private static final long LIMIT_EVERY_MILLIS = 1700;
 
+	/** How often servers reject with Retry-After, or announce their departure. */
+	private static final long NOTICE_EVERY_MILLIS = 1300;
+
 	/** How often a caller sends the request again that ends servers. */
 	private static final long FATAL_EVERY_MILLIS = 700;
 
@@ -86,11 +89,11 @@
 
 	private final Random fatal;
 
-	private final boolean withFatal;
-
 	private final Random limits;
 
-	private final boolean withLimits;
+	private final Random notices;
+
+	private final SoakExtras extras;
 
 	private final SoakWorld world;
 
@@ -109,18 +112,16 @@
 	/**
 	 * Starts everything that a soak needs.
 	 * @param seed decides on faults and load
-	 * @param withFatal whether a caller sends a request that ends each server that runs
-	 * it
-	 * @param withLimits whether servers name limits
+	 * @param extras what is played beside the usual faults
 	 * @param folder takes settings and logs
 	 * @throws IOException if something cannot be started
 	 */
-	SoakRun(long seed, boolean withFatal, boolean withLimits, Path folder) throws IOException {
+	SoakRun(long seed, SoakExtras extras, Path folder) throws IOException {
 		this.random = new Random(seed);
 		this.fatal = new Random(seed + 3);
-		this.withFatal = withFatal;
 		this.limits = new Random(seed + 4);
-		this.withLimits = withLimits;
+		this.notices = new Random(seed + 5);
+		this.extras = extras;
 		this.streams = new Random(seed + 2);
 		this.world = new SoakWorld(folder, GATEWAYS, new Random(seed + 1));
 	}
@@ -143,6 +144,8 @@
 				TimeUnit.MILLISECONDS);
 		var limiting = this.later.scheduleWithFixedDelay(this::changeLimit, LIMIT_EVERY_MILLIS, LIMIT_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
+		var noticing = this.later.scheduleWithFixedDelay(this::announce, NOTICE_EVERY_MILLIS, NOTICE_EVERY_MILLIS,
+				TimeUnit.MILLISECONDS);
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faultMillis);
 		while (System.nanoTime() < endNanos) {
 			TimeUnit.MILLISECONDS.sleep(LEAST_BETWEEN_FAULTS_MILLIS
@@ -153,6 +156,7 @@
 		}
 		breaking.cancel(false);
 		limiting.cancel(false);
+		noticing.cancel(false);
 		this.world.servers().forEach((server) -> server.server().limit(LimitChange.NONE));
 		awaitPending();
 		stopTogether();
@@ -239,18 +243,24 @@
 	}
 
 	private void callFatal() {
-		if (this.withFatal) {
+		if (this.extras.fatal()) {
 			SoakGateway gateway = this.world.gateways().get(this.fatal.nextInt(GATEWAYS));
 			this.caller.sendAgain(gateway, CallKind.FATAL, SoakWorld.KEY, "fatal");
 		}
 	}
 
 	private void changeLimit() {
-		if (this.withLimits) {
+		if (this.extras.limits()) {
 			SoakFaults.changeLimit(this.world, this.limits);
 		}
 	}
 
+	private void announce() {
+		if (this.extras.notices()) {
+			SoakFaults.announce(this.world, this.notices, this::after);
+		}
+	}
+
 	// ---- after the last fault
 
 	private void checkComeBack() throws Exception {
--- a/app/src/test/java/org/snowwind/app/soak/SoakTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakTests.java
@@ -30,9 +30,9 @@
 
 	private static final Path FOLDER = Path.of(System.getProperty("snowwind.root"), "app/target/soak");
 
-	private static List<String> play(long seed, boolean withFatal, boolean withLimits, long millis) throws Exception {
+	private static List<String> play(long seed, SoakExtras extras, long millis) throws Exception {
 		Path folder = emptyFolder(seed);
-		try (SoakRun run = new SoakRun(seed, withFatal, withLimits, folder)) {
+		try (SoakRun run = new SoakRun(seed, extras, folder)) {
 			List<String> broken = run.play(millis);
 			List<String> lines = new ArrayList<>();
 			lines.add("seed " + seed + ": " + run.summary() + ", " + broken.size() + " broken");
@@ -55,19 +55,25 @@
 	@ParameterizedTest
 	@ValueSource(longs = 7)
 	void aShortSoakBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, false, false, SHORT_MILLIS)).isEmpty();
+		assertThat(play(seed, SoakExtras.NONE, SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 11)
 	void aShortSoakWithARequestThatEndsServersBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, true, false, SHORT_MILLIS)).isEmpty();
+		assertThat(play(seed, new SoakExtras(true, false, false), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 13)
 	void aShortSoakWithServersThatNameLimitsBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, false, true, SHORT_MILLIS)).isEmpty();
+		assertThat(play(seed, new SoakExtras(false, true, false), SHORT_MILLIS)).isEmpty();
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = 17)
+	void aShortSoakWithServersThatBackOffAndLeaveBreaksNoPromise(long seed) throws Exception {
+		assertThat(play(seed, new SoakExtras(false, false, true), SHORT_MILLIS)).isEmpty();
 	}
 
 	// 105: a gateway's port was taken between choice and use; ports now lie below those
@@ -80,7 +86,7 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 105, 2009, 3002 })
 	void aSoakThatOnceFailedBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, false, false, SHORT_MILLIS)).isEmpty();
+		assertThat(play(seed, SoakExtras.NONE, SHORT_MILLIS)).isEmpty();
 	}
 
 	@Test
@@ -88,7 +94,7 @@
 		long from = Long.getLong("snowwind.soak.from", 1000);
 		long seeds = Long.getLong("snowwind.soak.seeds", 0);
 		List<Callable<List<String>>> runs = LongStream.range(from, from + seeds)
-			.mapToObj((seed) -> (Callable<List<String>>) () -> play(seed, seed % 2 == 0, seed % 4 < 2, LONG_MILLIS))
+			.mapToObj((seed) -> (Callable<List<String>>) () -> play(seed, SoakExtras.of(seed), LONG_MILLIS))
 			.toList();
 		ExecutorService pool = Executors.newFixedThreadPool(Integer.getInteger("snowwind.soak.parallel", 3));
 		List<String> broken = new ArrayList<>();
