--- a/decide/src/main/java/org/snowwind/decide/notice/ReturnPace.java
+++ b/decide/src/main/java/org/snowwind/decide/notice/ReturnPace.java
@@ -21,10 +21,10 @@
 	/** The part of its throughput that a returning server is given. */
 	private static final double SHARE = 0.5;
 
-	/** The throughput of a server whose response times are not known, in ms a request. */
+	/** The response time of a server of which none is known, in milliseconds. */
 	private static final double DEFAULT_ANSWER_MILLIS = 50;
 
-	/** The spread may always be this long, in milliseconds. */
+	/** A spread of this length is never shortened, in milliseconds. */
 	private static final long LEAST_CAP_MILLIS = 1000;
 
 	/** The rate is restricted for so many spreads. */
--- a/gateway/src/main/java/org/snowwind/gateway/backend/ServiceOutage.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/ServiceOutage.java
@@ -16,7 +16,7 @@
 	public static final ServiceOutage NONE = new ServiceOutage(false, List.of());
 
 	static ServiceOutage of(List<Backend> serving, long nowMillis) {
-		if (serving.isEmpty() || serving.stream().anyMatch((backend) -> mayTake(backend, nowMillis))) {
+		if (serving.isEmpty() || serving.stream().anyMatch((backend) -> isAvailable(backend, nowMillis))) {
 			return NONE;
 		}
 		return new ServiceOutage(true,
@@ -28,7 +28,7 @@
 					.toList());
 	}
 
-	private static boolean mayTake(Backend backend, long nowMillis) {
+	private static boolean isAvailable(Backend backend, long nowMillis) {
 		boolean closed = backend.group() != null && backend.group().closed();
 		return !closed && backend.notices().backoff().admits(nowMillis);
 	}
