--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -54,9 +54,9 @@
 
 	private long failureMillis;
 
-	Backend(BackendEntry entry) {
+	Backend(BackendEntry entry, BackendNotices notices) {
 		this.entry = entry;
-		this.notices = new BackendNotices(entry.run());
+		this.notices = notices;
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -43,6 +43,8 @@
 
 	private final Map<String, GroupLoad> groups = new HashMap<>();
 
+	private final RemovedNotices removedNotices = new RemovedNotices();
+
 	private final SharedLimits limits;
 
 	private long revision;
@@ -92,7 +94,9 @@
 	}
 
 	private void remove(String id) {
-		this.byId.remove(id).remove();
+		Backend backend = this.byId.remove(id);
+		backend.remove();
+		this.removedNotices.keep(backend.entry().run(), backend.notices());
 		EventLog.log(Event.SERVER_REMOVED, "server", id, "registry", this.revision);
 	}
 
@@ -105,7 +109,7 @@
 			standing = null;
 		}
 		if (standing == null) {
-			this.byId.put(entry.id(), new Backend(entry));
+			this.byId.put(entry.id(), new Backend(entry, this.removedNotices.take(entry.run())));
 			EventLog.log(Event.SERVER_ADDED, "server", entry.id(), "service", entry.service(), "address",
 					entry.address(), "dataCentre", entry.dataCentre(), "draining", entry.draining(), "registry",
 					this.revision);
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -9,6 +9,8 @@
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
+import org.snowwind.decide.limit.NamedLimit;
+import org.snowwind.decide.notice.ServerNotice;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.Registry;
@@ -239,4 +241,42 @@
 		assertThat(this.table.anyTakesNewWork(Set.of("s"))).isTrue();
 	}
 
+	private void announces(long retryAfterMillis, boolean leaving) {
+		this.table.onResponseHead(server("a"), new ServerNotice(NamedLimit.NONE, retryAfterMillis, leaving, ""),
+				new BackendNotices.Source("test", true, this.clock.nowMillis()));
+	}
+
+	@Test
+	void leavingServerGetsNoRequestsAfterItsEntryLapsedAndReturned() {
+		registered(born(1000));
+		announces(0, true);
+		registered();
+		registered(born(1000));
+		assertThat(server("a").takesNewWork()).isFalse();
+		registered();
+		registered(born(2000));
+		assertThat(server("a").takesNewWork()).as("another incarnation").isTrue();
+	}
+
+	@Test
+	void anotherIncarnationIsNotTakenForTheOneWhoseStartWasLearntLater() {
+		registered(born(BackendRun.UNKNOWN));
+		announces(0, true);
+		registered(born(1000));
+		registered();
+		registered(born(2000));
+		assertThat(server("a").takesNewWork()).isTrue();
+	}
+
+	@Test
+	void serverThatBacksOffGetsNoRequestsAfterItsEntryLapsedAndReturned() {
+		registered(born(1000));
+		announces(3000, false);
+		registered();
+		registered(born(1000));
+		assertThat(server("a").admits(this.clock.nowMillis())).isFalse();
+		this.clock.advance(3000);
+		assertThat(server("a").admits(this.clock.nowMillis())).isTrue();
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/backend/ServerPickTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/ServerPickTests.java
@@ -25,8 +25,8 @@
 	}
 
 	private static Candidate candidate(String id, double fullness, double roomShare, boolean near) {
-		return new Candidate(new Backend(new BackendEntry(id, BackendRun.UNKNOWN, "s", "10.0.0.1", 80, "dc", 8, false)),
-				fullness, roomShare, near);
+		return new Candidate(new Backend(new BackendEntry(id, BackendRun.UNKNOWN, "s", "10.0.0.1", 80, "dc", 8, false),
+				new BackendNotices(BackendRun.of(id))), fullness, roomShare, near);
 	}
 
 	private Map<String, Integer> draw(ServerPick pick, List<Candidate> candidates) {
