Log and measure how old the route table is and what peers know

Callers saw a 401 as an older configuration says; no line told how old the table was that decided, since when nothing had confirmed it, or that peers had a newer one.

Change: Freshness, as of when the store confirmed a copy, by the time at which the answered call was sent; TableFreshness adds the newest version that a peer has told. No decision changes.

--- a/app/src/main/java/org/snowwind/app/explain/RequestStory.java
+++ b/app/src/main/java/org/snowwind/app/explain/RequestStory.java
@@ -92,7 +92,8 @@
 	String cause() {
 		LogLine refused = last(Event.REQUEST_REFUSED);
 		if (refused != null) {
-			return "refused before anything was sent: " + refused.text("kind") + " by table " + refused.text("table");
+			return "refused before anything was sent: " + refused.text("kind") + " by table " + refused.text("table")
+					+ certainty(refused);
 		}
 		LogLine stopped = last(Event.REFUSED_IN_STOP);
 		if (stopped != null) {
@@ -109,6 +110,17 @@
 		return stop + explain(ended, attempt);
 	}
 
+	// Gateways before this field, and entries, do not say it.
+	private static String certainty(LogLine refused) {
+		String unconfirmedMillis = refused.text("unconfirmedMillis");
+		if (unconfirmedMillis.isEmpty()) {
+			return "";
+		}
+		boolean isBehind = !refused.text("behindMillis").equals("0");
+		return ", unconfirmed for " + unconfirmedMillis + " ms" + (isBehind ? "; " + refused.text("toldBy")
+				+ " had told of " + refused.text("toldVersion") + " for " + refused.text("behindMillis") + " ms" : "");
+	}
+
 	private static String explain(LogLine ended, LogLine attempt) {
 		String outcome = ended.text("outcome");
 		String lastAttempt = describe(attempt);
--- a/app/src/test/java/org/snowwind/app/explain/RequestStoryTests.java
+++ b/app/src/test/java/org/snowwind/app/explain/RequestStoryTests.java
@@ -56,6 +56,16 @@
 			.isEqualTo("refused before anything was sent: unknown-path by table 12");
 	}
 
+	@Test
+	void aRefusalByAnOlderTableNamesWhoKnewANewerOne() {
+		String refused = ROUTED.replace("SW-4101", "SW-4105")
+			.replace("\"route\":\"r-1\"", "\"kind\":\"unknown-organisation\",\"unconfirmedMillis\":5300,"
+					+ "\"toldVersion\":40,\"toldBy\":\"10.1.0.4:8229\",\"behindMillis\":3400");
+		assertThat(RequestStory.of("bc48", List.of(refused)).cause())
+			.isEqualTo("refused before anything was sent: unknown-organisation by table 12, unconfirmed for 5300 ms; "
+					+ "10.1.0.4:8229 had told of 40 for 3400 ms");
+	}
+
 	@Test
 	void aRefusalInAStopNamesWhatWasAskedAndLeft() {
 		String refused = ROUTED.replace("SW-4101", "SW-1210")
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -27,8 +27,6 @@
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.RegistryHolder;
-import org.snowwind.gateway.registry.RegistryView;
-import org.snowwind.gateway.registry.RegistryWatcher;
 import org.snowwind.gateway.request.GatewayHandler;
 import org.snowwind.gateway.request.GatewayMeters;
 import org.snowwind.gateway.request.RequestContext;
@@ -39,7 +37,6 @@
 import org.snowwind.gateway.suspect.SuspectDuty;
 import org.snowwind.gateway.suspect.Suspects;
 import org.snowwind.gateway.table.TableHolder;
-import org.snowwind.gateway.table.TableWatcher;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.admin.AdminServer;
 import org.snowwind.http.client.JsonClient;
@@ -52,7 +49,6 @@
 import org.snowwind.model.duty.DutyThread;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
-import org.snowwind.store.StoreWatch;
 import org.snowwind.wire.ThriftCalls;
 import org.snowwind.wire.ThriftServer;
 import org.snowwind.wire.generated.GatewayControl;
@@ -69,32 +65,9 @@
 	 */
 	private static final long CONNECT_MILLIS = 150;
 
-	/** How long one call waits for a change, in milliseconds: 12 calls a minute. */
-	private static final long WATCH_MILLIS = 5000;
-
-	/** The same while a lapsed server must be dropped in time. */
-	private static final long SHORT_WATCH_MILLIS = 500;
-
-	private static final long WATCH_TICK_MILLIS = 40;
-
-	/**
-	 * How long changes that come together are gathered, in milliseconds; a fifth of the
-	 * time in which a configuration must be in force.
-	 */
-	private static final long GATHER_MILLIS = 400;
-
-	/**
-	 * The longest time for changes of servers, in milliseconds: a new server gets
-	 * requests, and one that is gone gets none, so much later.
-	 */
-	private static final long MOST_GATHER_MILLIS = 1000;
-
 	/** How often registered gateways are looked up, in milliseconds: 4 calls a minute. */
 	private static final long DIRECTORY_MILLIS = 15_000;
 
-	/** Live servers are registered again two seconds after the platform's return. */
-	private static final long LAPSE_GRACE_MILLIS = 2200;
-
 	/** How often servers whose group is not known are asked, in milliseconds. */
 	private static final long GROUPS_MILLIS = 500;
 
@@ -130,15 +103,11 @@
 
 	private final ThriftCalls calls = new ThriftCalls();
 
-	private final TableHolder tables = new TableHolder();
-
-	private final RegistryHolder registries = new RegistryHolder();
+	private final StoreCopies copies;
 
-	private final RegistryView registryView = new RegistryView(LAPSE_GRACE_MILLIS);
+	private final TableHolder tables;
 
-	private final TableWatcher tableWatcher;
-
-	private final RegistryWatcher registryWatcher;
+	private final RegistryHolder registries;
 
 	private final BackendTable backends;
 
@@ -160,10 +129,6 @@
 
 	private final DutyThread groupThread;
 
-	private final DutyThread tableThread;
-
-	private final DutyThread registryThread;
-
 	private final DutyThread directoryThread;
 
 	private final SuspectDuty suspects;
@@ -200,24 +165,23 @@
 		this.graceMillis = settings.graceMillis();
 		this.adapters = adapters;
 		this.backends = new BackendTable(this.clock, this.random, settings.dataCentre(), this::fleetSize);
-		this.tableWatcher = new TableWatcher(adapters.tables(), this.tables);
-		this.registryWatcher = new RegistryWatcher(adapters.servers(), this.registryView, this.registries, this.clock);
+		this.copies = new StoreCopies(settings, adapters, this.clock, this.random);
+		this.tables = this.copies.tables();
+		this.registries = this.copies.registries();
 		this.admin = new AdminServer(this.loop, this::adminReadiness);
 		this.suspects = new SuspectDuty(adapters.store(), settings.name(), this.clock, this.random);
-		this.handler = new GatewayHandler(newContext(), this.tables);
+		this.handler = new GatewayHandler(newContext(), this.tables, this.copies.tableFreshness());
 		HttpLimits limits = new HttpLimits(MAX_URI_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
 				HttpLimits.DEFAULT.readTimeoutMillis());
 		this.callerServer = new HttpServer(this.loop, limits, this.handler);
 		this.readinessServer = new HttpServer(this.loop, HttpLimits.DEFAULT, this::answerReadiness);
-		this.documents = new PeerDocuments(this.tables, this.tableWatcher, this.registries);
+		this.documents = new PeerDocuments(this.tables, this.copies.tableWatcher(), this.registries);
 		String ownAddress = Addresses.render(settings.peers());
 		this.mesh = new PeerMesh(new PeerTable(ownAddress), this.documents, this.calls, this::ownReport,
 				new LoopConsumers(), this.clock);
 		this.limits = new GatewayLimits(settings.name(), this.loop, this.backends,
 				new GatewayLimits.Parts(() -> this.mesh.view().liveByName(), () -> this.draining, this.calls,
 						this.admin.registry(), this.clock));
-		this.tableThread = watchThread("table-watch", tableWatch());
-		this.registryThread = watchThread("registry-watch", registryWatch());
 		GatewayDirectory directory = new GatewayDirectory(adapters.store(), settings.name(), ownAddress,
 				this.mesh::listed, () -> this.mesh.view().liveAddresses());
 		this.directoryThread = new DutyThread("directory", SMALL_RING, DIRECTORY_MILLIS, directory::round);
@@ -264,35 +228,9 @@
 		return new Suspects(this.suspects::view, this.suspects, new ConnectProbe(this.loop), this.loop, this.clock);
 	}
 
-	private StoreWatch tableWatch() {
-		StoreWatch.Pace pace = new StoreWatch.Pace(() -> WATCH_MILLIS, GATHER_MILLIS);
-		return watch(this.adapters.tables().key(), pace, this.tableWatcher);
-	}
-
-	private StoreWatch registryWatch() {
-		long gatherMillis = Math.max(GATHER_MILLIS, Math.min(MOST_GATHER_MILLIS, this.settings.drainMillis() / 4));
-		StoreWatch.Pace pace = new StoreWatch.Pace(
-				() -> this.registryView.keepsLapsed() ? SHORT_WATCH_MILLIS : WATCH_MILLIS, gatherMillis);
-		return watch(this.adapters.servers().prefix(), pace, this.registryWatcher);
-	}
-
-	private StoreWatch watch(String prefix, StoreWatch.Pace pace, StoreWatch.Listener listener) {
-		return new StoreWatch(this.adapters.store(), prefix.substring(0, prefix.indexOf('/') + 1), pace, listener,
-				this.clock, this.random);
-	}
-
-	private static DutyThread watchThread(String name, StoreWatch watch) {
-		return new DutyThread(name, SMALL_RING, WATCH_TICK_MILLIS, watch::round);
-	}
-
 	private void registerMeters(MeterRegistry registry) {
 		Gauge.builder("snowwind.gateway.open.requests", this.handler, GatewayHandler::open).register(registry);
-		Gauge.builder("snowwind.gateway.table.version", this.tables, (holder) -> holder.current().version())
-			.register(registry);
-		Gauge.builder("snowwind.gateway.servers", this.registries, (holder) -> holder.current().servers().size())
-			.register(registry);
-		Gauge.builder("snowwind.gateway.servers.unreadable", this.registryWatcher, RegistryWatcher::unreadable)
-			.register(registry);
+		this.copies.registerMeters(registry);
 		Gauge.builder("snowwind.gateway.requests.suspected", () -> this.suspects.view().suspects().size())
 			.register(registry);
 		Gauge.builder("snowwind.gateway.requests.blamed", () -> this.suspects.view().blamed().size())
@@ -307,8 +245,7 @@
 	 */
 	public void start() throws TTransportException {
 		this.registries.onChange((registry) -> this.loop.run(() -> this.backends.use(registry)));
-		this.tableThread.start();
-		this.registryThread.start();
+		this.copies.start();
 		this.control = new ThriftServer(this.settings.peers(),
 				new GatewayControl.Processor<>(
 						new GatewayControlService(this.mesh, this.documents, this::ownReport, this.limits.duty())),
@@ -434,8 +371,7 @@
 
 	@Override
 	public void close() {
-		this.tableThread.close();
-		this.registryThread.close();
+		this.copies.close();
 		this.directoryThread.close();
 		this.suspects.close();
 		this.limits.close();
@@ -489,7 +425,12 @@
 
 		@Override
 		public boolean platformAway() {
-			return GatewayDaemon.this.registryWatcher.away() || GatewayDaemon.this.tables.current().version() == 0;
+			return GatewayDaemon.this.copies.isPlatformAway() || GatewayDaemon.this.tables.current().version() == 0;
+		}
+
+		@Override
+		public void tableTold(long version, String peer) {
+			GatewayDaemon.this.copies.tableFreshness().told(version, peer);
 		}
 
 		@Override
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -173,6 +173,7 @@
 		if (report.isSetLimits() && !report.getLimits().isEmpty()) {
 			this.consumers.limitsHeard(LimitMessages.words(report.getLimits(), nowMillis));
 		}
+		this.consumers.tableTold(report.getTableVersion(), report.getControlAddress());
 		fetchIfNewer(GatewayDocument.TABLE, report.getTableVersion(), report.getControlAddress());
 		fetchIfNewer(GatewayDocument.REGISTRY, report.getRegistryRevision(), report.getControlAddress());
 		publish(this.clock.nowMillis());
@@ -260,6 +261,13 @@
 		 */
 		boolean platformAway();
 
+		/**
+		 * A peer has told which route table it has in force.
+		 * @param version the version
+		 * @param peer the peer's control address
+		 */
+		void tableTold(long version, String peer);
+
 		/**
 		 * Peers have reported.
 		 * @param inFlight their requests by server id
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -10,6 +10,7 @@
 import org.snowwind.gateway.table.KeyHolder;
 import org.snowwind.gateway.table.Route;
 import org.snowwind.gateway.table.RouteTable;
+import org.snowwind.gateway.table.TableFreshness;
 import org.snowwind.gateway.table.TableHolder;
 import org.snowwind.http.server.ConnectionUse;
 import org.snowwind.http.server.HttpExchange;
@@ -42,6 +43,8 @@
 
 	private final TableHolder tables;
 
+	private final TableFreshness freshness;
+
 	/** In the order in which they came. */
 	private final Set<OpenRequest> open = new LinkedHashSet<>();
 
@@ -54,10 +57,12 @@
 	 * Creates the handler.
 	 * @param context what requests work with
 	 * @param tables holds the table in force
+	 * @param freshness tells how certain it is that it is the newest
 	 */
-	public GatewayHandler(RequestContext context, TableHolder tables) {
+	public GatewayHandler(RequestContext context, TableHolder tables, TableFreshness freshness) {
 		this.context = context;
 		this.tables = tables;
+		this.freshness = freshness;
 	}
 
 	/**
@@ -183,8 +188,10 @@
 
 	private void refuse(HttpExchange exchange, CallerHead head, RouteTable table, Problem problem,
 			OpenRequest counted) {
+		TableFreshness.State freshness = this.freshness.state();
 		EventLog.log(Event.REQUEST_REFUSED, "request", head.requestId(), "kind", problem.kind().code(), "table",
-				table.version());
+				table.version(), "unconfirmedMillis", freshness.unconfirmedMillis(), "toldVersion",
+				freshness.toldVersion(), "toldBy", freshness.toldBy(), "behindMillis", freshness.behindMillis());
 		counted.ended();
 		OwnAnswers.problem(exchange, this.context.dialect(), head.requestId(), problem);
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -36,12 +36,14 @@
 import org.snowwind.gateway.table.Route;
 import org.snowwind.gateway.table.RouteTable;
 import org.snowwind.gateway.table.ServiceEntry;
+import org.snowwind.gateway.table.TableFreshness;
 import org.snowwind.gateway.table.TableHolder;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.client.UpstreamClient;
 import org.snowwind.http.server.HttpLimits;
 import org.snowwind.http.server.HttpServer;
 import org.snowwind.model.MonotonicClock;
+import org.snowwind.store.Freshness;
 
 /**
  * A gateway's data path over real sockets, with scripted servers and a caller that reads
@@ -66,6 +68,8 @@
 
 	private final TableHolder tables = new TableHolder();
 
+	private final TableFreshness freshness = new TableFreshness(this.tables, new Freshness(this.clock), this.clock);
+
 	private final List<ScriptedServer> servers = new ArrayList<>();
 
 	private final Map<String, BackendEntry> entries = new HashMap<>();
@@ -86,7 +90,7 @@
 		RequestContext context = new RequestContext(this.loop, this.client, new TestDialect(), this.backends,
 				new Admission(this.backends, this.clock), budgets, suspects(),
 				new GatewayMeters(new SimpleMeterRegistry()), this.clock, new Random(1));
-		this.handler = new GatewayHandler(context, this.tables);
+		this.handler = new GatewayHandler(context, this.tables, this.freshness);
 		this.server = new HttpServer(this.loop, HttpLimits.DEFAULT, this.handler);
 		this.address = this.server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
 	}
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/table/TableFreshnessTests.java
@@ -0,0 +1,63 @@
+package org.snowwind.gateway.table;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.snowwind.model.ManualClock;
+import org.snowwind.store.Freshness;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link TableFreshness}.
+ */
+class TableFreshnessTests {
+
+	private final ManualClock clock = new ManualClock(0);
+
+	private final TableHolder tables = new TableHolder();
+
+	private final Freshness confirmations = new Freshness(this.clock);
+
+	private final TableFreshness freshness = new TableFreshness(this.tables, this.confirmations, this.clock);
+
+	private void inForce(long version) {
+		this.tables.offer(
+				new RouteTable(version, List.of(), Map.of(), Map.of(), new RequestLimits(1000, 1000), new byte[0]),
+				"test");
+	}
+
+	@Test
+	void aGatewayIsBehindSinceTheFirstNewerVersionThatAPeerTold() {
+		inForce(3);
+		this.freshness.told(4, "a:1");
+		this.clock.advance(100);
+		this.freshness.told(6, "b:1");
+		this.clock.advance(200);
+		assertThat(this.freshness.state()).isEqualTo(new TableFreshness.State(3, 300, 6, "b:1", 300));
+		assertThat(this.freshness.state().isBehind()).isTrue();
+	}
+
+	@Test
+	void aTableThatArrivesEndsIt() {
+		inForce(3);
+		this.freshness.told(4, "a:1");
+		this.clock.advance(100);
+		inForce(4);
+		assertThat(this.freshness.state()).isEqualTo(new TableFreshness.State(4, 100, 4, "a:1", 0));
+		this.clock.advance(500);
+		this.freshness.told(9, "a:1");
+		this.clock.advance(50);
+		assertThat(this.freshness.state().behindMillis()).isEqualTo(50);
+	}
+
+	@Test
+	void anOlderOrEqualVersionOfAPeerSaysNothing() {
+		inForce(3);
+		this.freshness.told(3, "a:1");
+		this.freshness.told(1, "b:1");
+		assertThat(this.freshness.state().isBehind()).isFalse();
+	}
+
+}
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -43,6 +43,9 @@
 	/** A route table cannot be read; the last good one stays. */
 	TABLE_REJECTED(2005, Level.WARNING, "route table rejected, last good one stays in force"),
 
+	/** A peer has had a newer route table for some time. */
+	TABLE_BEHIND(2006, Level.WARNING, "route table older than a peer's"),
+
 	/** The platform did not answer. */
 	PLATFORM_AWAY(2101, Level.WARNING, "platform away, serving from memory"),
 
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -32,6 +32,8 @@
 
 	private final RandomGenerator random;
 
+	private final Freshness freshness;
+
 	private boolean listed;
 
 	private boolean away;
@@ -59,6 +61,15 @@
 		this.listener = listener;
 		this.clock = clock;
 		this.random = random;
+		this.freshness = new Freshness(clock);
+	}
+
+	/**
+	 * Returns as of when the platform confirmed what the listener was told.
+	 * @return the freshness
+	 */
+	public Freshness freshness() {
+		return this.freshness;
 	}
 
 	/**
@@ -77,8 +88,10 @@
 	}
 
 	private void list() {
+		long sentMillis = this.clock.nowMillis();
 		this.store.list(this.prefix).match((listing) -> {
 			answered();
+			this.freshness.confirm(sentMillis);
 			this.revision = listing.revision();
 			this.listed = true;
 			this.listener.listed(listing);
@@ -87,8 +100,10 @@
 	}
 
 	private void watch() {
+		long sentMillis = this.clock.nowMillis();
 		this.store.watch(this.prefix, this.revision, this.pace.waitMillis().getAsLong()).match((changes) -> {
 			answered();
+			this.freshness.confirm(sentMillis);
 			this.revision = changes.revision();
 			if (!changes.objects().isEmpty()) {
 				this.resumeMillis = this.clock.nowMillis() + this.pace.gatherMillis();
