--- a/app/src/test/java/org/snowwind/app/harness/Link.java
+++ b/app/src/test/java/org/snowwind/app/harness/Link.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -28,6 +29,8 @@
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
+	private final Set<AtomicBoolean> openConnections = ConcurrentHashMap.newKeySet();
+
 	private volatile boolean cut;
 
 	private volatile long delayMillis;
@@ -82,6 +85,14 @@
 		this.silentBack = back;
 	}
 
+	/**
+	 * Drops all further data of the connections that are open now, without a reset; new
+	 * connections work.
+	 */
+	public void silenceOpenConnections() {
+		this.openConnections.forEach((silent) -> silent.set(true));
+	}
+
 	/**
 	 * Delays every piece of data in both directions.
 	 * @param millis by how much, in milliseconds
@@ -111,8 +122,13 @@
 				this.sockets.add(near);
 				this.sockets.add(far);
 				LastAnswer last = new LastAnswer(near, () -> this.twice);
-				daemon(() -> pump(near, far, () -> this.silentThere, last::nextRequest));
-				daemon(() -> pump(far, near, () -> this.silentBack, last::answered));
+				AtomicBoolean silent = new AtomicBoolean();
+				this.openConnections.add(silent);
+				daemon(() -> pump(near, far, () -> this.silentThere || silent.get(), last::nextRequest));
+				daemon(() -> {
+					pump(far, near, () -> this.silentBack || silent.get(), last::answered);
+					this.openConnections.remove(silent);
+				});
 			}
 			catch (IOException ex) {
 				// The target is down or the link is closed; the caller sees a reset.
@@ -128,7 +144,7 @@
 			int count = in.read(buffer);
 			while (count >= 0) {
 				TimeUnit.MILLISECONDS.sleep(this.delayMillis);
-				while (silent.getAsBoolean()) {
+				while (silent.getAsBoolean() && !from.isClosed()) {
 					TimeUnit.MILLISECONDS.sleep(SILENCE_POLL_MILLIS);
 				}
 				out.write(buffer, 0, count);
--- a/app/src/test/java/org/snowwind/app/soak/FleetUnderLoad.java
+++ b/app/src/test/java/org/snowwind/app/soak/FleetUnderLoad.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -74,6 +76,23 @@
 		this.caller.send(this.world.gateways().get(gateway), CallKind.AGAIN, SoakWorld.KEY);
 	}
 
+	/**
+	 * Sends each gateway a request with a key; returns the gateways that do not serve it.
+	 */
+	List<String> gatewaysThatRefuse(String key) throws Exception {
+		List<CompletableFuture<Call>> sent = this.world.gateways()
+			.stream()
+			.map((gateway) -> this.caller.send(gateway, CallKind.AGAIN, key))
+			.toList();
+		List<String> refusing = new ArrayList<>();
+		for (CompletableFuture<Call> call : sent) {
+			if (!call.get().served()) {
+				refusing.add(call.get().describe());
+			}
+		}
+		return refusing;
+	}
+
 	List<Call> callsSince(long sinceNanos) {
 		return this.caller.calls().stream().filter((call) -> call.sentNanos() > sinceNanos).toList();
 	}
