--- a/config/src/main/java/org/snowwind/config/settings/GatewaySettings.java
+++ b/config/src/main/java/org/snowwind/config/settings/GatewaySettings.java
@@ -20,12 +20,15 @@
  * @param retryWindowMillis the window, in milliseconds
  * @param drainMillis within which a server that says that it leaves must get nothing new,
  * in milliseconds
+ * @param inForceMillis within which an acknowledged configuration must be in force, in
+ * milliseconds
+ * @param stableMillis after which a disruption is no excuse any more, in milliseconds
  * @param logFormat how log lines look
  */
 public record GatewaySettings(String name, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
 		InetSocketAddress peers, InetSocketAddress admin, List<InetSocketAddress> seeds, InetSocketAddress platform,
 		long graceMillis, double retryFraction, int retryExtra, long retryWindowMillis, long drainMillis,
-		LogFormat logFormat) {
+		long inForceMillis, long stableMillis, LogFormat logFormat) {
 
 	private static final double MILLIS_PER_SECOND = 1000;
 
@@ -42,6 +45,8 @@
 				(int) reader.decimal("retries.extra", 50, 0, 1_000_000),
 				millis(reader.decimal("retries.window_seconds", 10, 1, 600)),
 				(long) reader.decimal("servers.drain_millis", 2000, 100, 600_000),
+				(long) reader.decimal("configuration.in_force_millis", 2000, 200, 600_000),
+				(long) reader.decimal("platform.stable_millis", 3000, 200, 600_000),
 				reader.oneOf("log.format", LogFormat.JSON));
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -1,6 +1,7 @@
 package org.snowwind.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -19,11 +20,13 @@
 import org.snowwind.gateway.backend.SharedLimits;
 import org.snowwind.gateway.expert.ExpertDuty;
 import org.snowwind.gateway.expert.GroupDirectory;
+import org.snowwind.gateway.peer.ConfirmationRank;
 import org.snowwind.gateway.peer.GatewayControlService;
 import org.snowwind.gateway.peer.GatewayDirectory;
 import org.snowwind.gateway.peer.PeerDocuments;
 import org.snowwind.gateway.peer.PeerMesh;
 import org.snowwind.gateway.peer.PeerTable;
+import org.snowwind.gateway.peer.StoreClaims;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendRun;
 import org.snowwind.gateway.registry.RegistryHolder;
@@ -34,6 +37,7 @@
 import org.snowwind.gateway.stop.GracefulStop;
 import org.snowwind.gateway.stop.OpenRequests;
 import org.snowwind.gateway.suspect.ConnectProbe;
+import org.snowwind.gateway.suspect.SuspectBook;
 import org.snowwind.gateway.suspect.SuspectDuty;
 import org.snowwind.gateway.suspect.Suspects;
 import org.snowwind.gateway.table.TableHolder;
@@ -49,6 +53,7 @@
 import org.snowwind.model.duty.DutyThread;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
+import org.snowwind.store.Freshness;
 import org.snowwind.wire.ThriftCalls;
 import org.snowwind.wire.ThriftServer;
 import org.snowwind.wire.generated.GatewayControl;
@@ -82,6 +87,9 @@
 
 	private static final int SMALL_RING = 16;
 
+	/** The platform has this part of the bound to bring what a peer has already. */
+	private static final int FETCHES_PER_BOUND = 4;
+
 	private static final int OK = 200;
 
 	private static final int UNAVAILABLE = 503;
@@ -121,6 +129,8 @@
 
 	private final PeerDocuments documents;
 
+	private final StoreClaims claims;
+
 	private final PeerMesh mesh;
 
 	private final JsonClient rankClient = new JsonClient(Map.of(), CONNECT_MILLIS);
@@ -165,20 +175,24 @@
 		this.graceMillis = settings.graceMillis();
 		this.adapters = adapters;
 		this.backends = new BackendTable(this.clock, this.random, settings.dataCentre(), this::fleetSize);
-		this.copies = new StoreCopies(settings, adapters, this.clock, this.random);
+		ConfirmationRank rank = new ConfirmationRank(settings.name(), this::livePeers);
+		this.copies = new StoreCopies(settings, adapters, rank, this.clock, this.random);
 		this.tables = this.copies.tables();
 		this.registries = this.copies.registries();
 		this.admin = new AdminServer(this.loop, this::adminReadiness);
-		this.suspects = new SuspectDuty(adapters.store(), settings.name(), this.clock, this.random);
+		this.suspects = new SuspectDuty(adapters.store(), adapters.reads(), settings.name(), rank, this.clock,
+				this.random);
 		this.handler = new GatewayHandler(newContext(), this.tables, this.copies.tableFreshness());
 		HttpLimits limits = new HttpLimits(MAX_URI_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
 				HttpLimits.DEFAULT.readTimeoutMillis());
 		this.callerServer = new HttpServer(this.loop, limits, this.handler);
 		this.readinessServer = new HttpServer(this.loop, HttpLimits.DEFAULT, this::answerReadiness);
-		this.documents = new PeerDocuments(this.tables, this.copies.tableWatcher(), this.registries);
+		this.documents = new PeerDocuments(this.tables, this.copies.tableWatcher(), this.registries,
+				this.copies.registryPrefix());
 		String ownAddress = Addresses.render(settings.peers());
-		this.mesh = new PeerMesh(new PeerTable(ownAddress), this.documents, this.calls, this::ownReport,
-				new LoopConsumers(), this.clock);
+		this.claims = new StoreClaims(storeFreshness(), this.incarnation, this.clock);
+		this.mesh = new PeerMesh(new PeerTable(ownAddress), this.documents, this.calls, this::ownReport, this.claims,
+				StoreCopies.tableBoundMillis(settings) / FETCHES_PER_BOUND, new LoopConsumers(), this.clock);
 		this.limits = new GatewayLimits(settings.name(), this.loop, this.backends,
 				new GatewayLimits.Parts(() -> this.mesh.view().liveByName(), () -> this.draining, this.calls,
 						this.admin.registry(), this.clock));
@@ -197,6 +211,12 @@
 		registerMeters(this.admin.registry());
 	}
 
+	private Map<String, Freshness> storeFreshness() {
+		Map<String, Freshness> freshness = new HashMap<>(this.copies.freshness());
+		freshness.put(SuspectBook.PREFIX, this.suspects.freshness());
+		return freshness;
+	}
+
 	private Set<BackendRun> registeredRuns() {
 		return this.registries.current().list().stream().map(BackendEntry::run).collect(Collectors.toSet());
 	}
@@ -211,6 +231,10 @@
 				&& this.experts.claim().stands(peers.plannerFence(), peers.promptNames(), this.settings.name());
 	}
 
+	private Set<String> livePeers() {
+		return this.mesh.view().liveByName().keySet();
+	}
+
 	private int fleetSize() {
 		return this.mesh.view().fleetSize();
 	}
@@ -311,6 +335,7 @@
 		GatewayReport report = new GatewayReport(this.settings.name(), this.incarnation,
 				Addresses.render(this.settings.peers()), this.draining, this.tables.current().version(),
 				this.registries.current().revision(), this.inFlight, List.of(), this.experts.fence());
+		this.claims.write(report);
 		return report.setLimits(this.limits.news());
 	}
 
@@ -423,11 +448,6 @@
 	 */
 	private final class LoopConsumers implements PeerMesh.Consumers {
 
-		@Override
-		public boolean platformAway() {
-			return GatewayDaemon.this.copies.isPlatformAway() || GatewayDaemon.this.tables.current().version() == 0;
-		}
-
 		@Override
 		public void tableTold(long version, String peer) {
 			GatewayDaemon.this.copies.tableFreshness().told(version, peer);
--- a/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
+++ b/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
@@ -1,10 +1,12 @@
 package org.snowwind.gateway;
 
+import java.util.Map;
 import java.util.random.RandomGenerator;
 
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import org.snowwind.config.settings.GatewaySettings;
+import org.snowwind.gateway.peer.ConfirmationRank;
 import org.snowwind.gateway.registry.RegistryHolder;
 import org.snowwind.gateway.registry.RegistryView;
 import org.snowwind.gateway.registry.RegistryWatcher;
@@ -13,6 +15,7 @@
 import org.snowwind.gateway.table.TableWatcher;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.DutyThread;
+import org.snowwind.store.ConfirmationSchedule;
 import org.snowwind.store.Freshness;
 import org.snowwind.store.StoreWatch;
 
@@ -22,13 +25,12 @@
  */
 final class StoreCopies implements AutoCloseable {
 
-	/** How long one call waits for a change, in milliseconds: 12 calls a minute. */
-	private static final long WATCH_MILLIS = 5000;
-
-	/** The same while a lapsed server must be dropped in time. */
-	private static final long SHORT_WATCH_MILLIS = 500;
+	/**
+	 * How long one call waits for a change, in milliseconds; the store allows no more.
+	 */
+	private static final long WATCH_MILLIS = 30_000;
 
-	private static final long WATCH_TICK_MILLIS = 40;
+	private static final long WATCH_TICK_MILLIS = 100;
 
 	/**
 	 * How long changes that come together are gathered, in milliseconds; a fifth of the
@@ -49,6 +51,8 @@
 
 	private final GatewayAdapters adapters;
 
+	private final ConfirmationRank rank;
+
 	private final MonotonicClock clock;
 
 	private final RandomGenerator random;
@@ -65,6 +69,8 @@
 
 	private final TableFreshness tableFreshness;
 
+	private final Freshness tableConfirmations;
+
 	private final Freshness registryFreshness;
 
 	private final DutyThread tableThread;
@@ -75,42 +81,83 @@
 	 * Creates copies that hold nothing and are followed by nobody.
 	 * @param settings the gateway's settings
 	 * @param adapters the platform
+	 * @param rank tells when this gateway asks the store, among all that live
 	 * @param clock tells the time
 	 * @param random spreads calls that are made again
 	 */
-	StoreCopies(GatewaySettings settings, GatewayAdapters adapters, MonotonicClock clock, RandomGenerator random) {
+	StoreCopies(GatewaySettings settings, GatewayAdapters adapters, ConfirmationRank rank, MonotonicClock clock,
+			RandomGenerator random) {
 		this.adapters = adapters;
+		this.rank = rank;
 		this.clock = clock;
 		this.random = random;
 		this.tableWatcher = new TableWatcher(adapters.tables(), this.tables);
 		this.registryWatcher = new RegistryWatcher(adapters.servers(), this.registryView, this.registries, clock);
-		StoreWatch tableWatch = tableWatch();
-		StoreWatch registryWatch = registryWatch(settings.drainMillis());
-		this.tableFreshness = new TableFreshness(this.tables, tableWatch.freshness(), clock);
-		this.registryFreshness = registryWatch.freshness();
-		this.tableThread = watchThread("table-watch", tableWatch);
-		this.registryThread = watchThread("registry-watch", registryWatch);
+		this.tableConfirmations = new Freshness(clock);
+		this.registryFreshness = new Freshness(clock);
+		this.tableFreshness = new TableFreshness(this.tables, this.tableConfirmations, clock);
+		StoreWatch tableWatch = watch(tablePrefix(), tablePace(settings), this.tableWatcher, this.tableConfirmations);
+		StoreWatch registryWatch = watch(registryPrefix(), registryPace(settings), this.registryWatcher,
+				this.registryFreshness);
+		this.tableThread = watchThread("table-watch", tableWatch, tableWatch::round);
+		this.registryThread = watchThread("registry-watch", registryWatch, () -> {
+			registryWatch.round();
+			this.registryWatcher.expire();
+		});
+	}
+
+	private StoreWatch.Pace tablePace(GatewaySettings settings) {
+		return new StoreWatch.Pace(WATCH_MILLIS, GATHER_MILLIS, schedule(tablePrefix(), tableBoundMillis(settings)));
+	}
+
+	/**
+	 * Returns for how long the route table may be unconfirmed: it is to be in force in
+	 * time, also by gateways whose connections were disrupted until a moment ago.
+	 * @param settings the gateway's settings
+	 * @return the time, in milliseconds
+	 */
+	static long tableBoundMillis(GatewaySettings settings) {
+		return Math.min(settings.inForceMillis(), settings.stableMillis());
+	}
+
+	private StoreWatch.Pace registryPace(GatewaySettings settings) {
+		long gatherMillis = Math.max(GATHER_MILLIS, Math.min(MOST_GATHER_MILLIS, settings.drainMillis() / 4));
+		long boundMillis = Math.min(settings.drainMillis(), settings.stableMillis());
+		return new StoreWatch.Pace(WATCH_MILLIS, gatherMillis, schedule(registryPrefix(), boundMillis));
+	}
+
+	private ConfirmationSchedule schedule(String prefix, long boundMillis) {
+		return new ConfirmationSchedule(boundMillis, () -> this.rank.of(prefix));
 	}
 
-	private StoreWatch tableWatch() {
-		StoreWatch.Pace pace = new StoreWatch.Pace(() -> WATCH_MILLIS, GATHER_MILLIS);
-		return watch(this.adapters.tables().key(), pace, this.tableWatcher);
+	private StoreWatch watch(String prefix, StoreWatch.Pace pace, StoreWatch.Listener listener, Freshness freshness) {
+		return new StoreWatch(this.adapters.reads(), prefix, pace, listener, freshness, this.clock, this.random);
 	}
 
-	private StoreWatch registryWatch(long drainMillis) {
-		long gatherMillis = Math.max(GATHER_MILLIS, Math.min(MOST_GATHER_MILLIS, drainMillis / 4));
-		StoreWatch.Pace pace = new StoreWatch.Pace(
-				() -> this.registryView.keepsLapsed() ? SHORT_WATCH_MILLIS : WATCH_MILLIS, gatherMillis);
-		return watch(this.adapters.servers().prefix(), pace, this.registryWatcher);
+	private static DutyThread watchThread(String name, StoreWatch watch, Runnable round) {
+		DutyThread thread = new DutyThread(name, SMALL_RING, WATCH_TICK_MILLIS, round);
+		watch.onAnswer(() -> thread.offer(round));
+		return thread;
 	}
 
-	private StoreWatch watch(String prefix, StoreWatch.Pace pace, StoreWatch.Listener listener) {
-		return new StoreWatch(this.adapters.store(), prefix.substring(0, prefix.indexOf('/') + 1), pace, listener,
-				this.clock, this.random);
+	private static String kindPrefix(String key) {
+		return key.substring(0, key.indexOf('/') + 1);
 	}
 
-	private static DutyThread watchThread(String name, StoreWatch watch) {
-		return new DutyThread(name, SMALL_RING, WATCH_TICK_MILLIS, watch::round);
+	private String tablePrefix() {
+		return kindPrefix(this.adapters.tables().key());
+	}
+
+	String registryPrefix() {
+		return kindPrefix(this.adapters.servers().prefix());
+	}
+
+	/**
+	 * Returns as of when each copy is confirmed.
+	 * @return the freshness by the prefix of the objects' keys
+	 */
+	Map<String, Freshness> freshness() {
+		return Map.of(tablePrefix(), this.tableConfirmations, registryPrefix(), this.registryFreshness);
 	}
 
 	TableHolder tables() {
@@ -129,14 +176,6 @@
 		return this.registries;
 	}
 
-	/**
-	 * Tells whether the platform did not answer the last call for the registry.
-	 * @return true if it did not
-	 */
-	boolean isPlatformAway() {
-		return this.registryWatcher.away();
-	}
-
 	void registerMeters(MeterRegistry registry) {
 		Gauge.builder("snowwind.gateway.table.version", this.tables, (holder) -> holder.current().version())
 			.register(registry);
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/DocumentFetches.java
@@ -0,0 +1,75 @@
+package org.snowwind.gateway.peer;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+import org.snowwind.wire.generated.GatewayDocument;
+
+/**
+ * Decides when a document is fetched from a peer: when the platform has not brought by
+ * itself what a peer has, and no other peer is being asked for it. Confined to one
+ * thread.
+ */
+final class DocumentFetches {
+
+	private final long graceMillis;
+
+	private final long callMillis;
+
+	private final Map<GatewayDocument, Behind> behind = new EnumMap<>(GatewayDocument.class);
+
+	/**
+	 * Creates fetches of which none is under way.
+	 * @param graceMillis how long the platform has to bring a newer document, in
+	 * milliseconds
+	 * @param callMillis how long a fetch may take, in milliseconds
+	 */
+	DocumentFetches(long graceMillis, long callMillis) {
+		this.graceMillis = graceMillis;
+		this.callMillis = callMillis;
+	}
+
+	/**
+	 * Tells whether a document is to be fetched from a peer, and takes it that it is.
+	 * @param kind which document
+	 * @param theirs the revision that the peer has
+	 * @param own the own revision, 0 for no document
+	 * @param nowMillis the time, in milliseconds
+	 * @return true if it is to be fetched
+	 */
+	boolean begin(GatewayDocument kind, long theirs, long own, long nowMillis) {
+		Behind state = this.behind.computeIfAbsent(kind, (key) -> new Behind());
+		if (state.newest <= own) {
+			state.sinceMillis = nowMillis;
+		}
+		state.newest = Math.max(state.newest, theirs);
+		boolean waited = own == 0 || nowMillis - state.sinceMillis >= this.graceMillis;
+		if (theirs <= own || !waited || nowMillis < state.busyUntilMillis) {
+			return false;
+		}
+		state.busyUntilMillis = nowMillis + this.callMillis;
+		return true;
+	}
+
+	/**
+	 * Records that a fetch has ended.
+	 * @param kind which document
+	 */
+	void ended(GatewayDocument kind) {
+		this.behind.get(kind).busyUntilMillis = Long.MIN_VALUE;
+	}
+
+	/**
+	 * What is known of one document.
+	 */
+	private static final class Behind {
+
+		private long newest;
+
+		private long sinceMillis;
+
+		private long busyUntilMillis = Long.MIN_VALUE;
+
+	}
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/peer/GatewayControlService.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/GatewayControlService.java
@@ -5,6 +5,7 @@
 
 import org.snowwind.gateway.limit.LimitDuty;
 import org.snowwind.wire.generated.ConfigDocument;
+import org.snowwind.wire.generated.ExchangeStamp;
 import org.snowwind.wire.generated.GatewayControl;
 import org.snowwind.wire.generated.GatewayDocument;
 import org.snowwind.wire.generated.GatewayReport;
@@ -40,8 +41,8 @@
 	}
 
 	@Override
-	public GatewayReport exchange(GatewayReport report) {
-		this.mesh.received(report);
+	public GatewayReport exchange(GatewayReport report, ExchangeStamp stamp) {
+		this.mesh.called(report, stamp);
 		return this.ownReport.get();
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerDocuments.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerDocuments.java
@@ -27,16 +27,25 @@
 
 	private final RegistryHolder registries;
 
+	private final String registryPrefix;
+
 	/**
 	 * Creates the documents.
 	 * @param tables holds the table in force
 	 * @param tableReader reads tables of peers
 	 * @param registries holds the newest registry
+	 * @param registryPrefix the prefix of the store's objects from which it is made
 	 */
-	public PeerDocuments(TableHolder tables, TableWatcher tableReader, RegistryHolder registries) {
+	public PeerDocuments(TableHolder tables, TableWatcher tableReader, RegistryHolder registries,
+			String registryPrefix) {
 		this.tables = tables;
 		this.tableReader = tableReader;
 		this.registries = registries;
+		this.registryPrefix = registryPrefix;
+	}
+
+	String registryPrefix() {
+		return this.registryPrefix;
 	}
 
 	long revisionOf(GatewayDocument kind) {
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -19,6 +19,8 @@
 import org.snowwind.wire.ThriftCalls;
 import org.snowwind.wire.ThriftLink;
 import org.snowwind.wire.generated.ConfigDocument;
+import org.snowwind.wire.generated.CopyClaim;
+import org.snowwind.wire.generated.ExchangeStamp;
 import org.snowwind.wire.generated.GatewayControl;
 import org.snowwind.wire.generated.GatewayDocument;
 import org.snowwind.wire.generated.GatewayReport;
@@ -42,7 +44,7 @@
 	private static final long PERIOD_PER_PEER_MILLIS = 10;
 
 	/** So many reports hold one list of all gateways; it would be most of each. */
-	private static final int ROUNDS_PER_LISTING = 5;
+	private static final int CYCLES_PER_LISTING = 5;
 
 	private static final int RING_SIZE = 1024;
 
@@ -56,15 +58,19 @@
 
 	private final MonotonicClock clock;
 
+	private final StoreClaims claims;
+
+	private final DocumentFetches fetches;
+
+	private final CallRota rota = new CallRota();
+
 	private final Consumers consumers;
 
 	private final Map<String, ThriftLink<GatewayControl.AsyncClient>> links = new HashMap<>();
 
 	private final DutyThread thread;
 
-	private long nextRoundMillis = Long.MIN_VALUE;
-
-	private long rounds;
+	private long nextAgingMillis = Long.MIN_VALUE;
 
 	private final FleetSize fleet = new FleetSize();
 
@@ -76,15 +82,20 @@
 	 * @param documents gives and takes documents
 	 * @param calls carries the calls
 	 * @param ownReport makes the own report
+	 * @param claims takes what peers have confirmed
+	 * @param fetchGraceMillis how long the platform has to bring a document that a peer
+	 * has, in milliseconds
 	 * @param consumers take what peers say
 	 * @param clock tells the time
 	 */
 	public PeerMesh(PeerTable peers, PeerDocuments documents, ThriftCalls calls, Supplier<GatewayReport> ownReport,
-			Consumers consumers, MonotonicClock clock) {
+			StoreClaims claims, long fetchGraceMillis, Consumers consumers, MonotonicClock clock) {
 		this.peers = peers;
 		this.documents = documents;
 		this.calls = calls;
 		this.ownReport = ownReport;
+		this.claims = claims;
+		this.fetches = new DocumentFetches(fetchGraceMillis, CALL_MILLIS);
 		this.consumers = consumers;
 		this.clock = clock;
 		this.thread = new DutyThread("peers", RING_SIZE, LEAST_PERIOD_MILLIS / 2, this::round);
@@ -109,31 +120,45 @@
 	}
 
 	/**
-	 * Takes a report that a peer has sent.
+	 * Takes a report that a peer has sent with a call of its own.
 	 * @param report the report
+	 * @param stamp tells when it was composed
 	 */
-	void received(GatewayReport report) {
-		this.thread.offer(() -> heard(report));
+	void called(GatewayReport report, ExchangeStamp stamp) {
+		this.thread.offer(() -> {
+			this.claims.called(report, stamp);
+			heard(report);
+		});
+	}
+
+	private void answered(String address, GatewayReport answer, long sentMillis) {
+		this.thread.offer(() -> {
+			this.claims.answered(address, answer, sentMillis, this.clock.nowMillis());
+			heard(answer);
+		});
 	}
 
 	private void round() {
 		long nowMillis = this.clock.nowMillis();
-		if (nowMillis < this.nextRoundMillis) {
+		long periodMillis = Math.max(LEAST_PERIOD_MILLIS, PERIOD_PER_PEER_MILLIS * this.peers.known());
+		if (nowMillis >= this.nextAgingMillis) {
+			this.nextAgingMillis = nowMillis + periodMillis;
+			this.peers.age(nowMillis, periodMillis);
+			closeLinksToForgotten();
+			publish(nowMillis);
+		}
+		List<String> due = this.rota.due(this.peers.addresses(), nowMillis, periodMillis)
+			.stream()
+			.filter((address) -> this.peers.calls(address, nowMillis, periodMillis))
+			.toList();
+		if (due.isEmpty()) {
 			return;
 		}
-		long periodMillis = Math.max(LEAST_PERIOD_MILLIS, PERIOD_PER_PEER_MILLIS * this.peers.known());
-		this.nextRoundMillis = nowMillis + periodMillis;
-		this.peers.age(nowMillis, periodMillis);
 		GatewayReport report = this.ownReport.get();
-		if (this.rounds++ % ROUNDS_PER_LISTING == 0) {
+		if (this.rota.cycles() % CYCLES_PER_LISTING == 0) {
 			report.setKnownGateways(this.peers.liveAddresses());
 		}
-		this.peers.addresses()
-			.stream()
-			.filter((address) -> this.peers.calls(address, nowMillis, periodMillis))
-			.forEach((address) -> exchange(address, report));
-		closeLinksToForgotten();
-		publish(nowMillis);
+		due.forEach((address) -> exchange(address, report));
 	}
 
 	private void closeLinksToForgotten() {
@@ -144,14 +169,17 @@
 			}
 		});
 		this.links.keySet().retainAll(known);
+		this.claims.retain(known);
 	}
 
 	private void exchange(String address, GatewayReport report) {
 		ThriftLink<GatewayControl.AsyncClient> link = this.links.computeIfAbsent(address, this::connect);
-		link.<GatewayReport>call((client, callback) -> client.exchange(report, callback), new Reply<>() {
+		ExchangeStamp stamp = this.claims.stamp(address, report);
+		long sentMillis = this.clock.nowMillis();
+		link.<GatewayReport>call((client, callback) -> client.exchange(report, stamp, callback), new Reply<>() {
 			@Override
 			public void received(GatewayReport answer) {
-				PeerMesh.this.received(answer);
+				answered(address, answer, sentMillis);
 			}
 
 			@Override
@@ -175,29 +203,47 @@
 		}
 		this.consumers.tableTold(report.getTableVersion(), report.getControlAddress());
 		fetchIfNewer(GatewayDocument.TABLE, report.getTableVersion(), report.getControlAddress());
-		fetchIfNewer(GatewayDocument.REGISTRY, report.getRegistryRevision(), report.getControlAddress());
+		fetchIfNewer(GatewayDocument.REGISTRY, registryChange(report), report.getControlAddress());
 		publish(this.clock.nowMillis());
 	}
 
-	// The platform tells most news itself and sooner; a peer is asked only for what the
-	// platform has not told.
+	// The registry's revision moves with every object of the store, so that it does not
+	// tell who has a change of servers that another has not.
+	private long registryChange(GatewayReport report) {
+		return report.isSetClaims() ? report.getClaims()
+			.stream()
+			.filter((claim) -> claim.getPrefix().equals(this.documents.registryPrefix()))
+			.mapToLong(CopyClaim::getChangedRevision)
+			.max()
+			.orElse(0) : 0;
+	}
+
 	private void fetchIfNewer(GatewayDocument kind, long theirRevision, String address) {
 		long own = this.documents.revisionOf(kind);
-		if (theirRevision <= own || !this.consumers.platformAway()) {
+		if (!this.fetches.begin(kind, theirRevision, own, this.clock.nowMillis())) {
 			return;
 		}
 		ThriftLink<GatewayControl.AsyncClient> link = this.links.computeIfAbsent(address, this::connect);
-		link.<ConfigDocument>call((client, callback) -> client.fetchDocument(kind, own, callback), new Reply<>() {
-			@Override
-			public void received(ConfigDocument document) {
-				PeerMesh.this.thread.offer(() -> PeerMesh.this.documents.take(kind, document, address));
-			}
-
-			@Override
-			public void failed(Exception cause) {
-				EventLog.log(Event.PEER_FETCH_FAILED, "peer", address, "document", kind, "reason", cause.getMessage());
-			}
-		});
+		boolean sent = link.<ConfigDocument>call((client, callback) -> client.fetchDocument(kind, own, callback),
+				new Reply<>() {
+					@Override
+					public void received(ConfigDocument document) {
+						PeerMesh.this.thread.offer(() -> {
+							PeerMesh.this.fetches.ended(kind);
+							PeerMesh.this.documents.take(kind, document, address);
+						});
+					}
+
+					@Override
+					public void failed(Exception cause) {
+						EventLog.log(Event.PEER_FETCH_FAILED, "peer", address, "document", kind, "reason",
+								cause.getMessage());
+						PeerMesh.this.thread.offer(() -> PeerMesh.this.fetches.ended(kind));
+					}
+				});
+		if (!sent) {
+			this.fetches.ended(kind);
+		}
 	}
 
 	private void publish(long nowMillis) {
@@ -255,12 +301,6 @@
 	 */
 	public interface Consumers {
 
-		/**
-		 * Tells whether the platform does not answer this process.
-		 * @return true if its last call failed
-		 */
-		boolean platformAway();
-
 		/**
 		 * A peer has told which route table it has in force.
 		 * @param version the version
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDuty.java
@@ -2,9 +2,13 @@
 
 import java.util.random.RandomGenerator;
 
+import org.snowwind.gateway.peer.ConfirmationRank;
 import org.snowwind.gateway.suspect.SuspectDocument.SeenEnd;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.DutyThread;
+import org.snowwind.store.AsyncObjectStore;
+import org.snowwind.store.ConfirmationSchedule;
+import org.snowwind.store.Freshness;
 import org.snowwind.store.ObjectStore;
 import org.snowwind.store.StoreWatch;
 
@@ -16,11 +20,14 @@
 public final class SuspectDuty implements Suspects.Sightings, AutoCloseable {
 
 	/**
-	 * How long one call waits for news, in milliseconds: 6 calls a minute. Should its
-	 * connection fall silent, a gateway learns again what others saw within that time,
-	 * and each end that it sees itself at once.
+	 * How long one call waits for a change, in milliseconds; the store allows no more.
 	 */
-	private static final long WATCH_MILLIS = 10_000;
+	private static final long WATCH_MILLIS = 30_000;
+
+	/** For how long the ends seen by other gateways may be unknown, in milliseconds. */
+	private static final long BOUND_MILLIS = 10_000;
+
+	private static final long WATCH_TICK_MILLIS = 100;
 
 	/** How long news that come together are gathered, in milliseconds. */
 	private static final long GATHER_MILLIS = 100;
@@ -34,6 +41,8 @@
 
 	private final SuspectBook book;
 
+	private final Freshness freshness;
+
 	private final DutyThread thread;
 
 	private final DutyThread writeThread;
@@ -43,17 +52,31 @@
 	/**
 	 * Creates a duty that makes no call yet.
 	 * @param store the platform
+	 * @param reads the same, for calls whose answers are not waited for
 	 * @param name the name of this gateway
+	 * @param rank tells when this gateway asks the store, among all that live
 	 * @param clock tells the time
 	 * @param random spreads calls that are made again
 	 */
-	public SuspectDuty(ObjectStore store, String name, MonotonicClock clock, RandomGenerator random) {
+	public SuspectDuty(ObjectStore store, AsyncObjectStore reads, String name, ConfirmationRank rank,
+			MonotonicClock clock, RandomGenerator random) {
 		this.book = new SuspectBook(store, name, clock);
-		StoreWatch watch = new StoreWatch(store, SuspectBook.PREFIX,
-				new StoreWatch.Pace(() -> WATCH_MILLIS, GATHER_MILLIS), this.book, clock, random);
+		this.freshness = new Freshness(clock);
+		ConfirmationSchedule schedule = new ConfirmationSchedule(BOUND_MILLIS, () -> rank.of(SuspectBook.PREFIX));
+		StoreWatch watch = new StoreWatch(reads, SuspectBook.PREFIX,
+				new StoreWatch.Pace(WATCH_MILLIS, GATHER_MILLIS, schedule), this.book, this.freshness, clock, random);
 		this.thread = new DutyThread("suspects", RING_SIZE, TICK_MILLIS, this.book::forget);
 		this.writeThread = new DutyThread("suspect-writes", SMALL_RING, TICK_MILLIS, this.book::round);
-		this.watchThread = new DutyThread("suspect-watch", SMALL_RING, TICK_MILLIS, watch::round);
+		this.watchThread = new DutyThread("suspect-watch", SMALL_RING, WATCH_TICK_MILLIS, watch::round);
+		watch.onAnswer(() -> this.watchThread.offer(watch::round));
+	}
+
+	/**
+	 * Returns as of when the platform confirmed what is known.
+	 * @return the freshness
+	 */
+	public Freshness freshness() {
+		return this.freshness;
 	}
 
 	/**
--- a/store/src/main/java/org/snowwind/store/Freshness.java
+++ b/store/src/main/java/org/snowwind/store/Freshness.java
@@ -1,21 +1,38 @@
 package org.snowwind.store;
 
-import java.util.concurrent.atomic.AtomicLong;
-
 import org.snowwind.model.MonotonicClock;
 
 /**
- * As of when a copy of the store's objects is known to hold every acknowledged change.
+ * As of when a copy of the store's objects is known to hold every acknowledged change,
+ * and whether a peer has told of a change that it does not hold.
  *
  * <p>
  * An answer proves what was true when its call was sent; it may have been under way for
- * any time since. Thread-safe.
+ * any time since. A peer's claim proves the same of this copy if the copy holds the last
+ * change that the peer knows. Thread-safe.
  */
 public final class Freshness {
 
+	/** So long a peer is not believed that told of a change which the store denies. */
+	private static final long DISTRUST_MILLIS = 30_000;
+
 	private final MonotonicClock clock;
 
-	private final AtomicLong confirmedMillis;
+	private long confirmedMillis;
+
+	private long knownRevision;
+
+	private long changedRevision;
+
+	private long toldRevision;
+
+	private String toldBy = "";
+
+	private long toldMillis;
+
+	private String distrusted = "";
+
+	private long distrustedUntilMillis = Long.MIN_VALUE;
 
 	/**
 	 * Creates the freshness of a copy that holds nothing yet.
@@ -23,23 +40,107 @@
 	 */
 	public Freshness(MonotonicClock clock) {
 		this.clock = clock;
-		this.confirmedMillis = new AtomicLong(clock.nowMillis());
+		this.confirmedMillis = clock.nowMillis();
+	}
+
+	/**
+	 * Records an answer of the store.
+	 * @param asOfMillis the moment before which every acknowledged change is in the copy,
+	 * in milliseconds
+	 * @param known the store's revision up to which the copy holds changes
+	 * @param changed the revision of the last change that it holds, or a higher one
+	 */
+	public synchronized void answered(long asOfMillis, long known, long changed) {
+		confirm(asOfMillis);
+		this.knownRevision = Math.max(this.knownRevision, known);
+		this.changedRevision = Math.max(this.changedRevision, changed);
+		if (isBehind() && asOfMillis >= this.toldMillis) {
+			this.distrusted = this.toldBy;
+			this.distrustedUntilMillis = this.clock.nowMillis() + DISTRUST_MILLIS;
+			this.toldRevision = 0;
+		}
+	}
+
+	/**
+	 * Records what a peer claims of its copy.
+	 * @param claim the claim
+	 * @param peer the peer's name or address
+	 * @param madeMillis a moment before which the claim was not made, in milliseconds;
+	 * {@link Long#MIN_VALUE} if none is known
+	 */
+	public synchronized void claimed(Claim claim, String peer, long madeMillis) {
+		if (claim.changedRevision() < 0 || claim.ageMillis() < 0) {
+			return;
+		}
+		long nowMillis = this.clock.nowMillis();
+		if (claim.changedRevision() <= this.knownRevision) {
+			if (madeMillis != Long.MIN_VALUE && madeMillis <= nowMillis) {
+				confirm(madeMillis - claim.ageMillis());
+			}
+			return;
+		}
+		boolean believed = !peer.equals(this.distrusted) || nowMillis >= this.distrustedUntilMillis;
+		if (believed && claim.changedRevision() > this.toldRevision) {
+			this.toldMillis = isBehind() ? this.toldMillis : nowMillis;
+			this.toldRevision = claim.changedRevision();
+			this.toldBy = peer;
+		}
+	}
+
+	private void confirm(long asOfMillis) {
+		this.confirmedMillis = Math.max(this.confirmedMillis, asOfMillis);
 	}
 
 	/**
-	 * Records that the copy holds every change acknowledged before a moment.
-	 * @param asOfMillis the moment, in milliseconds
+	 * Returns what this process may claim to its peers.
+	 * @return the claim as of now
 	 */
-	public void confirm(long asOfMillis) {
-		this.confirmedMillis.accumulateAndGet(asOfMillis, Math::max);
+	public synchronized Claim claim() {
+		return new Claim(this.changedRevision, unconfirmedMillis());
 	}
 
 	/**
 	 * Returns for how long nothing has confirmed the copy.
 	 * @return the time, in milliseconds; since its creation if nothing ever did
 	 */
-	public long unconfirmedMillis() {
-		return Math.max(0, this.clock.nowMillis() - this.confirmedMillis.get());
+	public synchronized long unconfirmedMillis() {
+		return Math.max(0, this.clock.nowMillis() - this.confirmedMillis);
+	}
+
+	/**
+	 * Tells whether a peer has a change that the copy does not hold.
+	 * @return true if one has told so
+	 */
+	public synchronized boolean isBehind() {
+		return this.toldRevision > this.knownRevision;
+	}
+
+	/**
+	 * Returns since when a peer has had a change that the copy does not hold.
+	 * @return the time, in milliseconds; 0 if none has
+	 */
+	public synchronized long behindMillis() {
+		return isBehind() ? this.clock.nowMillis() - this.toldMillis : 0;
+	}
+
+	/**
+	 * Returns since when the copy has been known to be behind, as a moment.
+	 * @return the moment, in milliseconds
+	 */
+	synchronized long toldAtMillis() {
+		return this.toldMillis;
+	}
+
+	/**
+	 * What a process claims of its copy.
+	 *
+	 * @param changedRevision the revision of the last change that it holds, or a higher
+	 * one; 0 if it holds none
+	 * @param ageMillis for how long nothing has confirmed that there is no later one, in
+	 * milliseconds
+	 */
+	public record Claim(long changedRevision, long ageMillis) {
+
 	}
 
 }
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -1,26 +1,38 @@
 package org.snowwind.store;
 
-import java.util.function.LongSupplier;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.random.RandomGenerator;
 
 import org.snowwind.model.MonotonicClock;
 
 /**
  * Follows all objects below a prefix: lists them, then waits for changes, and lists again
- * after anything that may have hidden a change. Confined to one thread, which it blocks.
+ * only if the store no longer has all changes.
+ *
+ * <p>
+ * One call waits for long. It may be on a connection that nothing comes over any more, so
+ * the copy's age decides when another call is made beside it, on a connection of its own.
+ * Never blocks; confined to one thread.
  */
 public final class StoreWatch {
 
 	/** The first pause after a failed call, in milliseconds; it doubles with each. */
 	private static final long FIRST_BACKOFF_MILLIS = 150;
 
-	/**
-	 * The longest pause, in milliseconds: a process that was cut off must know the newest
-	 * configuration within about two seconds of the platform's return.
-	 */
-	private static final long MOST_BACKOFF_MILLIS = 800;
+	/** The longest pause as a share of the time between calls to a silent store. */
+	private static final double MOST_BACKOFF_SHARE = 0.8;
+
+	/** The store answers at once; it is only asked what it knows by now. */
+	private static final long NO_WAIT_MILLIS = 1;
 
-	private final ObjectStore store;
+	/** Unanswered calls beside the one that waits for long. */
+	private static final int MOST_INQUIRIES = 4;
+
+	private final AsyncObjectStore store;
 
 	private final String prefix;
 
@@ -34,118 +46,281 @@
 
 	private final Freshness freshness;
 
+	private final List<Call> calls = new ArrayList<>();
+
+	private final Queue<Runnable> answers = new ConcurrentLinkedQueue<>();
+
+	private Runnable onAnswer = () -> {
+	};
+
 	private boolean listed;
 
 	private boolean away;
 
 	private long revision;
 
+	/** When the last change was learnt. */
+	private long changedMillis;
+
+	/** When the latest of the answered calls was sent. */
+	private long answeredSentMillis = Long.MIN_VALUE;
+
+	private long lastSentMillis = Long.MIN_VALUE;
+
 	private long backoffMillis = FIRST_BACKOFF_MILLIS;
 
-	private long resumeMillis = Long.MIN_VALUE;
+	private long nextInquiryMillis = Long.MIN_VALUE;
+
+	private long gatherUntilMillis = Long.MIN_VALUE;
+
+	private long backoffUntilMillis = Long.MIN_VALUE;
 
 	/**
 	 * Creates a watch that has made no call.
 	 * @param store the platform
 	 * @param prefix the start of the keys
-	 * @param pace how long calls wait
+	 * @param pace when calls are made, and how long they wait
 	 * @param listener is told of objects and of the platform's state
+	 * @param freshness is told what answers prove, and tells what peers know
 	 * @param clock tells the time
 	 * @param random spreads the back-off
 	 */
-	public StoreWatch(ObjectStore store, String prefix, Pace pace, Listener listener, MonotonicClock clock,
-			RandomGenerator random) {
+	public StoreWatch(AsyncObjectStore store, String prefix, Pace pace, Listener listener, Freshness freshness,
+			MonotonicClock clock, RandomGenerator random) {
 		this.store = store;
 		this.prefix = prefix;
 		this.pace = pace;
 		this.listener = listener;
+		this.freshness = freshness;
 		this.clock = clock;
 		this.random = random;
-		this.freshness = new Freshness(clock);
 	}
 
 	/**
-	 * Returns as of when the platform confirmed what the listener was told.
-	 * @return the freshness
+	 * Asks for a round as soon as an answer is there. To be called before the first
+	 * round.
+	 * @param task called on any thread
 	 */
-	public Freshness freshness() {
-		return this.freshness;
+	public void onAnswer(Runnable task) {
+		this.onAnswer = task;
 	}
 
 	/**
-	 * Makes one call, unless the platform has just failed to answer one.
+	 * Takes the answers that have come, and makes a call if one is due.
 	 */
 	public void round() {
-		if (this.clock.nowMillis() < this.resumeMillis) {
-			return;
+		takeAnswers();
+		long nowMillis = this.clock.nowMillis();
+		dropSilentCalls(nowMillis);
+		if (nowMillis >= this.backoffUntilMillis && makeCall(nowMillis)) {
+			takeAnswers();
+		}
+	}
+
+	private boolean makeCall(long nowMillis) {
+		if (isInquiryDue(nowMillis)) {
+			inquire(nowMillis);
+			return true;
+		}
+		boolean waiting = this.calls.stream().anyMatch((call) -> call.waits);
+		if (this.listed && !waiting && nowMillis >= this.gatherUntilMillis) {
+			watch(nowMillis, this.pace.waitMillis());
+			return true;
 		}
+		return false;
+	}
+
+	private void takeAnswers() {
+		Runnable answer = this.answers.poll();
+		while (answer != null) {
+			answer.run();
+			answer = this.answers.poll();
+		}
+	}
+
+	// A change that another call told of should have ended every call that waits for it.
+	private void dropSilentCalls(long nowMillis) {
+		long retryMillis = this.pace.schedule().retryMillis();
+		this.calls.removeIf((call) -> nowMillis - call.sentMillis > call.timeoutMillis + retryMillis
+				|| (call.waits && call.afterRevision < this.revision && call.sentMillis < this.changedMillis
+						&& nowMillis - this.changedMillis > retryMillis));
+	}
+
+	private boolean isInquiryDue(long nowMillis) {
+		long open = this.calls.stream().filter((call) -> !call.waits).count();
+		if (open >= MOST_INQUIRIES) {
+			return false;
+		}
+		boolean needed = !this.listed || this.away || this.pace.schedule().isDue(this.freshness.unconfirmedMillis());
+		return (needed && nowMillis >= this.nextInquiryMillis) || isBehind(nowMillis);
+	}
+
+	// One inquiry for each time that a peer is found to be ahead; further ones as usual.
+	private boolean isBehind(long nowMillis) {
+		return this.freshness.behindMillis() >= this.pace.schedule().stepMillis()
+				&& (this.lastSentMillis <= this.freshness.toldAtMillis() || nowMillis >= this.nextInquiryMillis);
+	}
+
+	private void inquire(long nowMillis) {
+		this.nextInquiryMillis = nowMillis + this.pace.schedule().retryMillis();
 		if (this.listed) {
-			watch();
+			watch(nowMillis, NO_WAIT_MILLIS);
 		}
 		else {
-			list();
+			list(nowMillis);
 		}
 	}
 
-	private void list() {
-		long sentMillis = this.clock.nowMillis();
-		this.store.list(this.prefix).match((listing) -> {
-			answered();
-			this.freshness.confirm(sentMillis);
-			this.revision = listing.revision();
-			this.listed = true;
-			this.listener.listed(listing);
-			return true;
-		}, (none) -> failed(none.reason()));
-	}
-
-	private void watch() {
-		long sentMillis = this.clock.nowMillis();
-		this.store.watch(this.prefix, this.revision, this.pace.waitMillis().getAsLong()).match((changes) -> {
-			answered();
-			this.freshness.confirm(sentMillis);
-			this.revision = changes.revision();
-			if (!changes.objects().isEmpty()) {
-				this.resumeMillis = this.clock.nowMillis() + this.pace.gatherMillis();
-			}
-			this.listener.changed(changes);
+	private void list(long nowMillis) {
+		long timeoutMillis = this.pace.schedule().callMillis();
+		Call call = begin(nowMillis, timeoutMillis, false);
+		deliver(this.store.startList(this.prefix, timeoutMillis), call, (result) -> result.match((listing) -> {
+			answered(call);
+			takeListing(call, listing);
 			return true;
-		}, (gap) -> {
-			answered();
+		}, (none) -> failed(call, none.reason())));
+	}
+
+	private void takeListing(Call call, ListResult.Listed listing) {
+		if (this.listed && listing.revision() < this.revision) {
+			return;
+		}
+		this.listed = true;
+		this.revision = listing.revision();
+		this.listener.listed(listing);
+		// What was deleted before cannot be told from the listing.
+		this.freshness.answered(call.sentMillis, this.revision, this.revision);
+	}
+
+	private void watch(long nowMillis, long waitMillis) {
+		long timeoutMillis = waitMillis + this.pace.schedule().callMillis();
+		Call call = begin(nowMillis, timeoutMillis, waitMillis > NO_WAIT_MILLIS);
+		deliver(this.store.startWatch(this.prefix, this.revision, waitMillis, timeoutMillis), call,
+				(result) -> result.match((changes) -> {
+					answered(call);
+					takeChanges(call, changes, waitMillis);
+					return true;
+				}, (gap) -> {
+					answered(call);
+					takeGap(call);
+					return true;
+				}, (none) -> failed(call, none.reason())));
+	}
+
+	private void takeChanges(Call call, WatchResult.Changes changes, long waitMillis) {
+		if (!this.listed || changes.revision() < this.revision) {
+			return;
+		}
+		long nowMillis = this.clock.nowMillis();
+		boolean changed = !changes.objects().isEmpty();
+		if (changed) {
+			this.changedMillis = nowMillis;
+			this.gatherUntilMillis = nowMillis + this.pace.gatherMillis();
+		}
+		this.revision = changes.revision();
+		this.listener.changed(changes);
+		// The store has answered no sooner than it was to wait without a change.
+		boolean waited = !changed && nowMillis - call.sentMillis >= waitMillis;
+		this.freshness.answered(call.sentMillis + (waited ? waitMillis : 0), this.revision,
+				changed ? this.revision : 0);
+	}
+
+	private void takeGap(Call call) {
+		// A call made before the last listing says nothing of the changes since.
+		if (this.listed && call.afterRevision == this.revision) {
 			this.listed = false;
+			this.nextInquiryMillis = this.clock.nowMillis();
 			this.listener.gap(this.revision);
-			return true;
-		}, (none) -> failed(none.reason()));
+		}
 	}
 
-	private void answered() {
+	private Call begin(long nowMillis, long timeoutMillis, boolean waits) {
+		Call call = new Call(nowMillis, timeoutMillis, this.revision, waits);
+		this.calls.add(call);
+		this.lastSentMillis = nowMillis;
+		return call;
+	}
+
+	private <T> void deliver(CompletableFuture<T> future, Call call, Answered<T> answered) {
+		future.thenAccept((result) -> {
+			this.answers.add(() -> {
+				if (this.calls.remove(call)) {
+					answered.take(result);
+				}
+			});
+			this.onAnswer.run();
+		});
+	}
+
+	private void answered(Call call) {
+		this.answeredSentMillis = Math.max(this.answeredSentMillis, call.sentMillis);
+		this.backoffMillis = FIRST_BACKOFF_MILLIS;
 		if (this.away) {
 			this.away = false;
 			this.listener.back();
 		}
-		this.backoffMillis = FIRST_BACKOFF_MILLIS;
 	}
 
-	private boolean failed(String reason) {
+	// The failure of an earlier call says nothing once a later one was answered.
+	private boolean failed(Call call, String reason) {
+		if (call.sentMillis < this.answeredSentMillis) {
+			return false;
+		}
 		if (!this.away) {
 			this.away = true;
 			this.listener.away(reason);
 		}
-		this.listed = false;
-		this.resumeMillis = this.clock.nowMillis() + this.backoffMillis / 2
+		this.backoffUntilMillis = this.clock.nowMillis() + this.backoffMillis / 2
 				+ this.random.nextLong(this.backoffMillis / 2 + 1);
-		this.backoffMillis = Math.min(MOST_BACKOFF_MILLIS, this.backoffMillis * 2);
+		this.nextInquiryMillis = this.backoffUntilMillis;
+		long mostMillis = Math.round(MOST_BACKOFF_SHARE * this.pace.schedule().retryMillis());
+		this.backoffMillis = Math.min(mostMillis, this.backoffMillis * 2);
 		return false;
 	}
 
 	/**
-	 * How long calls wait.
+	 * When calls are made, and how long they wait.
 	 *
-	 * @param waitMillis asked how long the next call waits for a change, in milliseconds
+	 * @param waitMillis how long the store waits for a change, in milliseconds
 	 * @param gatherMillis how long the next call waits after a change, in milliseconds,
 	 * so that changes which come together cost one call
+	 * @param schedule decides when another call is made beside the one that waits
 	 */
-	public record Pace(LongSupplier waitMillis, long gatherMillis) {
+	public record Pace(long waitMillis, long gatherMillis, ConfirmationSchedule schedule) {
+
+	}
+
+	/**
+	 * Takes an answer on the watch's thread.
+	 *
+	 * @param <T> the type of the answer
+	 */
+	@FunctionalInterface
+	private interface Answered<T> {
+
+		void take(T answer);
+
+	}
+
+	/**
+	 * A call that is unanswered; each is an object of its own.
+	 */
+	private static final class Call {
+
+		private final long sentMillis;
+
+		private final long timeoutMillis;
+
+		private final long afterRevision;
+
+		private final boolean waits;
+
+		private Call(long sentMillis, long timeoutMillis, long afterRevision, boolean waits) {
+			this.sentMillis = sentMillis;
+			this.timeoutMillis = timeoutMillis;
+			this.afterRevision = afterRevision;
+			this.waits = waits;
+		}
 
 	}
 
--- a/store/src/test/java/org/snowwind/store/StoreWatchTests.java
+++ b/store/src/test/java/org/snowwind/store/StoreWatchTests.java
@@ -5,8 +5,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Test;
 import org.snowwind.model.ManualClock;
 
@@ -17,14 +17,22 @@
  */
 class StoreWatchTests {
 
+	private static final long BOUND_MILLIS = 2000;
+
+	/** An answer that never comes. */
+	private static final Object SILENCE = new Object();
+
 	private final ManualClock clock = new ManualClock(0);
 
 	private final ScriptedStore store = new ScriptedStore();
 
 	private final List<String> told = new ArrayList<>();
 
-	private final StoreWatch watch = new StoreWatch(this.store, "kind/", new StoreWatch.Pace(() -> 5000, 400),
-			new Told(), this.clock, new Random(1));
+	private final Freshness freshness = new Freshness(this.clock);
+
+	private final StoreWatch watch = new StoreWatch(this.store, "kind/",
+			new StoreWatch.Pace(5000, 400, new ConfirmationSchedule(BOUND_MILLIS, () -> 0)), new Told(), this.freshness,
+			this.clock, new Random(1));
 
 	private void rounds(int count) {
 		for (int i = 0; i < count; i++) {
@@ -32,13 +40,21 @@
 		}
 	}
 
+	private void roundsFor(long millis) {
+		for (long passed = 0; passed < millis; passed += 50) {
+			this.clock.advance(50);
+			this.store.passTime();
+			this.watch.round();
+		}
+	}
+
 	@Test
 	void aListingComesFirstAndThenChangesAfterIt() {
 		this.store.answers.add(new ListResult.Listed(4, List.of()));
 		this.store.answers.add(new WatchResult.Changes(List.of(), 6));
 		this.store.answers.add(new WatchResult.Changes(List.of(), 6));
 		rounds(3);
-		assertThat(this.store.calls).containsExactly("list", "watch 4", "watch 6");
+		assertThat(this.store.calls).containsExactly("list", "watch 4 for 5000", "watch 6 for 5000");
 		assertThat(this.told).containsExactly("listed 4", "changed 6", "changed 6");
 	}
 
@@ -48,7 +64,7 @@
 		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", 5, null)), 5));
 		this.store.answers.add(new WatchResult.Changes(List.of(), 9));
 		rounds(12);
-		assertThat(this.store.calls).as("no further call at once").containsExactly("list", "watch 4");
+		assertThat(this.store.calls).as("no further call at once").containsExactly("list", "watch 4 for 5000");
 		this.clock.advance(500);
 		rounds(1);
 		assertThat(this.told).containsExactly("listed 4", "changed 5", "changed 9");
@@ -67,8 +83,8 @@
 	void aFailedCallIsToldOnceAndHidesNoChange() {
 		this.store.answers.add(new ListResult.Listed(4, List.of()));
 		this.store.answers.add(new WatchResult.Away("cut"));
-		this.store.answers.add(new ListResult.Away("cut"));
-		this.store.answers.add(new ListResult.Listed(9, List.of()));
+		this.store.answers.add(new WatchResult.Away("cut"));
+		this.store.answers.add(new WatchResult.Changes(List.of(), 9));
 		rounds(2);
 		rounds(3);
 		assertThat(this.store.calls).as("pauses after a failure").hasSize(2);
@@ -76,7 +92,101 @@
 		rounds(1);
 		this.clock.advance(2000);
 		rounds(1);
-		assertThat(this.told).containsExactly("listed 4", "away", "back", "listed 9");
+		assertThat(this.told).containsExactly("listed 4", "away", "back", "changed 9");
+		assertThat(this.store.calls).endsWith("watch 4 for 1");
+	}
+
+	@Test
+	void aListingThatFailedIsMadeAgain() {
+		this.store.answers.add(new ListResult.Away("cut"));
+		this.store.answers.add(new ListResult.Listed(9, List.of()));
+		rounds(1);
+		this.clock.advance(2000);
+		rounds(1);
+		assertThat(this.told).containsExactly("away", "back", "listed 9");
+	}
+
+	@Test
+	void aWatchThatWentSilentHidesNoChangeForLongerThanTheBound() {
+		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(SILENCE);
+		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", 5, null)), 5));
+		roundsFor(BOUND_MILLIS);
+		assertThat(this.told).contains("changed 5");
+		assertThat(this.freshness.unconfirmedMillis()).isLessThan(BOUND_MILLIS);
+	}
+
+	@Test
+	void aStoreThatAnswersLaterThanCallsAreMadeIsRead() {
+		this.store.delayMillis = 1600;
+		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		for (int i = 0; i < 20; i++) {
+			this.store.answers.add(new WatchResult.Changes(List.of(), 4 + i));
+		}
+		roundsFor(6000);
+		assertThat(this.told).contains("listed 4", "changed 7");
+		assertThat(this.told).doesNotContain("away");
+	}
+
+	@Test
+	void aSilentStoreGetsBoundedCalls() {
+		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		for (int i = 0; i < 60; i++) {
+			this.store.answers.add(SILENCE);
+		}
+		roundsFor(30_000);
+		assertThat(this.store.calls.size()).isLessThanOrEqualTo(40);
+	}
+
+	@Test
+	void anAnswerThatComesAfterANewerOneChangesNothing() {
+		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(SILENCE);
+		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", 7, null)), 7));
+		roundsFor(1200);
+		this.store.complete(1, new WatchResult.Changes(List.of(new StoredObject("kind/a", 5, null)), 5));
+		rounds(2);
+		assertThat(this.told).containsExactly("listed 4", "changed 7");
+	}
+
+	@Test
+	void aPeerThatHasANewerChangeMakesTheStoreBeAskedBeforeTheBound() {
+		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(SILENCE);
+		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", 5, null)), 5));
+		rounds(2);
+		this.freshness.claimed(new Freshness.Claim(5, 0), "peer", Long.MIN_VALUE);
+		roundsFor(BOUND_MILLIS / 4);
+		assertThat(this.told).containsExactly("listed 4", "changed 5");
+	}
+
+	@Test
+	void aPeerThatTellsOfAChangeWhichTheStoreDeniesIsNotBelievedAgain() {
+		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(SILENCE);
+		for (int i = 0; i < 20; i++) {
+			this.store.answers.add(new WatchResult.Changes(List.of(), 4));
+		}
+		rounds(2);
+		for (int i = 0; i < 100; i++) {
+			this.freshness.claimed(new Freshness.Claim(Long.MAX_VALUE, 0), "peer", Long.MIN_VALUE);
+			roundsFor(100);
+		}
+		assertThat(this.store.calls.size()).as("one call more than without the peer").isLessThanOrEqualTo(14);
+	}
+
+	@Test
+	void aPeersConfirmationSparesTheCall() {
+		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(SILENCE);
+		rounds(2);
+		for (int i = 0; i < 30; i++) {
+			this.clock.advance(100);
+			this.freshness.claimed(new Freshness.Claim(4, 0), "peer", this.clock.nowMillis());
+			rounds(1);
+		}
+		assertThat(this.store.calls).hasSize(2);
 	}
 
 	@Test
@@ -127,37 +237,52 @@
 	/**
 	 * Gives the answers of a script.
 	 */
-	private static final class ScriptedStore implements ObjectStore {
+	private final class ScriptedStore implements AsyncObjectStore {
 
 		private final Deque<Object> answers = new ArrayDeque<>();
 
 		private final List<String> calls = new ArrayList<>();
 
+		private final List<CompletableFuture<Object>> futures = new ArrayList<>();
+
+		private final List<Long> dueMillis = new ArrayList<>();
+
+		private final List<Object> scripted = new ArrayList<>();
+
+		private long delayMillis;
+
 		@Override
-		public ListResult list(String prefix) {
-			this.calls.add("list");
-			return (ListResult) this.answers.removeFirst();
+		public CompletableFuture<ListResult> startList(String prefix, long timeoutMillis) {
+			return begin("list").thenApply(ListResult.class::cast);
 		}
 
 		@Override
-		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
-			this.calls.add("watch " + afterRevision);
-			return (WatchResult) this.answers.removeFirst();
+		public CompletableFuture<WatchResult> startWatch(String prefix, long afterRevision, long waitMillis,
+				long timeoutMillis) {
+			return begin("watch " + afterRevision + " for " + waitMillis).thenApply(WatchResult.class::cast);
 		}
 
-		@Override
-		public GetResult get(String key) {
-			throw new UnsupportedOperationException("a watch reads no single object");
+		private CompletableFuture<Object> begin(String call) {
+			this.calls.add(call);
+			CompletableFuture<Object> future = new CompletableFuture<>();
+			this.futures.add(future);
+			this.scripted.add(this.answers.removeFirst());
+			this.dueMillis.add(StoreWatchTests.this.clock.nowMillis() + this.delayMillis);
+			passTime();
+			return future;
 		}
 
-		@Override
-		public WriteResult put(String key, long expectedRevision, JsonNode value) {
-			throw new UnsupportedOperationException("a watch writes nothing");
+		private void passTime() {
+			for (int i = 0; i < this.futures.size(); i++) {
+				if (this.scripted.get(i) != SILENCE
+						&& this.dueMillis.get(i) <= StoreWatchTests.this.clock.nowMillis()) {
+					this.futures.get(i).complete(this.scripted.get(i));
+				}
+			}
 		}
 
-		@Override
-		public WriteResult delete(String key, long expectedRevision) {
-			throw new UnsupportedOperationException("a watch writes nothing");
+		private void complete(int call, Object answer) {
+			this.futures.get(call).complete(answer);
 		}
 
 	}
--- a/wire/snowwind.thrift
+++ b/wire/snowwind.thrift
@@ -121,6 +121,29 @@
   9: i64 expertFence
   /** What the sender knows of limits, the newest first; not all where there are many. */
   10: optional list<LimitNews> limits
+  /** What the sender has confirmed of the store's objects. */
+  11: optional list<CopyClaim> claims
+  /** The sender's clock before it looked at its copies, in milliseconds since an origin of its own. */
+  12: optional i64 composedMillis
+}
+
+/** What a gateway claims of its copy of the store's objects below a prefix. */
+struct CopyClaim {
+  1: string prefix
+  /** The revision of the last change that the copy holds, or a higher one. */
+  2: i64 changedRevision
+  /** For how long nothing has confirmed that there is no later change, in milliseconds. */
+  3: i64 ageMillis
+}
+
+/** Lets the called gateway bound by its own clock when the caller's report was composed. */
+struct ExchangeStamp {
+  /** Which life of the called gateway the caller has heard; 0 if none. */
+  1: i64 incarnation
+  /** composedMillis of the last answer that the caller has from it. */
+  2: i64 composedMillis
+  /** How long before the report was composed that answer came, in milliseconds. */
+  3: i64 sinceMillis
 }
 
 /** What a gateway wants of the rate of one life of a backend server. */
@@ -167,7 +190,7 @@
 }
 
 service GatewayControl {
-  GatewayReport exchange(1: GatewayReport report) throws (1: Refused refused)
+  GatewayReport exchange(1: GatewayReport report, 2: ExchangeStamp stamp) throws (1: Refused refused)
   /** Returns a part of each server's rate, of which the gateway sees to the sum. */
   list<LimitGrant> requestGrants(1: LimitRequest request) throws (1: Refused refused)
   /** Returns the document that the gateway holds if it is newer than the caller's, else an empty one. */
--- a/wire/src/test/java/org/snowwind/wire/ThriftLinkTests.java
+++ b/wire/src/test/java/org/snowwind/wire/ThriftLinkTests.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.snowwind.wire.generated.ConfigDocument;
+import org.snowwind.wire.generated.ExchangeStamp;
 import org.snowwind.wire.generated.GatewayControl;
 import org.snowwind.wire.generated.GatewayDocument;
 import org.snowwind.wire.generated.GatewayReport;
@@ -123,17 +124,19 @@
 
 	private CompletableFuture<GatewayReport> callOnce(String name) {
 		CompletableFuture<GatewayReport> reply = new CompletableFuture<>();
-		this.link.<GatewayReport>call((client, callback) -> client.exchange(report(name), callback), new Reply<>() {
-			@Override
-			public void received(GatewayReport answer) {
-				reply.complete(answer);
-			}
-
-			@Override
-			public void failed(Exception cause) {
-				reply.completeExceptionally(cause);
-			}
-		});
+		this.link.<GatewayReport>call(
+				(client, callback) -> client.exchange(report(name), new ExchangeStamp(0, 0, 0), callback),
+				new Reply<>() {
+					@Override
+					public void received(GatewayReport answer) {
+						reply.complete(answer);
+					}
+
+					@Override
+					public void failed(Exception cause) {
+						reply.completeExceptionally(cause);
+					}
+				});
 		return reply;
 	}
 
@@ -226,7 +229,7 @@
 	private static final class Echo implements GatewayControl.Iface {
 
 		@Override
-		public GatewayReport exchange(GatewayReport report) {
+		public GatewayReport exchange(GatewayReport report, ExchangeStamp stamp) {
 			return report;
 		}
 
