Tell callers to come back while the route table may be an older one

What callers saw: 401 for a good key, which no caller sends again, by a table that was older than those of 31 peers.

Cause: a refusal by the table was final however old the table was.

Change: while a peer has a newer version, or nothing has confirmed the table for longer than its bound, 401 and 404 become 503, not run, with a quarter of the bound to come back. A version that stays unseen while the store confirms the table is a false one and changes nothing.

--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -176,16 +176,24 @@
 		}
 		Optional<Route> route = table.route(exchange.header("Host"), exchange.path());
 		if (route.isEmpty()) {
-			return Routed.refused(Problem.notRun(ProblemKind.UNKNOWN_PATH, "no route leads there"));
+			return refusedByTable(ProblemKind.UNKNOWN_PATH, "no route leads there");
 		}
 		Optional<KeyHolder> holder = (head.key() != null) ? table.holderOf(head.key()) : Optional.empty();
 		boolean keyNeeded = table.keysNeeded() && !route.get().open();
 		if (keyNeeded && holder.isEmpty()) {
-			return Routed.refused(Problem.notRun(ProblemKind.UNKNOWN_ORGANISATION, "no organisation has this key"));
+			return refusedByTable(ProblemKind.UNKNOWN_ORGANISATION, "no organisation has this key");
 		}
 		return new Routed(route.get(), holder.map(KeyHolder::organisation).orElse(null), null);
 	}
 
+	private Routed refusedByTable(ProblemKind kind, String detail) {
+		if (this.freshness.isRefusalFinal()) {
+			return Routed.refused(Problem.notRun(kind, detail));
+		}
+		return Routed.refused(Problem.notRun(ProblemKind.NOT_READY, detail + ", but there may be a newer configuration")
+			.retryAfter(this.freshness.retryMillis()));
+	}
+
 	private void refuse(HttpExchange exchange, CallerHead head, RouteTable table, Problem problem,
 			OpenRequest counted) {
 		TableFreshness.State freshness = this.freshness.state();
--- a/gateway/src/main/java/org/snowwind/gateway/table/TableFreshness.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/TableFreshness.java
@@ -14,10 +14,15 @@
 	/** News of a change reach gateways one by one; less than this is no delay. */
 	private static final long LOGGED_BEHIND_MILLIS = 500;
 
+	/** News that a peer has are here within this part of the bound. */
+	private static final int RETRIES_PER_BOUND = 4;
+
 	private final TableHolder tables;
 
 	private final Freshness confirmations;
 
+	private final long boundMillis;
+
 	private final MonotonicClock clock;
 
 	private long toldVersion;
@@ -32,11 +37,13 @@
 	 * Creates the freshness of a table of which no peer has told.
 	 * @param tables holds the table in force
 	 * @param confirmations as of when the platform confirmed it
+	 * @param boundMillis for how long it may be unconfirmed, in milliseconds
 	 * @param clock tells the time
 	 */
-	public TableFreshness(TableHolder tables, Freshness confirmations, MonotonicClock clock) {
+	public TableFreshness(TableHolder tables, Freshness confirmations, long boundMillis, MonotonicClock clock) {
 		this.tables = tables;
 		this.confirmations = confirmations;
+		this.boundMillis = boundMillis;
 		this.clock = clock;
 	}
 
@@ -73,6 +80,28 @@
 				behind ? this.clock.nowMillis() - this.toldMillis : 0);
 	}
 
+	/**
+	 * Tells whether what the table in force does not allow is refused for good. A caller
+	 * does not come back after that, so that it must not be told by a table that may be
+	 * an older one.
+	 * @return true if nothing says that there is a newer table, and the table was
+	 * confirmed in time
+	 */
+	public boolean isRefusalFinal() {
+		State state = state();
+		// A newer version that stays unseen while the platform confirms is a false one.
+		boolean newerExpected = state.isBehind() && state.behindMillis() <= this.boundMillis;
+		return !newerExpected && state.unconfirmedMillis() <= this.boundMillis;
+	}
+
+	/**
+	 * Returns when a caller may come back whose refusal is not final.
+	 * @return the time until then, in milliseconds
+	 */
+	public long retryMillis() {
+		return this.boundMillis / RETRIES_PER_BOUND;
+	}
+
 	/**
 	 * What is known of the table in force.
 	 *
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -53,6 +53,9 @@
 
 	static final long TIMEOUT_MILLIS = 1500;
 
+	/** For how long the route table may be unconfirmed. */
+	static final long BOUND_MILLIS = 60_000;
+
 	private static final long LONG_GRACE_MILLIS = 60_000;
 
 	private final DataLoop loop = new DataLoop("test");
@@ -68,7 +71,10 @@
 
 	private final TableHolder tables = new TableHolder();
 
-	private final TableFreshness freshness = new TableFreshness(this.tables, new Freshness(this.clock), this.clock);
+	private final Freshness confirmations = new Freshness(this.clock);
+
+	private final TableFreshness freshness = new TableFreshness(this.tables, this.confirmations, BOUND_MILLIS,
+			this.clock);
 
 	private final List<ScriptedServer> servers = new ArrayList<>();
 
@@ -219,6 +225,11 @@
 		return stop;
 	}
 
+	/** Lets a peer have a newer route table. */
+	void told(long version) {
+		this.freshness.told(version, "127.0.0.1:1");
+	}
+
 	/** Lets time pass on the gateway's clock, and only there. */
 	void passMillis(long millis) {
 		this.aheadMillis.addAndGet(millis);
--- a/gateway/src/test/java/org/snowwind/gateway/table/TableFreshnessTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/TableFreshnessTests.java
@@ -14,13 +14,16 @@
  */
 class TableFreshnessTests {
 
+	private static final long BOUND_MILLIS = 2000;
+
 	private final ManualClock clock = new ManualClock(0);
 
 	private final TableHolder tables = new TableHolder();
 
 	private final Freshness confirmations = new Freshness(this.clock);
 
-	private final TableFreshness freshness = new TableFreshness(this.tables, this.confirmations, this.clock);
+	private final TableFreshness freshness = new TableFreshness(this.tables, this.confirmations, BOUND_MILLIS,
+			this.clock);
 
 	private void inForce(long version) {
 		this.tables.offer(
@@ -60,4 +63,32 @@
 		assertThat(this.freshness.state().isBehind()).isFalse();
 	}
 
+	@Test
+	void aRefusalIsNotFinalWhileAPeerHasANewerTable() {
+		inForce(3);
+		assertThat(this.freshness.isRefusalFinal()).isTrue();
+		this.freshness.told(4, "a:1");
+		assertThat(this.freshness.isRefusalFinal()).isFalse();
+		inForce(4);
+		assertThat(this.freshness.isRefusalFinal()).isTrue();
+	}
+
+	@Test
+	void aRefusalIsNotFinalWhileTheTableIsUnconfirmedForLongerThanTheBound() {
+		inForce(3);
+		this.clock.advance(BOUND_MILLIS + 1);
+		assertThat(this.freshness.isRefusalFinal()).isFalse();
+		this.confirmations.answered(this.clock.nowMillis(), 1, 1, 1);
+		assertThat(this.freshness.isRefusalFinal()).isTrue();
+	}
+
+	@Test
+	void aVersionThatNeverComesDoesNotKeepRefusalsOpen() {
+		inForce(3);
+		this.freshness.told(Long.MAX_VALUE, "a:1");
+		this.clock.advance(BOUND_MILLIS + 1);
+		this.confirmations.answered(this.clock.nowMillis(), 1, 1, 1);
+		assertThat(this.freshness.isRefusalFinal()).isTrue();
+	}
+
 }
