--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -87,7 +87,7 @@
 
 	private static final int SMALL_RING = 16;
 
-	/** The platform has this part of the bound to bring what a peer has already. */
+	/** The platform has this part of the table's bound to bring what a peer has. */
 	private static final int FETCHES_PER_BOUND = 4;
 
 	private static final int OK = 200;
@@ -175,7 +175,7 @@
 		this.graceMillis = settings.graceMillis();
 		this.adapters = adapters;
 		this.backends = new BackendTable(this.clock, this.random, settings.dataCentre(), this::fleetSize);
-		ConfirmationRank rank = new ConfirmationRank(settings.name(), this::livePeers);
+		ConfirmationRank rank = new ConfirmationRank(settings.name(), this::confirmingPeers);
 		this.copies = new StoreCopies(settings, adapters, rank, this.clock, this.random);
 		this.tables = this.copies.tables();
 		this.registries = this.copies.registries();
@@ -231,8 +231,8 @@
 				&& this.experts.claim().stands(peers.plannerFence(), peers.promptNames(), this.settings.name());
 	}
 
-	private Set<String> livePeers() {
-		return this.mesh.view().liveByName().keySet();
+	private Set<String> confirmingPeers() {
+		return this.mesh.view().confirmingNames();
 	}
 
 	private int fleetSize() {
@@ -305,7 +305,8 @@
 		return this.settings.callers();
 	}
 
-	// Watches that were waiting may wait on connections that ended meanwhile.
+	// Calls that were waiting may wait on connections that ended meanwhile. Watches make
+	// others, since the age of their copies includes the suspension.
 	private void noteSuspension() {
 		long suspendedMillis = this.clock.suspendedMillis();
 		if (suspendedMillis != this.seenSuspendedMillis) {
@@ -336,6 +337,7 @@
 				Addresses.render(this.settings.peers()), this.draining, this.tables.current().version(),
 				this.registries.current().revision(), this.inFlight, List.of(), this.experts.fence());
 		this.claims.write(report);
+		report.setStoreAway(this.copies.isStoreAway());
 		return report.setLimits(this.limits.news());
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
+++ b/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
@@ -73,6 +73,10 @@
 
 	private final Freshness registryFreshness;
 
+	private final StoreWatch tableWatch;
+
+	private final StoreWatch registryWatch;
+
 	private final DutyThread tableThread;
 
 	private final DutyThread registryThread;
@@ -95,13 +99,14 @@
 		this.registryWatcher = new RegistryWatcher(adapters.servers(), this.registryView, this.registries, clock);
 		this.tableConfirmations = new Freshness(clock);
 		this.registryFreshness = new Freshness(clock);
-		this.tableFreshness = new TableFreshness(this.tables, this.tableConfirmations, clock);
-		StoreWatch tableWatch = watch(tablePrefix(), tablePace(settings), this.tableWatcher, this.tableConfirmations);
-		StoreWatch registryWatch = watch(registryPrefix(), registryPace(settings), this.registryWatcher,
+		this.tableFreshness = new TableFreshness(this.tables, this.tableConfirmations, tableBoundMillis(settings),
+				clock);
+		this.tableWatch = watch(tablePrefix(), tablePace(settings), this.tableWatcher, this.tableConfirmations);
+		this.registryWatch = watch(registryPrefix(), registryPace(settings), this.registryWatcher,
 				this.registryFreshness);
-		this.tableThread = watchThread("table-watch", tableWatch, tableWatch::round);
-		this.registryThread = watchThread("registry-watch", registryWatch, () -> {
-			registryWatch.round();
+		this.tableThread = watchThread("table-watch", this.tableWatch, this.tableWatch::round);
+		this.registryThread = watchThread("registry-watch", this.registryWatch, () -> {
+			this.registryWatch.round();
 			this.registryWatcher.expire();
 		});
 	}
@@ -176,6 +181,14 @@
 		return this.registries;
 	}
 
+	/**
+	 * Tells whether the store does not answer this gateway.
+	 * @return true if it did not answer a call for the table or for the registry
+	 */
+	boolean isStoreAway() {
+		return this.tableWatch.isAway() || this.registryWatch.isAway();
+	}
+
 	void registerMeters(MeterRegistry registry) {
 		Gauge.builder("snowwind.gateway.table.version", this.tables, (holder) -> holder.current().version())
 			.register(registry);
--- a/gateway/src/main/java/org/snowwind/gateway/peer/ConfirmationRank.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/ConfirmationRank.java
@@ -14,27 +14,28 @@
 
 	private final String name;
 
-	private final Supplier<Set<String>> livePeers;
+	private final Supplier<Set<String>> confirmingPeers;
 
 	/**
 	 * Creates the rank of a gateway.
 	 * @param name its name
-	 * @param livePeers names the peers that answer and do not leave
+	 * @param confirmingPeers names the peers that answer, do not leave and reach the
+	 * store
 	 */
-	public ConfirmationRank(String name, Supplier<Set<String>> livePeers) {
+	public ConfirmationRank(String name, Supplier<Set<String>> confirmingPeers) {
 		this.name = name;
-		this.livePeers = livePeers;
+		this.confirmingPeers = confirmingPeers;
 	}
 
 	/**
-	 * Returns how many live peers come before this gateway.
+	 * Returns how many of these peers come before this gateway.
 	 * @param prefix the start of the keys of the objects
 	 * @return a number of gateways, 0 for the first in rank
 	 */
 	public int of(String prefix) {
 		long seed = Rendezvous.hash(prefix);
 		long own = Rendezvous.score(this.name, seed);
-		return (int) this.livePeers.get()
+		return (int) this.confirmingPeers.get()
 			.stream()
 			.filter((peer) -> Long.compareUnsigned(Rendezvous.score(peer, seed), own) > 0)
 			.count();
--- a/gateway/src/main/java/org/snowwind/gateway/peer/DocumentFetches.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/DocumentFetches.java
@@ -12,6 +12,9 @@
  */
 final class DocumentFetches {
 
+	/** So long a revision is not fetched that its peer did not give, in milliseconds. */
+	private static final long DENIED_MILLIS = 30_000;
+
 	private final long graceMillis;
 
 	private final long callMillis;
@@ -39,12 +42,16 @@
 	 */
 	boolean begin(GatewayDocument kind, long theirs, long own, long nowMillis) {
 		Behind state = this.behind.computeIfAbsent(kind, (key) -> new Behind());
+		boolean denied = theirs == state.deniedRevision && nowMillis < state.deniedUntilMillis;
+		if (theirs <= own || denied) {
+			return false;
+		}
 		if (state.newest <= own) {
 			state.sinceMillis = nowMillis;
 		}
 		state.newest = Math.max(state.newest, theirs);
 		boolean waited = own == 0 || nowMillis - state.sinceMillis >= this.graceMillis;
-		if (theirs <= own || !waited || nowMillis < state.busyUntilMillis) {
+		if (!waited || nowMillis < state.busyUntilMillis) {
 			return false;
 		}
 		state.busyUntilMillis = nowMillis + this.callMillis;
@@ -52,13 +59,31 @@
 	}
 
 	/**
-	 * Records that a fetch has ended.
+	 * Records that a peer did not answer.
 	 * @param kind which document
 	 */
-	void ended(GatewayDocument kind) {
+	void failed(GatewayDocument kind) {
 		this.behind.get(kind).busyUntilMillis = Long.MIN_VALUE;
 	}
 
+	/**
+	 * Records that a peer has answered. A revision that it did not give is not asked for
+	 * again for a while.
+	 * @param kind which document
+	 * @param theirs the revision that the peer had
+	 * @param own the own revision since
+	 * @param nowMillis the time, in milliseconds
+	 */
+	void ended(GatewayDocument kind, long theirs, long own, long nowMillis) {
+		Behind state = this.behind.get(kind);
+		state.busyUntilMillis = Long.MIN_VALUE;
+		state.newest = own;
+		if (own < theirs) {
+			state.deniedRevision = theirs;
+			state.deniedUntilMillis = nowMillis + DENIED_MILLIS;
+		}
+	}
+
 	/**
 	 * What is known of one document.
 	 */
@@ -70,6 +95,10 @@
 
 		private long busyUntilMillis = Long.MIN_VALUE;
 
+		private long deniedRevision;
+
+		private long deniedUntilMillis = Long.MIN_VALUE;
+
 	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerDocuments.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerDocuments.java
@@ -15,7 +15,7 @@
 import org.snowwind.wire.generated.GatewayDocument;
 
 /**
- * The documents that gateways give each other when one of them cannot reach the platform.
+ * The documents that gateways give each other when the platform does not bring them.
  */
 public final class PeerDocuments {
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -44,7 +44,7 @@
 	private static final long PERIOD_PER_PEER_MILLIS = 10;
 
 	/** So many reports hold one list of all gateways; it would be most of each. */
-	private static final int CYCLES_PER_LISTING = 5;
+	private static final int TURNS_PER_LISTING = 5;
 
 	private static final int RING_SIZE = 1024;
 
@@ -74,7 +74,7 @@
 
 	private final FleetSize fleet = new FleetSize();
 
-	private volatile View view = new View(FleetSize.UNKNOWN, Map.of(), Set.of(), Set.of(), 0);
+	private volatile View view = new View(FleetSize.UNKNOWN, Map.of(), Set.of(), Set.of(), 0, Set.of());
 
 	/**
 	 * Creates a mesh that calls nobody yet.
@@ -155,10 +155,17 @@
 			return;
 		}
 		GatewayReport report = this.ownReport.get();
-		if (this.rota.cycles() % CYCLES_PER_LISTING == 0) {
-			report.setKnownGateways(this.peers.liveAddresses());
+		GatewayReport listing = null;
+		for (String address : due) {
+			if (this.rota.turns(address) % TURNS_PER_LISTING != 1) {
+				exchange(address, report);
+				continue;
+			}
+			if (listing == null) {
+				listing = this.ownReport.get().setKnownGateways(this.peers.liveAddresses());
+			}
+			exchange(address, listing);
 		}
-		due.forEach((address) -> exchange(address, report));
 	}
 
 	private void closeLinksToForgotten() {
@@ -176,18 +183,23 @@
 		ThriftLink<GatewayControl.AsyncClient> link = this.links.computeIfAbsent(address, this::connect);
 		ExchangeStamp stamp = this.claims.stamp(address, report);
 		long sentMillis = this.clock.nowMillis();
-		link.<GatewayReport>call((client, callback) -> client.exchange(report, stamp, callback), new Reply<>() {
-			@Override
-			public void received(GatewayReport answer) {
-				answered(address, answer, sentMillis);
-			}
+		boolean sent = link.<GatewayReport>call((client, callback) -> client.exchange(report, stamp, callback),
+				new Reply<>() {
+					@Override
+					public void received(GatewayReport answer) {
+						answered(address, answer, sentMillis);
+					}
 
-			@Override
-			public void failed(Exception cause) {
-				// A silent peer is suspected by its age; nothing else follows from one
-				// lost call.
-			}
-		});
+					@Override
+					public void failed(Exception cause) {
+						// A silent peer is suspected by its age; nothing else follows
+						// from one
+						// lost call.
+					}
+				});
+		if (!sent) {
+			this.rota.again(address, sentMillis);
+		}
 	}
 
 	private ThriftLink<GatewayControl.AsyncClient> connect(String address) {
@@ -228,29 +240,31 @@
 				new Reply<>() {
 					@Override
 					public void received(ConfigDocument document) {
-						PeerMesh.this.thread.offer(() -> {
-							PeerMesh.this.fetches.ended(kind);
-							PeerMesh.this.documents.take(kind, document, address);
-						});
+						PeerMesh.this.thread.offer(() -> fetched(kind, theirRevision, document, address));
 					}
 
 					@Override
 					public void failed(Exception cause) {
 						EventLog.log(Event.PEER_FETCH_FAILED, "peer", address, "document", kind, "reason",
 								cause.getMessage());
-						PeerMesh.this.thread.offer(() -> PeerMesh.this.fetches.ended(kind));
+						PeerMesh.this.thread.offer(() -> PeerMesh.this.fetches.failed(kind));
 					}
 				});
 		if (!sent) {
-			this.fetches.ended(kind);
+			this.fetches.failed(kind);
 		}
 	}
 
+	private void fetched(GatewayDocument kind, long theirRevision, ConfigDocument document, String address) {
+		this.documents.take(kind, document, address);
+		this.fetches.ended(kind, theirRevision, this.documents.revisionOf(kind), this.clock.nowMillis());
+	}
+
 	private void publish(long nowMillis) {
 		Set<String> live = Set.copyOf(this.peers.liveAddresses());
 		this.fleet.observe(this.peers.known(), live.size());
 		this.view = new View(this.fleet.size(), Map.copyOf(this.peers.liveByName()), live,
-				this.peers.promptNames(nowMillis), this.peers.plannerFence(nowMillis));
+				this.peers.promptNames(nowMillis), this.peers.plannerFence(nowMillis), this.peers.confirmingNames());
 		this.consumers.peersChanged(this.peers.inFlight(nowMillis), this.peers.unheardFactor(nowMillis));
 	}
 
@@ -290,9 +304,11 @@
 	 * @param promptNames the names of those that were heard a moment ago and do not leave
 	 * @param plannerFence the newest fencing token with which one of them was heard a
 	 * moment ago to plan expert maps, 0 if none does
+	 * @param confirmingNames the names of those that answer, do not leave and reach the
+	 * store
 	 */
 	public record View(int fleetSize, Map<String, String> liveByName, Set<String> liveAddresses,
-			Set<String> promptNames, long plannerFence) {
+			Set<String> promptNames, long plannerFence, Set<String> confirmingNames) {
 
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
@@ -219,6 +219,18 @@
 		return live;
 	}
 
+	/**
+	 * Lists the live peers that can confirm copies for others.
+	 * @return the names of those that do not leave and reach the store
+	 */
+	public Set<String> confirmingNames() {
+		return this.byAddress.values()
+			.stream()
+			.filter((peer) -> peer.alive && !peer.report.isLeaving() && !peer.report.isStoreAway())
+			.map((peer) -> peer.report.getName())
+			.collect(Collectors.toSet());
+	}
+
 	/**
 	 * Lists the live peers that do not leave.
 	 * @return their names, in order
--- a/gateway/src/main/java/org/snowwind/gateway/peer/StoreClaims.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/StoreClaims.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.snowwind.model.MonotonicClock;
@@ -53,8 +54,9 @@
 		report.setComposedMillis(this.clock.nowMillis());
 		List<CopyClaim> claims = new ArrayList<>();
 		this.copies.forEach((prefix, freshness) -> {
-			Freshness.Claim claim = freshness.claim();
-			claims.add(new CopyClaim(prefix, claim.changedRevision(), claim.ageMillis()));
+			Optional<Freshness.Claim> claim = freshness.claim();
+			claim.ifPresent((made) -> claims
+				.add(new CopyClaim(prefix, made.changedRevision(), made.coveredRevision(), made.ageMillis())));
 		});
 		report.setClaims(claims);
 	}
@@ -103,8 +105,8 @@
 		for (CopyClaim claim : report.getClaims()) {
 			Freshness freshness = this.copies.get(claim.getPrefix());
 			if (freshness != null) {
-				freshness.claimed(new Freshness.Claim(claim.getChangedRevision(), claim.getAgeMillis()),
-						report.getControlAddress(), madeMillis);
+				freshness.claimed(new Freshness.Claim(claim.getChangedRevision(), claim.getCoveredRevision(),
+						claim.getAgeMillis()), report.getControlAddress(), madeMillis);
 			}
 		}
 	}
@@ -120,7 +122,7 @@
 	/**
 	 * The last answer of a peer.
 	 *
-	 * @param incarnation which life of the peer composed it
+	 * @param incarnation the incarnation of the peer that composed it
 	 * @param composedMillis when, by the peer's clock, in milliseconds
 	 * @param receivedMillis when it came, in milliseconds
 	 */
--- a/store/src/main/java/org/snowwind/store/Freshness.java
+++ b/store/src/main/java/org/snowwind/store/Freshness.java
@@ -1,5 +1,7 @@
 package org.snowwind.store;
 
+import java.util.Optional;
+
 import org.snowwind.model.MonotonicClock;
 
 /**
@@ -8,7 +10,7 @@
  *
  * <p>
  * An answer proves what was true when its call was sent; it may have been under way for
- * any time since. A peer's claim proves the same of this copy if the copy holds the last
+ * any time since. A peer's claim proves the same of this copy if the copy holds every
  * change that the peer knows. Thread-safe.
  */
 public final class Freshness {
@@ -20,10 +22,15 @@
 
 	private long confirmedMillis;
 
+	/** Nothing is claimed to peers before the first answer. */
+	private boolean confirmed;
+
 	private long knownRevision;
 
 	private long changedRevision;
 
+	private long coveredRevision;
+
 	private long toldRevision;
 
 	private String toldBy = "";
@@ -48,12 +55,16 @@
 	 * @param asOfMillis the moment before which every acknowledged change is in the copy,
 	 * in milliseconds
 	 * @param known the store's revision up to which the copy holds changes
-	 * @param changed the revision of the last change that it holds, or a higher one
+	 * @param changed a revision of a change that it holds, 0 if the answer names none
+	 * @param covered the revision after which there was no change then, 0 if the answer
+	 * tells of no change
 	 */
-	public synchronized void answered(long asOfMillis, long known, long changed) {
+	public synchronized void answered(long asOfMillis, long known, long changed, long covered) {
 		confirm(asOfMillis);
+		this.confirmed = true;
 		this.knownRevision = Math.max(this.knownRevision, known);
 		this.changedRevision = Math.max(this.changedRevision, changed);
+		this.coveredRevision = Math.max(this.coveredRevision, covered);
 		if (isBehind() && asOfMillis >= this.toldMillis) {
 			this.distrusted = this.toldBy;
 			this.distrustedUntilMillis = this.clock.nowMillis() + DISTRUST_MILLIS;
@@ -69,18 +80,15 @@
 	 * {@link Long#MIN_VALUE} if none is known
 	 */
 	public synchronized void claimed(Claim claim, String peer, long madeMillis) {
-		if (claim.changedRevision() < 0 || claim.ageMillis() < 0) {
+		if (!claim.isValid()) {
 			return;
 		}
 		long nowMillis = this.clock.nowMillis();
-		if (claim.changedRevision() <= this.knownRevision) {
-			if (madeMillis != Long.MIN_VALUE && madeMillis <= nowMillis) {
-				confirm(madeMillis - claim.ageMillis());
-			}
-			return;
+		if (claim.coveredRevision() <= this.knownRevision && madeMillis != Long.MIN_VALUE && madeMillis <= nowMillis) {
+			confirm(madeMillis - claim.ageMillis());
 		}
 		boolean believed = !peer.equals(this.distrusted) || nowMillis >= this.distrustedUntilMillis;
-		if (believed && claim.changedRevision() > this.toldRevision) {
+		if (believed && claim.changedRevision() > Math.max(this.knownRevision, this.toldRevision)) {
 			this.toldMillis = isBehind() ? this.toldMillis : nowMillis;
 			this.toldRevision = claim.changedRevision();
 			this.toldBy = peer;
@@ -93,10 +101,11 @@
 
 	/**
 	 * Returns what this process may claim to its peers.
-	 * @return the claim as of now
+	 * @return the claim as of now, none before the first answer of the store
 	 */
-	public synchronized Claim claim() {
-		return new Claim(this.changedRevision, unconfirmedMillis());
+	public synchronized Optional<Claim> claim() {
+		return this.confirmed ? Optional.of(new Claim(this.changedRevision, this.coveredRevision, unconfirmedMillis()))
+				: Optional.empty();
 	}
 
 	/**
@@ -134,12 +143,18 @@
 	/**
 	 * What a process claims of its copy.
 	 *
-	 * @param changedRevision the revision of the last change that it holds, or a higher
-	 * one; 0 if it holds none
-	 * @param ageMillis for how long nothing has confirmed that there is no later one, in
-	 * milliseconds
+	 * @param changedRevision a revision of a change that it holds, 0 if it knows of none
+	 * @param coveredRevision the revision after which it knows of no change; a copy that
+	 * holds changes up to there holds all that it knows
+	 * @param ageMillis for how long nothing has confirmed that there is no later change,
+	 * in milliseconds
 	 */
-	public record Claim(long changedRevision, long ageMillis) {
+	public record Claim(long changedRevision, long coveredRevision, long ageMillis) {
+
+		private boolean isValid() {
+			return this.changedRevision >= 0 && this.coveredRevision > 0 && this.coveredRevision >= this.changedRevision
+					&& this.ageMillis >= 0;
+		}
 
 	}
 
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -5,9 +5,12 @@
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
 
 /**
  * Follows all objects below a prefix: lists them, then waits for changes, and lists again
@@ -32,6 +35,9 @@
 	/** Unanswered calls beside the one that waits for long. */
 	private static final int MOST_INQUIRIES = 4;
 
+	/** A listing has fewer pages, each of which may take as long as a call. */
+	private static final int MOST_PAGES = 10;
+
 	private final AsyncObjectStore store;
 
 	private final String prefix;
@@ -55,25 +61,34 @@
 
 	private boolean listed;
 
-	private boolean away;
+	private volatile boolean away;
+
+	/** Whether a watch was cut off and no inquiry was answered since. */
+	private boolean inquiryNeeded;
 
 	private long revision;
 
 	/** When the last change was learnt. */
 	private long changedMillis;
 
+	private long lastSentMillis = Long.MIN_VALUE;
+
+	private long lastInquiryMillis = Long.MIN_VALUE;
+
 	/** When the latest of the answered calls was sent. */
 	private long answeredSentMillis = Long.MIN_VALUE;
 
-	private long lastSentMillis = Long.MIN_VALUE;
+	private long nextInquiryMillis = Long.MIN_VALUE;
+
+	private long nextWatchMillis = Long.MIN_VALUE;
 
 	private long backoffMillis = FIRST_BACKOFF_MILLIS;
 
-	private long nextInquiryMillis = Long.MIN_VALUE;
+	private long watchBackoffMillis = FIRST_BACKOFF_MILLIS;
 
-	private long gatherUntilMillis = Long.MIN_VALUE;
+	private long gapPauseMillis;
 
-	private long backoffUntilMillis = Long.MIN_VALUE;
+	private long faultPauseMillis = FIRST_BACKOFF_MILLIS;
 
 	/**
 	 * Creates a watch that has made no call.
@@ -105,6 +120,14 @@
 		this.onAnswer = task;
 	}
 
+	/**
+	 * Tells whether the platform does not answer. May be called on any thread.
+	 * @return true if the last call that it should have answered at once failed
+	 */
+	public boolean isAway() {
+		return this.away;
+	}
+
 	/**
 	 * Takes the answers that have come, and makes a call if one is due.
 	 */
@@ -112,22 +135,14 @@
 		takeAnswers();
 		long nowMillis = this.clock.nowMillis();
 		dropSilentCalls(nowMillis);
-		if (nowMillis >= this.backoffUntilMillis && makeCall(nowMillis)) {
-			takeAnswers();
-		}
-	}
-
-	private boolean makeCall(long nowMillis) {
 		if (isInquiryDue(nowMillis)) {
 			inquire(nowMillis);
-			return true;
+			takeAnswers();
 		}
-		boolean waiting = this.calls.stream().anyMatch((call) -> call.waits);
-		if (this.listed && !waiting && nowMillis >= this.gatherUntilMillis) {
+		else if (isWatchDue(nowMillis)) {
 			watch(nowMillis, this.pace.waitMillis());
-			return true;
+			takeAnswers();
 		}
-		return false;
 	}
 
 	private void takeAnswers() {
@@ -141,27 +156,34 @@
 	// A change that another call told of should have ended every call that waits for it.
 	private void dropSilentCalls(long nowMillis) {
 		long retryMillis = this.pace.schedule().retryMillis();
-		this.calls.removeIf((call) -> nowMillis - call.sentMillis > call.timeoutMillis + retryMillis
+		this.calls.removeIf((call) -> nowMillis - call.sentMillis > call.mostMillis
 				|| (call.waits && call.afterRevision < this.revision && call.sentMillis < this.changedMillis
 						&& nowMillis - this.changedMillis > retryMillis));
 	}
 
+	private boolean isWatchDue(long nowMillis) {
+		boolean waiting = this.calls.stream().anyMatch((call) -> call.waits);
+		return this.listed && !waiting && nowMillis >= this.nextWatchMillis;
+	}
+
 	private boolean isInquiryDue(long nowMillis) {
 		long open = this.calls.stream().filter((call) -> !call.waits).count();
 		if (open >= MOST_INQUIRIES) {
 			return false;
 		}
-		boolean needed = !this.listed || this.away || this.pace.schedule().isDue(this.freshness.unconfirmedMillis());
-		return (needed && nowMillis >= this.nextInquiryMillis) || isBehind(nowMillis);
+		boolean needed = !this.listed || this.away || this.inquiryNeeded
+				|| this.pace.schedule().isDue(this.freshness.unconfirmedMillis());
+		return (needed && nowMillis >= this.nextInquiryMillis) || isPeerAhead(nowMillis);
 	}
 
 	// One inquiry for each time that a peer is found to be ahead; further ones as usual.
-	private boolean isBehind(long nowMillis) {
+	private boolean isPeerAhead(long nowMillis) {
 		return this.freshness.behindMillis() >= this.pace.schedule().stepMillis()
 				&& (this.lastSentMillis <= this.freshness.toldAtMillis() || nowMillis >= this.nextInquiryMillis);
 	}
 
 	private void inquire(long nowMillis) {
+		this.lastInquiryMillis = nowMillis;
 		this.nextInquiryMillis = nowMillis + this.pace.schedule().retryMillis();
 		if (this.listed) {
 			watch(nowMillis, NO_WAIT_MILLIS);
@@ -173,8 +195,8 @@
 
 	private void list(long nowMillis) {
 		long timeoutMillis = this.pace.schedule().callMillis();
-		Call call = begin(nowMillis, timeoutMillis, false);
-		deliver(this.store.startList(this.prefix, timeoutMillis), call, (result) -> result.match((listing) -> {
+		Call call = begin(nowMillis, MOST_PAGES * timeoutMillis, false);
+		deliver(() -> this.store.startList(this.prefix, timeoutMillis), call, (result) -> result.match((listing) -> {
 			answered(call);
 			takeListing(call, listing);
 			return true;
@@ -185,19 +207,26 @@
 		if (this.listed && listing.revision() < this.revision) {
 			return;
 		}
-		this.listed = true;
-		this.revision = listing.revision();
-		this.listener.listed(listing);
-		// What was deleted before cannot be told from the listing.
-		this.freshness.answered(call.sentMillis, this.revision, this.revision);
+		if (tell(() -> this.listener.listed(listing))) {
+			this.listed = true;
+			this.revision = listing.revision();
+			// A listing does not tell what was deleted before, nor when.
+			this.freshness.answered(call.sentMillis, this.revision, lastChange(listing.objects()), this.revision);
+		}
+	}
+
+	private static long lastChange(List<StoredObject> objects) {
+		return objects.stream().mapToLong(StoredObject::revision).max().orElse(0);
 	}
 
 	private void watch(long nowMillis, long waitMillis) {
 		long timeoutMillis = waitMillis + this.pace.schedule().callMillis();
-		Call call = begin(nowMillis, timeoutMillis, waitMillis > NO_WAIT_MILLIS);
-		deliver(this.store.startWatch(this.prefix, this.revision, waitMillis, timeoutMillis), call,
+		long mostMillis = timeoutMillis + this.pace.schedule().retryMillis();
+		Call call = begin(nowMillis, mostMillis, waitMillis > NO_WAIT_MILLIS);
+		deliver(() -> this.store.startWatch(this.prefix, this.revision, waitMillis, timeoutMillis), call,
 				(result) -> result.match((changes) -> {
 					answered(call);
+					this.gapPauseMillis = 0;
 					takeChanges(call, changes, waitMillis);
 					return true;
 				}, (gap) -> {
@@ -208,52 +237,80 @@
 	}
 
 	private void takeChanges(Call call, WatchResult.Changes changes, long waitMillis) {
-		if (!this.listed || changes.revision() < this.revision) {
-			return;
-		}
 		long nowMillis = this.clock.nowMillis();
 		boolean changed = !changes.objects().isEmpty();
-		if (changed) {
-			this.changedMillis = nowMillis;
-			this.gatherUntilMillis = nowMillis + this.pace.gatherMillis();
+		boolean endedEarly = call.waits && nowMillis - call.sentMillis < waitMillis;
+		if (changed || endedEarly) {
+			this.nextWatchMillis = nowMillis + this.pace.gatherMillis();
 		}
+		if (!this.listed || changes.revision() < this.revision || !tell(() -> this.listener.changed(changes))) {
+			return;
+		}
+		this.changedMillis = changed ? nowMillis : this.changedMillis;
 		this.revision = changes.revision();
-		this.listener.changed(changes);
-		// The store has answered no sooner than it was to wait without a change.
-		boolean waited = !changed && nowMillis - call.sentMillis >= waitMillis;
-		this.freshness.answered(call.sentMillis + (waited ? waitMillis : 0), this.revision,
-				changed ? this.revision : 0);
+		// The revision of an object that was deleted is that of the change before.
+		boolean deleted = changes.objects().stream().anyMatch(StoredObject::deleted);
+		long last = deleted ? this.revision : lastChange(changes.objects());
+		this.freshness.answered(call.sentMillis, this.revision, last, last);
 	}
 
 	private void takeGap(Call call) {
 		// A call made before the last listing says nothing of the changes since.
 		if (this.listed && call.afterRevision == this.revision) {
 			this.listed = false;
-			this.nextInquiryMillis = this.clock.nowMillis();
+			this.nextInquiryMillis = this.clock.nowMillis() + this.gapPauseMillis;
+			this.gapPauseMillis = Math.min(mostBackoffMillis(), FIRST_BACKOFF_MILLIS + 2 * this.gapPauseMillis);
 			this.listener.gap(this.revision);
 		}
 	}
 
-	private Call begin(long nowMillis, long timeoutMillis, boolean waits) {
-		Call call = new Call(nowMillis, timeoutMillis, this.revision, waits);
+	// What the listener could not take is listed again.
+	private boolean tell(Runnable news) {
+		try {
+			news.run();
+			this.faultPauseMillis = FIRST_BACKOFF_MILLIS;
+			return true;
+		}
+		catch (RuntimeException ex) {
+			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "objects below " + this.prefix);
+			this.listed = false;
+			this.nextInquiryMillis = this.clock.nowMillis() + spread(this.faultPauseMillis);
+			this.faultPauseMillis = Math.min(mostBackoffMillis(), this.faultPauseMillis * 2);
+			return false;
+		}
+	}
+
+	private Call begin(long nowMillis, long mostMillis, boolean waits) {
+		Call call = new Call(nowMillis, mostMillis, this.revision, waits);
 		this.calls.add(call);
 		this.lastSentMillis = nowMillis;
 		return call;
 	}
 
-	private <T> void deliver(CompletableFuture<T> future, Call call, Answered<T> answered) {
-		future.thenAccept((result) -> {
-			this.answers.add(() -> {
-				if (this.calls.remove(call)) {
-					answered.take(result);
-				}
+	private <T> void deliver(Supplier<CompletableFuture<T>> start, Call call, Answered<T> answered) {
+		try {
+			start.get().thenAccept((result) -> {
+				this.answers.add(() -> {
+					if (this.calls.remove(call)) {
+						answered.take(result);
+					}
+				});
+				this.onAnswer.run();
 			});
-			this.onAnswer.run();
-		});
+		}
+		catch (RuntimeException ex) {
+			this.calls.remove(call);
+			failed(call, String.valueOf(ex.getMessage()));
+		}
 	}
 
 	private void answered(Call call) {
 		this.answeredSentMillis = Math.max(this.answeredSentMillis, call.sentMillis);
+		if (call.waits) {
+			this.watchBackoffMillis = FIRST_BACKOFF_MILLIS;
+			return;
+		}
+		this.inquiryNeeded = false;
 		this.backoffMillis = FIRST_BACKOFF_MILLIS;
 		if (this.away) {
 			this.away = false;
@@ -261,23 +318,49 @@
 		}
 	}
 
-	// The failure of an earlier call says nothing once a later one was answered.
 	private boolean failed(Call call, String reason) {
-		if (call.sentMillis < this.answeredSentMillis) {
+		long nowMillis = this.clock.nowMillis();
+		if (call.waits) {
+			watchFailed(call, nowMillis);
 			return false;
 		}
-		if (!this.away) {
+		// An earlier inquiry says nothing once a later one was answered, and sets no
+		// pause once a later one was made.
+		if (call.sentMillis >= this.answeredSentMillis && !this.away) {
 			this.away = true;
 			this.listener.away(reason);
 		}
-		this.backoffUntilMillis = this.clock.nowMillis() + this.backoffMillis / 2
-				+ this.random.nextLong(this.backoffMillis / 2 + 1);
-		this.nextInquiryMillis = this.backoffUntilMillis;
-		long mostMillis = Math.round(MOST_BACKOFF_SHARE * this.pace.schedule().retryMillis());
-		this.backoffMillis = Math.min(mostMillis, this.backoffMillis * 2);
+		if (call.sentMillis >= this.lastInquiryMillis) {
+			long latestMillis = Math.max(nowMillis, call.sentMillis + this.pace.schedule().retryMillis());
+			this.nextInquiryMillis = Math.min(nowMillis + nextBackoffMillis(), latestMillis);
+		}
 		return false;
 	}
 
+	// A watch may be cut off at any time; an inquiry tells whether the platform answers.
+	private void watchFailed(Call call, long nowMillis) {
+		this.nextWatchMillis = nowMillis + this.watchBackoffMillis;
+		this.watchBackoffMillis = Math.min(mostBackoffMillis(), this.watchBackoffMillis * 2);
+		if (call.sentMillis >= this.answeredSentMillis) {
+			this.inquiryNeeded = true;
+			this.nextInquiryMillis = Math.min(this.nextInquiryMillis, nowMillis + spread(FIRST_BACKOFF_MILLIS));
+		}
+	}
+
+	private long nextBackoffMillis() {
+		long pauseMillis = spread(this.backoffMillis);
+		this.backoffMillis = Math.min(mostBackoffMillis(), this.backoffMillis * 2);
+		return pauseMillis;
+	}
+
+	private long spread(long millis) {
+		return millis / 2 + this.random.nextLong(millis / 2 + 1);
+	}
+
+	private long mostBackoffMillis() {
+		return Math.max(FIRST_BACKOFF_MILLIS, Math.round(MOST_BACKOFF_SHARE * this.pace.schedule().retryMillis()));
+	}
+
 	/**
 	 * When calls are made, and how long they wait.
 	 *
@@ -309,15 +392,15 @@
 
 		private final long sentMillis;
 
-		private final long timeoutMillis;
+		private final long mostMillis;
 
 		private final long afterRevision;
 
 		private final boolean waits;
 
-		private Call(long sentMillis, long timeoutMillis, long afterRevision, boolean waits) {
+		private Call(long sentMillis, long mostMillis, long afterRevision, boolean waits) {
 			this.sentMillis = sentMillis;
-			this.timeoutMillis = timeoutMillis;
+			this.mostMillis = mostMillis;
 			this.afterRevision = afterRevision;
 			this.waits = waits;
 		}
--- a/wire/snowwind.thrift
+++ b/wire/snowwind.thrift
@@ -125,20 +125,24 @@
   11: optional list<CopyClaim> claims
   /** The sender's clock before it looked at its copies, in milliseconds since an origin of its own. */
   12: optional i64 composedMillis
+  /** Whether the store does not answer the sender. */
+  13: optional bool storeAway
 }
 
 /** What a gateway claims of its copy of the store's objects below a prefix. */
 struct CopyClaim {
   1: string prefix
-  /** The revision of the last change that the copy holds, or a higher one. */
+  /** The revision of a change that the copy holds. */
   2: i64 changedRevision
+  /** The revision after which the sender knows of no change; not below changedRevision. */
+  3: i64 coveredRevision
   /** For how long nothing has confirmed that there is no later change, in milliseconds. */
-  3: i64 ageMillis
+  4: i64 ageMillis
 }
 
 /** Lets the called gateway bound by its own clock when the caller's report was composed. */
 struct ExchangeStamp {
-  /** Which life of the called gateway the caller has heard; 0 if none. */
+  /** The incarnation of the called gateway that the caller has heard; 0 if none. */
   1: i64 incarnation
   /** composedMillis of the last answer that the caller has from it. */
   2: i64 composedMillis
