Take open calls and growing pauses out of StoreWatch

Behaviour unchanged but for the first pause of an inquiry after a watch was cut off, which is now that of the watch, 150 ms at most as before. RegistryWatcher keeps no 'away' that nobody asks for.

Ran: StoreWatchTests, BackoffTests, FreshnessTests, ConfirmationScheduleTests: passed.

--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
@@ -28,8 +28,6 @@
 
 	private final UnreadableEntries unreadable = new UnreadableEntries();
 
-	private volatile boolean away;
-
 	/**
 	 * Creates the watcher.
 	 * @param decoder reads servers
@@ -44,14 +42,6 @@
 		this.clock = clock;
 	}
 
-	/**
-	 * Tells whether the platform does not answer.
-	 * @return true if the last call failed
-	 */
-	public boolean away() {
-		return this.away;
-	}
-
 	@Override
 	public void listed(ListResult.Listed listing) {
 		List<BackendEntry> servers = new ArrayList<>();
@@ -95,13 +85,11 @@
 
 	@Override
 	public void away(String reason) {
-		this.away = true;
 		EventLog.log(Event.PLATFORM_AWAY, "reason", reason);
 	}
 
 	@Override
 	public void back() {
-		this.away = false;
 		EventLog.log(Event.PLATFORM_BACK);
 		this.view.platformReturned(this.clock.nowMillis());
 	}
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -1,6 +1,5 @@
 package org.snowwind.store;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
@@ -48,11 +47,9 @@
 
 	private final MonotonicClock clock;
 
-	private final RandomGenerator random;
-
 	private final Freshness freshness;
 
-	private final List<Call> calls = new ArrayList<>();
+	private final OpenCalls calls = new OpenCalls();
 
 	private final Queue<Runnable> answers = new ConcurrentLinkedQueue<>();
 
@@ -82,13 +79,15 @@
 
 	private long nextWatchMillis = Long.MIN_VALUE;
 
-	private long backoffMillis = FIRST_BACKOFF_MILLIS;
+	private long sentCalls;
+
+	private final Backoff inquiries;
 
-	private long watchBackoffMillis = FIRST_BACKOFF_MILLIS;
+	private final Backoff watches;
 
-	private long gapPauseMillis;
+	private final Backoff gaps;
 
-	private long faultPauseMillis = FIRST_BACKOFF_MILLIS;
+	private final Backoff faults;
 
 	/**
 	 * Creates a watch that has made no call.
@@ -108,7 +107,11 @@
 		this.listener = listener;
 		this.freshness = freshness;
 		this.clock = clock;
-		this.random = random;
+		long mostMillis = Math.round(MOST_BACKOFF_SHARE * pace.schedule().retryMillis());
+		this.inquiries = new Backoff(FIRST_BACKOFF_MILLIS, mostMillis, random);
+		this.watches = new Backoff(FIRST_BACKOFF_MILLIS, mostMillis, random);
+		this.gaps = new Backoff(FIRST_BACKOFF_MILLIS, mostMillis, random);
+		this.faults = new Backoff(FIRST_BACKOFF_MILLIS, mostMillis, random);
 	}
 
 	/**
@@ -153,22 +156,19 @@
 		}
 	}
 
-	// A change that another call told of should have ended every call that waits for it.
 	private void dropSilentCalls(long nowMillis) {
-		long retryMillis = this.pace.schedule().retryMillis();
-		this.calls.removeIf((call) -> nowMillis - call.sentMillis > call.mostMillis
-				|| (call.waits && call.afterRevision < this.revision && call.sentMillis < this.changedMillis
-						&& nowMillis - this.changedMillis > retryMillis));
+		this.calls.dropLate(nowMillis);
+		if (nowMillis - this.changedMillis > this.pace.schedule().retryMillis()) {
+			this.calls.dropSilent(this.revision, this.changedMillis);
+		}
 	}
 
 	private boolean isWatchDue(long nowMillis) {
-		boolean waiting = this.calls.stream().anyMatch((call) -> call.waits);
-		return this.listed && !waiting && nowMillis >= this.nextWatchMillis;
+		return this.listed && !this.calls.isWaiting() && nowMillis >= this.nextWatchMillis;
 	}
 
 	private boolean isInquiryDue(long nowMillis) {
-		long open = this.calls.stream().filter((call) -> !call.waits).count();
-		if (open >= MOST_INQUIRIES) {
+		if (this.calls.inquiries() >= MOST_INQUIRIES) {
 			return false;
 		}
 		boolean needed = !this.listed || this.away || this.inquiryNeeded
@@ -195,7 +195,7 @@
 
 	private void list(long nowMillis) {
 		long timeoutMillis = this.pace.schedule().callMillis();
-		Call call = begin(nowMillis, MOST_PAGES * timeoutMillis, false);
+		OpenCalls.Call call = begin(nowMillis, MOST_PAGES * timeoutMillis, false);
 		deliver(() -> this.store.startList(this.prefix, timeoutMillis), call, (result) -> result.match((listing) -> {
 			answered(call);
 			takeListing(call, listing);
@@ -203,7 +203,7 @@
 		}, (none) -> failed(call, none.reason())));
 	}
 
-	private void takeListing(Call call, ListResult.Listed listing) {
+	private void takeListing(OpenCalls.Call call, ListResult.Listed listing) {
 		if (this.listed && listing.revision() < this.revision) {
 			return;
 		}
@@ -211,7 +211,7 @@
 			this.listed = true;
 			this.revision = listing.revision();
 			// A listing does not tell what was deleted before, nor when.
-			this.freshness.answered(call.sentMillis, this.revision, lastChange(listing.objects()), this.revision);
+			this.freshness.answered(call.sentMillis(), this.revision, lastChange(listing.objects()), this.revision);
 		}
 	}
 
@@ -222,11 +222,11 @@
 	private void watch(long nowMillis, long waitMillis) {
 		long timeoutMillis = waitMillis + this.pace.schedule().callMillis();
 		long mostMillis = timeoutMillis + this.pace.schedule().retryMillis();
-		Call call = begin(nowMillis, mostMillis, waitMillis > NO_WAIT_MILLIS);
+		OpenCalls.Call call = begin(nowMillis, mostMillis, waitMillis > NO_WAIT_MILLIS);
 		deliver(() -> this.store.startWatch(this.prefix, this.revision, waitMillis, timeoutMillis), call,
 				(result) -> result.match((changes) -> {
 					answered(call);
-					this.gapPauseMillis = 0;
+					this.gaps.succeeded();
 					takeChanges(call, changes, waitMillis);
 					return true;
 				}, (gap) -> {
@@ -236,10 +236,10 @@
 				}, (none) -> failed(call, none.reason())));
 	}
 
-	private void takeChanges(Call call, WatchResult.Changes changes, long waitMillis) {
+	private void takeChanges(OpenCalls.Call call, WatchResult.Changes changes, long waitMillis) {
 		long nowMillis = this.clock.nowMillis();
 		boolean changed = !changes.objects().isEmpty();
-		boolean endedEarly = call.waits && nowMillis - call.sentMillis < waitMillis;
+		boolean endedEarly = call.waits() && nowMillis - call.sentMillis() < waitMillis;
 		if (changed || endedEarly) {
 			this.nextWatchMillis = nowMillis + this.pace.gatherMillis();
 		}
@@ -251,15 +251,16 @@
 		// The revision of an object that was deleted is that of the change before.
 		boolean deleted = changes.objects().stream().anyMatch(StoredObject::deleted);
 		long last = deleted ? this.revision : lastChange(changes.objects());
-		this.freshness.answered(call.sentMillis, this.revision, last, last);
+		this.freshness.answered(call.sentMillis(), this.revision, last, last);
 	}
 
-	private void takeGap(Call call) {
+	private void takeGap(OpenCalls.Call call) {
 		// A call made before the last listing says nothing of the changes since.
-		if (this.listed && call.afterRevision == this.revision) {
+		if (this.listed && call.afterRevision() == this.revision) {
 			this.listed = false;
-			this.nextInquiryMillis = this.clock.nowMillis() + this.gapPauseMillis;
-			this.gapPauseMillis = Math.min(mostBackoffMillis(), FIRST_BACKOFF_MILLIS + 2 * this.gapPauseMillis);
+			boolean again = this.gaps.hasFailed();
+			long pauseMillis = this.gaps.failed();
+			this.nextInquiryMillis = this.clock.nowMillis() + (again ? pauseMillis : 0);
 			this.listener.gap(this.revision);
 		}
 	}
@@ -268,26 +269,25 @@
 	private boolean tell(Runnable news) {
 		try {
 			news.run();
-			this.faultPauseMillis = FIRST_BACKOFF_MILLIS;
+			this.faults.succeeded();
 			return true;
 		}
 		catch (RuntimeException ex) {
 			EventLog.log(Event.INTERNAL_FAULT, ex, "where", "objects below " + this.prefix);
 			this.listed = false;
-			this.nextInquiryMillis = this.clock.nowMillis() + spread(this.faultPauseMillis);
-			this.faultPauseMillis = Math.min(mostBackoffMillis(), this.faultPauseMillis * 2);
+			this.nextInquiryMillis = this.clock.nowMillis() + this.faults.failed();
 			return false;
 		}
 	}
 
-	private Call begin(long nowMillis, long mostMillis, boolean waits) {
-		Call call = new Call(nowMillis, mostMillis, this.revision, waits);
+	private OpenCalls.Call begin(long nowMillis, long mostMillis, boolean waits) {
+		OpenCalls.Call call = new OpenCalls.Call(this.sentCalls++, nowMillis, mostMillis, this.revision, waits);
 		this.calls.add(call);
 		this.lastSentMillis = nowMillis;
 		return call;
 	}
 
-	private <T> void deliver(Supplier<CompletableFuture<T>> start, Call call, Answered<T> answered) {
+	private <T> void deliver(Supplier<CompletableFuture<T>> start, OpenCalls.Call call, Answered<T> answered) {
 		try {
 			start.get().thenAccept((result) -> {
 				this.answers.add(() -> {
@@ -304,63 +304,50 @@
 		}
 	}
 
-	private void answered(Call call) {
-		this.answeredSentMillis = Math.max(this.answeredSentMillis, call.sentMillis);
-		if (call.waits) {
-			this.watchBackoffMillis = FIRST_BACKOFF_MILLIS;
+	private void answered(OpenCalls.Call call) {
+		this.answeredSentMillis = Math.max(this.answeredSentMillis, call.sentMillis());
+		if (call.waits()) {
+			this.watches.succeeded();
 			return;
 		}
 		this.inquiryNeeded = false;
-		this.backoffMillis = FIRST_BACKOFF_MILLIS;
+		this.inquiries.succeeded();
 		if (this.away) {
 			this.away = false;
 			this.listener.back();
 		}
 	}
 
-	private boolean failed(Call call, String reason) {
+	private boolean failed(OpenCalls.Call call, String reason) {
 		long nowMillis = this.clock.nowMillis();
-		if (call.waits) {
+		if (call.waits()) {
 			watchFailed(call, nowMillis);
 			return false;
 		}
 		// An earlier inquiry says nothing once a later one was answered, and sets no
 		// pause once a later one was made.
-		if (call.sentMillis >= this.answeredSentMillis && !this.away) {
+		if (call.sentMillis() >= this.answeredSentMillis && !this.away) {
 			this.away = true;
 			this.listener.away(reason);
 		}
-		if (call.sentMillis >= this.lastInquiryMillis) {
-			long latestMillis = Math.max(nowMillis, call.sentMillis + this.pace.schedule().retryMillis());
-			this.nextInquiryMillis = Math.min(nowMillis + nextBackoffMillis(), latestMillis);
+		if (call.sentMillis() >= this.lastInquiryMillis) {
+			long latestMillis = Math.max(nowMillis, call.sentMillis() + this.pace.schedule().retryMillis());
+			this.nextInquiryMillis = Math.min(nowMillis + this.inquiries.failed(), latestMillis);
 		}
 		return false;
 	}
 
 	// A watch may be cut off at any time; an inquiry tells whether the platform answers.
-	private void watchFailed(Call call, long nowMillis) {
-		this.nextWatchMillis = nowMillis + this.watchBackoffMillis;
-		this.watchBackoffMillis = Math.min(mostBackoffMillis(), this.watchBackoffMillis * 2);
-		if (call.sentMillis >= this.answeredSentMillis) {
+	private void watchFailed(OpenCalls.Call call, long nowMillis) {
+		long pauseMillis = this.watches.failed();
+		this.nextWatchMillis = nowMillis + pauseMillis;
+		if (call.sentMillis() >= this.answeredSentMillis) {
 			this.inquiryNeeded = true;
-			this.nextInquiryMillis = Math.min(this.nextInquiryMillis, nowMillis + spread(FIRST_BACKOFF_MILLIS));
+			this.nextInquiryMillis = Math.min(this.nextInquiryMillis,
+					nowMillis + Math.min(FIRST_BACKOFF_MILLIS, pauseMillis));
 		}
 	}
 
-	private long nextBackoffMillis() {
-		long pauseMillis = spread(this.backoffMillis);
-		this.backoffMillis = Math.min(mostBackoffMillis(), this.backoffMillis * 2);
-		return pauseMillis;
-	}
-
-	private long spread(long millis) {
-		return millis / 2 + this.random.nextLong(millis / 2 + 1);
-	}
-
-	private long mostBackoffMillis() {
-		return Math.max(FIRST_BACKOFF_MILLIS, Math.round(MOST_BACKOFF_SHARE * this.pace.schedule().retryMillis()));
-	}
-
 	/**
 	 * When calls are made, and how long they wait.
 	 *
@@ -385,28 +372,6 @@
 
 	}
 
-	/**
-	 * A call that is unanswered; each is an object of its own.
-	 */
-	private static final class Call {
-
-		private final long sentMillis;
-
-		private final long mostMillis;
-
-		private final long afterRevision;
-
-		private final boolean waits;
-
-		private Call(long sentMillis, long mostMillis, long afterRevision, boolean waits) {
-			this.sentMillis = sentMillis;
-			this.mostMillis = mostMillis;
-			this.afterRevision = afterRevision;
-			this.waits = waits;
-		}
-
-	}
-
 	/**
 	 * Is told of objects and of the platform's state, on the watch's thread.
 	 */
