Check in the soak that configurations come in force while store connections go silent

The extra 'silentStore' makes the open connections to the store of a gateway, or of all, silent for good, and writes a configuration up to half a second later; the final check does so for all gateways. A caller sends requests with the newest key and with the one it replaced. The rule ConfigurationsComeInForce judges each call by the configurations that may be in force 4 s after they were written; a silent connection excuses a gateway from its moment on for 3 s only. Existing random sequences are untouched; the extra has two of its own. SoakExtras.of turns it on for half of the seeds of soaks by hand.

--- a/app/src/test/java/org/snowwind/app/soak/Call.java
+++ b/app/src/test/java/org/snowwind/app/soak/Call.java
@@ -8,6 +8,7 @@
  * same one with another id
  * @param kind what kind of request it is
  * @param body its body
+ * @param key the caller's key
  * @param after the last event of a stream that its caller has already, 0 for none
  * @param gateway the gateway that it was sent to
  * @param sentNanos when it was sent
@@ -17,7 +18,7 @@
  * @param answer the body of the answer as far as it came
  * @param whole whether the answer ended as a whole one does
  */
-record Call(String id, String work, CallKind kind, String body, int after, String gateway, long sentNanos,
+record Call(String id, String work, CallKind kind, String body, String key, int after, String gateway, long sentNanos,
 		long endedNanos, int status, String signature, String answer, boolean whole) {
 
 	private static final int OK = 200;
--- a/app/src/test/java/org/snowwind/app/soak/SoakCaller.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakCaller.java
@@ -84,7 +84,7 @@
 		headers.put("Host", SoakWorld.HOST);
 		UpstreamRequest request = new UpstreamRequest(kind.method(), "http://" + gateway.callers() + kind.target(work),
 				headers, body.getBytes(StandardCharsets.UTF_8));
-		Listener listener = new Listener(id, work, kind, body, after, gateway.name());
+		Listener listener = new Listener(id, work, kind, body, key, after, gateway.name());
 		this.loop.run(() -> this.client.send(request, listener));
 		return listener.ended;
 	}
@@ -104,6 +104,8 @@
 
 		private final String body;
 
+		private final String key;
+
 		private final int after;
 
 		private final String gateway;
@@ -118,11 +120,12 @@
 
 		private String signature;
 
-		private Listener(String id, String work, CallKind kind, String body, int after, String gateway) {
+		private Listener(String id, String work, CallKind kind, String body, String key, int after, String gateway) {
 			this.id = id;
 			this.work = work;
 			this.kind = kind;
 			this.body = body;
+			this.key = key;
 			this.after = after;
 			this.gateway = gateway;
 		}
@@ -149,8 +152,8 @@
 		}
 
 		private void end(boolean whole) {
-			Call call = new Call(this.id, this.work, this.kind, this.body, this.after, this.gateway, this.sentNanos,
-					System.nanoTime(), this.status, this.signature, this.answer.toString(), whole);
+			Call call = new Call(this.id, this.work, this.kind, this.body, this.key, this.after, this.gateway,
+					this.sentNanos, System.nanoTime(), this.status, this.signature, this.answer.toString(), whole);
 			SoakCaller.this.calls.add(call);
 			this.ended.complete(call);
 		}
--- a/app/src/test/java/org/snowwind/app/soak/SoakExtras.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakExtras.java
@@ -6,14 +6,15 @@
  * @param fatal whether a caller sends a request that ends each server that runs it
  * @param limits whether servers name limits
  * @param notices whether servers reject with {@code Retry-After} and announce departures
+ * @param silentStore whether connections to the store go silent as configurations change
  */
-record SoakExtras(boolean fatal, boolean limits, boolean notices) {
+record SoakExtras(boolean fatal, boolean limits, boolean notices, boolean silentStore) {
 
-	static final SoakExtras NONE = new SoakExtras(false, false, false);
+	static final SoakExtras NONE = new SoakExtras(false, false, false, false);
 
 	/** Chooses the extras of a soak by hand, so that seeds have all combinations. */
 	static SoakExtras of(long seed) {
-		return new SoakExtras(seed % 2 == 0, seed % 4 < 2, seed % 8 < 4);
+		return new SoakExtras(seed % 2 == 0, seed % 4 < 2, seed % 8 < 4, seed % 16 < 8);
 	}
 
 }
--- a/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
@@ -34,6 +34,10 @@
 
 	private static final int ALL_REJECT_ONE_IN = 5;
 
+	private static final int ALL_SILENT_ONE_IN = 3;
+
+	private static final long MOST_BEFORE_CHANGE_MILLIS = 500;
+
 	private static final List<StoreFault> STORE_FAULTS = List.of(StoreFault.DOWN, StoreFault.SILENT, StoreFault.SLOW,
 			StoreFault.LOSES_ANSWERS);
 
@@ -166,6 +170,31 @@
 		later.after(millis, () -> heal(gateway.toStore()));
 	}
 
+	/**
+	 * Makes the open connections to the store of a gateway, or now and then of all,
+	 * silent for good, and writes a configuration shortly after.
+	 * @param world holds the gateways
+	 * @param random decides which one and when
+	 * @param later writes the configuration
+	 */
+	static void silenceStore(SoakWorld world, Random random, SoakFault.Later later) {
+		SoakGateway chosen = anyGateway(world, random);
+		boolean all = random.nextInt(ALL_SILENT_ONE_IN) == 0;
+		List<SoakGateway> gateways = all ? world.gateways() : List.of(chosen);
+		gateways.forEach((gateway) -> silenceStore(world, gateway));
+		later.after(random.nextLong(MOST_BEFORE_CHANGE_MILLIS), world::reconfigure);
+	}
+
+	/**
+	 * Makes the open connections of a gateway to the store silent for good.
+	 * @param world takes note of it
+	 * @param gateway the gateway
+	 */
+	static void silenceStore(SoakWorld world, SoakGateway gateway) {
+		disturb(world, "store-connections", gateway.name(), 0);
+		gateway.toStore().silenceOpenConnections();
+	}
+
 	private static void harm(Link link, int way) {
 		switch (way) {
 			case 0 -> link.cut();
--- a/app/src/test/java/org/snowwind/app/soak/SoakHistory.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakHistory.java
@@ -24,10 +24,11 @@
  * @param limits the limits that servers have named
  * @param backoffs the rejections with {@code Retry-After}
  * @param departures the announcements of servers that they are leaving
+ * @param configurations what the soak has written, in order
  */
 record SoakHistory(List<Call> calls, List<Run> runs, List<Disturbance> disturbances, Map<String, Long> drains,
 		Map<CallKind, Set<String>> services, List<ServerArrival> arrivals, List<LimitChange> limits,
-		List<BackoffRequest> backoffs, List<Departure> departures) {
+		List<BackoffRequest> backoffs, List<Departure> departures, List<WrittenConfiguration> configurations) {
 
 	Map<String, List<Run>> runsByRequest() {
 		Map<String, List<Run>> byRequest = new HashMap<>();
--- a/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
@@ -39,19 +39,21 @@
 
 	private final List<Departure> departures = new ArrayList<>();
 
+	private final List<WrittenConfiguration> configurations = new ArrayList<>();
+
 	private Map<String, Long> drains = Map.of();
 
 	private List<String> broken() {
 		return SoakRules.broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains,
 				Map.of(CallKind.ONCE, Set.of("desk"), CallKind.AGAIN, Set.of("desk"), CallKind.STREAM, Set.of("desk"),
 						CallKind.LONG, Set.of("desk"), CallKind.FATAL, Set.of("desk"), CallKind.MOVING, Set.of("desk")),
-				this.arrivals, this.limits, this.backoffs, this.departures));
+				this.arrivals, this.limits, this.backoffs, this.departures, this.configurations));
 	}
 
 	private void call(CallKind kind, int status, String answer, boolean whole, long tookMillis) {
-		this.calls
-			.add(new Call("c1", "c1", kind, "b", 0, "g0", START, START + TimeUnit.MILLISECONDS.toNanos(tookMillis),
-					status, (status == 200) ? Answers.signature(SERVER, "c1") : null, answer, whole));
+		this.calls.add(new Call("c1", "c1", kind, "b", SoakWorld.KEY, 0, "g0", START,
+				START + TimeUnit.MILLISECONDS.toNanos(tookMillis), status,
+				(status == 200) ? Answers.signature(SERVER, "c1") : null, answer, whole));
 	}
 
 	private void run(CallKind kind, String service, String organisation, boolean keyPassedOn, long afterMillis) {
@@ -182,7 +184,7 @@
 
 	private void cutLong(long sentMillis, long endedMillis) {
 		this.calls.clear();
-		this.calls.add(new Call("c1", "c1", CallKind.LONG, "b", 0, "g0",
+		this.calls.add(new Call("c1", "c1", CallKind.LONG, "b", SoakWorld.KEY, 0, "g0",
 				START + TimeUnit.MILLISECONDS.toNanos(sentMillis), START + TimeUnit.MILLISECONDS.toNanos(endedMillis),
 				200, Answers.signature(SERVER, "c1"), Answers.event("c1", 1), false));
 	}
@@ -207,8 +209,8 @@
 		this.runs.clear();
 		for (int i = 0; i < count; i++) {
 			long atNanos = START + TimeUnit.SECONDS.toNanos(4L * i);
-			this.calls.add(new Call("c" + i, "fatal", CallKind.FATAL, "b", 0, "g0", atNanos, atNanos + 1, 502, null, "",
-					true));
+			this.calls.add(new Call("c" + i, "fatal", CallKind.FATAL, "b", SoakWorld.KEY, 0, "g0", atNanos, atNanos + 1,
+					502, null, "", true));
 			this.runs.add(new Run("c" + i, "desk", "desk-run-" + i, CallKind.FATAL.method(),
 					CallKind.FATAL.target("fatal"), "b", SoakWorld.ORGANISATION, false, atNanos));
 		}
@@ -238,7 +240,7 @@
 
 	private List<String> limitBroken() {
 		return new LimitsAreKept().broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains,
-				Map.of(), this.arrivals, this.limits, this.backoffs, this.departures));
+				Map.of(), this.arrivals, this.limits, this.backoffs, this.departures, this.configurations));
 	}
 
 	private void limitedArrivals(int count) {
@@ -254,7 +256,7 @@
 
 	private void limitedArrival(String request, long afterMillis) {
 		long atNanos = START + TimeUnit.MILLISECONDS.toNanos(afterMillis);
-		this.calls.add(new Call(request, request, CallKind.AGAIN, "", 0, "g0", atNanos, atNanos + 1, 200,
+		this.calls.add(new Call(request, request, CallKind.AGAIN, "", SoakWorld.KEY, 0, "g0", atNanos, atNanos + 1, 200,
 				Answers.signature(SERVER, request), Answers.plain(request), true));
 		this.arrivals.add(new ServerArrival(SERVER, request, atNanos));
 	}
@@ -270,13 +272,13 @@
 
 	private void continued(String answer) {
 		this.calls.clear();
-		this.calls.add(new Call("c1", "c1", CallKind.STREAM, "b", 4, "g0", START, START + 1, 200,
+		this.calls.add(new Call("c1", "c1", CallKind.STREAM, "b", SoakWorld.KEY, 4, "g0", START, START + 1, 200,
 				Answers.signature(SERVER, "c1"), answer, true));
 	}
 
 	private void answeredBy(String id, long sentMillis, int status) {
 		long sentNanos = START + TimeUnit.MILLISECONDS.toNanos(sentMillis);
-		this.calls.add(new Call(id, id, CallKind.AGAIN, "", 0, "g0", sentNanos, sentNanos + 1, status,
+		this.calls.add(new Call(id, id, CallKind.AGAIN, "", SoakWorld.KEY, 0, "g0", sentNanos, sentNanos + 1, status,
 				(status == 200) ? Answers.signature(SERVER, id) : null, (status == 200) ? Answers.plain(id) : "",
 				true));
 		this.arrivals.add(new ServerArrival(SERVER, id, sentNanos));
@@ -311,4 +313,72 @@
 		assertThat(broken()).singleElement().asString().startsWith("AnnouncedLeavingIsKept");
 	}
 
+	@Test
+	void newKeyThatIsRefusedTooLateBreaksTheRule() {
+		written(2, "desk", 0);
+		written(3, "desk", 10_000);
+		keyCall("key-3", CallKind.AGAIN, 13_990, 401);
+		assertThat(broken()).as("within the bound").isEmpty();
+		keyCall("key-3", CallKind.AGAIN, 14_010, 401);
+		assertThat(broken()).singleElement().asString().startsWith("ConfigurationsComeInForce");
+		written(4, "desk", 14_005);
+		assertThat(broken()).as("a newer one may be in force already").isEmpty();
+	}
+
+	@Test
+	void removedKeyThatIsServedTooLateBreaksTheRule() {
+		written(2, "desk", 0);
+		written(3, "desk", 10_000);
+		keyCall("key-2", CallKind.AGAIN, 13_990, 200);
+		ranFor(CallKind.AGAIN, 13_990);
+		assertThat(broken()).as("within the bound").isEmpty();
+		keyCall("key-2", CallKind.AGAIN, 14_010, 200);
+		ranFor(CallKind.AGAIN, 14_010);
+		assertThat(broken()).singleElement().asString().startsWith("ConfigurationsComeInForce");
+	}
+
+	@Test
+	void moveOfARouteThatIsNotFollowedInTimeBreaksTheRule() {
+		written(2, "desk", 0);
+		written(3, "desk-new", 10_000);
+		keyCall(SoakWorld.KEY, CallKind.MOVING, 13_990, 200);
+		ranFor(CallKind.MOVING, 13_990);
+		assertThat(broken()).as("within the bound").isEmpty();
+		keyCall(SoakWorld.KEY, CallKind.MOVING, 14_010, 200);
+		ranFor(CallKind.MOVING, 14_010);
+		assertThat(broken()).singleElement().asString().startsWith("ConfigurationsComeInForce");
+	}
+
+	@Test
+	void disturbanceExcusesALateConfigurationForTheStableWindowOnly() {
+		written(2, "desk", -20_000);
+		written(3, "desk", -10_000);
+		for (String where : List.of("g0", Disturbance.STORE)) {
+			this.disturbances.clear();
+			disturbed("store-connections", where);
+			keyCall("key-3", CallKind.AGAIN, 2990, 401);
+			assertThat(broken()).as("%s within the window", where).isEmpty();
+			keyCall("key-3", CallKind.AGAIN, 3010, 401);
+			assertThat(broken()).singleElement().asString().startsWith("ConfigurationsComeInForce");
+		}
+	}
+
+	private void written(long version, String movingTo, long afterMillis) {
+		this.configurations.add(new WrittenConfiguration(version, "key-" + version, movingTo,
+				START + TimeUnit.MILLISECONDS.toNanos(afterMillis)));
+	}
+
+	private void keyCall(String key, CallKind kind, long sentMillis, int status) {
+		long sentNanos = START + TimeUnit.MILLISECONDS.toNanos(sentMillis);
+		this.calls.clear();
+		this.calls.add(new Call("c1", "c1", kind, "b", key, 0, "g0", sentNanos, sentNanos + 1, status,
+				(status == 200) ? Answers.signature(SERVER, "c1") : null, (status == 200) ? Answers.plain("c1") : "",
+				true));
+	}
+
+	private void ranFor(CallKind kind, long atMillis) {
+		this.runs.clear();
+		run(kind, "desk", SoakWorld.ORGANISATION, false, atMillis);
+	}
+
 }
--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -58,8 +58,7 @@
 	 */
 	private static final long CALM_MILLIS = 6000;
 
-	/** The platform's bound for a configuration, and as much again. */
-	private static final long IN_FORCE_MILLIS = 4000;
+	private static final long SETTLE_MILLIS = 1000;
 
 	/** How often a server names another limit, or none any more. */
 	private static final long LIMIT_EVERY_MILLIS = 1700;
@@ -67,6 +66,13 @@
 	/** How often servers reject with Retry-After, or announce their departure. */
 	private static final long NOTICE_EVERY_MILLIS = 1300;
 
+	/**
+	 * How often connections to the store go silent; longer than a configuration needs.
+	 */
+	private static final long SILENCE_EVERY_MILLIS = 6000;
+
+	private static final long CALL_WITH_KEY_EVERY_MILLIS = 40;
+
 	/** How often a caller sends the request again that ends servers. */
 	private static final long FATAL_EVERY_MILLIS = 700;
 
@@ -93,6 +99,10 @@
 
 	private final Random notices;
 
+	private final Random silences;
+
+	private final Random keys;
+
 	private final SoakExtras extras;
 
 	private final SoakWorld world;
@@ -121,6 +131,8 @@
 		this.fatal = new Random(seed + 3);
 		this.limits = new Random(seed + 4);
 		this.notices = new Random(seed + 5);
+		this.silences = new Random(seed + 6);
+		this.keys = new Random(seed + 7);
 		this.extras = extras;
 		this.streams = new Random(seed + 2);
 		this.world = new SoakWorld(folder, GATEWAYS, new Random(seed + 1));
@@ -146,6 +158,10 @@
 				TimeUnit.MILLISECONDS);
 		var noticing = this.later.scheduleWithFixedDelay(this::announce, NOTICE_EVERY_MILLIS, NOTICE_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
+		var silencing = this.later.scheduleWithFixedDelay(this::silenceStore, 0, SILENCE_EVERY_MILLIS,
+				TimeUnit.MILLISECONDS);
+		var callingWithKeys = this.later.scheduleAtFixedRate(this::callWithKey, 0, CALL_WITH_KEY_EVERY_MILLIS,
+				TimeUnit.MILLISECONDS);
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faultMillis);
 		while (System.nanoTime() < endNanos) {
 			TimeUnit.MILLISECONDS.sleep(LEAST_BETWEEN_FAULTS_MILLIS
@@ -163,6 +179,8 @@
 		TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
 		calling.cancel(false);
 		ending.cancel(false);
+		silencing.cancel(false);
+		callingWithKeys.cancel(false);
 		awaitAnswers();
 		checkComeBack();
 		checkInForce();
@@ -261,6 +279,22 @@
 		}
 	}
 
+	private void silenceStore() {
+		if (this.extras.silentStore()) {
+			SoakFaults.silenceStore(this.world, this.silences, this::after);
+		}
+	}
+
+	// With the newest key, or with the one that it has replaced.
+	private void callWithKey() {
+		if (this.extras.silentStore()) {
+			List<WrittenConfiguration> written = this.world.configurations();
+			int back = 1 + this.keys.nextInt(Math.min(written.size(), 2));
+			SoakGateway gateway = this.world.gateways().get(this.keys.nextInt(GATEWAYS));
+			this.caller.send(gateway, CallKind.AGAIN, written.get(written.size() - back).key());
+		}
+	}
+
 	// ---- after the last fault
 
 	private void checkComeBack() throws Exception {
@@ -272,9 +306,16 @@
 	}
 
 	private void checkInForce() throws Exception {
+		if (this.extras.silentStore()) {
+			// All watches begin again after a change, so that a silent one stays silent
+			// longest.
+			this.world.reconfigure();
+			TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+			this.world.gateways().forEach((gateway) -> SoakFaults.silenceStore(this.world, gateway));
+		}
 		String formerKey = this.world.passingKey();
 		this.world.reconfigure();
-		TimeUnit.MILLISECONDS.sleep(IN_FORCE_MILLIS);
+		TimeUnit.MILLISECONDS.sleep(ConfigurationsComeInForce.IN_FORCE_MILLIS);
 		for (SoakGateway gateway : this.world.gateways()) {
 			expect(gateway, CallKind.AGAIN, this.world.passingKey(), 200, "with a key that was added");
 			expect(gateway, CallKind.AGAIN, formerKey, 401, "with a key that was taken away");
--- a/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -66,6 +66,8 @@
 
 	private final Map<String, Long> drains = new ConcurrentHashMap<>();
 
+	private final List<WrittenConfiguration> configurations = new CopyOnWriteArrayList<>();
+
 	private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
 
 	private final Map<CallKind, Set<String>> services = new EnumMap<>(CallKind.class);
@@ -78,8 +80,6 @@
 
 	private String movingTo = "desk";
 
-	private String passingKey = "a-key-that-passes-3";
-
 	private int serverRuns;
 
 	SoakWorld(Path folder, int gatewayCount, Random random) throws IOException {
@@ -130,8 +130,16 @@
 		return this.movingTo;
 	}
 
+	/**
+	 * Returns the configurations that were written.
+	 * @return all of them, the newest last
+	 */
+	List<WrittenConfiguration> configurations() {
+		return this.configurations;
+	}
+
 	String passingKey() {
-		return this.passingKey;
+		return this.configurations.get(this.configurations.size() - 1).key();
 	}
 
 	/**
@@ -140,11 +148,11 @@
 	synchronized void reconfigure() {
 		this.version += 2 + this.version % 3;
 		this.movingTo = this.movingTo.equals("desk") ? "desk-new" : "desk";
-		this.passingKey = "a-key-that-passes-" + this.version;
 		configure();
 	}
 
 	private void configure() {
+		String passingKey = "a-key-that-passes-" + this.version;
 		synchronized (this.services) {
 			this.services.get(CallKind.MOVING).add(this.movingTo);
 		}
@@ -152,8 +160,10 @@
 				route(CallKind.AGAIN, "desk", "idempotent", 3), route(CallKind.STREAM, STREAMING, "stream", 3),
 				route(CallKind.LONG, STREAMING, "stream", 3), route(CallKind.MOVING, this.movingTo, "idempotent", 2),
 				route(CallKind.FATAL, "desk", "idempotent", 2));
+		long writtenNanos = System.nanoTime();
 		this.store.put("config", "main", Configurations.of(this.version, routes, List.copyOf(SERVERS.keySet()),
-				ORGANISATION, List.of(KEY, this.passingKey)));
+				ORGANISATION, List.of(KEY, passingKey)));
+		this.configurations.add(new WrittenConfiguration(this.version, passingKey, this.movingTo, writtenNanos));
 	}
 
 	private static Configurations.RouteSpec route(CallKind kind, String service, String repeat, int attempts) {
@@ -231,7 +241,7 @@
 			departures.addAll(server.server().departures());
 		});
 		return new SoakHistory(calls, runs, List.copyOf(this.disturbances), Map.copyOf(this.drains),
-				Map.copyOf(this.services), arrivals, limits, backoffs, departures);
+				Map.copyOf(this.services), arrivals, limits, backoffs, departures, List.copyOf(this.configurations));
 	}
 
 	@Override
