Add a model of freshness: claims, bounds and calls of whole fleets

Plays 7 to 370 gateways with the real StoreWatch, Freshness, schedule, claims, rota, rank and PeerTable in virtual time. Tests fail on faults of the main code, which is unchanged; no property is relaxed.

A gateway that has no listing claims revision 0 as of its creation; a peer that holds less than the newest change takes this for a confirmation. An age of Long.MAX_VALUE overflows if the clock reads below 0, and the copy counts as confirmed for ever. Failures of calls that were sent long ago extend the back-off, and four unanswered inquiries hold back the next.

--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModelTests.java
@@ -0,0 +1,152 @@
+package org.snowwind.gateway.peer;
+
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.snowwind.gateway.peer.FreshnessModel.Fault;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * No gateway claims to be fresher than it is, and each holds every change in time.
+ */
+class FreshnessModelTests {
+
+	private static final int CALLS_PER_MINUTE = 12;
+
+	private static final long FAULTS_END_MILLIS = 14_000;
+
+	private static final long SHORT_FAULTS_END_MILLIS = 3000;
+
+	private static final long[] BOUNDS_MILLIS = { 2000, 3000, 4000 };
+
+	/** Thousands of peers are found, each worth a line. */
+	private static final Logger LOGGER = Logger.getLogger("org.snowwind.model.event.EventLog");
+
+	@BeforeAll
+	static void silenceLog() {
+		LOGGER.setLevel(Level.OFF);
+	}
+
+	@AfterAll
+	static void restoreLog() {
+		LOGGER.setLevel(null);
+	}
+
+	private static void play(int gateways, Set<Fault> faults, int seeds, long faultsEndMillis, Property property) {
+		for (int seed = 1; seed <= seeds; seed++) {
+			for (long boundMillis : BOUNDS_MILLIS) {
+				FreshnessModel.Result result = new FreshnessModel(
+						FreshnessModel.Scenario.disrupted(gateways, boundMillis, faults, faultsEndMillis), seed)
+					.run();
+				property.check(result, boundMillis,
+						"gateways " + gateways + ", bound " + boundMillis + ", seed " + seed);
+			}
+		}
+	}
+
+	private static void isSound(FreshnessModel.Result result, long boundMillis, String run) {
+		assertThat(result.unsound()).as(run).isEmpty();
+	}
+
+	private static void isSoundBeforeListing(FreshnessModel.Result result, long boundMillis, String run) {
+		assertThat(result.unsoundBeforeListing()).as(run).isEmpty();
+	}
+
+	private static void isInTime(FreshnessModel.Result result, long boundMillis, String run) {
+		assertThat(result.latestMillis()).as(run + ": " + result.latest()).isLessThanOrEqualTo(boundMillis);
+	}
+
+	private static Set<Fault> without(Fault first, Fault... others) {
+		return EnumSet.complementOf(EnumSet.of(first, others));
+	}
+
+	@ParameterizedTest
+	@EnumSource(Fault.class)
+	void noChangeIsDeniedUnderOneKindOfFault(Fault fault) {
+		play(7, EnumSet.of(fault), 7, FAULTS_END_MILLIS, FreshnessModelTests::isSound);
+	}
+
+	@ParameterizedTest
+	@EnumSource(Fault.class)
+	void changesAreHeldInTimeAfterOneKindOfFault(Fault fault) {
+		play(7, EnumSet.of(fault), 4, FAULTS_END_MILLIS, FreshnessModelTests::isInTime);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "7, 20", "32, 2", "49, 1" })
+	void noChangeIsDeniedUnderFaultsOfSeveralKinds(int gateways, int seeds) {
+		play(gateways, without(Fault.RESTARTS, Fault.HUGE_AGE), seeds, FAULTS_END_MILLIS, FreshnessModelTests::isSound);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "32, 3", "49, 4" })
+	void changesAreHeldInTimeByManyGateways(int gateways, int seeds) {
+		play(gateways, without(Fault.RESTARTS, Fault.HUGE_AGE), seeds, FAULTS_END_MILLIS,
+				FreshnessModelTests::isInTime);
+	}
+
+	@Test
+	void hundredsOfGatewaysHoldChangesInTimeAndDenyNone() {
+		long boundMillis = 2000;
+		FreshnessModel.Result result = new FreshnessModel(FreshnessModel.Scenario.disrupted(370, boundMillis,
+				without(Fault.RESTARTS, Fault.HUGE_AGE), SHORT_FAULTS_END_MILLIS), 1)
+			.run();
+		isSound(result, boundMillis, "370 gateways");
+		isInTime(result, boundMillis, "370 gateways");
+	}
+
+	@Test
+	void noChangeIsDeniedAfterRestartsAmidFaults() {
+		play(7, without(Fault.HUGE_AGE), 10, FAULTS_END_MILLIS, FreshnessModelTests::isSound);
+	}
+
+	@Test
+	void changesAreHeldInTimeAfterFaultsOfSeveralKinds() {
+		play(7, without(Fault.HUGE_AGE), 20, FAULTS_END_MILLIS, FreshnessModelTests::isInTime);
+	}
+
+	@Test
+	void gatewayWithoutListingClaimsNoFreshness() {
+		play(7, EnumSet.of(Fault.RESTARTS), 3, FAULTS_END_MILLIS, FreshnessModelTests::isSoundBeforeListing);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "7, 2000, 0", "7, 3000, 4000", "32, 2000, 0", "32, 4000, 4000", "49, 2000, 0", "49, 3000, 4000" })
+	void quietFleetMakesFewCalls(int gateways, long boundMillis, long startWithinMillis) {
+		FreshnessModel.Result result = new FreshnessModel(
+				FreshnessModel.Scenario.quiet(gateways, boundMillis, startWithinMillis, 0, 60_000), 1)
+			.run();
+		assertThat(result.mostCalls()).isLessThanOrEqualTo(CALLS_PER_MINUTE * gateways);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "2000, 0, 12000", "2000, 4000, 8000" })
+	void quietFleetOfHundredsMakesFewCalls(long boundMillis, long startWithinMillis, int endMillis) {
+		int gateways = 370;
+		FreshnessModel.Result result = new FreshnessModel(
+				FreshnessModel.Scenario.quiet(gateways, boundMillis, startWithinMillis, 5000, endMillis), 1)
+			.run();
+		int allowed = CALLS_PER_MINUTE * gateways * (endMillis - 5000) / 60_000;
+		assertThat(result.mostCalls()).isLessThanOrEqualTo(allowed);
+	}
+
+	/**
+	 * Checks what came of a play.
+	 */
+	@FunctionalInterface
+	private interface Property {
+
+		void check(FreshnessModel.Result result, long boundMillis, String run);
+
+	}
+
+}
