--- a/gateway/src/main/java/org/snowwind/gateway/peer/CallRota.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/CallRota.java
@@ -17,8 +17,19 @@
 
 	private static final long PARTS = 1000;
 
+	private final String ownAddress;
+
 	private final Map<String, Turn> turns = new HashMap<>();
 
+	/**
+	 * Creates a rota without turns.
+	 * @param ownAddress the own address: gateways that start together call a peer at
+	 * different times
+	 */
+	CallRota(String ownAddress) {
+		this.ownAddress = ownAddress;
+	}
+
 	/**
 	 * Returns whose turn it is.
 	 * @param addresses the addresses of all peers
@@ -40,9 +51,9 @@
 	}
 
 	// Peers that were heard of together do not stay together.
-	private static Turn next(String address, Turn turn, long nowMillis, long periodMillis) {
+	private Turn next(String address, Turn turn, long nowMillis, long periodMillis) {
 		if (turn == null) {
-			double part = (double) Math.floorMod(Rendezvous.hash(address), PARTS) / PARTS;
+			double part = (double) Math.floorMod(Rendezvous.hash(this.ownAddress + ' ' + address), PARTS) / PARTS;
 			return new Turn(nowMillis + Math.round(periodMillis * (LEAST_FIRST_PERIOD + part)), 1);
 		}
 		boolean onTime = nowMillis - turn.nextMillis() < periodMillis;
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -62,7 +62,7 @@
 
 	private final DocumentFetches fetches;
 
-	private final CallRota rota = new CallRota();
+	private final CallRota rota;
 
 	private final Consumers consumers;
 
@@ -95,6 +95,7 @@
 		this.calls = calls;
 		this.ownReport = ownReport;
 		this.claims = claims;
+		this.rota = new CallRota(peers.ownAddress());
 		this.fetches = new DocumentFetches(fetchGraceMillis, CALL_MILLIS);
 		this.consumers = consumers;
 		this.clock = clock;
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
@@ -81,6 +81,14 @@
 		this.ownAddress = ownAddress;
 	}
 
+	/**
+	 * Returns the own control address.
+	 * @return the address
+	 */
+	String ownAddress() {
+		return this.ownAddress;
+	}
+
 	/**
 	 * Takes note of an address at which a peer may be.
 	 * @param address its control address
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -96,6 +96,7 @@
 		RequestContext context = new RequestContext(this.loop, this.client, new TestDialect(), this.backends,
 				new Admission(this.backends, this.clock), budgets, suspects(),
 				new GatewayMeters(new SimpleMeterRegistry()), this.clock, new Random(1));
+		this.confirmations.answered(this.clock.nowMillis(), 1, 1, 1);
 		this.handler = new GatewayHandler(context, this.tables, this.freshness);
 		this.server = new HttpServer(this.loop, HttpLimits.DEFAULT, this.handler);
 		this.address = this.server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
--- a/gateway/src/test/java/org/snowwind/gateway/table/TableFreshnessTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/TableFreshnessTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.snowwind.model.ManualClock;
 import org.snowwind.store.Freshness;
@@ -25,6 +26,11 @@
 	private final TableFreshness freshness = new TableFreshness(this.tables, this.confirmations, BOUND_MILLIS,
 			this.clock);
 
+	@BeforeEach
+	void confirm() {
+		this.confirmations.answered(0, 1, 1, 1);
+	}
+
 	private void inForce(long version) {
 		this.tables.offer(
 				new RouteTable(version, List.of(), Map.of(), Map.of(), new RequestLimits(1000, 1000), new byte[0]),
--- a/store/src/main/java/org/snowwind/store/Freshness.java
+++ b/store/src/main/java/org/snowwind/store/Freshness.java
@@ -22,7 +22,6 @@
 
 	private long confirmedMillis;
 
-	/** Nothing is claimed to peers before the first answer. */
 	private boolean confirmed;
 
 	private long knownRevision;
@@ -47,7 +46,6 @@
 	 */
 	public Freshness(MonotonicClock clock) {
 		this.clock = clock;
-		this.confirmedMillis = clock.nowMillis();
 	}
 
 	/**
@@ -61,7 +59,6 @@
 	 */
 	public synchronized void answered(long asOfMillis, long known, long changed, long covered) {
 		confirm(asOfMillis);
-		this.confirmed = true;
 		this.knownRevision = Math.max(this.knownRevision, known);
 		this.changedRevision = Math.max(this.changedRevision, changed);
 		this.coveredRevision = Math.max(this.coveredRevision, covered);
@@ -84,7 +81,9 @@
 			return;
 		}
 		long nowMillis = this.clock.nowMillis();
-		if (claim.coveredRevision() <= this.knownRevision && madeMillis != Long.MIN_VALUE && madeMillis <= nowMillis) {
+		boolean proves = madeMillis != Long.MIN_VALUE && madeMillis <= nowMillis
+				&& claim.ageMillis() < unconfirmedMillis();
+		if (proves && claim.coveredRevision() <= this.knownRevision) {
 			confirm(madeMillis - claim.ageMillis());
 		}
 		boolean believed = !peer.equals(this.distrusted) || nowMillis >= this.distrustedUntilMillis;
@@ -96,7 +95,8 @@
 	}
 
 	private void confirm(long asOfMillis) {
-		this.confirmedMillis = Math.max(this.confirmedMillis, asOfMillis);
+		this.confirmedMillis = this.confirmed ? Math.max(this.confirmedMillis, asOfMillis) : asOfMillis;
+		this.confirmed = true;
 	}
 
 	/**
@@ -110,10 +110,10 @@
 
 	/**
 	 * Returns for how long nothing has confirmed the copy.
-	 * @return the time, in milliseconds; since its creation if nothing ever did
+	 * @return the time, in milliseconds; {@link Long#MAX_VALUE} if nothing ever did
 	 */
 	public synchronized long unconfirmedMillis() {
-		return Math.max(0, this.clock.nowMillis() - this.confirmedMillis);
+		return this.confirmed ? Math.max(0, this.clock.nowMillis() - this.confirmedMillis) : Long.MAX_VALUE;
 	}
 
 	/**
