Let watches end before the store's history does, and not together

Change: a watch waits for 0.75 to 0.9 of history_seconds, another time at each gateway; a store that does not answer has no grace before a document is fetched from a peer. So that calls stay below those of before, the first in rank asks at 0.58 of the bound and the second at 0.68; all others at 0.75 as before.

--- a/config/src/main/java/org/snowwind/config/settings/GatewaySettings.java
+++ b/config/src/main/java/org/snowwind/config/settings/GatewaySettings.java
@@ -23,12 +23,14 @@
  * @param inForceMillis within which an acknowledged configuration must be in force, in
  * milliseconds
  * @param stableMillis after which a disruption is no excuse any more, in milliseconds
+ * @param historyMillis for how long the platform keeps changes for watches, in
+ * milliseconds
  * @param logFormat how log lines look
  */
 public record GatewaySettings(String name, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
 		InetSocketAddress peers, InetSocketAddress admin, List<InetSocketAddress> seeds, InetSocketAddress platform,
 		long graceMillis, double retryFraction, int retryExtra, long retryWindowMillis, long drainMillis,
-		long inForceMillis, long stableMillis, LogFormat logFormat) {
+		long inForceMillis, long stableMillis, long historyMillis, LogFormat logFormat) {
 
 	private static final double MILLIS_PER_SECOND = 1000;
 
@@ -47,6 +49,7 @@
 				(long) reader.decimal("servers.drain_millis", 2000, 100, 600_000),
 				(long) reader.decimal("configuration.in_force_millis", 2000, 200, 600_000),
 				(long) reader.decimal("platform.stable_millis", 3000, 200, 600_000),
+				millis(reader.decimal("platform.history_seconds", 20, 1, 86_400)),
 				reader.oneOf("log.format", LogFormat.JSON));
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -180,8 +180,8 @@
 		this.tables = this.copies.tables();
 		this.registries = this.copies.registries();
 		this.admin = new AdminServer(this.loop, this::adminReadiness);
-		this.suspects = new SuspectDuty(adapters.store(), adapters.reads(), settings.name(), rank, this.clock,
-				this.random);
+		this.suspects = new SuspectDuty(adapters.store(), adapters.reads(), settings.name(), rank,
+				StoreCopies.watchMillis(settings, this.random), this.clock, this.random);
 		this.handler = new GatewayHandler(newContext(), this.tables, this.copies.tableFreshness());
 		HttpLimits limits = new HttpLimits(MAX_URI_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
 				HttpLimits.DEFAULT.readTimeoutMillis());
@@ -450,6 +450,11 @@
 	 */
 	private final class LoopConsumers implements PeerMesh.Consumers {
 
+		@Override
+		public boolean isStoreAway() {
+			return GatewayDaemon.this.copies.isStoreAway();
+		}
+
 		@Override
 		public void tableTold(long version, String peer) {
 			GatewayDaemon.this.copies.tableFreshness().told(version, peer);
--- a/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
+++ b/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
@@ -25,10 +25,16 @@
  */
 final class StoreCopies implements AutoCloseable {
 
+	/** How long one call waits for a change at most, as the store allows. */
+	private static final long MOST_WATCH_MILLIS = 30_000;
+
 	/**
-	 * How long one call waits for a change, in milliseconds; the store allows no more.
+	 * A watch that waits for longer than the store keeps its history finds it gone; no
+	 * two gateways wait equally long, so that they do not end together.
 	 */
-	private static final long WATCH_MILLIS = 30_000;
+	private static final double MOST_WATCH_SHARE = 0.9;
+
+	private static final double LEAST_WATCH_SHARE = 0.75;
 
 	private static final long WATCH_TICK_MILLIS = 100;
 
@@ -112,7 +118,19 @@
 	}
 
 	private StoreWatch.Pace tablePace(GatewaySettings settings) {
-		return new StoreWatch.Pace(WATCH_MILLIS, GATHER_MILLIS, schedule(tablePrefix(), tableBoundMillis(settings)));
+		return new StoreWatch.Pace(watchMillis(settings, this.random), GATHER_MILLIS,
+				schedule(tablePrefix(), tableBoundMillis(settings)));
+	}
+
+	/**
+	 * Returns how long a call for changes waits.
+	 * @param settings the gateway's settings
+	 * @param random spreads the waits of gateways
+	 * @return the time, in milliseconds
+	 */
+	static long watchMillis(GatewaySettings settings, RandomGenerator random) {
+		double share = random.nextDouble(LEAST_WATCH_SHARE, MOST_WATCH_SHARE);
+		return Math.min(MOST_WATCH_MILLIS, Math.round(share * settings.historyMillis()));
 	}
 
 	/**
@@ -128,7 +146,8 @@
 	private StoreWatch.Pace registryPace(GatewaySettings settings) {
 		long gatherMillis = Math.max(GATHER_MILLIS, Math.min(MOST_GATHER_MILLIS, settings.drainMillis() / 4));
 		long boundMillis = Math.min(settings.drainMillis(), settings.stableMillis());
-		return new StoreWatch.Pace(WATCH_MILLIS, gatherMillis, schedule(registryPrefix(), boundMillis));
+		return new StoreWatch.Pace(watchMillis(settings, this.random), gatherMillis,
+				schedule(registryPrefix(), boundMillis));
 	}
 
 	private ConfirmationSchedule schedule(String prefix, long boundMillis) {
--- a/gateway/src/main/java/org/snowwind/gateway/peer/DocumentFetches.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/DocumentFetches.java
@@ -37,10 +37,11 @@
 	 * @param kind which document
 	 * @param theirs the revision that the peer has
 	 * @param own the own revision, 0 for no document
+	 * @param storeAway whether the platform does not answer, and has no grace
 	 * @param nowMillis the time, in milliseconds
 	 * @return true if it is to be fetched
 	 */
-	boolean begin(GatewayDocument kind, long theirs, long own, long nowMillis) {
+	boolean begin(GatewayDocument kind, long theirs, long own, boolean storeAway, long nowMillis) {
 		Behind state = this.behind.computeIfAbsent(kind, (key) -> new Behind());
 		boolean denied = theirs == state.deniedRevision && nowMillis < state.deniedUntilMillis;
 		if (theirs <= own || denied) {
@@ -50,7 +51,7 @@
 			state.sinceMillis = nowMillis;
 		}
 		state.newest = Math.max(state.newest, theirs);
-		boolean waited = own == 0 || nowMillis - state.sinceMillis >= this.graceMillis;
+		boolean waited = own == 0 || storeAway || nowMillis - state.sinceMillis >= this.graceMillis;
 		if (!waited || nowMillis < state.busyUntilMillis) {
 			return false;
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -233,7 +233,7 @@
 
 	private void fetchIfNewer(GatewayDocument kind, long theirRevision, String address) {
 		long own = this.documents.revisionOf(kind);
-		if (!this.fetches.begin(kind, theirRevision, own, this.clock.nowMillis())) {
+		if (!this.fetches.begin(kind, theirRevision, own, this.consumers.isStoreAway(), this.clock.nowMillis())) {
 			return;
 		}
 		ThriftLink<GatewayControl.AsyncClient> link = this.links.computeIfAbsent(address, this::connect);
@@ -318,6 +318,12 @@
 	 */
 	public interface Consumers {
 
+		/**
+		 * Tells whether the platform's store does not answer this process.
+		 * @return true if it does not
+		 */
+		boolean isStoreAway();
+
 		/**
 		 * A peer has told which route table it has in force.
 		 * @param version the version
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDuty.java
@@ -19,11 +19,6 @@
  */
 public final class SuspectDuty implements Suspects.Sightings, AutoCloseable {
 
-	/**
-	 * How long one call waits for a change, in milliseconds; the store allows no more.
-	 */
-	private static final long WATCH_MILLIS = 30_000;
-
 	/** For how long the ends seen by other gateways may be unknown, in milliseconds. */
 	private static final long BOUND_MILLIS = 10_000;
 
@@ -55,16 +50,17 @@
 	 * @param reads the same, for calls whose answers are not waited for
 	 * @param name the name of this gateway
 	 * @param rank tells when this gateway asks the store, among all that live
+	 * @param watchMillis how long one call waits for a change, in milliseconds
 	 * @param clock tells the time
 	 * @param random spreads calls that are made again
 	 */
-	public SuspectDuty(ObjectStore store, AsyncObjectStore reads, String name, ConfirmationRank rank,
+	public SuspectDuty(ObjectStore store, AsyncObjectStore reads, String name, ConfirmationRank rank, long watchMillis,
 			MonotonicClock clock, RandomGenerator random) {
 		this.book = new SuspectBook(store, name, clock);
 		this.freshness = new Freshness(clock);
 		ConfirmationSchedule schedule = new ConfirmationSchedule(BOUND_MILLIS, () -> rank.of(SuspectBook.PREFIX));
 		StoreWatch watch = new StoreWatch(reads, SuspectBook.PREFIX,
-				new StoreWatch.Pace(WATCH_MILLIS, GATHER_MILLIS, schedule), this.book, this.freshness, clock, random);
+				new StoreWatch.Pace(watchMillis, GATHER_MILLIS, schedule), this.book, this.freshness, clock, random);
 		this.thread = new DutyThread("suspects", RING_SIZE, TICK_MILLIS, this.book::forget);
 		this.writeThread = new DutyThread("suspect-writes", SMALL_RING, TICK_MILLIS, this.book::round);
 		this.watchThread = new DutyThread("suspect-watch", SMALL_RING, WATCH_TICK_MILLIS, watch::round);
--- a/store/src/main/java/org/snowwind/store/ConfirmationSchedule.java
+++ b/store/src/main/java/org/snowwind/store/ConfirmationSchedule.java
@@ -9,17 +9,17 @@
  *
  * <p>
  * One process confirms for all: its peers learn of the answer and need none of their own.
- * The first in rank asks at half of the bound, the second an eighth later, and all others
- * another eighth later. The last quarter is for the call and for peers to learn of it.
+ * The first in rank asks at 0.58 of the bound, the second at 0.68, and all others at
+ * 0.75. The last quarter is for the call and for peers to learn of it.
  */
 public final class ConfirmationSchedule {
 
 	private static final int INTERVALS_PER_BOUND = 2;
 
-	private static final int STEPS_PER_BOUND = 8;
+	/** The share of the bound at which each rank asks; the last one is for all others. */
+	private static final double[] SHARES = { 0.58, 0.68, 0.75 };
 
-	/** Beyond the second in rank nobody waits for others. */
-	private static final int LAST_STEP = 2;
+	private static final int STEPS_PER_BOUND = 8;
 
 	private static final int CALLS_PER_BOUND = 2;
 
@@ -44,8 +44,10 @@
 	 * @return true if it does, or has done so a short time ago
 	 */
 	public boolean isDue(long unconfirmedMillis) {
-		long steps = (unconfirmedMillis - retryMillis()) / Math.max(1, stepMillis());
-		return unconfirmedMillis >= retryMillis() && (steps >= LAST_STEP || steps >= this.rank.getAsInt());
+		double share = (double) unconfirmedMillis / this.boundMillis;
+		int last = SHARES.length - 1;
+		return share >= SHARES[0]
+				&& (share >= SHARES[last] || share >= SHARES[Math.min(last, Math.max(0, this.rank.getAsInt()))]);
 	}
 
 	/**
