Tell ranks again instead of waiting for reports where that is sooner

Cause: groups of more than 32 ranks waited 0.2 s after their copies for reports, which are 0.2 s old and so showed nothing: by the log of the shifted deployment all 62 ranks were told again in any case, in 40 ms.

Ruled out: arming ranks whose copies are not confirmed. A planner that takes over would mix maps.

Change: the time that it took to tell all ranks first decides: at most the age of a report, and they are told again at once; longer, and reports are asked for. The limit of 32 ranks is gone.

--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -136,7 +136,7 @@
 		this.clock = clock;
 		this.steps = new StepClock(clock);
 		this.reader = reader;
-		this.mapSwitch = new MapSwitch(this, this.steps);
+		this.mapSwitch = new MapSwitch(this, this.steps, clock);
 	}
 
 	void members(List<BackendEntry> servers) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.snowwind.model.MonotonicClock;
+
 /**
  * Brings all ranks of a group to a new map at the same pass.
  *
@@ -24,14 +26,6 @@
 	/** How often ranks are told to prepare, and so asked whether they have. */
 	private static final int PREPARE_TRIES = 25;
 
-	/**
-	 * In larger groups ranks are not told again to prepare to learn whether they have,
-	 * but asked for their state, which is older and much shorter: the map of 96 ranks is
-	 * 20 KB, and telling all of them again took 240 of the 510 ms of a switch, by the log
-	 * of its planner.
-	 */
-	private static final int MOST_ASKED_BY_ORDER = 32;
-
 	/** How often an order to copy is given to ranks that do not answer. */
 	private static final int REPEATS = 4;
 
@@ -57,6 +51,8 @@
 
 	private final StepClock steps;
 
+	private final MonotonicClock clock;
+
 	/** How many orders of the last switch got no answer. */
 	private int unanswered;
 
@@ -66,10 +62,12 @@
 	 * Creates a switch.
 	 * @param group the ranks
 	 * @param steps predicts which pass the group is at
+	 * @param clock tells the time
 	 */
-	MapSwitch(RankGroupPort group, StepClock steps) {
+	MapSwitch(RankGroupPort group, StepClock steps, MonotonicClock clock) {
 		this.group = group;
 		this.steps = steps;
+		this.clock = clock;
 	}
 
 	/**
@@ -81,12 +79,16 @@
 	 */
 	SwitchOutcome run(List<Rank> ranks, MapOrder.Prepare prepare, long copyMillis) {
 		List<Rank> pending = new ArrayList<>();
+		long beginMillis = this.clock.nowMillis();
 		Optional<SwitchOutcome> stopped = beginCopies(ranks, prepare, pending);
 		if (stopped.isPresent()) {
 			return stopped.get();
 		}
+		long tellMillis = this.clock.nowMillis() - beginMillis;
 		this.group.pause(copyMillis);
-		if (ranks.size() > MOST_ASKED_BY_ORDER) {
+		// Ranks tell whether they are prepared when they are sent the map again, or in
+		// their reports, which are old. The map of a large group takes long to send.
+		if (tellMillis > StepClock.REPORT_LAG_MILLIS) {
 			pending = unprepared(pending, prepare.version());
 		}
 		for (int attempt = 0; attempt < PREPARE_TRIES && !pending.isEmpty(); attempt++) {
