Play cuts of the only group in the load model

What callers get if they are rejected at once, and if their last attempts wait for the group to open. Rejecting at once stands; no change of behaviour.

--- a/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionLoadTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionLoadTests.java
@@ -46,7 +46,7 @@
 
 	private static LoadResult simulate(GroupLimit limit, double perSecond, long lagMillis, long seed) {
 		LoadModel.Scenario scenario = new LoadModel.Scenario(ENGINE, 12, 6, perSecond, 500, 120,
-				skew(lagMillis, 31 * seed));
+				skew(lagMillis, 31 * seed), LoadModel.Outage.NONE);
 		return new LoadModel(scenario, limit, 7919 * seed).run(DURATION_MILLIS);
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -19,8 +20,9 @@
 import org.snowwind.model.ManualClock;
 
 /**
- * Simulates, in virtual time, the load of one group of ranks and the decisions of several
- * gateways that receive delayed reports from each other.
+ * Simulates, in virtual time, the load of one group of ranks, which may be broken for
+ * some time, and the decisions of several gateways that receive delayed reports from each
+ * other.
  */
 final class LoadModel {
 
@@ -34,6 +36,22 @@
 
 	private static final int REPORT_MILLIS = 100;
 
+	/** The time for which a rank stalls work that depends on a lost rank. */
+	private static final long STALL_MILLIS = 1500;
+
+	/** The time without an event after which a gateway aborts an attempt. */
+	private static final long IDLE_TIMEOUT_MILLIS = 1000;
+
+	private static final long REJECTION_MILLIS = 2;
+
+	/** A caller that waited longer would leave before its first event. */
+	private static final long MAX_CLOSED_WAIT_MILLIS = 1650;
+
+	private static final long CALLER_DEADLINE_MILLIS = 8000;
+
+	/** The share of its remaining time for which a caller stays away at most. */
+	private static final double MAX_RETRY_REMAINING_SHARE = 0.325;
+
 	/** The time to the first event after which a caller counts as having left. */
 	private static final long PATIENCE_MILLIS = 2000;
 
@@ -55,6 +73,8 @@
 
 	private final PriorityQueue<Call> due = new PriorityQueue<>(Comparator.comparingLong(Call::atMillis));
 
+	private final PriorityQueue<Failure> failures = new PriorityQueue<>(Comparator.comparingLong(Failure::atMillis));
+
 	private final LoadResult result = new LoadResult();
 
 	private long passEndsMillis;
@@ -106,9 +126,19 @@
 		while (!this.due.isEmpty() && this.due.peek().atMillis() <= ms) {
 			this.gateways.get(this.random.nextInt(this.gateways.size())).accept(this.due.poll());
 		}
+		while (!this.failures.isEmpty() && this.failures.peek().atMillis() <= ms) {
+			this.failures.poll().effect().run();
+		}
 		if (ms % RETRY_MILLIS == 0) {
 			this.gateways.forEach(Gateway::retryWaiting);
 		}
+		if (this.scenario.outage().contains(ms)) {
+			this.passRunning = false;
+			if (ms == this.scenario.outage().fromMillis() + IDLE_TIMEOUT_MILLIS) {
+				breakStreams();
+			}
+			return;
+		}
 		if (this.passRunning && ms >= this.passEndsMillis) {
 			endPass();
 		}
@@ -153,6 +183,13 @@
 		this.passEndsMillis = ms + Math.round(passMillis);
 	}
 
+	private void breakStreams() {
+		this.streamsByServer.values().forEach((streams) -> {
+			streams.forEach(Stream::breakOff);
+			streams.clear();
+		});
+	}
+
 	private void endPass() {
 		this.passRunning = false;
 		this.streamsInPass.forEach(Stream::event);
@@ -171,9 +208,38 @@
 	 * @param pauseTargetMillis the maximum pause between events that is on time
 	 * @param skew the extra load of the slowest rank as a fraction of the mean load, by
 	 * the time in milliseconds
+	 * @param outage when the group is broken
 	 */
 	record Scenario(EngineProfile engine, int ranks, int gateways, double perSecond, long targetMillis,
-			long pauseTargetMillis, LongToDoubleFunction skew) {
+			long pauseTargetMillis, LongToDoubleFunction skew, Outage outage) {
+
+	}
+
+	/**
+	 * A time in which the group makes no passes and its ranks reject requests.
+	 *
+	 * @param fromMillis its start, from the start of the simulation
+	 * @param untilMillis its end
+	 * @param waitingPerGateway how many final attempts each gateway lets wait instead of
+	 * rejecting them
+	 */
+	record Outage(long fromMillis, long untilMillis, int waitingPerGateway) {
+
+		static final Outage NONE = new Outage(-1, -1, 0);
+
+		private boolean contains(long ms) {
+			return ms >= this.fromMillis && ms < this.untilMillis;
+		}
+
+	}
+
+	/**
+	 * The failure of an attempt.
+	 *
+	 * @param atMillis when it occurs, from the start of the simulation
+	 * @param effect its effect on the gateway
+	 */
+	private record Failure(long atMillis, Runnable effect) {
 
 	}
 
@@ -188,8 +254,25 @@
 
 	}
 
-	/** A call that waits in a gateway. */
-	private record WaitingCall(Call call, Arrival arrival) {
+	/** A call at a gateway. */
+	private static final class OpenCall {
+
+		private final Call call;
+
+		private final long arrivedMillis;
+
+		private final Set<String> tried = new HashSet<>();
+
+		private boolean waits;
+
+		private OpenCall(Call call, long arrivedMillis) {
+			this.call = call;
+			this.arrivedMillis = arrivedMillis;
+		}
+
+		private long deadlineMillis() {
+			return this.call.firstMillis() + CALLER_DEADLINE_MILLIS;
+		}
 
 	}
 
@@ -199,7 +282,7 @@
 
 		private final Admission admission;
 
-		private List<WaitingCall> waiting = new ArrayList<>();
+		private List<OpenCall> waiting = new ArrayList<>();
 
 		private Map<String, Integer> reported = Map.of();
 
@@ -221,53 +304,90 @@
 		}
 
 		private void accept(Call call) {
+			decide(new OpenCall(call, LoadModel.this.clock.nowMillis()));
+		}
+
+		private Arrival arrival(OpenCall open) {
 			Scenario settings = LoadModel.this.scenario;
-			Arrival arrival = new Arrival(SERVICE, Set.of(), 0, settings.engine(), settings.targetMillis(),
-					settings.pauseTargetMillis(), LoadModel.this.clock.nowMillis(), false);
-			decide(new WaitingCall(call, arrival));
+			return new Arrival(SERVICE, open.tried, 0, settings.engine(), settings.targetMillis(),
+					settings.pauseTargetMillis(), open.arrivedMillis, open.waits);
 		}
 
 		private void retryWaiting() {
-			List<WaitingCall> retried = this.waiting;
+			List<OpenCall> retried = this.waiting;
 			this.waiting = new ArrayList<>();
 			retried.forEach(this::decide);
 		}
 
-		private void decide(WaitingCall waitingCall) {
-			Admission.Verdict verdict = this.admission.decide(waitingCall.arrival());
-			if (verdict instanceof Admission.Verdict.Send send) {
-				send(waitingCall, send.backend());
+		private void decide(OpenCall open) {
+			Admission.Verdict verdict = this.admission.decide(arrival(open));
+			boolean waits = verdict instanceof Admission.Verdict.Wait
+					|| (verdict instanceof Admission.Verdict.Reject reject && waitsForClosedGroup(open, reject));
+			open.waits = waits;
+			if (waits) {
+				this.waiting.add(open);
 			}
-			else if (verdict instanceof Admission.Verdict.Wait) {
-				this.waiting.add(waitingCall);
+			else if (verdict instanceof Admission.Verdict.Send send) {
+				send(open, send.backend());
 			}
 			else {
-				reject(waitingCall.call());
+				reject(open, ((Admission.Verdict.Reject) verdict).closed());
 			}
 		}
 
-		private void send(WaitingCall waitingCall, Backend backend) {
+		// The alternative to the rejection: the last attempts of callers wait as long as
+		// their callers do.
+		private boolean waitsForClosedGroup(OpenCall open, Admission.Verdict.Reject reject) {
+			long waitedMillis = LoadModel.this.clock.nowMillis() - open.arrivedMillis;
+			return reject.closed() && open.call.rejectedBefore() && waitedMillis < MAX_CLOSED_WAIT_MILLIS
+					&& this.waiting.size() < LoadModel.this.scenario.outage().waitingPerGateway();
+		}
+
+		private void send(OpenCall open, Backend backend) {
+			long nowMillis = LoadModel.this.clock.nowMillis();
 			List<Stream> streams = LoadModel.this.streamsByServer.get(backend.id());
-			backend.onSent(LoadModel.this.clock.nowMillis());
+			backend.onSent(nowMillis);
+			long ms = nowMillis - LoadModel.this.startMillis;
+			Outage outage = LoadModel.this.scenario.outage();
+			if (outage.contains(ms)) {
+				open.tried.add(backend.id());
+				boolean stalls = ms < outage.fromMillis() + STALL_MILLIS;
+				long failedMillis = ms + (stalls ? IDLE_TIMEOUT_MILLIS : REJECTION_MILLIS);
+				LoadModel.this.failures.add(new Failure(failedMillis, () -> fail(open, backend, stalls)));
+				return;
+			}
 			if (streams.size() >= LoadModel.this.scenario.engine().slots()) {
-				backend.onRejection(LoadModel.this.clock.nowMillis());
+				backend.onRejection(nowMillis);
 				LoadModel.this.result.sentToFull++;
-				this.waiting.add(waitingCall);
+				open.waits = true;
+				this.waiting.add(open);
 				return;
 			}
-			streams.add(new Stream(this, backend, waitingCall.call()));
+			streams.add(new Stream(this, backend, open.call));
+		}
+
+		private void fail(OpenCall open, Backend backend, boolean timedOut) {
+			if (timedOut) {
+				backend.onFailure(LoadModel.this.clock.nowMillis());
+			}
+			else {
+				backend.onRejection(LoadModel.this.clock.nowMillis());
+			}
+			decide(open);
 		}
 
-		private void reject(Call call) {
-			if (call.rejectedBefore()) {
-				LoadModel.this.result.rejectedTwice++;
+		private void reject(OpenCall open, boolean closed) {
+			long nowMillis = LoadModel.this.clock.nowMillis();
+			LoadModel.this.result.rejected(open.call.rejectedBefore(), nowMillis - open.arrivedMillis);
+			if (open.call.rejectedBefore()) {
 				return;
 			}
-			LoadModel.this.result.rejectedOnce++;
-			long targetMillis = LoadModel.this.scenario.targetMillis();
-			long delayMillis = (long) (targetMillis * (1.2 + 1.6 * LoadModel.this.random.nextDouble()));
-			long nowMillis = LoadModel.this.clock.nowMillis() - LoadModel.this.startMillis;
-			LoadModel.this.due.add(new Call(nowMillis + delayMillis, call.firstMillis(), true));
+			double random = LoadModel.this.random.nextDouble();
+			double maxMillis = MAX_RETRY_REMAINING_SHARE * (open.deadlineMillis() - nowMillis);
+			double delayMillis = closed ? maxMillis * (0.95 + 0.05 * random)
+					: Math.min(maxMillis, LoadModel.this.scenario.targetMillis() * (1.2 + 1.6 * random));
+			LoadModel.this.due.add(new Call(nowMillis - LoadModel.this.startMillis + (long) delayMillis,
+					open.call.firstMillis(), true));
 		}
 
 	}
@@ -296,6 +416,14 @@
 			this.call = call;
 		}
 
+		private void breakOff() {
+			this.backend.onFailure(LoadModel.this.clock.nowMillis());
+			if (this.lastMillis != 0) {
+				this.backend.onStreamEnd();
+			}
+			LoadModel.this.result.broken++;
+		}
+
 		private void event() {
 			long nowMillis = LoadModel.this.clock.nowMillis();
 			Scenario settings = LoadModel.this.scenario;
--- a/gateway/src/test/java/org/snowwind/gateway/backend/LoadResult.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/LoadResult.java
@@ -22,6 +22,14 @@
 
 	int callersLeft;
 
+	/** Streams that an outage interrupted. They are not counted as ended. */
+	int broken;
+
+	/** The longest time that a rejected attempt was held. */
+	long maxHeldMillis;
+
+	private long heldMillis;
+
 	void served(boolean wasLate) {
 		if (wasLate) {
 			this.late++;
@@ -31,6 +39,25 @@
 		}
 	}
 
+	void rejected(boolean rejectedBefore, long waitedMillis) {
+		if (rejectedBefore) {
+			this.rejectedTwice++;
+		}
+		else {
+			this.rejectedOnce++;
+		}
+		this.heldMillis += waitedMillis;
+		this.maxHeldMillis = Math.max(this.maxHeldMillis, waitedMillis);
+	}
+
+	double meanHeldMillis() {
+		return (double) this.heldMillis / Math.max(1, this.rejectedOnce + this.rejectedTwice);
+	}
+
+	double servedShare() {
+		return (double) (this.onTime + this.late) / ended();
+	}
+
 	int ended() {
 		return this.onTime + this.late + this.rejectedTwice;
 	}
@@ -45,9 +72,10 @@
 
 	@Override
 	public String toString() {
-		return String.format("utility %.3f, on time %.3f, late %.3f, rejected twice %.3f, once %.3f, sent to full %d",
+		return String.format(
+				"utility %.3f, on time %.3f, late %.3f, rejected twice %.3f, once %.3f, sent to full %d, held %.0f ms",
 				meanUtility(), onTimeShare(), (double) this.late / ended(), (double) this.rejectedTwice / ended(),
-				(double) this.rejectedOnce / ended(), this.sentToFull);
+				(double) this.rejectedOnce / ended(), this.sentToFull, meanHeldMillis());
 	}
 
 }
