--- a/store/src/main/java/org/snowwind/store/AsyncObjectStore.java
+++ b/store/src/main/java/org/snowwind/store/AsyncObjectStore.java
@@ -3,29 +3,28 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Reads the platform's store without waiting for the answer, so that a second call can be
- * made while the first one is unanswered.
+ * Asynchronous reads of the platform's store. Several calls can be open at the same time.
  *
  * <p>
- * Every failure is a value of the result: no future completes with an exception.
+ * Failures are results; no future completes exceptionally.
  */
 public interface AsyncObjectStore {
 
 	/**
-	 * Begins to read all objects below a prefix.
-	 * @param prefix the start of the keys
-	 * @param timeoutMillis how long each call may take, in milliseconds
-	 * @return the listing to come
+	 * Starts to read all objects with a key prefix.
+	 * @param prefix the key prefix
+	 * @param timeoutMillis the timeout of each call, in milliseconds
+	 * @return the future listing
 	 */
 	CompletableFuture<ListResult> startList(String prefix, long timeoutMillis);
 
 	/**
-	 * Begins to wait for changes below a prefix.
-	 * @param prefix the start of the keys
-	 * @param afterRevision changes after this revision are wanted
-	 * @param waitMillis how long the store waits for one, in milliseconds
-	 * @param timeoutMillis how long the whole call may take, in milliseconds
-	 * @return the changes to come
+	 * Starts to wait for changes of objects with a key prefix.
+	 * @param prefix the key prefix
+	 * @param afterRevision the revision after which changes are returned
+	 * @param waitMillis how long the store waits for a change, in milliseconds
+	 * @param timeoutMillis the timeout of the whole call, in milliseconds
+	 * @return the future changes
 	 */
 	CompletableFuture<WatchResult> startWatch(String prefix, long afterRevision, long waitMillis, long timeoutMillis);
 
--- a/store/src/main/java/org/snowwind/store/Backoff.java
+++ b/store/src/main/java/org/snowwind/store/Backoff.java
@@ -3,7 +3,7 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Pauses that double with each failure, spread at random. Confined to one thread.
+ * Exponential backoff with jitter. Confined to one thread.
  */
 final class Backoff {
 
@@ -18,10 +18,10 @@
 	private boolean failed;
 
 	/**
-	 * Creates a back-off without a failure.
-	 * @param firstMillis the longest first pause, in milliseconds
-	 * @param mostMillis the longest pause, in milliseconds
-	 * @param random spreads pauses over the upper half of their length
+	 * Creates a backoff without a failure.
+	 * @param firstMillis the maximum first pause, in milliseconds
+	 * @param mostMillis the maximum pause, in milliseconds
+	 * @param random draws each pause from the upper half of its range
 	 */
 	Backoff(long firstMillis, long mostMillis, RandomGenerator random) {
 		this.firstMillis = firstMillis;
@@ -50,8 +50,8 @@
 	}
 
 	/**
-	 * Tells whether there was a failure since the last success.
-	 * @return true if there was
+	 * Returns whether a call has failed since the last success.
+	 * @return true if one has
 	 */
 	boolean hasFailed() {
 		return this.failed;
--- a/store/src/main/java/org/snowwind/store/ConfirmationSchedule.java
+++ b/store/src/main/java/org/snowwind/store/ConfirmationSchedule.java
@@ -3,20 +3,22 @@
 import java.util.function.IntSupplier;
 
 /**
- * Decides when a process asks the store whether its copy is still the newest, and how
- * long it waits for answers, so that no copy is unconfirmed for longer than a bound while
- * the store can be reached.
+ * Decides when a process asks the store whether its copy is current, and how long it
+ * waits for the response, so that no copy stays unconfirmed longer than a bound while the
+ * store is reachable.
  *
  * <p>
- * One process confirms for all: its peers learn of the answer and need none of their own.
- * The first in rank asks at 0.58 of the bound, the second at 0.68, and all others at
- * 0.75. The last quarter is for the call and for peers to learn of it.
+ * One process asks on behalf of all and reports the result to its peers. The first in
+ * rank asks at 0.58 of the bound, the second at 0.68, and all others at 0.75. The last
+ * quarter leaves time for the call and for the reports.
  */
 public final class ConfirmationSchedule {
 
 	private static final int INTERVALS_PER_BOUND = 2;
 
-	/** The share of the bound at which each rank asks; the last one is for all others. */
+	/**
+	 * The share of the bound at which each rank asks. The last value is for all others.
+	 */
 	private static final double[] SHARES = { 0.58, 0.68, 0.75 };
 
 	private static final int STEPS_PER_BOUND = 8;
@@ -29,8 +31,8 @@
 
 	/**
 	 * Creates a schedule.
-	 * @param boundMillis for how long a copy may be unconfirmed, in milliseconds
-	 * @param rank asked how many live peers ask before this process
+	 * @param boundMillis the maximum time that a copy may be unconfirmed, in milliseconds
+	 * @param rank supplies the number of live peers that ask before this process
 	 */
 	public ConfirmationSchedule(long boundMillis, IntSupplier rank) {
 		this.boundMillis = boundMillis;
@@ -38,10 +40,9 @@
 	}
 
 	/**
-	 * Tells whether this process asks the store.
-	 * @param unconfirmedMillis for how long nothing has confirmed its copy, in
-	 * milliseconds
-	 * @return true if it does, or has done so a short time ago
+	 * Returns whether this process asks the store.
+	 * @param unconfirmedMillis the time since its copy was confirmed, in milliseconds
+	 * @return true if the time of its rank has come
 	 */
 	public boolean isDue(long unconfirmedMillis) {
 		double share = (double) unconfirmedMillis / this.boundMillis;
@@ -51,8 +52,8 @@
 	}
 
 	/**
-	 * Returns how long an unanswered call holds back the next one. The first one goes on:
-	 * a slow store answers it later, a silent connection never does.
+	 * Returns how long an unanswered call delays the next one. The unanswered call stays
+	 * open, because a slow store still answers it; a silent connection never does.
 	 * @return the time, in milliseconds
 	 */
 	public long retryMillis() {
@@ -60,8 +61,8 @@
 	}
 
 	/**
-	 * Returns how long a copy that a peer knows to be older is left to the watch that is
-	 * waiting, before the store is asked.
+	 * Returns how long a copy that is older than that of a peer is left to the open watch
+	 * before the store is asked.
 	 * @return the time, in milliseconds
 	 */
 	public long stepMillis() {
@@ -69,7 +70,7 @@
 	}
 
 	/**
-	 * Returns how long the store may take to answer a call.
+	 * Returns the timeout of a call.
 	 * @return the time, in milliseconds
 	 */
 	public long callMillis() {
--- a/store/src/main/java/org/snowwind/store/Freshness.java
+++ b/store/src/main/java/org/snowwind/store/Freshness.java
@@ -5,17 +5,19 @@
 import org.snowwind.model.MonotonicClock;
 
 /**
- * As of when a copy of the store's objects is known to hold every acknowledged change,
- * and whether a peer has told of a change that it does not hold.
+ * The time up to which a copy of the store's objects is known to contain every
+ * acknowledged change, and whether a peer has reported a change that the copy lacks.
  *
  * <p>
- * An answer proves what was true when its call was sent; it may have been under way for
- * any time since. A peer's claim proves the same of this copy if the copy holds every
- * change that the peer knows. Thread-safe.
+ * A response proves the state at the time when its call was sent, because the network
+ * delay is unknown. A claim of a peer proves the same for this copy if the copy contains
+ * every change that the peer knows. Thread-safe.
  */
 public final class Freshness {
 
-	/** So long a peer is not believed that told of a change which the store denies. */
+	/**
+	 * The time for which a peer is ignored that reported a change unknown to the store.
+	 */
 	private static final long DISTRUST_MILLIS = 30_000;
 
 	private final MonotonicClock clock;
@@ -41,21 +43,22 @@
 	private long distrustedUntilMillis = Long.MIN_VALUE;
 
 	/**
-	 * Creates the freshness of a copy that holds nothing yet.
-	 * @param clock tells the time
+	 * Creates the freshness of an empty copy.
+	 * @param clock the clock
 	 */
 	public Freshness(MonotonicClock clock) {
 		this.clock = clock;
 	}
 
 	/**
-	 * Records an answer of the store.
-	 * @param asOfMillis the moment before which every acknowledged change is in the copy,
+	 * Records a response of the store.
+	 * @param asOfMillis the time before which every acknowledged change is in the copy,
 	 * in milliseconds
-	 * @param known the store's revision up to which the copy holds changes
-	 * @param changed a revision of a change that it holds, 0 if the answer names none
-	 * @param covered the revision after which there was no change then, 0 if the answer
-	 * tells of no change
+	 * @param known the store's revision up to which the copy contains changes
+	 * @param changed the revision of a change in the copy, 0 if the response contains
+	 * none
+	 * @param covered the revision after which there was no change at that time, 0 if the
+	 * response contains no change
 	 */
 	public synchronized void answered(long asOfMillis, long known, long changed, long covered) {
 		confirm(asOfMillis);
@@ -70,11 +73,11 @@
 	}
 
 	/**
-	 * Records what a peer claims of its copy.
+	 * Records the claim of a peer about its copy.
 	 * @param claim the claim
 	 * @param peer the peer's name or address
-	 * @param madeMillis a moment before which the claim was not made, in milliseconds;
-	 * {@link Long#MIN_VALUE} if none is known
+	 * @param madeMillis the earliest time at which the claim can have been made, in
+	 * milliseconds; {@link Long#MIN_VALUE} if it is not known
 	 */
 	public synchronized void claimed(Claim claim, String peer, long madeMillis) {
 		if (!claim.isValid()) {
@@ -100,8 +103,8 @@
 	}
 
 	/**
-	 * Returns what this process may claim to its peers.
-	 * @return the claim as of now, none before the first answer of the store
+	 * Returns the claim of this process to its peers.
+	 * @return the current claim, empty before the first response of the store
 	 */
 	public synchronized Optional<Claim> claim() {
 		return this.confirmed ? Optional.of(new Claim(this.changedRevision, this.coveredRevision, unconfirmedMillis()))
@@ -109,23 +112,23 @@
 	}
 
 	/**
-	 * Returns for how long nothing has confirmed the copy.
-	 * @return the time, in milliseconds; {@link Long#MAX_VALUE} if nothing ever did
+	 * Returns the time since the copy was last confirmed.
+	 * @return the time, in milliseconds; {@link Long#MAX_VALUE} if it never was
 	 */
 	public synchronized long unconfirmedMillis() {
 		return this.confirmed ? Math.max(0, this.clock.nowMillis() - this.confirmedMillis) : Long.MAX_VALUE;
 	}
 
 	/**
-	 * Tells whether a peer has a change that the copy does not hold.
-	 * @return true if one has told so
+	 * Returns whether a peer has reported a change that the copy lacks.
+	 * @return true if one has
 	 */
 	public synchronized boolean isBehind() {
 		return this.toldRevision > this.knownRevision;
 	}
 
 	/**
-	 * Returns since when a peer has had a change that the copy does not hold.
+	 * Returns how long ago a peer reported a change that the copy lacks.
 	 * @return the time, in milliseconds; 0 if none has
 	 */
 	public synchronized long behindMillis() {
@@ -133,21 +136,21 @@
 	}
 
 	/**
-	 * Returns since when the copy has been known to be behind, as a moment.
-	 * @return the moment, in milliseconds
+	 * Returns when the copy was first known to be behind.
+	 * @return the time, in milliseconds
 	 */
 	synchronized long toldAtMillis() {
 		return this.toldMillis;
 	}
 
 	/**
-	 * What a process claims of its copy.
+	 * The claim of a process about its copy.
 	 *
-	 * @param changedRevision a revision of a change that it holds, 0 if it knows of none
-	 * @param coveredRevision the revision after which it knows of no change; a copy that
-	 * holds changes up to there holds all that it knows
-	 * @param ageMillis for how long nothing has confirmed that there is no later change,
-	 * in milliseconds
+	 * @param changedRevision the revision of a change in the copy, 0 if there is none
+	 * @param coveredRevision the revision after which the process knows of no change; a
+	 * copy with all changes up to this revision is as current
+	 * @param ageMillis the time since it was confirmed that there is no later change, in
+	 * milliseconds
 	 */
 	public record Claim(long changedRevision, long coveredRevision, long ageMillis) {
 
--- a/store/src/main/java/org/snowwind/store/GetResult.java
+++ b/store/src/main/java/org/snowwind/store/GetResult.java
@@ -9,12 +9,12 @@
 public sealed interface GetResult permits GetResult.Found, GetResult.Absent, GetResult.Away {
 
 	/**
-	 * Handles each case.
-	 * @param <R> the type of what comes out
+	 * Calls the handler of this case.
+	 * @param <R> the type of the result
 	 * @param onFound handles an object
-	 * @param onAbsent handles that there is none
-	 * @param onAway handles no answer
-	 * @return what the handler returns
+	 * @param onAbsent handles a missing object
+	 * @param onAway handles an unavailable store
+	 * @return the result of the handler
 	 */
 	<R> R match(Function<StoredObject, R> onFound, Supplier<R> onAbsent, Function<String, R> onAway);
 
@@ -33,7 +33,7 @@
 	}
 
 	/**
-	 * There is no such object.
+	 * The object does not exist.
 	 */
 	record Absent() implements GetResult {
 
@@ -45,9 +45,9 @@
 	}
 
 	/**
-	 * No answer.
+	 * The store did not answer.
 	 *
-	 * @param reason why, one line
+	 * @param reason the reason, one line
 	 */
 	record Away(String reason) implements GetResult {
 
--- a/store/src/main/java/org/snowwind/store/HttpObjectStore.java
+++ b/store/src/main/java/org/snowwind/store/HttpObjectStore.java
@@ -12,10 +12,7 @@
 import org.snowwind.http.client.JsonClient.JsonAnswer;
 
 /**
- * The object API as the stand-in platform speaks it: JSON over HTTP.
- *
- * <p>
- * Another platform costs one sibling of this class.
+ * Implements the object API of the stand-in platform, which is JSON over HTTP.
  */
 public final class HttpObjectStore implements ObjectStore {
 
@@ -31,7 +28,7 @@
 
 	private static final String EXPECTED = "X-Expected-Revision";
 
-	/** How much longer than the watch itself its answer may take. */
+	/** The time that a watch may take beyond its wait. */
 	private static final long WATCH_MARGIN_MILLIS = 2000;
 
 	private final JsonClient client;
@@ -42,9 +39,9 @@
 
 	/**
 	 * Creates a client.
-	 * @param client carries the calls
-	 * @param baseUrl the platform's URL without a slash at its end
-	 * @param timeoutMillis how long a call may take, in milliseconds
+	 * @param client the client for the calls
+	 * @param baseUrl the platform's URL without a trailing slash
+	 * @param timeoutMillis the timeout of a call, in milliseconds
 	 */
 	public HttpObjectStore(JsonClient client, String baseUrl, long timeoutMillis) {
 		this.client = client;
--- a/store/src/main/java/org/snowwind/store/HttpVmList.java
+++ b/store/src/main/java/org/snowwind/store/HttpVmList.java
@@ -9,7 +9,7 @@
 import org.snowwind.http.client.JsonClient;
 
 /**
- * The VM list as the stand-in platform serves it.
+ * Reads the VM list of the stand-in platform.
  */
 public final class HttpVmList implements VmList {
 
@@ -21,9 +21,9 @@
 
 	/**
 	 * Creates a client.
-	 * @param client carries the calls
-	 * @param baseUrl the platform's URL without a slash at its end
-	 * @param timeoutMillis how long a call may take, in milliseconds
+	 * @param client the client for the calls
+	 * @param baseUrl the platform's URL without a trailing slash
+	 * @param timeoutMillis the timeout of a call, in milliseconds
 	 */
 	public HttpVmList(JsonClient client, String baseUrl, long timeoutMillis) {
 		this.client = client;
--- a/store/src/main/java/org/snowwind/store/ListResult.java
+++ b/store/src/main/java/org/snowwind/store/ListResult.java
@@ -9,16 +9,16 @@
 public sealed interface ListResult permits ListResult.Listed, ListResult.Away {
 
 	/**
-	 * Handles each case.
-	 * @param <R> the type of what comes out
+	 * Calls the handler of this case.
+	 * @param <R> the type of the result
 	 * @param onListed handles a listing
-	 * @param onAway handles no answer
-	 * @return what the handler returns
+	 * @param onAway handles an unavailable store
+	 * @return the result of the handler
 	 */
 	<R> R match(Function<Listed, R> onListed, Function<Away, R> onAway);
 
 	/**
-	 * All objects as of a revision.
+	 * All objects at a revision.
 	 *
 	 * @param revision the revision
 	 * @param objects the objects
@@ -33,9 +33,9 @@
 	}
 
 	/**
-	 * No answer.
+	 * The store did not answer.
 	 *
-	 * @param reason why, one line
+	 * @param reason the reason, one line
 	 */
 	record Away(String reason) implements ListResult {
 
--- a/store/src/main/java/org/snowwind/store/ObjectStore.java
+++ b/store/src/main/java/org/snowwind/store/ObjectStore.java
@@ -3,18 +3,18 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * The platform's object API, as far as snowwind uses it.
+ * The part of the platform's object API that snowwind uses.
  *
  * <p>
- * Calls block and count against the platform's budget, a waiting watch as one. Every
- * failure is a value of the result, never an exception.
+ * Calls block and count against the platform's rate limit; a waiting watch counts once.
+ * Failures are results, not exceptions.
  */
 public interface ObjectStore {
 
 	/**
-	 * Reads all objects below a prefix.
-	 * @param prefix the start of the keys
-	 * @return the objects and the revision as of which they are listed
+	 * Reads all objects with a key prefix.
+	 * @param prefix the key prefix
+	 * @return the objects and the revision of the listing
 	 */
 	ListResult list(String prefix);
 
@@ -26,8 +26,8 @@
 	GetResult get(String key);
 
 	/**
-	 * Reads one object as it may have stood some seconds ago, where the platform sells
-	 * that for less.
+	 * Reads one object from a copy that may be seconds old, if the platform offers that
+	 * at a lower price.
 	 * @param key its key
 	 * @return the object
 	 */
@@ -36,38 +36,37 @@
 	}
 
 	/**
-	 * Writes one object on condition.
+	 * Writes one object if it has not changed.
 	 * @param key its key
 	 * @param expectedRevision the revision of the object's last change; 0 if it must not
 	 * exist
 	 * @param value the new value
-	 * @return what became of it
+	 * @return the result of the write
 	 */
 	WriteResult put(String key, long expectedRevision, JsonNode value);
 
 	/**
-	 * Deletes one object on condition.
+	 * Deletes one object if it has not changed.
 	 * @param key its key
 	 * @param expectedRevision the revision of the object's last change
-	 * @return what became of it
+	 * @return the result of the write
 	 */
 	WriteResult delete(String key, long expectedRevision);
 
 	/**
-	 * Waits for changes below a prefix.
-	 * @param prefix the start of the keys
-	 * @param afterRevision changes after this revision are wanted
-	 * @param waitMillis how long to wait for one, in milliseconds
-	 * @return the changes, none if the wait ended without
+	 * Waits for changes of objects with a key prefix.
+	 * @param prefix the key prefix
+	 * @param afterRevision the revision after which changes are returned
+	 * @param waitMillis how long to wait for a change, in milliseconds
+	 * @return the changes, empty if there was none during the wait
 	 */
 	WatchResult watch(String prefix, long afterRevision, long waitMillis);
 
 	/**
-	 * Gives up calls that are under way, whose answers may never come: each ends as one
-	 * without an answer.
+	 * Ends all open calls, which may never be answered, as unanswered.
 	 */
 	default void giveUpCalls() {
-		// A store that answers at once has none.
+		// A store that answers immediately has no open calls.
 	}
 
 }
--- a/store/src/main/java/org/snowwind/store/OpenCalls.java
+++ b/store/src/main/java/org/snowwind/store/OpenCalls.java
@@ -28,7 +28,7 @@
 	}
 
 	/**
-	 * Tells whether a call waits for a change.
+	 * Returns whether a call waits for a change.
 	 * @return true if one does
 	 */
 	boolean isWaiting() {
@@ -52,9 +52,9 @@
 	}
 
 	/**
-	 * Drops calls that should have told of a change and did not.
+	 * Drops calls that should have returned a change and did not.
 	 * @param revision the revision of the change
-	 * @param learntMillis when another call told of it, in milliseconds
+	 * @param learntMillis when another call returned it, in milliseconds
 	 */
 	void dropSilent(long revision, long learntMillis) {
 		this.calls
@@ -64,10 +64,10 @@
 	/**
 	 * A call.
 	 *
-	 * @param number tells it from others
+	 * @param number a unique number
 	 * @param sentMillis when it was sent, in milliseconds
-	 * @param mostMillis how long it may be open, in milliseconds
-	 * @param afterRevision the revision after which changes are wanted
+	 * @param mostMillis the maximum time that it may be open, in milliseconds
+	 * @param afterRevision the revision after which changes are returned
 	 * @param waits whether it waits for a change
 	 */
 	record Call(long number, long sentMillis, long mostMillis, long afterRevision, boolean waits) {
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -12,29 +12,29 @@
 import org.snowwind.model.event.EventLog;
 
 /**
- * Follows all objects below a prefix: lists them, then waits for changes, and lists again
- * only if the store no longer has all changes.
+ * Watches all objects with a key prefix: lists them, waits for changes, and lists them
+ * again only if the store no longer has all changes.
  *
  * <p>
- * One call waits for long. It may be on a connection that nothing comes over any more, so
- * the copy's age decides when another call is made beside it, on a connection of its own.
- * Never blocks; confined to one thread.
+ * One call waits for changes. Its connection may have gone silent, so the age of the copy
+ * decides when an inquiry is made on another connection. Never blocks; confined to one
+ * thread.
  */
 public final class StoreWatch {
 
-	/** The first pause after a failed call, in milliseconds; it doubles with each. */
+	/** The first pause after a failed call, in milliseconds. */
 	private static final long FIRST_BACKOFF_MILLIS = 150;
 
-	/** The longest pause as a share of the time between calls to a silent store. */
+	/** The maximum pause as a share of the time between calls to a silent store. */
 	private static final double MOST_BACKOFF_SHARE = 0.8;
 
-	/** The store answers at once; it is only asked what it knows by now. */
+	/** The wait of an inquiry, which returns the current state. */
 	private static final long NO_WAIT_MILLIS = 1;
 
-	/** Unanswered calls beside the one that waits for long. */
+	/** The maximum number of open inquiries. */
 	private static final int MOST_INQUIRIES = 4;
 
-	/** A listing has fewer pages, each of which may take as long as a call. */
+	/** The maximum number of pages of a listing, each of which is a call. */
 	private static final int MOST_PAGES = 10;
 
 	private final AsyncObjectStore store;
@@ -60,12 +60,12 @@
 
 	private volatile boolean away;
 
-	/** Whether a watch was cut off and no inquiry was answered since. */
+	/** Whether a watch was interrupted and no inquiry was answered since. */
 	private boolean inquiryNeeded;
 
 	private long revision;
 
-	/** When the last change was learnt. */
+	/** When the last change was received. */
 	private long changedMillis;
 
 	private long lastSentMillis = Long.MIN_VALUE;
@@ -91,13 +91,13 @@
 
 	/**
 	 * Creates a watch that has made no call.
-	 * @param store the platform
-	 * @param prefix the start of the keys
+	 * @param store the platform's store
+	 * @param prefix the key prefix
 	 * @param pace when calls are made, and how long they wait
-	 * @param listener is told of objects and of the platform's state
-	 * @param freshness is told what answers prove, and tells what peers know
-	 * @param clock tells the time
-	 * @param random spreads the back-off
+	 * @param listener notified of objects and of the state of the store
+	 * @param freshness the freshness of the copy, which responses and peers update
+	 * @param clock the clock
+	 * @param random adds jitter to the backoff
 	 */
 	public StoreWatch(AsyncObjectStore store, String prefix, Pace pace, Listener listener, Freshness freshness,
 			MonotonicClock clock, RandomGenerator random) {
@@ -115,24 +115,24 @@
 	}
 
 	/**
-	 * Asks for a round as soon as an answer is there. To be called before the first
-	 * round.
-	 * @param task called on any thread
+	 * Sets a task that is run when a response has arrived. Must be called before the
+	 * first round.
+	 * @param task the task, run on any thread
 	 */
 	public void onAnswer(Runnable task) {
 		this.onAnswer = task;
 	}
 
 	/**
-	 * Tells whether the platform does not answer. May be called on any thread.
-	 * @return true if the last call that it should have answered at once failed
+	 * Returns whether the store does not answer. May be called on any thread.
+	 * @return true if the last inquiry failed
 	 */
 	public boolean isAway() {
 		return this.away;
 	}
 
 	/**
-	 * Takes the answers that have come, and makes a call if one is due.
+	 * Processes the responses that have arrived, and makes a call if one is due.
 	 */
 	public void round() {
 		takeAnswers();
@@ -176,7 +176,8 @@
 		return (needed && nowMillis >= this.nextInquiryMillis) || isPeerAhead(nowMillis);
 	}
 
-	// One inquiry for each time that a peer is found to be ahead; further ones as usual.
+	// The first inquiry after a peer was found to be ahead is made at once, further ones
+	// at the usual interval.
 	private boolean isPeerAhead(long nowMillis) {
 		return this.freshness.behindMillis() >= this.pace.schedule().stepMillis()
 				&& (this.lastSentMillis <= this.freshness.toldAtMillis() || nowMillis >= this.nextInquiryMillis);
@@ -210,7 +211,7 @@
 		if (tell(() -> this.listener.listed(listing))) {
 			this.listed = true;
 			this.revision = listing.revision();
-			// A listing does not tell what was deleted before, nor when.
+			// A listing does not contain deleted objects.
 			this.freshness.answered(call.sentMillis(), this.revision, lastChange(listing.objects()), this.revision);
 		}
 	}
@@ -248,14 +249,14 @@
 		}
 		this.changedMillis = changed ? nowMillis : this.changedMillis;
 		this.revision = changes.revision();
-		// The revision of an object that was deleted is that of the change before.
+		// A deleted object has the revision of its previous change.
 		boolean deleted = changes.objects().stream().anyMatch(StoredObject::deleted);
 		long last = deleted ? this.revision : lastChange(changes.objects());
 		this.freshness.answered(call.sentMillis(), this.revision, last, last);
 	}
 
 	private void takeGap(OpenCalls.Call call) {
-		// A call made before the last listing says nothing of the changes since.
+		// A call made before the last listing does not prove a later gap.
 		if (this.listed && call.afterRevision() == this.revision) {
 			this.listed = false;
 			boolean again = this.gaps.hasFailed();
@@ -265,7 +266,7 @@
 		}
 	}
 
-	// What the listener could not take is listed again.
+	// Objects that the listener could not process are listed again.
 	private boolean tell(Runnable news) {
 		try {
 			news.run();
@@ -324,8 +325,9 @@
 			watchFailed(call, nowMillis);
 			return false;
 		}
-		// An earlier inquiry says nothing once a later one was answered, and sets no
-		// pause once a later one was made.
+		// An inquiry is irrelevant once a later one was answered, and starts no pause
+		// once
+		// a later one was made.
 		if (call.sentMillis() >= this.answeredSentMillis && !this.away) {
 			this.away = true;
 			this.listener.away(reason);
@@ -337,7 +339,7 @@
 		return false;
 	}
 
-	// A watch may be cut off at any time; an inquiry tells whether the platform answers.
+	// A watch may be interrupted at any time; an inquiry shows whether the store answers.
 	private void watchFailed(OpenCalls.Call call, long nowMillis) {
 		long pauseMillis = this.watches.failed();
 		this.nextWatchMillis = nowMillis + pauseMillis;
@@ -349,21 +351,21 @@
 	}
 
 	/**
-	 * When calls are made, and how long they wait.
+	 * The timing of calls.
 	 *
 	 * @param waitMillis how long the store waits for a change, in milliseconds
-	 * @param gatherMillis how long the next call waits after a change, in milliseconds,
-	 * so that changes which come together cost one call
-	 * @param schedule decides when another call is made beside the one that waits
+	 * @param gatherMillis the delay of the next call after a change, in milliseconds, so
+	 * that several changes need only one call
+	 * @param schedule decides when an inquiry is made
 	 */
 	public record Pace(long waitMillis, long gatherMillis, ConfirmationSchedule schedule) {
 
 	}
 
 	/**
-	 * Takes an answer on the watch's thread.
+	 * Processes a response on the watch's thread.
 	 *
-	 * @param <T> the type of the answer
+	 * @param <T> the type of the response
 	 */
 	@FunctionalInterface
 	private interface Answered<T> {
@@ -373,38 +375,38 @@
 	}
 
 	/**
-	 * Is told of objects and of the platform's state, on the watch's thread.
+	 * Is notified of objects and of the state of the store, on the watch's thread.
 	 */
 	public interface Listener {
 
 		/**
-		 * All objects were listed.
+		 * Called when all objects were listed.
 		 * @param listing the objects
 		 */
 		void listed(ListResult.Listed listing);
 
 		/**
-		 * Objects have changed, or the wait ended without a change.
+		 * Called when objects have changed or the wait ended without a change.
 		 * @param changes the changes
 		 */
 		void changed(WatchResult.Changes changes);
 
 		/**
-		 * The platform no longer knows all changes; a listing follows.
-		 * @param afterRevision the last revision that is known
+		 * Called when the store no longer has all changes. A listing follows.
+		 * @param afterRevision the last known revision
 		 */
 		default void gap(long afterRevision) {
 		}
 
 		/**
-		 * The platform did not answer, the first time in a row.
-		 * @param reason why, one line
+		 * Called when the store stops answering.
+		 * @param reason the reason, one line
 		 */
 		default void away(String reason) {
 		}
 
 		/**
-		 * The platform answers again.
+		 * Called when the store answers again.
 		 */
 		default void back() {
 		}
--- a/store/src/main/java/org/snowwind/store/StoredObject.java
+++ b/store/src/main/java/org/snowwind/store/StoredObject.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * An object of the platform.
+ * An object of the platform's store.
  *
  * @param key its key
  * @param revision the revision of its last change
@@ -12,7 +12,7 @@
 public record StoredObject(String key, long revision, JsonNode value) {
 
 	/**
-	 * Tells whether the object is gone.
+	 * Returns whether the object was deleted.
 	 * @return true if its last change deleted it
 	 */
 	public boolean deleted() {
--- a/store/src/main/java/org/snowwind/store/VerifiedWrites.java
+++ b/store/src/main/java/org/snowwind/store/VerifiedWrites.java
@@ -7,11 +7,11 @@
 import org.snowwind.model.Json;
 
 /**
- * Settles writes whose answer was lost, by reading back and comparing.
+ * Determines the result of writes whose response was lost by reading the object back.
  *
  * <p>
- * A lost write is never repeated blind. The value must tell its writer apart, or else two
- * writers of the same value take one write for their own.
+ * Such a write is never repeated without a read. The value must identify its writer;
+ * otherwise two writers of the same value would take one write for their own.
  */
 public final class VerifiedWrites {
 
@@ -24,9 +24,9 @@
 	private final LongConsumer pause;
 
 	/**
-	 * Creates the helper.
-	 * @param store the platform
-	 * @param pause waits so many milliseconds
+	 * Creates the writer.
+	 * @param store the platform's store
+	 * @param pause waits for a number of milliseconds
 	 */
 	public VerifiedWrites(ObjectStore store, LongConsumer pause) {
 		this.store = store;
@@ -34,12 +34,12 @@
 	}
 
 	/**
-	 * Writes and, if the answer is lost, finds out what became of it.
+	 * Writes an object and, if the response is lost, determines the result.
 	 * @param key the object's key
 	 * @param expectedRevision the revision of its last change, 0 if it must not exist
 	 * @param value the new value; {@code null} deletes
-	 * @return what became of it; uncertain only if the platform stays away, or if the
-	 * write may still be on its way
+	 * @return the result; uncertain only if the store does not answer or the write may
+	 * still take effect
 	 */
 	public WriteResult write(String key, long expectedRevision, JsonNode value) {
 		WriteResult first = (value != null) ? this.store.put(key, expectedRevision, value)
@@ -61,11 +61,11 @@
 	}
 
 	/**
-	 * A number that was parsed may have another type than one that was built, so both are
-	 * compared as they stand in text.
-	 * @param standing what stands in the platform
-	 * @param written what was written
-	 * @return true if they are the same
+	 * Compares two values by their text, because a parsed number may have another type
+	 * than a built one.
+	 * @param standing the value in the store
+	 * @param written the value that was written
+	 * @return true if they are equal
 	 */
 	private static boolean sameText(JsonNode standing, JsonNode written) {
 		return standing != null && written != null && reparsed(standing).equals(reparsed(written));
--- a/store/src/main/java/org/snowwind/store/VmList.java
+++ b/store/src/main/java/org/snowwind/store/VmList.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * The platform's list of VMs, which lags behind reality and is only a hint.
+ * The platform's list of VMs, which may be outdated.
  */
 @FunctionalInterface
 public interface VmList {
@@ -15,13 +15,13 @@
 	List<Vm> read();
 
 	/**
-	 * One VM.
+	 * A VM.
 	 *
 	 * @param name its name
 	 * @param role {@code entry} or {@code backend}
-	 * @param dataCentre where it is
+	 * @param dataCentre its data centre
 	 * @param controlAddress the control address of the snowwind process on it
-	 * @param leaving whether the platform is about to take it away
+	 * @param leaving whether the platform is about to remove it
 	 */
 	record Vm(String name, String role, String dataCentre, String controlAddress, boolean leaving) {
 
--- a/store/src/main/java/org/snowwind/store/WatchResult.java
+++ b/store/src/main/java/org/snowwind/store/WatchResult.java
@@ -9,20 +9,20 @@
 public sealed interface WatchResult permits WatchResult.Changes, WatchResult.Gap, WatchResult.Away {
 
 	/**
-	 * Handles each case.
-	 * @param <R> the type of what comes out
+	 * Calls the handler of this case.
+	 * @param <R> the type of the result
 	 * @param onChanges handles changes
 	 * @param onGap handles lost changes
-	 * @param onAway handles no answer
-	 * @return what the handler returns
+	 * @param onAway handles an unavailable store
+	 * @return the result of the handler
 	 */
 	<R> R match(Function<Changes, R> onChanges, Function<Gap, R> onGap, Function<Away, R> onAway);
 
 	/**
-	 * Changes in the order in which they were made; none if the wait ended without.
+	 * The changes in order; empty if there was none during the wait.
 	 *
 	 * @param objects the changed objects
-	 * @param revision the store's revision up to which changes are known
+	 * @param revision the store's revision up to which the changes are complete
 	 */
 	record Changes(List<StoredObject> objects, long revision) implements WatchResult {
 
@@ -34,7 +34,7 @@
 	}
 
 	/**
-	 * The platform no longer has all changes; everything must be listed again.
+	 * The store no longer has all changes, so all objects must be listed again.
 	 */
 	record Gap() implements WatchResult {
 
@@ -46,9 +46,9 @@
 	}
 
 	/**
-	 * No answer.
+	 * The store did not answer.
 	 *
-	 * @param reason why, one line
+	 * @param reason the reason, one line
 	 */
 	record Away(String reason) implements WatchResult {
 
--- a/store/src/main/java/org/snowwind/store/WriteResult.java
+++ b/store/src/main/java/org/snowwind/store/WriteResult.java
@@ -10,19 +10,19 @@
 		permits WriteResult.Written, WriteResult.Conflict, WriteResult.NotWritten, WriteResult.Uncertain {
 
 	/**
-	 * Handles each case.
-	 * @param <R> the type of what comes out
+	 * Calls the handler of this case.
+	 * @param <R> the type of the result
 	 * @param cases a handler for each case
-	 * @return what the handler returns
+	 * @return the result of the handler
 	 */
 	<R> R match(Cases<R> cases);
 
 	/**
 	 * A handler for each case.
 	 *
-	 * @param <R> the type of what comes out
+	 * @param <R> the type of the result
 	 * @param onWritten gets the new revision
-	 * @param onConflict gets the revision that stands there, 0 for none
+	 * @param onConflict gets the current revision, 0 if the object does not exist
 	 * @param onNotWritten gets the reason
 	 * @param onUncertain gets the reason
 	 */
@@ -46,9 +46,9 @@
 	}
 
 	/**
-	 * Somebody else's change stands there; the write had no effect.
+	 * The object was changed by another writer; the write had no effect.
 	 *
-	 * @param actualRevision the revision that stands there, 0 for none
+	 * @param actualRevision the current revision, 0 if the object does not exist
 	 */
 	record Conflict(long actualRevision) implements WriteResult {
 
@@ -60,9 +60,9 @@
 	}
 
 	/**
-	 * The platform refused; the write had no effect.
+	 * The store rejected the write, which had no effect.
 	 *
-	 * @param reason why, one line
+	 * @param reason the reason, one line
 	 */
 	record NotWritten(String reason) implements WriteResult {
 
@@ -74,9 +74,9 @@
 	}
 
 	/**
-	 * No answer came; the write may have taken effect or may yet.
+	 * The store did not answer; the write may have taken effect or may still do so.
 	 *
-	 * @param reason why, one line
+	 * @param reason the reason, one line
 	 */
 	record Uncertain(String reason) implements WriteResult {
 
--- a/store/src/main/java/org/snowwind/store/package-info.java
+++ b/store/src/main/java/org/snowwind/store/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The platform's object API behind narrow interfaces.
+ * Interfaces to the platform's object API, and their clients.
  */
 package org.snowwind.store;
