--- a/gateway/src/main/java/org/snowwind/gateway/expert/CountSchedule.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/CountSchedule.java
@@ -4,27 +4,27 @@
  * Decides when the counts of a group's ranks are read. Confined to one thread.
  *
  * <p>
- * Each read costs the group half a millisecond for each 400 numbers. Demand that moves
- * makes passes much longer at once, so that counts are read seldom while passes are as
- * they were, and often for a moment after they have jumped.
+ * The group pauses half a millisecond for each 400 numbers that are read. A shift of
+ * demand makes the pass time jump, so counts are read at long intervals, and at short
+ * ones after a jump.
  */
 final class CountSchedule {
 
-	/** How often the counts of a rank are read, in milliseconds. */
+	/** The interval between reads of a rank, in milliseconds. */
 	private static final long PERIOD_MILLIS = 500;
 
-	/** The same after passes have become much longer at once, in milliseconds. */
+	/** The interval between reads after a jump, in milliseconds. */
 	private static final long ALARMED_PERIOD_MILLIS = 120;
 
 	/**
-	 * So many reads after passes have become much longer tell whether demand has moved:
-	 * the first one spans the move, the others come after it.
+	 * The number of reads at the short interval. The first one spans the shift, the
+	 * others follow it.
 	 */
 	private static final int ALARMED_READS = 3;
 
 	/**
-	 * What another group has read is news for so long, in milliseconds: longer than it
-	 * takes that group to read again, or both would read.
+	 * The time for which a read by another group replaces one by this group, in
+	 * milliseconds. It is longer than the interval, so that only one of them reads.
 	 */
 	private static final long OTHERS_MILLIS = 700;
 
@@ -35,13 +35,13 @@
 	private int alarmedReads;
 
 	/**
-	 * Decides whether to read now, and takes it for done if so.
+	 * Decides whether to read now. The caller must read if the result is true.
 	 * @param nowMillis the time, in milliseconds
-	 * @param jumpedMillis when passes have last become much longer at once, in
-	 * milliseconds; {@link Long#MIN_VALUE} if they never have
-	 * @param othersMillis when another group of the service has read last, in
-	 * milliseconds; {@link Long#MIN_VALUE} if none has since this one
-	 * @param ranks how many ranks have their turn, one each time
+	 * @param jumpedMillis when the pass time last jumped, in milliseconds;
+	 * {@link Long#MIN_VALUE} if it never has
+	 * @param othersMillis when another group of the service last read, in milliseconds;
+	 * {@link Long#MIN_VALUE} if none has since this one
+	 * @param ranks the number of ranks that are read in turn
 	 * @return whether to read
 	 */
 	boolean due(long nowMillis, long jumpedMillis, long othersMillis, int ranks) {
@@ -62,8 +62,7 @@
 	}
 
 	/**
-	 * Takes note that the ranks have begun to count anew, so that the next read tells
-	 * nothing yet.
+	 * Records that the group was formed anew, so that the next read only starts a window.
 	 */
 	void formedAnew() {
 		this.nextMillis = Long.MIN_VALUE;
@@ -71,7 +70,7 @@
 	}
 
 	/**
-	 * Has counts read once more soon, when what is read then is all of one demand.
+	 * Schedules another read after the short interval.
 	 * @param nowMillis the time, in milliseconds
 	 */
 	void again(long nowMillis) {
@@ -79,8 +78,7 @@
 	}
 
 	/**
-	 * Takes note that a read has shown a move of demand: there is nothing more to find
-	 * out.
+	 * Records that a read has shown a shift of demand, which ends the short interval.
 	 */
 	void moved() {
 		this.alarmedReads = 0;
--- a/gateway/src/main/java/org/snowwind/gateway/expert/CountWindows.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/CountWindows.java
@@ -7,34 +7,33 @@
 import org.snowwind.gateway.registry.BackendIncarnation;
 
 /**
- * Turns the running counts of ranks into what was chosen since each was last read.
- * Confined to one thread.
+ * Converts the cumulative counts of ranks into the choices since the last read. Confined
+ * to one thread.
  */
 final class CountWindows {
 
 	/**
-	 * What was chosen since longer ago, in milliseconds, may mix demand from before and
-	 * after a move; twice the usual time between reads.
+	 * The maximum length of a window, in milliseconds. A longer one may contain choices
+	 * from before and after a shift of demand.
 	 */
 	private static final long MOST_SINCE_MILLIS = 1000;
 
 	private final Map<BackendIncarnation, CountsRead> lastByRun = new HashMap<>();
 
 	/**
-	 * Forgets all reads, since the ranks have begun to count anew.
+	 * Discards all reads.
 	 */
 	void clear() {
 		this.lastByRun.clear();
 	}
 
 	/**
-	 * Takes the counts of a rank.
-	 * @param run which life of the rank it is; another one counts from zero
-	 * @param counts how often each expert was chosen since the rank began, by set and
-	 * expert
+	 * Records the counts of a rank.
+	 * @param run the incarnation of the rank; a new one counts from zero
+	 * @param counts the number of choices since the rank started, by set and expert
 	 * @param nowMillis the time, in milliseconds
-	 * @return how often each was chosen since the last read, empty if there was none or
-	 * it is too long ago
+	 * @return the number of choices since the last read, empty if there was none or it is
+	 * too long ago
 	 */
 	Optional<long[][]> since(BackendIncarnation run, long[][] counts, long nowMillis) {
 		CountsRead last = this.lastByRun.put(run, new CountsRead(counts, nowMillis));
@@ -51,16 +50,16 @@
 	private static long[] difference(long[] now, long[] before) {
 		long[] difference = new long[now.length];
 		for (int expert = 0; expert < now.length; expert++) {
-			// A rank that was restarted in between counts from zero.
+			// A rank that was restarted counts from zero.
 			difference[expert] = Math.max(0, now[expert] - before[expert]);
 		}
 		return difference;
 	}
 
 	/**
-	 * The counts of a rank when they were last read.
+	 * The counts of a rank at the last read.
 	 *
-	 * @param counts how often each expert was chosen, by set and expert
+	 * @param counts the number of choices, by set and expert
 	 * @param atMillis when they were read, in milliseconds
 	 */
 	private record CountsRead(long[][] counts, long atMillis) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
@@ -4,31 +4,29 @@
 import java.util.List;
 
 /**
- * How much each expert has been asked for lately. Several threads add to it.
+ * The recent demand for each expert. Thread-safe.
  *
  * <p>
- * Requests are spread over ranks and groups by chance, so that what the requests of a few
- * ranks chose tells what those of all will choose. Demand moves at once every few seconds
- * and hardly between: what was chosen before a move is forgotten when the move shows.
+ * Requests are distributed over ranks and groups at random, so the choices of a few ranks
+ * are a sample of the demand of all. Demand shifts suddenly every few seconds and is
+ * stable in between, so a detected shift discards all earlier choices.
  */
 final class DemandBook {
 
-	/** Fewer choices of a set than this tell nothing of a move. */
+	/** The minimum number of choices of a set for the detection of a shift. */
 	private static final double LEAST_CHOICES = 500;
 
 	/**
-	 * More choices of a set than this count no more: a long prompt that a rank has just
-	 * read brings fifty times the choices of all its streams, and most of them are of its
-	 * own subject, which the next prompt does not share. Unscaled, maps were changed for
-	 * single prompts.
+	 * The maximum weight of one rank's choices of a set. A long prompt causes fifty times
+	 * as many choices as all streams of a rank, most of them of its own subject. Without
+	 * a maximum, single prompts would change the map.
 	 */
 	private static final double MOST_CHOICES = 1000;
 
 	/**
-	 * For so long after a move only what strays very far is another one, in milliseconds.
-	 * What little is known then is mostly of a few prompts, and each read seems to move
-	 * away from it: on groups of 96 ranks 20 moves were seen within three seconds in
-	 * which demand had not moved, and each forgot what the one before had learnt.
+	 * The time after a shift in which only a very large share is another shift, in
+	 * milliseconds. The few choices that are known then are mostly of single prompts, and
+	 * differ from every later sample.
 	 */
 	private static final long SETTLE_MILLIS = 800;
 
@@ -45,10 +43,10 @@
 	private String lastReader = "";
 
 	/**
-	 * Creates a book that knows nothing.
-	 * @param sets how many sets of experts there are
-	 * @param experts how many experts a set has
-	 * @param halfLifeMillis how fast what was chosen before is forgotten, in milliseconds
+	 * Creates a book without choices.
+	 * @param sets the number of sets of experts
+	 * @param experts the number of experts in a set
+	 * @param halfLifeMillis the half-life of the weight of choices, in milliseconds
 	 */
 	DemandBook(int sets, int experts, double halfLifeMillis) {
 		this.weights = new double[sets][experts];
@@ -56,20 +54,20 @@
 	}
 
 	/**
-	 * Adds what was chosen since ranks were last read, and forgets all before if demand
-	 * has moved since.
-	 * @param group the group that has read it
-	 * @param chosenByRank how often, by set and expert, for each rank that was read
-	 * @param passesJumped whether passes have just become much longer
+	 * Adds the choices since the last read, and discards all earlier ones if demand has
+	 * shifted.
+	 * @param group the group whose ranks were read
+	 * @param chosenByRank the number of choices by set and expert, for each rank
+	 * @param passesJumped whether the pass time has just jumped
 	 * @param nowMillis the time, in milliseconds
-	 * @return whether demand has moved, and how far
+	 * @return whether demand has shifted, and how far
 	 */
 	synchronized Move add(String group, List<long[][]> chosenByRank, boolean passesJumped, long nowMillis) {
 		double[][] chosen = scaledSum(chosenByRank);
 		double movedShare = movedShare(chosen);
 		double movedBeyond = movedBeyond(passesJumped, nowMillis);
 		boolean moved = movedShare > movedBeyond;
-		// Reads after a jump may span a move, which is not how far reads usually stray.
+		// A read after a jump may span a shift, so it says nothing about the noise.
 		if (!passesJumped && nowMillis >= this.settledMillis) {
 			this.threshold.exceededBy(movedShare);
 		}
@@ -85,9 +83,9 @@
 	}
 
 	/**
-	 * Takes what was chosen since a moment after demand has moved for all that is known.
-	 * @param group the group that has read it
-	 * @param chosenByRank how often, by set and expert, for each rank that was read
+	 * Replaces all choices with those since a shift of demand.
+	 * @param group the group whose ranks were read
+	 * @param chosenByRank the number of choices by set and expert, for each rank
 	 * @param nowMillis the time, in milliseconds
 	 */
 	synchronized void replace(String group, List<long[][]> chosenByRank, long nowMillis) {
@@ -142,17 +140,17 @@
 	}
 
 	/**
-	 * Tells whether a group has read the last counts.
+	 * Returns whether the last choices were read by a group.
 	 * @param group the group's name
-	 * @return true if no other group has read since
+	 * @return false if another group has read since
 	 */
 	synchronized boolean lastReadBy(String group) {
 		return this.lastReader.equals(group);
 	}
 
 	/**
-	 * Tells how new the last counts are.
-	 * @return when they were read, in milliseconds; {@link Long#MIN_VALUE} if none were
+	 * Returns when choices were last read.
+	 * @return the time, in milliseconds; {@link Long#MIN_VALUE} if none were
 	 */
 	synchronized long asOfMillis() {
 		return this.asOfMillis;
@@ -171,8 +169,8 @@
 	}
 
 	/**
-	 * Tells how much is known.
-	 * @return the sum of the first set's weights
+	 * Returns the amount of evidence.
+	 * @return the sum of the weights of the first set
 	 */
 	synchronized double evidence() {
 		double sum = 0;
@@ -183,11 +181,12 @@
 	}
 
 	/**
-	 * How far demand is from what it was.
+	 * The difference between new choices and the demand so far.
 	 *
-	 * @param moved whether it has moved, so that what was chosen before is forgotten
-	 * @param share which part of the choices went to other experts than before, 0 to 1
-	 * @param threshold beyond which share demand had moved
+	 * @param moved whether demand has shifted
+	 * @param share the share of the choices that went to other experts than before, 0 to
+	 * 1
+	 * @param threshold the share above which demand has shifted
 	 */
 	record Move(boolean moved, double share, double threshold) {
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
@@ -12,22 +12,21 @@
 import org.snowwind.model.event.EventLog;
 
 /**
- * Reads which experts the ranks of a group have chosen, and notes it for all groups of
- * the service. Confined to the thread of its group, which it blocks.
+ * Reads which experts the requests of a group have chosen, and records the demand for all
+ * groups of the service. Confined to the thread of its group, which it blocks.
  */
 final class DemandReader {
 
 	/**
-	 * Of one rank in so many counts are read. A rank reads a prompt or two between two
-	 * reads, which tell of a subject or two: enough where eight ranks share all requests,
-	 * little where 96 do. They have their turns, since the group rests for each, and a
-	 * stream is late by its longest pass: with four ranks read at once 811 streams were
-	 * late by a pause within eight seconds, with turns 227, one run each.
+	 * The number of ranks for each rank whose counts are read. Between two reads a rank
+	 * processes one or two prompts, which is too small a sample of the demand of a large
+	 * group. Ranks are read in turn because the group pauses for each read, and a stream
+	 * is late by its longest pause.
 	 */
 	static final int RANKS_FOR_ONE_COUNTED = 24;
 
 	/**
-	 * For so long after passes have become much longer a read may show the move of demand
+	 * The time after a jump of the pass time in which a read may show the shift of demand
 	 * that caused it, in milliseconds.
 	 */
 	private static final long JUMP_MILLIS = 700;
@@ -55,13 +54,13 @@
 	private boolean groupFormed;
 
 	/**
-	 * Creates a reader that has read nothing.
+	 * Creates a reader.
 	 * @param group the group's name
-	 * @param profile how many experts there are
-	 * @param calls reach the ranks
-	 * @param demand takes what was chosen
-	 * @param passJumpedMillis tells when passes have last become much longer at once
-	 * @param clock tells the time
+	 * @param profile the performance of the engines
+	 * @param calls reads the counts of ranks
+	 * @param demand records the choices
+	 * @param passJumpedMillis supplies when the pass time last jumped
+	 * @param clock the clock
 	 */
 	DemandReader(String group, EngineProfile profile, CountsPort calls, DemandBook demand,
 			LongSupplier passJumpedMillis, MonotonicClock clock) {
@@ -74,7 +73,7 @@
 	}
 
 	/**
-	 * Forgets what was read, since the ranks have begun to count anew.
+	 * Discards earlier counts after the group was formed anew.
 	 */
 	void formedAnew() {
 		this.windows.clear();
@@ -84,7 +83,7 @@
 	}
 
 	/**
-	 * Reads counts if it is time and no other group has.
+	 * Reads counts if a read is due and no other group has read recently.
 	 * @param ranks the ranks of the group
 	 */
 	void read(List<Rank> ranks) {
@@ -129,8 +128,8 @@
 		return chosen;
 	}
 
-	// The windows of the other ranks began before demand moved, or none has begun. A
-	// moment later all of them together tell what is wanted now, and nothing of before.
+	// The windows of the other ranks began before demand shifted, or none has begun. The
+	// next read of all of them covers only the current demand.
 	private void beginWindowsAnew(List<Rank> counted) {
 		long nowMillis = this.clock.nowMillis();
 		chosen(counted, nowMillis);
@@ -138,8 +137,8 @@
 		this.schedule.again(nowMillis);
 	}
 
-	// Always the same ranks, spread over the group: a window begins with the last read.
-	// A rank that takes a limited rate is spared while another can tell.
+	// Always the same ranks, because a window begins with the last read. A rank that
+	// limits its request rate is replaced by another one.
 	private List<Rank> counted(List<Rank> ranks) {
 		List<Rank> counted = new ArrayList<>();
 		for (int i = 0; i < ranks.size(); i += RANKS_FOR_ONE_COUNTED) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -35,9 +35,9 @@
  * Plans the expert maps of all groups while this gateway has the duty.
  *
  * <p>
- * Who has the duty is a matter of economy: two owners mix no maps, but undo each other.
- * Each claims the duty by a conditional write, whose revision is its fencing token; ranks
- * refuse the orders of an older one.
+ * A single owner is not needed for safety: two owners cannot mix maps, but revert each
+ * other's. An owner claims the duty with a conditional write, whose revision is its
+ * fencing token. Ranks reject orders with an older token.
  */
 public final class ExpertDuty implements AutoCloseable, GroupBalancer.VersionSource {
 
@@ -47,48 +47,45 @@
 
 	private static final long TICK_MILLIS = 100;
 
-	/** How often it is looked whether a group needs something, in milliseconds. */
+	/** The interval between rounds of a group, in milliseconds. */
 	private static final long GROUP_TICK_MILLIS = 40;
 
 	/**
-	 * How long a gateway that was started listens for an owner before it claims the duty,
-	 * in milliseconds: three reports of each peer. Of two owners the older one stops.
+	 * How long a gateway listens for an owner after its start before it claims the duty,
+	 * in milliseconds. Of two owners the older one stops.
 	 */
 	private static final long LISTEN_MILLIS = 500;
 
-	/** How long after a failed claim the next one follows, in milliseconds. */
+	/** The time between claims, in milliseconds. */
 	private static final long CLAIM_BACKOFF_MILLIS = 1000;
 
 	/**
-	 * How long a group's switch may take from the hold of a pass to its release before a
-	 * planner leaves without it, in milliseconds. With one order in ten unanswered a pass
-	 * is held for 4 ms on average, over drawn switches of 12 ranks.
+	 * How long a planner that leaves waits for a group's switch to end, in milliseconds.
 	 */
 	private static final long FINISH_MILLIS = 1000;
 
-	/** Each owner has this many versions to give before those of the next one. */
+	/** The number of versions that each owner can assign. */
 	private static final long VERSIONS_PER_TOKEN = 10_000;
 
-	/** Demand moves every few seconds; what is older says little. */
+	/** The half-life of the weight of choices. Demand shifts every few seconds. */
 	private static final double DEMAND_HALF_LIFE_MILLIS = 1500;
 
 	/**
-	 * Copies that take longer than this make a map late for the demand that it was
-	 * planned for, in milliseconds; measured, see docs/design/platform.md.
+	 * The maximum time of the copies of a plan, in milliseconds. Demand may have shifted
+	 * when a map with longer copies is in force.
 	 */
 	private static final double COPIES_MILLIS = 300;
 
 	/**
-	 * The least copies of a rank that make a plan worth its switch. Where one copy takes
-	 * 400 ms a plan of one brought the skew from 1.75 to 0.44 and one of two to 0.31,
-	 * which was in force 400 ms later; drawn demands on 12 ranks.
+	 * The minimum number of copies of a rank that a plan may use, regardless of their
+	 * time. Even a single copy reduces the skew considerably.
 	 */
 	private static final int LEAST_COPIES_PER_RANK = 1;
 
-	/** More copies of a rank than this relieve little. */
+	/** The maximum number of copies of a rank. Further copies reduce the skew little. */
 	private static final int MOST_COPIES_PER_RANK = 4;
 
-	/** A copy must take this part of the mean load off the hottest rank. */
+	/** The minimum relief of the hottest rank by a copy, as a share of the mean load. */
 	private static final double LEAST_RELIEF = 0.008;
 
 	private final ObjectStore store;
@@ -123,14 +120,14 @@
 
 	/**
 	 * Creates the duty.
-	 * @param store the platform
-	 * @param client carries calls to ranks
-	 * @param protocol names what is said to ranks
+	 * @param store the platform's store
+	 * @param client the client for calls to ranks
+	 * @param protocol the protocol of ranks
 	 * @param made counts calls to ranks
-	 * @param tables holds the route table
-	 * @param registries holds the servers
-	 * @param local what this gateway tells of itself
-	 * @param clock tells the time
+	 * @param tables the route table in force
+	 * @param registries the registered servers
+	 * @param local the state of this gateway
+	 * @param clock the clock
 	 */
 	public ExpertDuty(ObjectStore store, JsonClient client, RankProtocol protocol, ServerCalls made, TableHolder tables,
 			RegistryHolder registries, Local local, MonotonicClock clock) {
@@ -145,7 +142,7 @@
 	}
 
 	/**
-	 * Takes up the duty whenever this gateway should have it.
+	 * Starts to claim the duty whenever this gateway should have it.
 	 */
 	public void start() {
 		this.nextClaimMillis = this.clock.nowMillis() + LISTEN_MILLIS;
@@ -161,8 +158,8 @@
 	}
 
 	/**
-	 * Returns what decides whether this gateway should plan.
-	 * @return the claim as of now
+	 * Returns the claim of this gateway to the duty.
+	 * @return the current claim
 	 */
 	public PlannerClaim claim() {
 		return new PlannerClaim(this.fence.get());
@@ -191,8 +188,8 @@
 		return service.engine() != null && service.engine().hasExperts();
 	}
 
-	// The token stands until no pass is held: a group whose pass is held makes no other
-	// until the next planner finds it.
+	// The token is kept until no pass is held, because a group with a held pass stalls
+	// until the next planner releases it.
 	private void leave(String reason) {
 		long token = this.fence.get();
 		if (token == 0) {
@@ -282,7 +279,7 @@
 	public long next(long token) {
 		long number = this.given.incrementAndGet();
 		if (number == VERSIONS_PER_TOKEN - 1) {
-			// The next claim brings a new token, and with it new versions.
+			// The next claim has a new token and thus new versions.
 			fenced(token);
 		}
 		return token * VERSIONS_PER_TOKEN + Math.min(number, VERSIONS_PER_TOKEN - 1);
@@ -312,13 +309,13 @@
 	}
 
 	/**
-	 * What this gateway tells of itself.
+	 * The state of this gateway.
 	 *
 	 * @param name its name
 	 * @param candidate whether it should have the duty
-	 * @param passJumpedMillis by a group's name, when its passes have last become much
-	 * longer at once, in milliseconds
-	 * @param groups the group of each server of which it is known
+	 * @param passJumpedMillis when the pass time of a group last jumped, in milliseconds,
+	 * by the group's name
+	 * @param groups the known groups of servers
 	 */
 	public record Local(String name, BooleanSupplier candidate, ToLongFunction<String> passJumpedMillis,
 			Map<BackendIncarnation, String> groups) {
@@ -326,7 +323,7 @@
 	}
 
 	/**
-	 * A group and the thread that balances it.
+	 * A group's balancer and its thread.
 	 *
 	 * @param balancer the group's balancer
 	 * @param thread its thread
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBalancer.java
@@ -15,57 +15,57 @@
 import org.snowwind.model.event.EventLog;
 
 /**
- * Follows the demand of one group with its expert map. Confined to one thread, which it
- * blocks.
+ * Adapts the expert map of a group to demand. Confined to one thread, which it blocks.
  */
 final class GroupBalancer implements RankGroupPort {
 
-	/** How often a few ranks are asked for the state of the group, in milliseconds. */
+	/** The interval between reports of a sample of ranks, in milliseconds. */
 	private static final long REPORTS_MILLIS = 600;
 
-	/** How often all ranks are asked, in milliseconds. */
+	/** The interval between reports of all ranks, in milliseconds. */
 	private static final long ALL_REPORTS_MILLIS = 5000;
 
 	/**
-	 * The same while the group makes no passes, in milliseconds: it may have no work, or
-	 * one rank may hold a pass.
+	 * The same while the group makes no passes, in milliseconds. It may be idle, or a
+	 * rank may hold a pass.
 	 */
 	private static final long ALL_REPORTS_IDLE_MILLIS = 1200;
 
 	/**
-	 * The same while a rank is missing, in milliseconds: a group that is formed anew has
-	 * a map that follows no demand until then.
+	 * The same while a rank is missing, in milliseconds. A group that was formed anew has
+	 * a map that does not fit demand.
 	 */
 	private static final long INCOMPLETE_MILLIS = 150;
 
 	/**
-	 * Below this many choices of each rank whose counts are read nothing is planned: one
-	 * of several tells too little.
+	 * The minimum number of choices per counted rank for a plan.
 	 */
 	private static final double LEAST_EVIDENCE = 500;
 
-	/** A switch must take at least this much off the skew to be worth its copies. */
+	/** The minimum reduction of the skew that justifies a switch. */
 	private static final double LEAST_GAIN = 0.4;
 
-	/** The same while passes are short; both measured, see docs/design/platform.md. */
+	/** The same while passes are short. */
 	private static final double LEAST_GAIN_RELAXED = 0.6;
 
-	/** A pass below this is short: half of the usual pause on time, in milliseconds. */
+	/**
+	 * The maximum time of a short pass, in milliseconds. It is half of a usual target.
+	 */
 	private static final double RELAXED_PASS_MILLIS = 60;
 
-	/** How long the begin of a released pass is waited for at most, in milliseconds. */
+	/** The maximum wait for a released pass to begin, in milliseconds. */
 	private static final long MOST_SWITCH_MILLIS = 400;
 
-	/** In a pause longer than this counts are read, in milliseconds. */
+	/** The minimum length of a pause in which counts are read, in milliseconds. */
 	private static final long READING_PAUSE_MILLIS = 100;
 
 	/**
-	 * What a rank is sent for a switch at least: a question for its state, the map, the
-	 * question whether it has it, and the pass from which it holds.
+	 * The minimum number of calls to a rank in a switch: a report, two prepare orders and
+	 * an arm order.
 	 */
 	private static final int CALLS_OF_A_SWITCH = 4;
 
-	/** How much longer than predicted copies are waited for before ranks are asked. */
+	/** The safety factor on the predicted time of copies. */
 	private static final double COPY_SLACK = 1.02;
 
 	private final String name;
@@ -113,16 +113,17 @@
 	private boolean incomplete;
 
 	/**
-	 * Creates a balancer that knows nothing of its group.
+	 * Creates a balancer.
 	 * @param name the group's name
-	 * @param profile how fast its ranks are
-	 * @param calls reach the ranks
-	 * @param demand what experts are asked for
-	 * @param reader reads it
-	 * @param fence gives the fencing token, 0 while this process has no duty
-	 * @param versions gives versions of maps
-	 * @param plans plans for this group and those like it
-	 * @param clock tells the time
+	 * @param profile the performance of the engines
+	 * @param calls calls the ranks
+	 * @param demand the demand for experts
+	 * @param reader reads the demand
+	 * @param fence supplies the fencing token, 0 while this process does not have the
+	 * duty
+	 * @param versions assigns versions of maps
+	 * @param plans plans maps of the service
+	 * @param clock the clock
 	 */
 	GroupBalancer(String name, EngineProfile profile, RankCalls calls, DemandBook demand, DemandReader reader,
 			LongSupplier fence, VersionSource versions, SharedPlans plans, MonotonicClock clock) {
@@ -143,13 +144,13 @@
 		this.members = List.copyOf(servers);
 	}
 
-	/** Begins no more switches; one that holds a pass goes on to its end. */
+	/** Starts no more switches. A switch that holds a pass is completed. */
 	void leave() {
 		this.leaving = true;
 	}
 
 	/**
-	 * Does one round: finishes what was left, reads counts, plans and switches.
+	 * Runs one round: completes an unfinished switch, reads counts, plans and switches.
 	 */
 	void round() {
 		if (!onDuty() || (this.clock.nowMillis() >= this.nextReportsMillis && !look()) || this.standing.isEmpty()) {
@@ -162,11 +163,11 @@
 		}
 	}
 
-	// Asks a few ranks for the state of the group, and all where something has changed.
+	// Asks a sample of ranks for the state of the group, and all ranks if it has changed.
 	private boolean look() {
 		List<BackendEntry> asked = this.turns.of(this.members, this.calls.made());
 		if (asked.size() < Math.min(RankSample.RANKS, this.members.size())) {
-			// Ranks that take a limited rate have been asked enough for now.
+			// Ranks that limit their request rate may not be called now.
 			this.nextReportsMillis = this.clock.nowMillis() + REPORTS_MILLIS;
 			return !this.standing.isEmpty();
 		}
@@ -215,7 +216,7 @@
 		return this.members.stream().allMatch((member) -> this.calls.made().allows(member.id(), callsToEach));
 	}
 
-	// Asks all ranks for their state and finishes what was left.
+	// Asks all ranks for their state and completes an unfinished switch.
 	private boolean lookAtAll() {
 		believeNothing();
 		List<Rank> ranks = reports();
@@ -259,7 +260,7 @@
 		this.incomplete = true;
 	}
 
-	// Ranks that do not check tokens still tell which maps they were given.
+	// Ranks that do not check fencing tokens still report the versions of their maps.
 	private boolean newerPlanner(List<Rank> ranks) {
 		long token = this.fence.getAsLong();
 		boolean newer = ranks.stream()
@@ -327,9 +328,8 @@
 		ExpertPlacement current = this.placement;
 		ExpertPlacement next = this.plans.plan(current, expected);
 		double gain = current.skew(expected) - next.skew(expected);
-		// A map that is not planned makes passes longer; orders that a rank in need does
-		// not
-		// bear may cost the group the rank.
+		// A missed plan makes passes longer, but calls beyond the limit of a rank may
+		// cause its failure.
 		if (gain < leastGain() || !allMayBeSent(CALLS_OF_A_SWITCH) || !lookAtAll() || this.epoch != plannedEpoch) {
 			return;
 		}
@@ -346,14 +346,14 @@
 		if (outcome == SwitchOutcome.RELEASED) {
 			this.placement = next;
 			this.switchingTo = version;
-			// Until the pass begins the ranks refuse another map.
+			// Ranks reject another map until the pass begins.
 			pause(Math.min(MOST_SWITCH_MILLIS, this.steps.millisUntil(this.mapSwitch.releasedStep())));
 			return;
 		}
 		EventLog.log(Event.MAP_SWITCH_DROPPED, "group", this.name, "version", version, "outcome", outcome);
 	}
 
-	// A pass that is short as it is makes no stream late; copies would only cost.
+	// Short passes make no stream late, so copies must have a larger benefit.
 	private double leastGain() {
 		boolean relaxed = this.steps.passMillis() < RELAXED_PASS_MILLIS;
 		return relaxed ? LEAST_GAIN_RELAXED : LEAST_GAIN;
@@ -400,7 +400,7 @@
 	@Override
 	public void pause(long millis) {
 		long untilMillis = this.clock.nowMillis() + millis;
-		// Copies take long; what is read meanwhile is known when they are done.
+		// Counts that are read during long copies are available when they are done.
 		while (untilMillis - this.clock.nowMillis() > READING_PAUSE_MILLIS) {
 			Pause.millis(READING_PAUSE_MILLIS / 2);
 			this.reader.read(this.standing);
@@ -419,28 +419,28 @@
 	}
 
 	/**
-	 * Gives versions of maps, which no other owner gives too.
+	 * Assigns unique versions of maps.
 	 */
 	interface VersionSource {
 
 		/**
-		 * Gives a version that was never given.
+		 * Assigns a new version.
 		 * @param token the fencing token of the owner
-		 * @return the version, higher than all of earlier owners
+		 * @return the version, which is higher than those of earlier owners
 		 */
 		long next(long token);
 
 		/**
-		 * Tells whether a version was given by a newer owner.
-		 * @param token the own fencing token
-		 * @param version a version that a rank has
+		 * Returns whether a version was assigned by a newer owner.
+		 * @param token the fencing token of this owner
+		 * @param version the version of a rank
 		 * @return true if the version is of a higher token
 		 */
 		boolean newer(long token, long version);
 
 		/**
-		 * Takes note that a newer owner exists.
-		 * @param token the token that was refused
+		 * Records that a newer owner exists.
+		 * @param token the rejected token
 		 */
 		void fenced(long token);
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBook.java
@@ -14,11 +14,11 @@
 import org.snowwind.store.WriteResult;
 
 /**
- * Which server is in which group, as one gateway has written it down for the others.
+ * The group of each server, which one gateway writes to the store for all others.
  *
  * <p>
- * It stands in the platform as an object of groups, each an object of server ids with the
- * start of the server. What cannot be read says nothing.
+ * The value is an object of groups, each an object of server ids with the start time of
+ * the server. Unreadable entries are ignored.
  */
 final class GroupBook {
 
@@ -28,16 +28,15 @@
 
 	/**
 	 * Creates a book.
-	 * @param store the platform
+	 * @param store the platform's store
 	 */
 	GroupBook(ObjectStore store) {
 		this.store = store;
 	}
 
 	/**
-	 * Reads the book as it may have stood some seconds ago.
-	 * @return the group of each server that is in it, none if the platform does not
-	 * answer
+	 * Reads a copy of the book that may be seconds old.
+	 * @return the group of each server, empty if the store does not answer
 	 */
 	Map<BackendIncarnation, String> read() {
 		return this.store.getStale(KEY)
@@ -58,9 +57,9 @@
 	}
 
 	/**
-	 * Writes the whole book, unless another gateway has changed it meanwhile.
+	 * Writes the whole book unless another gateway has changed it.
 	 * @param members the group of each server
-	 * @return whether it stands
+	 * @return whether it was written
 	 */
 	boolean write(Map<BackendIncarnation, String> members) {
 		Long revision = this.store.get(KEY).match(StoredObject::revision, () -> 0L, (reason) -> null);
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupDirectory.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupDirectory.java
@@ -19,30 +19,30 @@
 import org.snowwind.store.ObjectStore;
 
 /**
- * Finds out which group each rank is in. Confined to one thread, which it blocks.
+ * Determines the group of each rank. Confined to one thread, which it blocks.
  *
  * <p>
- * A life of a server stays in its group. Whoever plans maps asks each server once and
- * writes down what it learns; all others read that, so that questions grow with servers
- * and not with gateways times servers: 49 gateways before 192 ranks would ask 9,408 times
- * whenever all are started, where 192 do. A gateway asks by itself only what nobody has
- * written down for long.
+ * An incarnation of a server stays in its group. The planner asks each server once and
+ * writes the result to the store, where all other gateways read it, so that the number of
+ * calls grows with servers and not with gateways times servers. Another gateway asks a
+ * server itself only if its group is missing in the store for long.
  */
 public final class GroupDirectory {
 
 	/**
-	 * How long others are relied on, in milliseconds: a planner is found and has asked
-	 * within a second of the start of all gateways. Until then a rank takes requests
-	 * without a look at its group.
+	 * How long a gateway waits for the planner before it asks a server itself, in
+	 * milliseconds. Until then requests are sent to the server regardless of its group.
 	 */
 	private static final long PATIENCE_MILLIS = 2500;
 
-	/** How often what is written down is read while something is missing, in ms. */
+	/**
+	 * The interval between reads of the store while a group is missing, in milliseconds.
+	 */
 	private static final long READ_MILLIS = 1000;
 
 	/**
-	 * How long a gateway that does not plan waits before it asks the same server again,
-	 * in milliseconds: one that does not answer is dead or cut off.
+	 * The time after which a gateway that does not plan asks the same server again, in
+	 * milliseconds. A server that does not answer is dead or unreachable.
 	 */
 	private static final long ASK_AGAIN_MILLIS = 4000;
 
@@ -65,14 +65,14 @@
 	private boolean unwritten;
 
 	/**
-	 * Creates a directory that has asked nobody.
-	 * @param client carries calls to ranks
-	 * @param protocol names what is said to ranks
+	 * Creates an empty directory.
+	 * @param client the client for calls to ranks
+	 * @param protocol the protocol of ranks
 	 * @param made counts calls to ranks
-	 * @param store keeps what one gateway has learnt for the others
-	 * @param sources tells of servers and of the own duty
-	 * @param found is told the life of a server and the name of its group
-	 * @param clock tells the time
+	 * @param store the platform's store
+	 * @param sources the state of this gateway
+	 * @param found called with the incarnation of a server and the name of its group
+	 * @param clock the clock
 	 */
 	public GroupDirectory(JsonClient client, RankProtocol protocol, ServerCalls made, ObjectStore store,
 			Sources sources, BiConsumer<BackendIncarnation, String> found, MonotonicClock clock) {
@@ -84,7 +84,7 @@
 	}
 
 	/**
-	 * Finds the groups of servers whose group is not known.
+	 * Determines the groups of servers whose group is unknown.
 	 */
 	public void round() {
 		List<BackendEntry> missing = this.sources.ungrouped().get();
@@ -100,8 +100,8 @@
 	}
 
 	/**
-	 * Returns the group of each server of which it is known.
-	 * @return the names of groups by the life of the server, a view that changes
+	 * Returns the known groups.
+	 * @return a live view of the names of groups by incarnation of the server
 	 */
 	public Map<BackendIncarnation, String> known() {
 		return this.known;
@@ -161,11 +161,11 @@
 	}
 
 	/**
-	 * What the directory asks this gateway.
+	 * The state of this gateway.
 	 *
-	 * @param ungrouped lists servers whose group is not known
-	 * @param registered lists the lives of all servers
-	 * @param planning tells whether this gateway plans maps
+	 * @param ungrouped lists servers whose group is unknown
+	 * @param registered lists the incarnations of all servers
+	 * @param planning whether this gateway plans maps
 	 */
 	public record Sources(Supplier<List<BackendEntry>> ungrouped, Supplier<Set<BackendIncarnation>> registered,
 			BooleanSupplier planning) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/Holdings.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/Holdings.java
@@ -7,7 +7,7 @@
 import org.snowwind.gateway.table.EngineProfile;
 
 /**
- * Translates between placements and what each rank holds.
+ * Converts between placements and the experts of each rank.
  */
 final class Holdings {
 
@@ -15,9 +15,9 @@
 	}
 
 	/**
-	 * Returns the placement that ranks hold.
-	 * @param byRank the experts of each rank, by rank and set
-	 * @param profile how many sets, experts and places there are
+	 * Converts the experts of ranks to a placement.
+	 * @param byRank the experts by rank and set
+	 * @param profile the performance of the engines
 	 * @return the placement
 	 */
 	static ExpertPlacement placementOf(List<List<List<Integer>>> byRank, EngineProfile profile) {
@@ -38,7 +38,7 @@
 	}
 
 	/**
-	 * Returns what each rank holds under a placement.
+	 * Converts a placement to the experts of ranks.
 	 * @param placement the placement
 	 * @return the experts by set and rank
 	 */
@@ -61,10 +61,10 @@
 	}
 
 	/**
-	 * Counts what the rank copies that copies most.
+	 * Counts the copies of the rank with the most copies.
 	 * @param before the placement in force
-	 * @param after the next one
-	 * @return how many experts are new to it
+	 * @param after the next placement
+	 * @return the number of experts that are new to that rank
 	 */
 	static int mostCopies(ExpertPlacement before, ExpertPlacement after) {
 		int[] copies = new int[after.ranks()];
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapOrder.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapOrder.java
@@ -3,13 +3,13 @@
 import java.util.List;
 
 /**
- * What a rank is ordered to do about its expert map.
+ * An order to a rank about its expert map.
  */
 public sealed interface MapOrder
 		permits MapOrder.Prepare, MapOrder.Arm, MapOrder.Disarm, MapOrder.Hold, MapOrder.Release {
 
 	/**
-	 * Tells whether a group may stand still until the order arrives.
+	 * Returns whether the group may be stalled until the order arrives.
 	 * @return true for an order that follows a hold
 	 */
 	default boolean completesSwitch() {
@@ -17,17 +17,17 @@
 	}
 
 	/**
-	 * Copies the experts that are new to the rank in a map.
+	 * Copies the experts of a map that are new to the rank.
 	 *
 	 * @param version the map's version
-	 * @param expertsOfRank by set, by rank, the experts that the rank holds
+	 * @param expertsOfRank the experts of each rank, by set and rank
 	 */
 	record Prepare(long version, List<List<List<Integer>>> expertsOfRank) implements MapOrder {
 
 	}
 
 	/**
-	 * Switches to a prepared map as a pass begins.
+	 * Switches to a prepared map when a pass begins.
 	 *
 	 * @param version the map's version
 	 * @param step the pass
@@ -37,7 +37,7 @@
 	}
 
 	/**
-	 * Takes an {@link Arm} back.
+	 * Reverts an {@link Arm}.
 	 *
 	 * @param version the map's version
 	 */
@@ -46,7 +46,7 @@
 	}
 
 	/**
-	 * Keeps the group from beginning a pass until the rank is told {@link Release}.
+	 * Prevents the group from beginning a pass until {@link Release}.
 	 *
 	 * @param step the pass
 	 */
@@ -55,7 +55,7 @@
 	}
 
 	/**
-	 * Lets the group begin a pass that a rank was told to hold.
+	 * Lets the group begin a held pass.
 	 *
 	 * @param step the pass
 	 */
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -10,41 +10,43 @@
 import org.snowwind.model.MonotonicClock;
 
 /**
- * Brings all ranks of a group to a new map at the same pass.
+ * Switches all ranks of a group to a new map at the same pass.
  *
  * <p>
- * All ranks prepare; then one rank is told to hold a pass a little ahead; then every rank
- * is armed for that pass; then the pass is released. No pass can begin with two maps,
- * whatever is lost or late: between the first armed rank and the last, the pass is held,
- * and it is released only once every rank has confirmed. An order that is carried out
- * late finds its pass begun, and the rank refuses it. Who takes over from another owner
- * finishes the switch in the same direction, since an order of the other may still be
- * under way.
+ * All ranks prepare the map, one rank holds a future pass, every rank is armed for that
+ * pass, and the pass is released. No pass can begin with two maps, even if messages are
+ * lost or delayed: the pass is held while ranks are armed, and is released only after
+ * every rank has confirmed. A rank rejects a delayed order because its pass has begun. A
+ * new owner completes the switch in the same direction, because an order of the previous
+ * owner may still be in flight.
  */
 final class MapSwitch {
 
-	/** How often ranks are told to prepare, and so asked whether they have. */
+	/**
+	 * The maximum number of prepare orders to a rank, each of which returns its state.
+	 */
 	private static final int PREPARE_TRIES = 25;
 
-	/** How often an order to copy is given to ranks that do not answer. */
+	/** The maximum number of prepare orders to a rank that does not answer. */
 	private static final int REPEATS = 4;
 
 	/**
-	 * How many passes further ahead a pass is held where orders go unanswered. With one
-	 * in ten unanswered, 12 ranks have a map in force 715 ms after it was planned, of
-	 * which the group stands still for 4; one pass made it 642 and 21, but a pass that is
-	 * held makes all streams of the group late.
+	 * The additional margin of the held pass if orders go unanswered, in passes. Repeated
+	 * orders take time, and a group that waits for a held pass makes all its streams
+	 * late.
 	 */
 	private static final int PASSES_FOR_REPEATS = 3;
 
-	/** How many passes are tried to be held; each is further ahead. */
+	/** The maximum number of passes that are tried; each is further ahead. */
 	private static final int HOLD_TRIES = 6;
 
 	private static final long POLL_MILLIS = 40;
 
 	private static final long RETRY_MILLIS = 15;
 
-	/** After so many tries ranks are asked whether the group still stands. */
+	/**
+	 * The number of attempts after which ranks are asked whether the group still exists.
+	 */
 	private static final int TRIES_BEFORE_CHECK = 10;
 
 	private final RankGroupPort group;
@@ -53,7 +55,7 @@
 
 	private final MonotonicClock clock;
 
-	/** How many orders of the last switch got no answer. */
+	/** The number of unanswered orders of the last switch. */
 	private int unanswered;
 
 	private long releasedStep = RankReport.NOT_HELD;
@@ -61,8 +63,8 @@
 	/**
 	 * Creates a switch.
 	 * @param group the ranks
-	 * @param steps predicts which pass the group is at
-	 * @param clock tells the time
+	 * @param steps predicts the current pass
+	 * @param clock the clock
 	 */
 	MapSwitch(RankGroupPort group, StepClock steps, MonotonicClock clock) {
 		this.group = group;
@@ -71,11 +73,11 @@
 	}
 
 	/**
-	 * Brings all ranks to a new map.
+	 * Switches all ranks to a new map.
 	 * @param ranks all ranks of the group
 	 * @param prepare the map
-	 * @param copyMillis how long the longest copy should take, in milliseconds
-	 * @return how it ended
+	 * @param copyMillis the expected time of the longest copy, in milliseconds
+	 * @return the outcome
 	 */
 	SwitchOutcome run(List<Rank> ranks, MapOrder.Prepare prepare, long copyMillis) {
 		List<Rank> pending = new ArrayList<>();
@@ -86,13 +88,13 @@
 		}
 		long tellMillis = this.clock.nowMillis() - beginMillis;
 		this.group.pause(copyMillis);
-		// Ranks tell whether they are prepared when they are sent the map again, or in
-		// their reports, which are old. The map of a large group takes long to send.
+		// A rank returns its state when it is sent the map again. Its reports are smaller
+		// but delayed, so they are only used if sending the map takes longer.
 		if (tellMillis > StepClock.REPORT_LAG_MILLIS) {
 			pending = unprepared(pending, prepare.version());
 		}
 		for (int attempt = 0; attempt < PREPARE_TRIES && !pending.isEmpty(); attempt++) {
-			// The same order again tells whether the copies are done.
+			// The response to a repeated order shows whether the copies are complete.
 			List<OrderResult> results = give(pending, prepare);
 			stopped = stoppedBy(results);
 			if (stopped.isPresent()) {
@@ -106,9 +108,9 @@
 		return pending.isEmpty() ? holdAndArm(ranks, prepare.version()) : SwitchOutcome.DROPPED;
 	}
 
-	// An order that got no answer is given again before anything is waited for: else its
-	// rank would begin to copy when the others are done. A rank that has nothing to copy
-	// says at once that it is done, and is not asked again.
+	// An unanswered order is repeated at once; otherwise its rank would begin to copy
+	// when
+	// the others are done. A rank that has nothing to copy is done immediately.
 	private Optional<SwitchOutcome> beginCopies(List<Rank> ranks, MapOrder.Prepare prepare, List<Rank> copying) {
 		List<Rank> unreached = ranks;
 		for (int attempt = 0; attempt < REPEATS && !unreached.isEmpty(); attempt++) {
@@ -124,8 +126,8 @@
 		return Optional.empty();
 	}
 
-	// No rank may be armed before all are prepared: a planner that takes over lets a held
-	// pass begin with the old map if one is not.
+	// No rank may be armed before all are prepared: a new owner releases a held pass with
+	// the old map if one is not.
 	private List<Rank> unprepared(List<Rank> copying, long version) {
 		this.group.pause(StepClock.REPORT_LAG_MILLIS);
 		Set<Integer> prepared = this.group.reports()
@@ -149,11 +151,10 @@
 			return SwitchOutcome.FORMED_ANEW;
 		}
 		this.steps.observe(now);
-		// Where orders go unanswered some must be given twice, which takes passes.
+		// Unanswered orders must be repeated, which takes time.
 		int spare = (this.unanswered > 0) ? PASSES_FOR_REPEATS : 0;
 		this.unanswered = 0;
-		// A pass that is held while this process ends stands still until another planner
-		// finds it.
+		// If this process ends while a pass is held, the group waits for another owner.
 		for (int attempt = 0; attempt < HOLD_TRIES && !this.group.leaving(); attempt++) {
 			long step = this.steps.stepAhead(attempt) + spare;
 			OrderResult held = untilAnswered(holder, new MapOrder.Hold(step), ranks);
@@ -176,7 +177,7 @@
 	 * @param holder the rank that holds the pass
 	 * @param version the map's version, prepared on all ranks
 	 * @param step the pass
-	 * @return how it ended
+	 * @return the outcome
 	 */
 	SwitchOutcome arm(List<Rank> ranks, Rank holder, long version, long step) {
 		List<Rank> pending = new ArrayList<>(ranks);
@@ -212,7 +213,7 @@
 			if (lost.isPresent()) {
 				return lost.get();
 			}
-			// Unfit means that the pass has begun after all, and with it the map.
+			// UNFIT means that the pass has begun with the new map.
 			pending = without(pending, results, Set.of(OrderResult.TAKEN, OrderResult.UNFIT));
 			if (attempt % TRIES_BEFORE_CHECK == 0 && formedAnew(ranks, this.group.sample())) {
 				return SwitchOutcome.FORMED_ANEW;
@@ -226,8 +227,8 @@
 	 * @param ranks all ranks of the group
 	 * @param holder the rank that holds the pass
 	 * @param step the pass
-	 * @param outcome what a release means
-	 * @return the outcome, or that the duty or the group is lost
+	 * @param outcome the outcome if the pass is released
+	 * @return the outcome, or the reason why the pass could not be released
 	 */
 	SwitchOutcome release(List<Rank> ranks, Rank holder, long step, SwitchOutcome outcome) {
 		this.releasedStep = step;
@@ -254,7 +255,7 @@
 	}
 
 	/**
-	 * Returns the pass that was released last.
+	 * Returns the pass that was last released.
 	 * @return the pass, {@link RankReport#NOT_HELD} if none was
 	 */
 	long releasedStep() {
@@ -262,9 +263,9 @@
 	}
 
 	/**
-	 * Finishes or frees what another owner has left half done.
+	 * Completes or reverts an unfinished switch of another owner.
 	 * @param ranks all ranks of the group
-	 * @return how it ended, empty if nothing was left
+	 * @return the outcome, empty if there is no unfinished switch
 	 */
 	Optional<SwitchOutcome> recover(List<Rank> ranks) {
 		Optional<Rank> holder = ranks.stream().filter((rank) -> rank.report().held()).findFirst();
@@ -273,8 +274,7 @@
 		}
 		long step = holder.get().report().heldStep();
 		if (step == this.releasedStep) {
-			// The report is older than the release, or the hold was carried out again,
-			// late.
+			// The report is older than the release, or a delayed hold was executed again.
 			return Optional.of(release(ranks, holder.get(), step, SwitchOutcome.RELEASED));
 		}
 		long version = ranks.stream().mapToLong((rank) -> rank.report().preparedVersion()).min().orElse(0);
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MoveThreshold.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MoveThreshold.java
@@ -1,36 +1,33 @@
 package org.snowwind.gateway.expert;
 
 /**
- * Learns how far what is read of demand strays while demand stays, and tells from it when
- * demand has moved. Not safe for several threads.
+ * Detects shifts of demand with a threshold that adapts to the sampling noise of the
+ * counts. Not thread-safe.
  *
  * <p>
- * Flat demand moves by less than steep demand: where the most wanted of 192 experts get a
- * few times as much as the rest, a move of six in ten of them changes a sixth of all
- * choices. How far reads stray depends on how many requests they cover. So no one figure
- * serves both.
+ * A fixed threshold would not work: the noise depends on the number of requests that the
+ * counts cover, and a shift of nearly uniform demand changes a small share of all
+ * choices.
  */
 final class MoveThreshold {
 
-	/** A share beyond which demand has moved however far reads stray. */
+	/** A larger share is a shift regardless of the noise. */
 	static final double MOST = 0.25;
 
-	/** A share below which a new map would not be worth its copies. */
+	/** A smaller share does not justify the copies of a new map. */
 	private static final double LEAST = 0.07;
 
 	/**
-	 * How many mean deviations beyond the usual distance a move is. At 1.6 times the
-	 * usual distance instead, a quiet minute of 8 ranks was given 1,378 orders for 771,
-	 * and nobody was served better.
+	 * The number of mean deviations above the mean share at which demand has shifted.
 	 */
 	private static final double DEVIATIONS = 4;
 
 	/**
-	 * The same right after passes have become much longer, which alone suggests a move.
+	 * The same right after a jump of the pass time, which is evidence of a shift itself.
 	 */
 	private static final double DEVIATIONS_AFTER_JUMP = 2;
 
-	/** The least part of a new distance in the mean; the first ones count more. */
+	/** The minimum weight of a new share in the averages. The first shares weigh more. */
 	private static final double LEAST_SHARE = 0.15;
 
 	private double usual;
@@ -40,7 +37,7 @@
 	private int learnt;
 
 	/**
-	 * Returns the share beyond which demand has moved.
+	 * Returns the share above which demand has shifted.
 	 * @return the share, from 0 to 1
 	 */
 	double share() {
@@ -48,8 +45,7 @@
 	}
 
 	/**
-	 * Returns the share beyond which demand has moved if passes have just become much
-	 * longer.
+	 * Returns the share above which demand has shifted if the pass time has just jumped.
 	 * @return the share, from 0 to 1
 	 */
 	double shareAfterJump() {
@@ -57,10 +53,11 @@
 	}
 
 	/**
-	 * Judges a share, and learns from it if demand has stayed.
-	 * @param share which part of the choices went to other experts than before; 0 if that
-	 * cannot be told
-	 * @return whether demand has moved
+	 * Compares a share with the threshold, and adapts the threshold if demand has not
+	 * shifted.
+	 * @param share the share of the choices that went to other experts than before; 0 if
+	 * it is not known
+	 * @return whether demand has shifted
 	 */
 	boolean exceededBy(double share) {
 		if (share > share()) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/OrderResult.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/OrderResult.java
@@ -1,26 +1,26 @@
 package org.snowwind.gateway.expert;
 
 /**
- * What became of an order.
+ * The result of an order.
  */
 public enum OrderResult {
 
-	/** It is done. */
+	/** The order is complete. */
 	TAKEN,
 
-	/** The rank has begun it and is not done. */
+	/** The rank has started to execute the order. */
 	BEGUN,
 
-	/** It does not fit the rank's state, and will not be done. */
+	/** The order does not fit the rank's state and was rejected. */
 	UNFIT,
 
-	/** A gateway with a newer fencing token gives orders there. */
+	/** The rank has seen a newer fencing token. */
 	FENCED,
 
-	/** The rank is another run of the server now. */
+	/** The rank is a new incarnation of the server. */
 	RESTARTED,
 
-	/** No answer came; it may have been done, or may be later. */
+	/** The rank did not answer; it may have executed the order or may do so later. */
 	UNKNOWN
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/expert/PlannerClaim.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/PlannerClaim.java
@@ -6,20 +6,19 @@
  * Decides whether this gateway should plan expert maps.
  *
  * <p>
- * Whoever plans keeps the duty until a newer planner is heard of. Ranks of some platforms
- * take the orders of an older planner too, so that its fencing token alone does not stop
- * it.
+ * A planner keeps the duty until it learns of a newer planner. Ranks of some platforms
+ * also accept orders of an older planner, so the fencing token alone does not stop it.
  *
  * @param ownFence the fencing token of this gateway, 0 while it does not plan
  */
 public record PlannerClaim(long ownFence) {
 
 	/**
-	 * Decides by what peers have told.
-	 * @param plannerFence the newest fencing token with which a peer plans, 0 for none
-	 * @param promptPeers the names of peers that were heard a moment ago and do not leave
-	 * @param ownName the own name
-	 * @return whether to keep the duty or to claim it
+	 * Decides by the reports of peers.
+	 * @param plannerFence the newest fencing token of a peer that plans, 0 for none
+	 * @param promptPeers the names of peers that reported recently and are not leaving
+	 * @param ownName the name of this gateway
+	 * @return whether to keep or claim the duty
 	 */
 	public boolean stands(long plannerFence, Set<String> promptPeers, String ownName) {
 		if (this.ownFence != 0) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/Rank.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/Rank.java
@@ -3,11 +3,11 @@
 import org.snowwind.gateway.registry.BackendIncarnation;
 
 /**
- * One rank of a group, as of its last report.
+ * A rank of a group and its last report.
  *
- * @param run which life of the server it is
- * @param address where it listens, {@code IP:PORT}
- * @param report what it says of itself
+ * @param run the incarnation of the server
+ * @param address its address, {@code IP:PORT}
+ * @param report the report
  */
 record Rank(BackendIncarnation run, String address, RankReport report) {
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
@@ -20,18 +20,18 @@
 import org.snowwind.model.event.EventLog;
 
 /**
- * Calls ranks, many at the same time, and waits for all answers.
+ * Calls ranks in parallel and waits for all responses.
  */
 final class RankCalls implements CountsPort {
 
 	private static final int OK = 200;
 
-	/** A rank answers a question within some milliseconds. */
+	/** The timeout of a read, in milliseconds. Ranks answer within a few. */
 	private static final long CALL_MILLIS = 250;
 
 	/**
-	 * An order that is not answered so soon is given again, since a group may be waiting
-	 * for it; ten times the way to another data centre and back.
+	 * The timeout of an order, in milliseconds. An unanswered order is repeated, because
+	 * a group may be waiting for it. This is ten round trips to another data centre.
 	 */
 	private static final long ORDER_MILLIS = 80;
 
@@ -45,10 +45,10 @@
 
 	/**
 	 * Creates the calls.
-	 * @param client carries them
-	 * @param protocol names what is said
-	 * @param made counts them
-	 * @param orderMillis how long an order waits for its answer, in milliseconds
+	 * @param client the client
+	 * @param protocol the protocol of ranks
+	 * @param made counts the calls
+	 * @param orderMillis the timeout of an order, in milliseconds
 	 */
 	RankCalls(JsonClient client, RankProtocol protocol, ServerCalls made, long orderMillis) {
 		this.client = client;
@@ -58,10 +58,10 @@
 	}
 
 	/**
-	 * Creates the calls with the time for an order that groups can bear.
-	 * @param client carries them
-	 * @param protocol names what is said
-	 * @param made counts them
+	 * Creates the calls with the default timeout of orders.
+	 * @param client the client
+	 * @param protocol the protocol of ranks
+	 * @param made counts the calls
 	 * @return the calls
 	 */
 	static RankCalls of(JsonClient client, RankProtocol protocol, ServerCalls made) {
@@ -69,8 +69,8 @@
 	}
 
 	/**
-	 * Returns what ranks may be sent.
-	 * @return the count of what they are sent
+	 * Returns the calls that ranks are and may be sent.
+	 * @return the counter of calls
 	 */
 	ServerCalls made() {
 		return this.made;
@@ -113,7 +113,7 @@
 		return new Rank(new BackendIncarnation(server.id(), report.bornMillis()), server.address(), report);
 	}
 
-	// What another life of a server says changes nothing: it holds nothing of this one.
+	// A response of another incarnation of the server is ignored.
 	private static boolean sameLife(BackendIncarnation run, long bornMillis) {
 		boolean same = run.mayEqual(new BackendIncarnation(run.id(), bornMillis));
 		if (!same) {
@@ -204,7 +204,7 @@
 	 */
 	List<OrderResult> order(List<Rank> ranks, MapOrder order, long fence) {
 		List<CompletableFuture<JsonAnswer>> pending = new ArrayList<>();
-		// A map of 96 ranks is 20 KB, and the same for all of them.
+		// A map is large and the same for all ranks, so it is encoded once.
 		Map<Long, byte[]> bodies = new HashMap<>();
 		for (Rank rank : ranks) {
 			byte[] body = bodies.computeIfAbsent(rank.report().epoch(),
@@ -246,9 +246,9 @@
 	}
 
 	/**
-	 * Reads an answer.
+	 * Reads a response.
 	 *
-	 * @param <T> what it holds
+	 * @param <T> the type of its content
 	 */
 	@FunctionalInterface
 	private interface Reader<T> {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankCounts.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankCounts.java
@@ -5,13 +5,12 @@
 import org.snowwind.gateway.registry.BackendIncarnation;
 
 /**
- * How often a rank's requests chose each expert since the rank started.
+ * The number of times that a rank's requests chose each expert since the rank started.
  *
  * @param epoch the epoch of its group
- * @param counts how often, all experts of the first set, then all of the second, and so
- * on
- * @param bornMillis when the rank was started, in Unix milliseconds by its own clock;
- * {@link BackendIncarnation#UNKNOWN} if it does not say
+ * @param counts the counts of all experts of the first set, then of the second, and so on
+ * @param bornMillis the start time of the rank, in Unix milliseconds by its own clock;
+ * {@link BackendIncarnation#UNKNOWN} if it is not known
  */
 public record RankCounts(long epoch, List<Long> counts, long bornMillis) {
 
@@ -24,9 +23,9 @@
 
 	/**
 	 * Arranges the counts by set.
-	 * @param sets how many sets there are
-	 * @param experts how many experts a set has
-	 * @return the counts by set and expert; what is missing is 0
+	 * @param sets the number of sets
+	 * @param experts the number of experts in a set
+	 * @return the counts by set and expert; missing counts are 0
 	 */
 	long[][] bySet(int sets, int experts) {
 		long[][] bySet = new long[sets][experts];
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankGroupPort.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankGroupPort.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * The ranks of one group, as a switch needs them. Orders and answers may be lost, doubled
- * or late.
+ * The ranks of a group, as seen by a switch. Orders and responses may be lost, duplicated
+ * or delayed.
  */
 interface RankGroupPort {
 
@@ -15,14 +15,14 @@
 	List<Rank> reports();
 
 	/**
-	 * Asks a few ranks for their state, in turn: enough to know which pass the group is
-	 * at and whether it still stands.
+	 * Asks a few ranks for their state, which shows the current pass and whether the
+	 * group still exists.
 	 * @return the ranks that answered, by place
 	 */
 	List<Rank> sample();
 
 	/**
-	 * Chooses the rank that holds a pass, which is sent more than the others.
+	 * Chooses the rank that holds a pass, which is sent more calls than the others.
 	 * @param ranks all ranks of the group
 	 * @return one of them
 	 */
@@ -45,14 +45,14 @@
 	void pause(long millis);
 
 	/**
-	 * Tells whether this process may still give orders.
+	 * Returns whether this process may still give orders.
 	 * @return false once another process has the duty
 	 */
 	boolean onDuty();
 
 	/**
-	 * Tells whether this process leaves the duty: it finishes the pass that it holds, and
-	 * holds no other.
+	 * Returns whether this process leaves the duty. It releases the pass that it holds
+	 * and holds no other.
 	 * @return true once it leaves
 	 */
 	boolean leaving();
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankProtocol.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankProtocol.java
@@ -9,12 +9,12 @@
 import org.snowwind.gateway.table.DocumentException;
 
 /**
- * How ranks of one platform are asked and ordered.
+ * The protocol of the ranks of a platform.
  */
 public interface RankProtocol {
 
 	/**
-	 * Returns where a rank tells its state.
+	 * Returns the path of a rank's state.
 	 * @return the path
 	 */
 	String reportPath();
@@ -23,18 +23,18 @@
 	 * Reads a rank's state.
 	 * @param document the answer
 	 * @return the state
-	 * @throws DocumentException if the answer is none
+	 * @throws DocumentException if the answer is not a report
 	 */
 	RankReport report(JsonNode document) throws DocumentException;
 
 	/**
-	 * Returns where a rank tells which experts were chosen.
+	 * Returns the path of a rank's expert counts.
 	 * @return the path
 	 */
 	String countsPath();
 
 	/**
-	 * Reads which experts were chosen.
+	 * Reads expert counts.
 	 * @param document the answer
 	 * @return the counts
 	 * @throws DocumentException if the answer has none
@@ -42,13 +42,13 @@
 	RankCounts counts(JsonNode document) throws DocumentException;
 
 	/**
-	 * Returns where a rank tells which experts it holds.
+	 * Returns the path of the experts that a rank holds.
 	 * @return the path
 	 */
 	String holdingsPath();
 
 	/**
-	 * Reads which experts a rank holds in the map that it runs.
+	 * Reads the experts that a rank holds in its current map.
 	 * @param document the answer
 	 * @return the experts by set
 	 * @throws DocumentException if the answer has none
@@ -56,48 +56,48 @@
 	List<List<Integer>> holdings(JsonNode document) throws DocumentException;
 
 	/**
-	 * Returns where a rank takes orders.
+	 * Returns the path for orders.
 	 * @return the path
 	 */
 	String orderPath();
 
 	/**
-	 * Makes the body of an order.
+	 * Creates the body of an order.
 	 * @param order the order
-	 * @param epoch the epoch of the group that it is for
-	 * @param fence the fencing token of who orders
+	 * @param epoch the epoch of the group
+	 * @param fence the fencing token of this gateway
 	 * @return the body
 	 */
 	JsonNode body(MapOrder order, long epoch, long fence);
 
 	/**
-	 * Makes the headers by which a call reaches only one run of a server.
-	 * @param serverId the run
+	 * Creates the headers that restrict a call to one incarnation of a server.
+	 * @param serverId the server's id
 	 * @return the headers
 	 */
 	Map<String, String> headers(String serverId);
 
 	/**
-	 * Reads from any answer of a rank when the rank was started.
+	 * Reads the start time of a rank from any answer.
 	 * @param document the answer
-	 * @return the Unix milliseconds, {@link BackendIncarnation#UNKNOWN} if it does not
-	 * say
-	 * @throws DocumentException if it says something that is no such number
+	 * @return the Unix time in milliseconds, {@link BackendIncarnation#UNKNOWN} if there
+	 * is none
+	 * @throws DocumentException if the start time is not a positive integer
 	 */
 	long bornMillis(JsonNode document) throws DocumentException;
 
 	/**
-	 * Reads what became of an order.
+	 * Reads the result of an order.
 	 * @param status the HTTP status of the answer
 	 * @return the result
 	 */
 	OrderResult result(int status);
 
 	/**
-	 * Reads what a rank announces about its near future in the head of any response.
+	 * Reads the announcements in the head of any response of a rank.
 	 * @param status the HTTP status
 	 * @param headers its headers by lower-case name
-	 * @return what it says
+	 * @return the announcements
 	 */
 	ServerNotice notice(int status, Map<String, String> headers);
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankReport.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankReport.java
@@ -3,20 +3,20 @@
 import org.snowwind.gateway.registry.BackendIncarnation;
 
 /**
- * What a rank says of itself, as of some hundred milliseconds ago.
+ * The state of a rank some hundred milliseconds ago.
  *
  * @param group the name of its group; {@code null} if it is in none
- * @param epoch the epoch of the group, which is higher after each time it was formed
- * @param rank its place in the group
- * @param size how many ranks the group has
- * @param open whether the group takes requests
- * @param step the last pass that was begun
- * @param mapVersion the version of the expert map that it runs
- * @param preparedVersion the version whose experts it has copied; 0 for none
- * @param armedVersion the version that it will run from some pass on; 0 for none
- * @param heldStep the pass that it may not begin; -1 for none
- * @param bornMillis when it was started, in Unix milliseconds by its own clock;
- * {@link BackendIncarnation#UNKNOWN} if it does not say
+ * @param epoch the epoch of the group, which increases each time the group is formed
+ * @param rank its number in the group
+ * @param size the number of ranks in the group
+ * @param open whether the group accepts requests
+ * @param step the last pass that was started
+ * @param mapVersion the version of the current expert map
+ * @param preparedVersion the version whose experts were copied; 0 for none
+ * @param armedVersion the version that becomes current at a future pass; 0 for none
+ * @param heldStep the pass that is held; -1 for none
+ * @param bornMillis the start time of the rank, in Unix milliseconds by its own clock;
+ * {@link BackendIncarnation#UNKNOWN} if it is not known
  */
 public record RankReport(String group, long epoch, int rank, int size, boolean open, long step, long mapVersion,
 		long preparedVersion, long armedVersion, long heldStep, long bornMillis) {
@@ -25,15 +25,15 @@
 	public static final long NOT_HELD = -1;
 
 	/**
-	 * Tells whether a pass is held on this rank.
-	 * @return true if one is
+	 * Returns whether this rank holds a pass.
+	 * @return true if it does
 	 */
 	public boolean held() {
 		return this.heldStep != NOT_HELD;
 	}
 
 	/**
-	 * Returns the highest version that this rank has heard of.
+	 * Returns the highest version that this rank knows.
 	 * @return the version
 	 */
 	public long highestVersion() {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankSample.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankSample.java
@@ -7,29 +7,26 @@
 import org.snowwind.gateway.registry.BackendEntry;
 
 /**
- * Chooses which ranks are asked how their group is, a few in turn. Confined to one
- * thread.
+ * Chooses a few ranks in turn that are asked for the state of their group. Confined to
+ * one thread.
  *
  * <p>
- * All ranks of a group step together and break together, so that a few tell of all; what
- * one rank alone may have, a pass that was left held, is found as each has its turn. With
- * all of 96 ranks asked each time, and groups asked for by each gateway, a minute saw
- * 62,017 questions to ranks; it sees 11,770 without either.
+ * All ranks of a group run and fail together, so a few represent all. A state that only
+ * one rank has, such as a held pass, is found when it is that rank's turn.
  */
 final class RankSample {
 
-	/** So many are asked, so that one lost answer hides nothing. */
+	/** The number of ranks in a sample; more than one, since a response may be lost. */
 	static final int RANKS = 3;
 
 	private int next;
 
 	/**
-	 * Chooses the next ranks. Those that take a limited rate are spared while others can
-	 * tell.
+	 * Chooses the next ranks. Those that limit their request rate are only chosen if
+	 * there are not enough others.
 	 * @param group all ranks of the group
-	 * @param made tells which ranks may be asked
-	 * @return a few of them, all if there are no more than that; fewer if no others may
-	 * be asked
+	 * @param made the calls that ranks may be sent
+	 * @return the sample; smaller if fewer ranks exist or may be asked
 	 */
 	List<BackendEntry> of(List<BackendEntry> group, ServerCalls made) {
 		List<BackendEntry> unlimited = group.stream().filter((member) -> !made.isRestricted(member.id())).toList();
--- a/gateway/src/main/java/org/snowwind/gateway/expert/SharedPlans.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/SharedPlans.java
@@ -6,10 +6,9 @@
 import org.snowwind.balance.plan.IncrementalPlanner;
 
 /**
- * Plans for all groups of a service, once for those that stand alike: groups whose
- * requests are spread by chance have the same demand, and after their first switch mostly
- * the same map. From a read to its plan it took 0.12 to 0.17 s for 96 ranks, in which the
- * map is behind. Several threads may plan; one waits for the other.
+ * Plans maps for all groups of a service, and reuses a plan for groups with the same map
+ * and demand. Groups whose requests are distributed at random have the same demand.
+ * Thread-safe; one plan is made at a time.
  */
 final class SharedPlans {
 
@@ -22,8 +21,8 @@
 	private ExpertPlacement lastPlan;
 
 	/**
-	 * Creates plans that hold none yet.
-	 * @param planner makes them
+	 * Creates the plans of a service.
+	 * @param planner the planner
 	 */
 	SharedPlans(IncrementalPlanner planner) {
 		this.planner = planner;
@@ -32,7 +31,7 @@
 	/**
 	 * Plans the next placement.
 	 * @param current the placement in force
-	 * @param demand what each expert is asked for, by set and expert
+	 * @param demand the demand by set and expert
 	 * @return the next placement, which may be the current one
 	 */
 	synchronized ExpertPlacement plan(ExpertPlacement current, double[][] demand) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/StepClock.java
@@ -5,32 +5,32 @@
 import org.snowwind.model.MonotonicClock;
 
 /**
- * Predicts which pass a group is at from reports that are late.
+ * Predicts the current pass of a group from delayed reports.
  */
 final class StepClock {
 
-	/** How old a report is, in milliseconds; the platform's word. */
+	/** The age of a report when it is received, in milliseconds. */
 	static final long REPORT_LAG_MILLIS = 200;
 
-	/** How long it takes to hold a pass, in milliseconds. */
+	/** The duration of an order, in milliseconds. */
 	private static final long ORDER_MILLIS = 10;
 
-	/** Beyond this age a step that was seen is not extrapolated, in milliseconds. */
+	/** The maximum age of a reported pass that is extrapolated, in milliseconds. */
 	private static final long MOST_SINCE_MILLIS = 500;
 
-	/** The time of a pass before any was measured, in milliseconds. */
+	/** The assumed time of a pass before the first measurement, in milliseconds. */
 	private static final double FIRST_PASS_MILLIS = 50;
 
-	/** The shortest pass that is believed, in milliseconds. */
+	/** The minimum time of a pass, in milliseconds. */
 	private static final double LEAST_PASS_MILLIS = 15;
 
-	/** How many passes are added to the prediction, since it may be off. */
+	/** The safety margin of the prediction, in passes. */
 	private static final int SPARE_PASSES = 1;
 
-	/** How many more passes with each further try. */
+	/** The additional margin for each further attempt, in passes. */
 	private static final int PASSES_PER_TRY = 2;
 
-	/** The part of a new measurement in the mean. */
+	/** The weight of a new measurement in the moving average. */
 	private static final double SHARE = 0.4;
 
 	private final MonotonicClock clock;
@@ -42,15 +42,15 @@
 	private double passMillis = FIRST_PASS_MILLIS;
 
 	/**
-	 * Creates a clock that has seen no report.
-	 * @param clock tells the time
+	 * Creates a clock without reports.
+	 * @param clock the clock
 	 */
 	StepClock(MonotonicClock clock) {
 		this.clock = clock;
 	}
 
 	/**
-	 * Takes note of reports.
+	 * Records reports.
 	 * @param ranks ranks of the group
 	 */
 	void observe(List<Rank> ranks) {
@@ -69,20 +69,20 @@
 	}
 
 	/**
-	 * Returns the last pass that was seen.
-	 * @return the pass, 0 before any
+	 * Returns the last reported pass.
+	 * @return the pass, 0 before the first report
 	 */
 	long step() {
 		return this.step;
 	}
 
 	/**
-	 * Returns a pass that has surely not begun.
-	 * @param attempt how many passes before it had begun all the same
+	 * Returns a pass that has probably not begun.
+	 * @param attempt the number of earlier predictions that were too low
 	 * @return the pass
 	 */
 	long stepAhead(int attempt) {
-		// A group whose step has not changed for long has no work and makes no passes.
+		// A group whose pass has not changed for long is idle.
 		long sinceMillis = Math.min(MOST_SINCE_MILLIS, this.clock.nowMillis() - this.seenMillis) + REPORT_LAG_MILLIS
 				+ ORDER_MILLIS;
 		long passes = (long) Math.ceil(sinceMillis / this.passMillis);
@@ -92,7 +92,7 @@
 	/**
 	 * Predicts when a pass begins.
 	 * @param pass the pass
-	 * @return in how long, in milliseconds; 0 if it should have begun
+	 * @return the time until it begins, in milliseconds; 0 if it should have begun
 	 */
 	long millisUntil(long pass) {
 		double atMillis = this.seenMillis - REPORT_LAG_MILLIS + (pass - this.step) * this.passMillis;
@@ -108,7 +108,7 @@
 	}
 
 	/**
-	 * Begins anew, since the group was formed anew.
+	 * Resets the clock after the group was formed anew.
 	 */
 	void reset() {
 		this.step = 0;
--- a/gateway/src/main/java/org/snowwind/gateway/expert/SwitchOutcome.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/SwitchOutcome.java
@@ -1,23 +1,23 @@
 package org.snowwind.gateway.expert;
 
 /**
- * How a switch to a new map ended.
+ * The outcome of a switch to a new map.
  */
 enum SwitchOutcome {
 
 	/** Every rank is armed and the pass is released. */
 	RELEASED,
 
-	/** Nothing was held; the map in force stays. */
+	/** No pass was held; the current map stays in force. */
 	DROPPED,
 
-	/** Another gateway has the duty; it finishes what was begun. */
+	/** Another gateway has the duty and completes the switch. */
 	FENCED,
 
-	/** The group was formed anew, which undoes whatever was ordered. */
+	/** The group was formed anew, which cancels all orders. */
 	FORMED_ANEW,
 
-	/** Every rank was disarmed and the pass released; the map in force stays. */
+	/** Every rank was disarmed and the pass released; the current map stays in force. */
 	TAKEN_BACK
 
 }
