--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
@@ -66,11 +66,9 @@
 		double[][] chosen = scaledSum(chosenByRank);
 		double movedShare = movedShare(chosen);
 		double movedBeyond = movedBeyond(passesJumped, nowMillis);
-		boolean moved = movedShare > movedBeyond;
 		// A read after a jump may span a shift, so it says nothing about the noise.
-		if (!passesJumped && nowMillis >= this.settledMillis) {
-			this.threshold.exceededBy(movedShare);
-		}
+		boolean learns = !passesJumped && nowMillis >= this.settledMillis;
+		boolean moved = learns ? this.threshold.exceededBy(movedShare) : movedShare > movedBeyond;
 		take(group, chosen, moved, nowMillis);
 		return new Move(moved, movedShare, movedBeyond);
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/MapSwitch.java
@@ -108,9 +108,8 @@
 		return pending.isEmpty() ? holdAndArm(ranks, prepare.version()) : SwitchOutcome.DROPPED;
 	}
 
-	// An unanswered order is repeated at once; otherwise its rank would begin to copy
-	// when
-	// the others are done. A rank that has nothing to copy is done immediately.
+	// An unanswered order is repeated at once; otherwise its rank would only begin to
+	// copy when the others are done. A rank that has nothing to copy is done immediately.
 	private Optional<SwitchOutcome> beginCopies(List<Rank> ranks, MapOrder.Prepare prepare, List<Rank> copying) {
 		List<Rank> unreached = ranks;
 		for (int attempt = 0; attempt < REPEATS && !unreached.isEmpty(); attempt++) {
