Take bounds of the closed-group test from promises; name and explain what a newcomer stumbled over

Cause: read again as a newcomer would. Two bounds of ClosedGroupLoadTests (0.9 served, 100 ms held) had been set after a look at the results, and a third was wider than the noise of the model.

No behaviour changed.

Conclusion: rejecting at once stands for want of a way that gains in all cuts, not because waiting serves nobody.

--- a/gateway/src/main/java/org/snowwind/gateway/expert/CountsPort.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/CountsPort.java
@@ -13,7 +13,7 @@
 	 * @param rank the rank
 	 * @return false if its limit or backoff forbids it
 	 */
-	boolean mayCall(Rank rank);
+	boolean isCallAllowed(Rank rank);
 
 	/**
 	 * Chooses a rank that is sent more calls than the others.
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandBook.java
@@ -182,8 +182,7 @@
 	 * The difference between new choices and the demand so far.
 	 *
 	 * @param moved whether demand has shifted
-	 * @param share the share of the choices that went to other experts than before, 0 to
-	 * 1
+	 * @param share the fraction of the choices that went to other experts than before
 	 * @param threshold the share above which demand has shifted
 	 */
 	record Move(boolean moved, double share, double threshold) {
--- a/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/DemandReader.java
@@ -27,7 +27,8 @@
 
 	/**
 	 * The time after a jump of the pass time in which a read may show the shift of demand
-	 * that caused it, in milliseconds.
+	 * that caused it, in milliseconds. It is longer than the interval between two reads
+	 * of a rank, so the windows of all counted ranks that span the shift end within it.
 	 */
 	private static final long JUMP_MILLIS = 700;
 
@@ -90,7 +91,7 @@
 		long nowMillis = this.clock.nowMillis();
 		long othersMillis = this.demand.lastReadBy(this.group) ? Long.MIN_VALUE : this.demand.asOfMillis();
 		List<Rank> counted = counted(ranks);
-		boolean allowed = counted.stream().allMatch(this.calls::mayCall);
+		boolean allowed = counted.stream().allMatch(this.calls::isCallAllowed);
 		if (!allowed
 				|| !this.schedule.due(nowMillis, this.passJumpedMillis.getAsLong(), othersMillis, counted.size())) {
 			return;
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -35,9 +35,9 @@
  * Plans the expert maps of all groups while this gateway has the duty.
  *
  * <p>
- * A single owner is not needed for safety: two owners cannot mix maps, but revert each
- * other's. An owner claims the duty with a conditional write, whose revision is its
- * fencing token. Ranks reject orders with an older token.
+ * A single owner is not needed for safety: two owners cannot mix maps, but they revert
+ * each other's maps. An owner claims the duty with a conditional write, whose revision is
+ * its fencing token. Ranks reject orders with an older token.
  */
 public final class ExpertDuty implements AutoCloseable, GroupBalancer.VersionSource {
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/RankCalls.java
@@ -69,7 +69,7 @@
 	}
 
 	/**
-	 * Returns the calls that ranks are and may be sent.
+	 * Returns the counter of calls, which also knows the limits and backoffs of ranks.
 	 * @return the counter of calls
 	 */
 	ServerCalls made() {
@@ -77,7 +77,7 @@
 	}
 
 	@Override
-	public boolean mayCall(Rank rank) {
+	public boolean isCallAllowed(Rank rank) {
 		return this.made.allows(rank.serverId(), 1);
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/backend/ClosedGroupLoadTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/ClosedGroupLoadTests.java
@@ -35,6 +35,11 @@
 
 	private static final int SEEDS = 2;
 
+	/**
+	 * Differences of the mean utility below this come from the order of servers alone.
+	 */
+	private static final double NOISE = 0.01;
+
 	private static double meanUtility(int waitingPerGateway, long lostMillis) {
 		double sum = 0;
 		for (long seed = 1; seed <= SEEDS; seed++) {
@@ -53,23 +58,25 @@
 
 	@ParameterizedTest
 	@ValueSource(longs = { 4000, 6000, 9000 })
-	void waitingForClosedGroupServesNoCallerBetter(long cutMillis) {
+	void waitingForClosedGroupDoesNotRaiseUtility(long cutMillis) {
 		double rejected = meanUtility(NOBODY, cutMillis);
 		double waiting = meanUtility(SLOTS_PER_GATEWAY, cutMillis);
 		assertThat(waiting).as("utility if last attempts wait, %.3f if they do not", rejected)
-			.isLessThan(rejected + 0.02);
+			.isLessThan(rejected + NOISE);
 	}
 
 	@Test
-	void nearlyAllCallersGetAnAnswerIfARankIsLostForASecond() {
+	void noCallerFindsTheGroupClosedTwiceIfARankIsLostForASecond() {
 		LoadResult result = simulate(NOBODY, 1000, 1);
-		assertThat(result.servedShare()).as(result.toString()).isGreaterThan(0.9);
+		assertThat(result.rejectedOnce).as(result.toString()).isPositive();
+		assertThat(result.foundClosedTwice).as(result.toString()).isZero();
 	}
 
 	@Test
-	void callersAreNotHeldWhileTheGroupIsClosed() {
+	void callersAreRejectedAtOnceWhileTheGroupIsClosed() {
 		LoadResult result = simulate(NOBODY, 9000, 1);
-		assertThat(result.meanHeldMillis()).as(result.toString()).isLessThan(100);
+		assertThat(result.foundClosedTwice).as(result.toString()).isPositive();
+		assertThat(result.maxHeldWhileClosedMillis).as(result.toString()).isZero();
 	}
 
 }
--- a/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
@@ -109,7 +109,7 @@
 		long ms = 0;
 		while (ms < lengthMillis) {
 			while (nextMillis <= ms) {
-				this.due.add(new Call(ms, this.startMillis + ms, false));
+				this.due.add(new Call(ms, this.startMillis + ms, false, false));
 				nextMillis += -Math.log(1 - this.random.nextDouble()) * 1000 / this.scenario.perSecond();
 			}
 			tick(ms);
@@ -249,8 +249,9 @@
 	 * @param atMillis when the attempt arrives, from the start of the simulation
 	 * @param firstMillis when the first attempt of the caller arrived, by the clock
 	 * @param rejectedBefore whether an earlier attempt was rejected
+	 * @param foundClosedBefore whether it was rejected because the group was closed
 	 */
-	private record Call(long atMillis, long firstMillis, boolean rejectedBefore) {
+	private record Call(long atMillis, long firstMillis, boolean rejectedBefore, boolean foundClosedBefore) {
 
 	}
 
@@ -376,9 +377,23 @@
 			decide(open);
 		}
 
+		private void recordClosedRejection(OpenCall open, long nowMillis) {
+			LoadResult recorded = LoadModel.this.result;
+			recorded.foundClosedTwice += open.call.foundClosedBefore() ? 1 : 0;
+			long arrivedMs = open.arrivedMillis - LoadModel.this.startMillis;
+			boolean knownClosed = arrivedMs > LoadModel.this.scenario.outage().fromMillis() + STALL_MILLIS;
+			if (open.tried.isEmpty() && knownClosed) {
+				recorded.maxHeldWhileClosedMillis = Math.max(recorded.maxHeldWhileClosedMillis,
+						nowMillis - open.arrivedMillis);
+			}
+		}
+
 		private void reject(OpenCall open, boolean closed) {
 			long nowMillis = LoadModel.this.clock.nowMillis();
 			LoadModel.this.result.rejected(open.call.rejectedBefore(), nowMillis - open.arrivedMillis);
+			if (closed) {
+				recordClosedRejection(open, nowMillis);
+			}
 			if (open.call.rejectedBefore()) {
 				return;
 			}
@@ -387,7 +402,7 @@
 			double delayMillis = closed ? maxMillis * (0.95 + 0.05 * random)
 					: Math.min(maxMillis, LoadModel.this.scenario.targetMillis() * (1.2 + 1.6 * random));
 			LoadModel.this.due.add(new Call(nowMillis - LoadModel.this.startMillis + (long) delayMillis,
-					open.call.firstMillis(), true));
+					open.call.firstMillis(), true, closed));
 		}
 
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/backend/LoadResult.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/LoadResult.java
@@ -25,8 +25,14 @@
 	/** Streams that an outage interrupted. They are not counted as ended. */
 	int broken;
 
-	/** The longest time that a rejected attempt was held. */
-	long maxHeldMillis;
+	/** Callers that were rejected twice because the group was closed both times. */
+	int foundClosedTwice;
+
+	/**
+	 * The longest time that an attempt was held that was rejected without being sent, and
+	 * that arrived when the group was known to be closed.
+	 */
+	long maxHeldWhileClosedMillis;
 
 	private long heldMillis;
 
@@ -47,17 +53,12 @@
 			this.rejectedOnce++;
 		}
 		this.heldMillis += waitedMillis;
-		this.maxHeldMillis = Math.max(this.maxHeldMillis, waitedMillis);
 	}
 
 	double meanHeldMillis() {
 		return (double) this.heldMillis / Math.max(1, this.rejectedOnce + this.rejectedTwice);
 	}
 
-	double servedShare() {
-		return (double) (this.onTime + this.late) / ended();
-	}
-
 	int ended() {
 		return this.onTime + this.late + this.rejectedTwice;
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/expert/DemandReaderTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/DemandReaderTests.java
@@ -70,7 +70,7 @@
 		private final List<List<Rank>> asked = new ArrayList<>();
 
 		@Override
-		public boolean mayCall(Rank rank) {
+		public boolean isCallAllowed(Rank rank) {
 			return true;
 		}
 
