Log when the store was restored from an older copy

The era in the header of the store's responses was not read, so logs could not tell a drill from an outage, nor revisions of two eras from each other. No decision uses the era yet.

--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -61,6 +61,9 @@
 	/** This entry closed its own watch. */
 	RELAY_LEFT(2105, Level.INFO, "relay duty left"),
 
+	/** The store was restored from an older copy. */
+	STORE_ERA_CHANGED(2106, Level.WARNING, "store restored from an older copy"),
+
 	/** A server is no longer offered work. */
 	SERVER_SUSPECTED(3001, Level.WARNING, "server suspected"),
 
