--- a/app/src/main/java/org/snowwind/app/measure/fleet/CapacityMeasurement.java
+++ b/app/src/main/java/org/snowwind/app/measure/fleet/CapacityMeasurement.java
@@ -20,6 +20,7 @@
 import org.snowwind.config.snapshot.ResourceSet;
 import org.snowwind.config.snapshot.Snapshot;
 import org.snowwind.config.snapshot.SnapshotCodec;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.resource.BackendServerSpec;
 import org.snowwind.model.resource.OrganisationSpec;
 import org.snowwind.model.resource.Resource;
@@ -103,8 +104,8 @@
 		long before = usedBytes();
 		Snapshot snapshot = plannedSize();
 		long after = usedBytes();
-		byte[] whole = SnapshotCodec.encode(snapshot, 0, null);
-		byte[] change = SnapshotCodec.encode(snapshot, snapshot.revision() - 1, List.of());
+		byte[] whole = SnapshotCodec.encode(snapshot, EraRevision.NONE, null);
+		byte[] change = SnapshotCodec.encode(snapshot, EraRevision.ofLong(SERVERS + ORGANISATIONS - 1), List.of());
 		figures.add(Figure.of("snapshot in memory at the planned size", (after - before) / BYTES_PER_MEGABYTE, "MB"));
 		figures.add(Figure.of("whole configuration on the wire", whole.length / BYTES_PER_MEGABYTE, "MB"));
 		figures.add(Figure.of("configuration a server on the wire", (double) whole.length / (SERVERS + ORGANISATIONS),
@@ -116,15 +117,17 @@
 		List<Resource> resources = new ArrayList<>();
 		for (int i = 0; i < SERVERS; i++) {
 			String host = "10." + i / 250 + "." + i % 250 + ".7:";
-			resources.add(new Resource(new ResourceKey(ResourceKind.BACKEND_SERVER, "server-" + i), 1, i + 1L,
-					new BackendServerSpec("dc-" + i % 21, host + "7200", host + "7201", List.of("model-" + i % 28),
-							null)));
+			resources.add(new Resource(new ResourceKey(ResourceKind.BACKEND_SERVER, "server-" + i), 1,
+					EraRevision.ofLong(i + 1), new BackendServerSpec("dc-" + i % 21, host + "7200", host + "7201",
+							List.of("model-" + i % 28), null)));
 		}
 		for (int i = 0; i < ORGANISATIONS; i++) {
 			resources.add(new Resource(new ResourceKey(ResourceKind.ORGANISATION, "organisation-" + i), 1,
-					SERVERS + i + 1L, new OrganisationSpec(List.of(String.format("%064x", i)), 0, 0, 0, 0, 0)));
+					EraRevision.ofLong(SERVERS + i + 1),
+					new OrganisationSpec(List.of(String.format("%064x", i)), 0, 0, 0, 0, 0)));
 		}
-		return new Snapshot(SERVERS + ORGANISATIONS, ResourceSet.of(resources), ResourceSet.EMPTY, java.util.Map.of());
+		return new Snapshot(EraRevision.ofLong(SERVERS + ORGANISATIONS), ResourceSet.of(resources), ResourceSet.EMPTY,
+				java.util.Map.of());
 	}
 
 	private static long usedBytes() {
--- a/app/src/main/java/org/snowwind/app/measure/fleet/MemberFleet.java
+++ b/app/src/main/java/org/snowwind/app/measure/fleet/MemberFleet.java
@@ -18,6 +18,7 @@
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.client.JsonClient;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.resource.StoredResource;
 import org.snowwind.standin.StandInPlatform;
@@ -109,7 +110,7 @@
 	long[] spread(int rounds, int changes) throws InterruptedException, MeasurementFailed {
 		Queue<Long> times = new ConcurrentLinkedQueue<>();
 		for (int round = 0; round < rounds; round++) {
-			long revision = 0;
+			EraRevision revision = EraRevision.NONE;
 			for (int change = 0; change < changes; change++) {
 				revision = write();
 			}
@@ -119,18 +120,18 @@
 		return times.stream().mapToLong(Long::longValue).sorted().toArray();
 	}
 
-	private long write() throws MeasurementFailed {
+	private EraRevision write() throws MeasurementFailed {
 		String name = "change-" + this.written++;
 		JsonNode value = Json.MAPPER
 			.valueToTree(new StoredResource("Service", name, 1, name, Json.MAPPER.createObjectNode()));
-		WriteResult result = this.store.put("resources/Service/" + name, 0, value);
+		WriteResult result = this.store.put("resources/Service/" + name, EraRevision.NONE, value);
 		if (result instanceof WriteResult.Written done) {
 			return done.revision();
 		}
 		throw new MeasurementFailed("the platform did not take a change: " + result);
 	}
 
-	private void await(long revision, long sinceNanos, Queue<Long> times)
+	private void await(EraRevision revision, long sinceNanos, Queue<Long> times)
 			throws InterruptedException, MeasurementFailed {
 		List<ConfigMember> waiting = new ArrayList<>(this.members);
 		while (!waiting.isEmpty()) {
@@ -139,7 +140,7 @@
 				throw new MeasurementFailed(waiting.size() + " members never saw revision " + revision);
 			}
 			waiting.removeIf((member) -> {
-				boolean there = member.config().current().revision() >= revision;
+				boolean there = !revision.isNewerThan(member.config().current().revision());
 				if (there) {
 					times.add(elapsedMillis);
 				}
--- a/config/src/main/java/org/snowwind/config/snapshot/ResourceSet.java
+++ b/config/src/main/java/org/snowwind/config/snapshot/ResourceSet.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.resource.Resource;
 import org.snowwind.model.resource.ResourceKey;
 import org.snowwind.model.resource.ResourceKind;
@@ -62,7 +63,7 @@
 	 */
 	public boolean contains(Resource resource) {
 		Resource mine = this.byKey.get(resource.key());
-		return mine != null && mine.revision() == resource.revision();
+		return mine != null && mine.revision().equals(resource.revision());
 	}
 
 	/**
@@ -111,7 +112,7 @@
 	 * @param revision the platform's revision of its last change
 	 * @param spec the specification
 	 */
-	public record Named<S>(String name, long revision, S spec) {
+	public record Named<S>(String name, EraRevision revision, S spec) {
 
 		/**
 		 * Tells whether this came before another resource, so that of two that clash the
@@ -120,8 +121,8 @@
 		 * @return true if this is older, or as old and first by name
 		 */
 		public boolean before(Resource resource) {
-			if (this.revision != resource.revision()) {
-				return this.revision < resource.revision();
+			if (!this.revision.equals(resource.revision())) {
+				return resource.revision().isNewerThan(this.revision);
 			}
 			return this.name.compareTo(resource.key().name()) < 0;
 		}
--- a/config/src/main/java/org/snowwind/config/snapshot/Snapshot.java
+++ b/config/src/main/java/org/snowwind/config/snapshot/Snapshot.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.snowwind.config.snapshot.ResourceSet.Named;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.resource.BackendServerSpec;
 import org.snowwind.model.resource.ModelGroupSpec;
 import org.snowwind.model.resource.OrganisationSpec;
@@ -19,9 +20,9 @@
 public final class Snapshot {
 
 	/** Before any configuration has come. */
-	public static final Snapshot NONE = new Snapshot(0, ResourceSet.EMPTY, ResourceSet.EMPTY, Map.of());
+	public static final Snapshot NONE = new Snapshot(EraRevision.NONE, ResourceSet.EMPTY, ResourceSet.EMPTY, Map.of());
 
-	private final long revision;
+	private final EraRevision revision;
 
 	private final ResourceSet resources;
 
@@ -47,7 +48,7 @@
 	 * change
 	 * @param rejected what was not accepted, and why
 	 */
-	public Snapshot(long revision, ResourceSet resources, ResourceSet pending,
+	public Snapshot(EraRevision revision, ResourceSet resources, ResourceSet pending,
 			Map<ResourceKey, List<Finding>> rejected) {
 		this.revision = revision;
 		this.resources = resources;
@@ -70,7 +71,7 @@
 	 * Returns the revision.
 	 * @return the platform's revision as of which this holds
 	 */
-	public long revision() {
+	public EraRevision revision() {
 		return this.revision;
 	}
 
--- a/config/src/main/java/org/snowwind/config/snapshot/SnapshotBuilder.java
+++ b/config/src/main/java/org/snowwind/config/snapshot/SnapshotBuilder.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.config.check.ResourceChecks;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.resource.Resource;
 import org.snowwind.model.resource.ResourceKey;
 import org.snowwind.model.resource.ResourceKind;
@@ -41,7 +42,7 @@
 	 * @param values the platform's values
 	 * @return the next snapshot
 	 */
-	public Snapshot fromListing(Snapshot last, long revision, List<RawValue> values) {
+	public Snapshot fromListing(Snapshot last, EraRevision revision, List<RawValue> values) {
 		Map<ResourceKey, List<Finding>> rejected = new LinkedHashMap<>();
 		Map<ResourceKey, Resource> candidates = new LinkedHashMap<>();
 		values.forEach((value) -> admit(last, value, candidates, rejected));
@@ -60,15 +61,15 @@
 		last.resources().all().forEach((resource) -> candidates.put(resource.key(), resource));
 		last.pending().all().forEach((resource) -> candidates.put(resource.key(), resource));
 		last.pending().all().forEach((resource) -> rejected.remove(resource.key()));
-		long revision = last.revision();
+		EraRevision revision = last.revision();
 		for (RawValue change : changes) {
-			if (change.revision() <= last.revision()) {
+			if (!change.revision().isNewerThan(last.revision())) {
 				continue;
 			}
-			revision = Math.max(revision, change.revision());
+			revision = EraRevision.newest(revision, change.revision());
 			admit(last, change, candidates, rejected);
 		}
-		return (revision == last.revision()) ? last : settle(last, revision, candidates, rejected);
+		return revision.equals(last.revision()) ? last : settle(last, revision, candidates, rejected);
 	}
 
 	private void admit(Snapshot last, RawValue value, Map<ResourceKey, Resource> candidates,
@@ -105,7 +106,7 @@
 		rejected.put(key, List.of(finding));
 	}
 
-	private Snapshot settle(Snapshot last, long revision, Map<ResourceKey, Resource> candidates,
+	private Snapshot settle(Snapshot last, EraRevision revision, Map<ResourceKey, Resource> candidates,
 			Map<ResourceKey, List<Finding>> rejected) {
 		Map<ResourceKey, Resource> pending = new LinkedHashMap<>();
 		while (true) {
@@ -154,7 +155,7 @@
 	 * @param revision the revision of its last change
 	 * @param json the value; {@code null} if it was deleted
 	 */
-	public record RawValue(String storeKey, long revision, JsonNode json) {
+	public record RawValue(String storeKey, EraRevision revision, JsonNode json) {
 
 	}
 
--- a/config/src/main/java/org/snowwind/config/snapshot/SnapshotCodec.java
+++ b/config/src/main/java/org/snowwind/config/snapshot/SnapshotCodec.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.resource.Resource;
 import org.snowwind.model.resource.ResourceKey;
@@ -40,7 +41,7 @@
 	 * @return the resource
 	 * @throws JsonProcessingException if the value is not a resource
 	 */
-	public static Resource decode(JsonNode value, long revision) throws JsonProcessingException {
+	public static Resource decode(JsonNode value, EraRevision revision) throws JsonProcessingException {
 		StoredResource stored = Json.MAPPER.treeToValue(value, StoredResource.class);
 		ResourceKind kind = ResourceKind.parse(String.valueOf(stored.kind()))
 			.orElseThrow(() -> new UnreadableResource("unknown kind " + stored.kind()));
@@ -54,18 +55,19 @@
 	/**
 	 * Encodes what a process must learn to come to a snapshot.
 	 * @param snapshot the snapshot
-	 * @param haveRevision the revision that the process has; 0 for none
+	 * @param haveRevision the revision that the process has; {@link EraRevision#NONE} for
+	 * none
 	 * @param removals resources removed since that revision, {@code null} if that is not
 	 * known, so that the whole is sent
 	 * @return the JSON text
 	 */
-	public static byte[] encode(Snapshot snapshot, long haveRevision, List<ResourceKey> removals) {
-		boolean whole = removals == null || haveRevision == 0;
-		long base = whole ? 0 : haveRevision;
+	public static byte[] encode(Snapshot snapshot, EraRevision haveRevision, List<ResourceKey> removals) {
+		boolean whole = removals == null || haveRevision.isNone();
+		EraRevision base = whole ? EraRevision.NONE : haveRevision;
 		List<RemovedKey> removed = whole ? List.of()
 				: removals.stream().map((key) -> new RemovedKey(key.kind().title(), key.name())).toList();
 		Document document = new Document(snapshot.revision(), base, entriesOf(snapshot.resources(), base),
-				entriesOf(snapshot.pending(), 0), removed);
+				entriesOf(snapshot.pending(), EraRevision.NONE), removed);
 		try {
 			return Json.MAPPER.writeValueAsBytes(document);
 		}
@@ -74,10 +76,10 @@
 		}
 	}
 
-	private static List<Entry> entriesOf(ResourceSet resources, long afterRevision) {
+	private static List<Entry> entriesOf(ResourceSet resources, EraRevision afterRevision) {
 		return resources.all()
 			.stream()
-			.filter((resource) -> resource.revision() > afterRevision)
+			.filter((resource) -> resource.revision().isNewerThan(afterRevision))
 			.map((resource) -> new Entry(resource.revision(), Json.MAPPER.valueToTree(encode(resource, null))))
 			.toList();
 	}
@@ -92,10 +94,10 @@
 	 */
 	public static Snapshot decode(byte[] bytes, Snapshot last) throws IOException {
 		Document document = Json.MAPPER.readValue(bytes, Document.class);
-		if (document.base() > last.revision()) {
+		if (document.base().isNewerThan(last.revision())) {
 			return last;
 		}
-		ResourceSet resources = (document.base() == 0) ? ResourceSet.EMPTY : last.resources();
+		ResourceSet resources = document.base().isNone() ? ResourceSet.EMPTY : last.resources();
 		for (RemovedKey removed : document.removed()) {
 			ResourceKind kind = ResourceKind.parse(removed.kind())
 				.orElseThrow(() -> new UnreadableResource("unknown kind " + removed.kind()));
@@ -115,14 +117,14 @@
 		return ResourceSet.of(resources);
 	}
 
-	private record Document(long revision, long base, List<Entry> resources, List<Entry> pending,
+	private record Document(EraRevision revision, EraRevision base, List<Entry> resources, List<Entry> pending,
 			List<RemovedKey> removed) {
 	}
 
 	private record RemovedKey(String kind, String name) {
 	}
 
-	private record Entry(long revision, JsonNode value) {
+	private record Entry(EraRevision revision, JsonNode value) {
 	}
 
 	/**
--- a/config/src/test/java/org/snowwind/config/check/CheckFixture.java
+++ b/config/src/test/java/org/snowwind/config/check/CheckFixture.java
@@ -5,6 +5,7 @@
 
 import org.snowwind.config.snapshot.Finding;
 import org.snowwind.config.snapshot.ResourceSet;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.resource.BackendServerSpec;
 import org.snowwind.model.resource.ModelGroupSpec;
 import org.snowwind.model.resource.OrganisationSpec;
@@ -25,7 +26,7 @@
 	}
 
 	static Resource resource(ResourceKind kind, String name, ResourceSpec spec) {
-		return new Resource(new ResourceKey(kind, name), 1, 1, spec);
+		return new Resource(new ResourceKey(kind, name), 1, EraRevision.ofLong(1), spec);
 	}
 
 	static Resource organisation(String name, String... digests) {
--- a/config/src/test/java/org/snowwind/config/snapshot/SnapshotBuilderTests.java
+++ b/config/src/test/java/org/snowwind/config/snapshot/SnapshotBuilderTests.java
@@ -13,6 +13,7 @@
 import org.snowwind.config.check.BuiltInChecks;
 import org.snowwind.config.check.ResourceChecks;
 import org.snowwind.config.snapshot.SnapshotBuilder.RawValue;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.resource.ResourceKey;
 import org.snowwind.model.resource.ResourceKind;
@@ -24,12 +25,12 @@
 	private final SnapshotBuilder builder = new SnapshotBuilder(new ResourceChecks(BuiltInChecks.ALL));
 
 	private static RawValue value(long revision, String kind, String name, String spec) {
-		return new RawValue("resources/" + kind + "/" + name, revision,
+		return new RawValue("resources/" + kind + "/" + name, EraRevision.ofLong(revision),
 				json("{\"kind\":\"" + kind + "\",\"name\":\"" + name + "\",\"generation\":1,\"spec\":" + spec + "}"));
 	}
 
 	private static RawValue deleted(long revision, String kind, String name) {
-		return new RawValue("resources/" + kind + "/" + name, revision, null);
+		return new RawValue("resources/" + kind + "/" + name, EraRevision.ofLong(revision), null);
 	}
 
 	private static JsonNode json(String text) {
@@ -61,26 +62,26 @@
 
 	@Test
 	void aBadObjectLeavesTheLastGoodOneInForce() {
-		Snapshot good = this.builder.fromListing(Snapshot.NONE, 2,
+		Snapshot good = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(2),
 				List.of(service(1, "desk"), server(2, "s", "80", "desk")));
 		Snapshot next = this.builder.fromChanges(good, List.of(server(3, "s", "81", "nowhere")));
-		assertThat(next.revision()).isEqualTo(3);
+		assertThat(next.revision()).isEqualTo(EraRevision.ofLong(3));
 		assertThat(address(next, "s")).isEqualTo("10.0.0.1:80");
 		assertThat(next.rejected()).hasSize(1);
 	}
 
 	@Test
 	void anUnreadableObjectLeavesTheLastGoodOneInForce() {
-		Snapshot good = this.builder.fromListing(Snapshot.NONE, 1, List.of(service(1, "desk")));
+		Snapshot good = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(1), List.of(service(1, "desk")));
 		Snapshot next = this.builder.fromChanges(good,
-				List.of(new RawValue("resources/Service/desk", 2, json("{\"nonsense\":1}"))));
+				List.of(new RawValue("resources/Service/desk", EraRevision.ofLong(2), json("{\"nonsense\":1}"))));
 		assertThat(next.hasService("desk")).isTrue();
 		assertThat(next.rejected()).hasSize(1);
 	}
 
 	@Test
 	void aNewcomerThatClashesIsBlamedNotTheOneInForce() {
-		Snapshot good = this.builder.fromListing(Snapshot.NONE, 2,
+		Snapshot good = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(2),
 				List.of(service(1, "desk"), server(2, "z", "80", "desk")));
 		Snapshot next = this.builder.fromChanges(good, List.of(server(3, "a", "80", "desk")));
 		assertThat(address(next, "z")).isEqualTo("10.0.0.1:80");
@@ -89,7 +90,8 @@
 
 	@Test
 	void whatArrivesBeforeWhatItRefersToIsTriedAgain() {
-		Snapshot early = this.builder.fromListing(Snapshot.NONE, 1, List.of(server(1, "s", "80", "desk")));
+		Snapshot early = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(1),
+				List.of(server(1, "s", "80", "desk")));
 		assertThat(address(early, "s")).isEmpty();
 		Snapshot later = this.builder.fromChanges(early, List.of(service(2, "desk")));
 		assertThat(address(later, "s")).isEqualTo("10.0.0.1:80");
@@ -98,7 +100,7 @@
 
 	@Test
 	void deletingWhatOthersReferToLeavesThemInForce() {
-		Snapshot good = this.builder.fromListing(Snapshot.NONE, 2,
+		Snapshot good = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(2),
 				List.of(service(1, "desk"), server(2, "s", "80", "desk")));
 		Snapshot next = this.builder.fromChanges(good, List.of(deleted(3, "Service", "desk")));
 		assertThat(next.hasService("desk")).isFalse();
@@ -107,55 +109,56 @@
 
 	@Test
 	void oldAndRepeatedChangesAreNoNews() {
-		Snapshot good = this.builder.fromListing(Snapshot.NONE, 5, List.of(service(5, "desk")));
+		Snapshot good = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(5), List.of(service(5, "desk")));
 		assertThat(this.builder.fromChanges(good, List.of(deleted(4, "Service", "desk"), service(5, "desk"))))
 			.isSameAs(good);
 	}
 
 	@Test
 	void aSnapshotSurvivesItsJourneyToAPeer() throws IOException {
-		Snapshot good = this.builder.fromListing(Snapshot.NONE, 3,
+		Snapshot good = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(3),
 				List.of(service(1, "desk"), server(2, "s", "80", "desk"), server(3, "lost", "81", "nowhere")));
-		Snapshot copy = SnapshotCodec.decode(SnapshotCodec.encode(good, 0, null), Snapshot.NONE);
-		assertThat(copy.revision()).isEqualTo(3);
+		Snapshot copy = SnapshotCodec.decode(SnapshotCodec.encode(good, EraRevision.NONE, null), Snapshot.NONE);
+		assertThat(copy.revision()).isEqualTo(EraRevision.ofLong(3));
 		assertThat(copy.resources().all()).isEqualTo(good.resources().all());
 		assertThat(copy.pending().all()).isEqualTo(good.pending().all());
 	}
 
 	@Test
 	void aPeerThatIsBehindGetsOnlyTheChanges() throws IOException {
-		Snapshot old = this.builder.fromListing(Snapshot.NONE, 2, List.of(service(1, "desk"), service(2, "shop")));
+		Snapshot old = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(2),
+				List.of(service(1, "desk"), service(2, "shop")));
 		Snapshot next = this.builder.fromChanges(old, List.of(service(3, "club"), deleted(4, "Service", "shop")));
 		List<ResourceKey> removals = List.of(new ResourceKey(ResourceKind.SERVICE, "shop"));
-		byte[] changes = SnapshotCodec.encode(next, 2, removals);
+		byte[] changes = SnapshotCodec.encode(next, EraRevision.ofLong(2), removals);
 		assertThat(new String(changes, StandardCharsets.UTF_8)).doesNotContain("desk");
 		Snapshot copy = SnapshotCodec.decode(changes, old);
-		assertThat(copy.revision()).isEqualTo(4);
+		assertThat(copy.revision()).isEqualTo(EraRevision.ofLong(4));
 		assertThat(copy.resources().all()).containsExactlyInAnyOrderElementsOf(next.resources().all());
 	}
 
 	@Test
 	void changesThatStartFromWhatIsNotHereYetAreNotTaken() throws IOException {
-		Snapshot next = this.builder.fromListing(Snapshot.NONE, 5, List.of(service(5, "desk")));
-		byte[] changes = SnapshotCodec.encode(next, 4, List.of());
+		Snapshot next = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(5), List.of(service(5, "desk")));
+		byte[] changes = SnapshotCodec.encode(next, EraRevision.ofLong(4), List.of());
 		assertThat(SnapshotCodec.decode(changes, Snapshot.NONE)).isSameAs(Snapshot.NONE);
 	}
 
 	@Property(seed = "20261202")
 	void inAnyOrderTheRevisionNeverFallsAndADeclaredServiceIsNeverDisplacedByABadOne(
 			@ForAll @Size(max = 12) List<Boolean> goodOrBad, @ForAll @Size(max = 12) List<Boolean> repeats) {
-		Snapshot snapshot = this.builder.fromListing(Snapshot.NONE, 1, List.of(service(1, "desk")));
+		Snapshot snapshot = this.builder.fromListing(Snapshot.NONE, EraRevision.ofLong(1), List.of(service(1, "desk")));
 		List<RawValue> sent = new ArrayList<>();
 		long revision = 1;
 		for (int i = 0; i < goodOrBad.size(); i++) {
 			revision++;
 			RawValue change = goodOrBad.get(i) ? service(revision, "desk")
-					: new RawValue("resources/Service/desk", revision, json("{\"bad\":" + i + "}"));
+					: new RawValue("resources/Service/desk", EraRevision.ofLong(revision), json("{\"bad\":" + i + "}"));
 			sent.add(change);
 			boolean repeatOld = i < repeats.size() && repeats.get(i);
 			List<RawValue> batch = repeatOld ? List.of(sent.get(0), change) : List.of(change);
 			Snapshot next = this.builder.fromChanges(snapshot, batch);
-			assertThat(next.revision()).isGreaterThanOrEqualTo(snapshot.revision());
+			assertThat(snapshot.revision().isNewerThan(next.revision())).isFalse();
 			assertThat(next.resources().find(ResourceKind.SERVICE, "desk")).isPresent();
 			snapshot = next;
 		}
--- a/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
@@ -159,7 +159,7 @@
 		if (this.draining) {
 			return new AdminServer.Readiness(false, "draining");
 		}
-		if (this.config.current().revision() == 0) {
+		if (this.config.current().revision().isNone()) {
 			return new AdminServer.Readiness(false, "no configuration yet: neither the platform nor a peer answered");
 		}
 		return AdminServer.Readiness.READY;
@@ -167,7 +167,7 @@
 
 	private void registerMeters(MeterRegistry registry) {
 		Gauge.builder("snowwind.entry.open.requests", this.callers, CallerHandler::open).register(registry);
-		Gauge.builder("snowwind.entry.config.revision", this.config, (holder) -> holder.current().revision())
+		Gauge.builder("snowwind.entry.config.revision", this.config, (holder) -> holder.current().revision().toLong())
 			.register(registry);
 		Gauge.builder("snowwind.entry.servers.healthy", this.servers, ServerTable::healthyCount).register(registry);
 		Gauge.builder("snowwind.entry.connections", () -> this.callerServer.connections()).register(registry);
--- a/entry/src/main/java/org/snowwind/entry/api/ResourceWriter.java
+++ b/entry/src/main/java/org/snowwind/entry/api/ResourceWriter.java
@@ -17,6 +17,7 @@
 import org.snowwind.config.snapshot.SnapshotCodec;
 import org.snowwind.entry.api.ApplyResult.Result;
 import org.snowwind.entry.config.ConfigHolder;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.resource.Resource;
 import org.snowwind.model.resource.ResourceKey;
@@ -100,7 +101,8 @@
 		ResourceKey key = new ResourceKey(kind, name);
 		try {
 			StoredResource stored = new StoredResource(kind.title(), name, 0, null, node.path("spec"));
-			Resource resource = SnapshotCodec.decode(Json.MAPPER.valueToTree(stored), Long.MAX_VALUE);
+			Resource resource = SnapshotCodec.decode(Json.MAPPER.valueToTree(stored),
+					EraRevision.ofLong(Long.MAX_VALUE));
 			wanted.add(new Wanted(key, resource, node.path("revision").asLong(-1)));
 		}
 		catch (JsonProcessingException ex) {
@@ -132,25 +134,27 @@
 			JsonNode before = object.value().path("spec");
 			long generation = object.value().path("generation").asLong();
 			return change(item, object.revision(), generation, before, dryRun);
-		}, () -> change(item, 0, 0, Json.MAPPER.missingNode(), dryRun), (reason) -> result(item.key(),
+		}, () -> change(item, EraRevision.NONE, 0, Json.MAPPER.missingNode(), dryRun), (reason) -> result(item.key(),
 				Result.NOT_WRITTEN, 0, List.of("the platform is away: " + reason), Set.of()));
 	}
 
-	private ApplyResult change(Wanted item, long standingRevision, long generation, JsonNode before, boolean dryRun) {
-		boolean seenAnother = item.seenRevision() >= 0 && item.seenRevision() != standingRevision;
+	private ApplyResult change(Wanted item, EraRevision standingRevision, long generation, JsonNode before,
+			boolean dryRun) {
+		boolean seenAnother = item.seenRevision() >= 0 && item.seenRevision() != standingRevision.toLong();
 		if (seenAnother) {
 			return conflict(item.key(), standingRevision);
 		}
 		JsonNode after = Json.MAPPER.valueToTree(item.resource().spec());
 		Set<String> changed = changedFields(before, after);
-		Result result = (standingRevision == 0) ? Result.CREATED : Result.UPDATED;
-		if (standingRevision != 0 && changed.isEmpty()) {
-			return result(item.key(), Result.UNCHANGED, standingRevision, List.of(), changed);
+		Result result = standingRevision.isNone() ? Result.CREATED : Result.UPDATED;
+		if (!standingRevision.isNone() && changed.isEmpty()) {
+			return result(item.key(), Result.UNCHANGED, standingRevision.toLong(), List.of(), changed);
 		}
 		if (dryRun) {
-			return result(item.key(), result, standingRevision, List.of("dry run: nothing was written"), changed);
+			return result(item.key(), result, standingRevision.toLong(), List.of("dry run: nothing was written"),
+					changed);
 		}
-		Resource next = new Resource(item.key(), generation + 1, 0, item.resource().spec());
+		Resource next = new Resource(item.key(), generation + 1, EraRevision.NONE, item.resource().spec());
 		JsonNode value = Json.MAPPER.valueToTree(SnapshotCodec.encode(next, UUID.randomUUID().toString()));
 		WriteResult written = this.writes.write(item.key().storeKey(), standingRevision, value);
 		return outcome(item.key(), written, result, changed);
@@ -186,16 +190,19 @@
 	}
 
 	private static ApplyResult outcome(ResourceKey key, WriteResult written, Result success, Set<String> changed) {
-		return written.match(new WriteResult.Cases<>((revision) -> result(key, success, revision, List.of(), changed),
-				(revision) -> conflict(key, revision),
-				(reason) -> result(key, Result.NOT_WRITTEN, 0, List.of(reason), Set.of()),
-				(reason) -> result(key, Result.UNCERTAIN, 0,
-						List.of(reason + "; read the resource and apply again if the change is not there"), Set.of())));
+		return written
+			.match(new WriteResult.Cases<>((revision) -> result(key, success, revision.toLong(), List.of(), changed),
+					(revision) -> conflict(key, revision),
+					(reason) -> result(key, Result.NOT_WRITTEN, 0, List.of(reason), Set.of()),
+					(reason) -> result(key, Result.UNCERTAIN, 0,
+							List.of(reason + "; read the resource and apply again if the change is not there"),
+							Set.of())));
 	}
 
-	private static ApplyResult conflict(ResourceKey key, long standingRevision) {
-		return result(key, Result.CONFLICT, standingRevision,
-				List.of("revision " + standingRevision + " stands there; read it, merge, and apply again"), Set.of());
+	private static ApplyResult conflict(ResourceKey key, EraRevision standingRevision) {
+		return result(key, Result.CONFLICT, standingRevision.toLong(),
+				List.of("revision " + standingRevision.toLong() + " stands there; read it, merge, and apply again"),
+				Set.of());
 	}
 
 	private static Set<String> changedFields(JsonNode before, JsonNode after) {
--- a/entry/src/main/java/org/snowwind/entry/api/StatusBoard.java
+++ b/entry/src/main/java/org/snowwind/entry/api/StatusBoard.java
@@ -83,7 +83,7 @@
 		List<Condition> conditions = List.of(accepted(resource, snapshot), inForce(resource, snapshot, dataCentres),
 				degraded(resource.key(), members, dataCentres));
 		return new ResourceView(resource.key().kind().title(), resource.key().name(), resource.generation(),
-				resource.revision(), Json.MAPPER.valueToTree(resource.spec()), conditions, dataCentres);
+				resource.revision().toLong(), Json.MAPPER.valueToTree(resource.spec()), conditions, dataCentres);
 	}
 
 	private static Condition accepted(Resource resource, Snapshot snapshot) {
@@ -106,12 +106,12 @@
 		List<String> waiting = new ArrayList<>();
 		for (DataCentreStatus status : dataCentres) {
 			boolean reachable = status.ageMillis() <= CUT_OFF_MILLIS;
-			if (reachable && status.revision() < resource.revision()) {
+			if (reachable && status.revision() < resource.revision().toLong()) {
 				waiting.add(status.dataCentre() + " (" + status.waitsFor() + ")");
 			}
 		}
 		if (waiting.isEmpty() && !dataCentres.isEmpty()) {
-			return new Condition(Condition.Type.IN_FORCE, true, "revision " + resource.revision(), null);
+			return new Condition(Condition.Type.IN_FORCE, true, "revision " + resource.revision().toLong(), null);
 		}
 		return new Condition(Condition.Type.IN_FORCE, false, "waits for " + String.join(", ", waiting), null);
 	}
--- a/entry/src/main/java/org/snowwind/entry/burn/BurnWriter.java
+++ b/entry/src/main/java/org/snowwind/entry/burn/BurnWriter.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.store.ObjectStore;
 import org.snowwind.store.WriteResult;
@@ -86,7 +87,7 @@
 
 		private final TreeSet<Long> minutes = new TreeSet<>();
 
-		private long revision;
+		private EraRevision revision = EraRevision.NONE;
 
 		private boolean dirty;
 
@@ -108,7 +109,7 @@
 			return lines;
 		}
 
-		private boolean written(long newRevision) {
+		private boolean written(EraRevision newRevision) {
 			this.revision = newRevision;
 			this.dirty = false;
 			return true;
@@ -117,13 +118,14 @@
 		// Only this writer writes the object, so what stands there is a write of ours
 		// whose
 		// answer was lost; the next write goes on top of it.
-		private boolean standsAt(long standing) {
+		private boolean standsAt(EraRevision standing) {
 			this.revision = standing;
 			return false;
 		}
 
 		private boolean uncertain(ObjectStore store, String key) {
-			store.get(key).match((object) -> standsAt(object.revision()), () -> standsAt(0), (reason) -> false);
+			store.get(key)
+				.match((object) -> standsAt(object.revision()), () -> standsAt(EraRevision.NONE), (reason) -> false);
 			return false;
 		}
 
--- a/entry/src/main/java/org/snowwind/entry/claim/ClaimDuty.java
+++ b/entry/src/main/java/org/snowwind/entry/claim/ClaimDuty.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.commons.codec.digest.DigestUtils;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.duty.DutyThread;
 import org.snowwind.model.duty.Pause;
@@ -83,7 +84,7 @@
 	private void decide(String storeKey, String bodyDigest, Decision decision) {
 		JsonNode value = Json.MAPPER
 			.valueToTree(new StoredClaim(bodyDigest, UUID.randomUUID().toString(), State.CLAIMED));
-		WriteResult result = this.writes.write(storeKey, 0, value);
+		WriteResult result = this.writes.write(storeKey, EraRevision.NONE, value);
 		result.match(new WriteResult.Cases<Void>((revision) -> {
 			decision.granted(new Claim(storeKey, revision, bodyDigest));
 			return null;
@@ -178,7 +179,7 @@
 	 * @param revision the revision of the claim
 	 * @param bodyDigest the digest of the request
 	 */
-	public record Claim(String storeKey, long revision, String bodyDigest) {
+	public record Claim(String storeKey, EraRevision revision, String bodyDigest) {
 
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/config/ConfigHolder.java
+++ b/entry/src/main/java/org/snowwind/entry/config/ConfigHolder.java
@@ -7,6 +7,7 @@
 
 import org.snowwind.config.snapshot.Snapshot;
 import org.snowwind.config.snapshot.SnapshotCodec;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 
@@ -54,7 +55,7 @@
 	 */
 	public boolean offer(Snapshot next) {
 		synchronized (this) {
-			if (next.revision() <= this.current.revision()) {
+			if (!next.revision().isNewerThan(this.current.revision())) {
 				noteStale(next.revision());
 				return false;
 			}
@@ -67,8 +68,8 @@
 		return true;
 	}
 
-	private void noteStale(long revision) {
-		if (revision < this.current.revision()) {
+	private void noteStale(EraRevision revision) {
+		if (this.current.revision().isNewerThan(revision)) {
 			EventLog.log(Event.CONFIG_STALE_IGNORED, "entry", this.name, "revision", revision, "inForce",
 					this.current.revision());
 		}
@@ -79,8 +80,8 @@
 	 * @param revision its revision
 	 * @param bytes the encoded snapshot, empty if the peer had none that is newer
 	 */
-	public void offerEncoded(long revision, byte[] bytes) {
-		if (bytes.length == 0 || revision <= this.current.revision()) {
+	public void offerEncoded(EraRevision revision, byte[] bytes) {
+		if (bytes.length == 0 || !revision.isNewerThan(this.current.revision())) {
 			return;
 		}
 		try {
@@ -96,7 +97,7 @@
 	 * @param haveRevision the revision that the peer has
 	 * @return the changes since then, or the whole if they are no longer known
 	 */
-	public synchronized byte[] encodedSince(long haveRevision) {
+	public synchronized byte[] encodedSince(EraRevision haveRevision) {
 		return SnapshotCodec.encode(this.current, haveRevision, this.removals.since(haveRevision));
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/config/PlatformWatcher.java
+++ b/entry/src/main/java/org/snowwind/entry/config/PlatformWatcher.java
@@ -8,6 +8,7 @@
 import org.snowwind.config.snapshot.Snapshot;
 import org.snowwind.config.snapshot.SnapshotBuilder;
 import org.snowwind.config.snapshot.SnapshotBuilder.RawValue;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -54,7 +55,7 @@
 
 	private boolean away;
 
-	private long watchedRevision;
+	private EraRevision watchedRevision = EraRevision.NONE;
 
 	private long backoffMillis = FIRST_BACKOFF_MILLIS;
 
@@ -121,7 +122,7 @@
 
 	private boolean useListing(ListResult.Listed listing) {
 		Snapshot last = this.config.current();
-		if (listing.revision() > last.revision()) {
+		if (listing.revision().isNewerThan(last.revision())) {
 			offer(this.builder.fromListing(last, listing.revision(), rawValues(listing.objects())));
 		}
 		this.watchedRevision = listing.revision();
--- a/entry/src/main/java/org/snowwind/entry/config/Removals.java
+++ b/entry/src/main/java/org/snowwind/entry/config/Removals.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import org.snowwind.config.snapshot.Snapshot;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.resource.Resource;
 import org.snowwind.model.resource.ResourceKey;
 
@@ -17,11 +18,11 @@
 
 	private final Deque<Removal> recent = new ArrayDeque<>();
 
-	/** Removals after this revision are all known. */
-	private long knownSince = Long.MAX_VALUE;
+	/** Removals after this revision are all known, {@code null} if none is. */
+	private EraRevision knownSince;
 
 	void note(Snapshot before, Snapshot after) {
-		if (this.knownSince == Long.MAX_VALUE) {
+		if (this.knownSince == null) {
 			this.knownSince = after.revision();
 			return;
 		}
@@ -41,14 +42,17 @@
 	 * @param revision removals after this revision
 	 * @return their keys, {@code null} if some may be forgotten
 	 */
-	List<ResourceKey> since(long revision) {
-		if (revision < this.knownSince) {
+	List<ResourceKey> since(EraRevision revision) {
+		if (this.knownSince == null || this.knownSince.isNewerThan(revision)) {
 			return null;
 		}
-		return this.recent.stream().filter((removal) -> removal.revision() > revision).map(Removal::key).toList();
+		return this.recent.stream()
+			.filter((removal) -> removal.revision().isNewerThan(revision))
+			.map(Removal::key)
+			.toList();
 	}
 
-	private record Removal(long revision, ResourceKey key) {
+	private record Removal(EraRevision revision, ResourceKey key) {
 	}
 
 }
--- a/entry/src/main/java/org/snowwind/entry/member/AgentHeartbeats.java
+++ b/entry/src/main/java/org/snowwind/entry/member/AgentHeartbeats.java
@@ -13,6 +13,7 @@
 import org.snowwind.config.snapshot.Snapshot;
 import org.snowwind.entry.config.ConfigHolder;
 import org.snowwind.http.DataLoop;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.resource.BackendServerSpec;
 import org.snowwind.wire.ThriftCalls;
 import org.snowwind.wire.ThriftLink;
@@ -45,7 +46,7 @@
 
 	private Set<String> unobserved = Set.of();
 
-	private long chosenRevision = -1;
+	private EraRevision chosenRevision;
 
 	AgentHeartbeats(EntrySettings settings, DataLoop loop, ServerTable servers, AttemptSequence sequence,
 			ConfigHolder config, ThriftCalls calls) {
@@ -70,7 +71,7 @@
 
 	// Choosing ranks every server, so it is done once for each configuration.
 	private void chooseAnew(Snapshot snapshot) {
-		if (snapshot.revision() != this.chosenRevision) {
+		if (!snapshot.revision().equals(this.chosenRevision)) {
 			this.observed = ObservedServers.of(snapshot.servers(), this.settings.name(), this.settings.dataCentre());
 			this.unobserved = snapshot.servers()
 				.stream()
@@ -108,12 +109,12 @@
 	private void heardAgent(String name, Links links, AgentReport report) {
 		this.loop.run(() -> this.servers.heard(name, report));
 		Snapshot snapshot = this.config.current();
-		if (report.getConfigRevision() >= snapshot.revision()) {
+		if (report.getConfigRevision() >= snapshot.revision().toLong()) {
 			return;
 		}
 		ConfigPush push = new ConfigPush();
 		push.setCredential(this.settings.fleetCredential());
-		push.setRevision(snapshot.revision());
+		push.setRevision(snapshot.revision().toLong());
 		push.setDocument(AgentDocument.of(snapshot).encode());
 		links.pushes()
 			.<Long>call((client, callback) -> client.configure(push, callback), Replies.onAnswer((revision) -> {
--- a/entry/src/main/java/org/snowwind/entry/member/EntryControlService.java
+++ b/entry/src/main/java/org/snowwind/entry/member/EntryControlService.java
@@ -2,6 +2,7 @@
 
 import org.snowwind.config.snapshot.Snapshot;
 import org.snowwind.entry.config.ConfigHolder;
+import org.snowwind.model.EraRevision;
 import org.snowwind.wire.Credentials;
 import org.snowwind.wire.generated.ConfigDocument;
 import org.snowwind.wire.generated.EntryControl;
@@ -44,9 +45,9 @@
 		Credentials.require(this.credential, givenCredential);
 		Snapshot snapshot = this.config.current();
 		ConfigDocument document = new ConfigDocument();
-		document.setRevision(snapshot.revision());
-		boolean newer = snapshot.revision() > haveRevision;
-		document.setDocument(newer ? this.config.encodedSince(haveRevision) : NOTHING);
+		document.setRevision(snapshot.revision().toLong());
+		boolean newer = snapshot.revision().toLong() > haveRevision;
+		document.setDocument(newer ? this.config.encodedSince(EraRevision.ofLong(Math.max(0, haveRevision))) : NOTHING);
 		return document;
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/member/Membership.java
+++ b/entry/src/main/java/org/snowwind/entry/member/Membership.java
@@ -15,6 +15,7 @@
 import org.snowwind.config.settings.EntrySettings;
 import org.snowwind.entry.config.ConfigHolder;
 import org.snowwind.http.DataLoop;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.DutyThread;
 import org.snowwind.wire.ThriftCalls;
@@ -202,7 +203,7 @@
 	}
 
 	private DataCentreProgress ownProgress(Optional<ServerTable.AgentProgress> agents) {
-		long revision = this.config.current().revision();
+		long revision = this.config.current().revision().toLong();
 		String waitsFor = this.settings.name();
 		if (agents.isPresent() && agents.get().revision() < revision) {
 			revision = agents.get().revision();
@@ -223,7 +224,7 @@
 
 	private PeerReport ownReport() {
 		MembershipView now = this.view;
-		long revision = this.config.current().revision();
+		long revision = this.config.current().revision().toLong();
 		PeerReport report = new PeerReport();
 		report.setCredential(this.settings.fleetCredential());
 		report.setEntryName(this.settings.name());
@@ -262,7 +263,7 @@
 
 	private void heardPeer(PeerReport report) {
 		this.peers.heard(report);
-		long have = this.config.current().revision();
+		long have = this.config.current().revision().toLong();
 		if (report.getConfigRevision() <= have) {
 			return;
 		}
@@ -270,7 +271,8 @@
 		String credential = this.settings.fleetCredential();
 		links.fetches()
 			.<ConfigDocument>call((client, callback) -> client.fetchConfig(credential, have, callback), Replies
-				.onAnswer((document) -> this.config.offerEncoded(document.getRevision(), document.getDocument())));
+				.onAnswer((document) -> this.config
+					.offerEncoded(EraRevision.ofLong(Math.max(0, document.getRevision())), document.getDocument())));
 	}
 
 	private void retain(Set<String> wanted) {
--- a/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
+++ b/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
@@ -103,7 +103,7 @@
 		if (this.stop != null) {
 			exchange.closeAfterAnswer();
 		}
-		if (this.closed || snapshot.revision() == 0) {
+		if (this.closed || snapshot.revision().isNone()) {
 			turnAway(exchange, takesNothing());
 			return;
 		}
--- a/entry/src/test/java/org/snowwind/entry/claim/ClaimDutyTests.java
+++ b/entry/src/test/java/org/snowwind/entry/claim/ClaimDutyTests.java
@@ -9,6 +9,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Test;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.outcome.Disclosure;
 import org.snowwind.model.outcome.Problem;
 import org.snowwind.store.GetResult;
@@ -89,11 +90,11 @@
 
 		@Override
 		public ListResult list(String prefix) {
-			return new ListResult.Listed(1, new ArrayList<>());
+			return new ListResult.Listed(EraRevision.ofLong(1), new ArrayList<>());
 		}
 
 		@Override
-		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
+		public WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis) {
 			return new WatchResult.Away("script");
 		}
 
@@ -103,16 +104,16 @@
 		}
 
 		@Override
-		public WriteResult put(String key, long expectedRevision, JsonNode value) {
+		public WriteResult put(String key, EraRevision expectedRevision, JsonNode value) {
 			awaitTurn();
-			return new WriteResult.Written(1);
+			return new WriteResult.Written(EraRevision.ofLong(1));
 		}
 
 		@Override
-		public WriteResult delete(String key, long expectedRevision) {
+		public WriteResult delete(String key, EraRevision expectedRevision) {
 			awaitTurn();
 			this.deleted.add(key);
-			return new WriteResult.Written(2);
+			return new WriteResult.Written(EraRevision.ofLong(2));
 		}
 
 	}
--- a/entry/src/test/java/org/snowwind/entry/config/ConfigHolderTests.java
+++ b/entry/src/test/java/org/snowwind/entry/config/ConfigHolderTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.snowwind.config.snapshot.ResourceSet;
 import org.snowwind.config.snapshot.Snapshot;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.resource.Resource;
 import org.snowwind.model.resource.ResourceKey;
 import org.snowwind.model.resource.ResourceKind;
@@ -23,10 +24,10 @@
 	private static Snapshot snapshot(long revision, String... services) {
 		List<Resource> resources = new ArrayList<>();
 		for (String service : services) {
-			resources.add(
-					new Resource(new ResourceKey(ResourceKind.SERVICE, service), 1, revision, new ServiceSpec("test")));
+			resources.add(new Resource(new ResourceKey(ResourceKind.SERVICE, service), 1, EraRevision.ofLong(revision),
+					new ServiceSpec("test")));
 		}
-		return new Snapshot(revision, ResourceSet.of(resources), ResourceSet.EMPTY, Map.of());
+		return new Snapshot(EraRevision.ofLong(revision), ResourceSet.of(resources), ResourceSet.EMPTY, Map.of());
 	}
 
 	@Property(seed = "20261202")
@@ -37,7 +38,7 @@
 		for (long revision : offered) {
 			holder.offer(snapshot(revision));
 			highest = Math.max(highest, revision);
-			assertThat(holder.current().revision()).isEqualTo(highest);
+			assertThat(holder.current().revision()).isEqualTo(EraRevision.ofLong(highest));
 		}
 	}
 
@@ -46,10 +47,10 @@
 		ConfigHolder ahead = new ConfigHolder("ahead");
 		ConfigHolder behind = new ConfigHolder("behind");
 		ahead.offer(snapshot(1, "desk", "shop"));
-		behind.offerEncoded(1, ahead.encodedSince(0));
+		behind.offerEncoded(EraRevision.ofLong(1), ahead.encodedSince(EraRevision.NONE));
 		ahead.offer(snapshot(2, "desk"));
-		behind.offerEncoded(2, ahead.encodedSince(behind.current().revision()));
-		assertThat(behind.current().revision()).isEqualTo(2);
+		behind.offerEncoded(EraRevision.ofLong(2), ahead.encodedSince(behind.current().revision()));
+		assertThat(behind.current().revision()).isEqualTo(EraRevision.ofLong(2));
 		assertThat(behind.current().hasService("desk")).isTrue();
 		assertThat(behind.current().hasService("shop")).isFalse();
 	}
@@ -61,8 +62,8 @@
 		ahead.offer(snapshot(6, "desk"));
 		ConfigHolder old = new ConfigHolder("old");
 		old.offer(snapshot(2, "gone"));
-		old.offerEncoded(6, ahead.encodedSince(2));
-		assertThat(old.current().revision()).isEqualTo(6);
+		old.offerEncoded(EraRevision.ofLong(6), ahead.encodedSince(EraRevision.ofLong(2)));
+		assertThat(old.current().revision()).isEqualTo(EraRevision.ofLong(6));
 		assertThat(old.current().hasService("gone")).isFalse();
 	}
 
--- a/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
+++ b/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
@@ -11,6 +11,7 @@
 import org.snowwind.config.check.BuiltInChecks;
 import org.snowwind.config.check.ResourceChecks;
 import org.snowwind.config.snapshot.SnapshotBuilder;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.ManualClock;
 import org.snowwind.model.resource.StoredResource;
@@ -42,16 +43,16 @@
 	private static StoredObject service(long revision, String name) {
 		JsonNode value = Json.MAPPER
 			.valueToTree(new StoredResource("Service", name, 1, null, Json.MAPPER.createObjectNode()));
-		return new StoredObject("resources/Service/" + name, revision, value);
+		return new StoredObject("resources/Service/" + name, EraRevision.ofLong(revision), value);
 	}
 
 	private static ListResult listed(long revision, StoredObject... objects) {
-		return new ListResult.Listed(revision, List.of(objects));
+		return new ListResult.Listed(EraRevision.ofLong(revision), List.of(objects));
 	}
 
 	private static WatchResult changed(StoredObject... objects) {
 		return new WatchResult.Changes(List.of(objects),
-				(objects.length > 0) ? objects[objects.length - 1].revision() : 0);
+				(objects.length > 0) ? objects[objects.length - 1].revision() : EraRevision.NONE);
 	}
 
 	@Test
@@ -67,7 +68,7 @@
 		this.store.watches.add(changed(service(4, "shop")));
 		this.watcher.round();
 		this.watcher.round();
-		assertThat(this.config.current().revision()).isEqualTo(4);
+		assertThat(this.config.current().revision()).isEqualTo(EraRevision.ofLong(4));
 		assertThat(this.config.current().hasService("shop")).isTrue();
 		assertThat(this.store.calls).containsExactly("list", "watch after 3");
 	}
@@ -80,7 +81,7 @@
 		for (int i = 0; i < 3; i++) {
 			this.watcher.round();
 		}
-		assertThat(this.config.current().revision()).isEqualTo(9);
+		assertThat(this.config.current().revision()).isEqualTo(EraRevision.ofLong(9));
 		assertThat(this.config.current().hasService("desk")).isFalse();
 	}
 
@@ -93,7 +94,7 @@
 		this.onDuty = true;
 		this.store.lists.add(listed(3, service(3, "desk")));
 		this.watcher.round();
-		assertThat(this.config.current().revision()).isEqualTo(9);
+		assertThat(this.config.current().revision()).isEqualTo(EraRevision.ofLong(9));
 		assertThat(this.config.current().hasService("shop")).isTrue();
 	}
 
@@ -121,7 +122,7 @@
 		this.store.lists.add(listed(5, service(5, "shop")));
 		this.watcher.round();
 		this.watcher.round();
-		assertThat(this.config.current().revision()).isEqualTo(5);
+		assertThat(this.config.current().revision()).isEqualTo(EraRevision.ofLong(5));
 	}
 
 	private static final class ScriptedStore implements ObjectStore {
@@ -139,7 +140,7 @@
 		}
 
 		@Override
-		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
+		public WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis) {
 			this.calls.add("watch after " + afterRevision);
 			return this.watches.isEmpty() ? new WatchResult.Away("script") : this.watches.removeFirst();
 		}
@@ -150,12 +151,12 @@
 		}
 
 		@Override
-		public WriteResult put(String key, long expectedRevision, JsonNode value) {
+		public WriteResult put(String key, EraRevision expectedRevision, JsonNode value) {
 			return new WriteResult.NotWritten("script");
 		}
 
 		@Override
-		public WriteResult delete(String key, long expectedRevision) {
+		public WriteResult delete(String key, EraRevision expectedRevision) {
 			return new WriteResult.NotWritten("script");
 		}
 
--- a/entry/src/test/java/org/snowwind/entry/member/ObservedServersTests.java
+++ b/entry/src/test/java/org/snowwind/entry/member/ObservedServersTests.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.snowwind.config.snapshot.ResourceSet.Named;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.resource.BackendServerSpec;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -17,7 +18,8 @@
 		List<Named<BackendServerSpec>> servers = new ArrayList<>();
 		for (int i = 0; i < near + far; i++) {
 			String where = (i < near) ? "casa" : "fes";
-			servers.add(new Named<>("s" + i, 1, new BackendServerSpec(where, "a" + i, "c" + i, List.of("chat"), null)));
+			servers.add(new Named<>("s" + i, EraRevision.ofLong(1),
+					new BackendServerSpec(where, "a" + i, "c" + i, List.of("chat"), null)));
 		}
 		return servers;
 	}
--- a/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
+++ b/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
@@ -28,6 +28,7 @@
 import org.snowwind.http.client.UpstreamClient;
 import org.snowwind.http.server.HttpLimits;
 import org.snowwind.http.server.HttpServer;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.resource.BackendServerSpec;
 import org.snowwind.model.resource.ModelGroupSpec;
@@ -109,11 +110,11 @@
 			resources.add(resource(ResourceKind.BACKEND_SERVER, "server-" + i,
 					new BackendServerSpec("casa", agentAddress, agentAddress, List.of("chat", "desk"), null)));
 		}
-		return new Snapshot(1, ResourceSet.of(resources), ResourceSet.EMPTY, Map.of());
+		return new Snapshot(EraRevision.ofLong(1), ResourceSet.of(resources), ResourceSet.EMPTY, Map.of());
 	}
 
 	private static Resource resource(ResourceKind kind, String name, ResourceSpec spec) {
-		return new Resource(new ResourceKey(kind, name), 1, 1, spec);
+		return new Resource(new ResourceKey(kind, name), 1, EraRevision.ofLong(1), spec);
 	}
 
 	private static AgentReport report(String name) {
@@ -218,7 +219,7 @@
 		}
 
 		@Override
-		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
+		public WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis) {
 			return new WatchResult.Away("script");
 		}
 
@@ -228,12 +229,12 @@
 		}
 
 		@Override
-		public WriteResult put(String key, long expectedRevision, JsonNode value) {
+		public WriteResult put(String key, EraRevision expectedRevision, JsonNode value) {
 			return new WriteResult.NotWritten("script");
 		}
 
 		@Override
-		public WriteResult delete(String key, long expectedRevision) {
+		public WriteResult delete(String key, EraRevision expectedRevision) {
 			return new WriteResult.NotWritten("script");
 		}
 
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -336,7 +336,7 @@
 	private GatewayReport ownReport() {
 		GatewayReport report = new GatewayReport(this.settings.name(), this.incarnation,
 				Addresses.render(this.settings.peers()), this.draining, this.tables.current().version(),
-				this.registries.current().revision(), this.inFlight, List.of(), this.experts.fence());
+				this.registries.current().revision().toLong(), this.inFlight, List.of(), this.experts.fence());
 		this.claims.addClaims(report);
 		report.setStoreAway(this.copies.isStoreAway());
 		return report.setLimits(this.limits.news());
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -16,6 +16,7 @@
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendIncarnation;
 import org.snowwind.gateway.registry.Registry;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -47,7 +48,7 @@
 
 	private final SharedLimits limits;
 
-	private long revision;
+	private EraRevision revision = EraRevision.NONE;
 
 	private double unreportedFactor = 1;
 
@@ -126,7 +127,7 @@
 	 * Returns the revision of the registry.
 	 * @return the platform's revision
 	 */
-	public long revision() {
+	public EraRevision revision() {
 		return this.revision;
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -19,6 +19,7 @@
 import org.snowwind.gateway.table.ServiceEntry;
 import org.snowwind.gateway.table.TableHolder;
 import org.snowwind.http.client.JsonClient;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.DutyThread;
@@ -211,7 +212,7 @@
 	private void takeDuty() {
 		this.nextClaimMillis = this.clock.nowMillis() + CLAIM_BACKOFF_MILLIS;
 		GetResult standing = this.store.get(KEY);
-		Long revision = standing.match(StoredObject::revision, () -> 0L, (reason) -> null);
+		EraRevision revision = standing.match(StoredObject::revision, () -> EraRevision.NONE, (reason) -> null);
 		if (revision == null) {
 			EventLog.log(Event.EXPERT_DUTY_NOT_CLAIMED, "reason", "the platform does not answer");
 			return;
@@ -222,8 +223,9 @@
 		WriteResult result = this.writes.write(KEY, revision, value);
 		if (result instanceof WriteResult.Written written) {
 			this.given.set(0);
-			this.fence.set(written.revision());
-			EventLog.log(Event.EXPERT_DUTY_TAKEN, "fence", written.revision(), "before", revision);
+			this.fence.set(written.revision().toLong());
+			EventLog.log(Event.EXPERT_DUTY_TAKEN, "fence", written.revision().toLong(), "claimed", written.revision(),
+					"before", revision);
 			return;
 		}
 		EventLog.log(Event.EXPERT_DUTY_NOT_CLAIMED, "reason", result);
--- a/gateway/src/main/java/org/snowwind/gateway/expert/GroupBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/GroupBook.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.snowwind.gateway.registry.BackendIncarnation;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -62,7 +63,8 @@
 	 * @return whether it was written
 	 */
 	boolean write(Map<BackendIncarnation, String> members) {
-		Long revision = this.store.get(KEY).match(StoredObject::revision, () -> 0L, (reason) -> null);
+		EraRevision revision = this.store.get(KEY)
+			.match(StoredObject::revision, () -> EraRevision.NONE, (reason) -> null);
 		if (revision == null) {
 			return false;
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/peer/GatewayDirectory.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/GatewayDirectory.java
@@ -11,6 +11,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.config.settings.Addresses;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -113,7 +114,8 @@
 
 	private void register(Optional<StoredObject> previous) {
 		JsonNode value = Json.MAPPER.createObjectNode().put("address", this.address);
-		WriteResult result = this.store.put(PREFIX + this.name, previous.map(StoredObject::revision).orElse(0L), value);
+		WriteResult result = this.store.put(PREFIX + this.name,
+				previous.map(StoredObject::revision).orElse(EraRevision.NONE), value);
 		EventLog.log(Event.GATEWAY_REGISTERED, "name", this.name, "address", this.address, "result", result);
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerDocuments.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerDocuments.java
@@ -50,7 +50,8 @@
 	}
 
 	long revisionOf(GatewayDocument kind) {
-		return (kind == GatewayDocument.TABLE) ? this.tables.current().version() : this.registries.current().revision();
+		return (kind == GatewayDocument.TABLE) ? this.tables.current().version()
+				: this.registries.current().revision().toLong();
 	}
 
 	/**
@@ -68,7 +69,7 @@
 			return new ConfigDocument(table.version(), ByteBuffer.wrap(table.document()));
 		}
 		Registry registry = this.registries.current();
-		return new ConfigDocument(registry.revision(), ByteBuffer.wrap(encode(registry)));
+		return new ConfigDocument(registry.revision().toLong(), ByteBuffer.wrap(encode(registry)));
 	}
 
 	private static byte[] encode(Registry registry) {
--- a/gateway/src/main/java/org/snowwind/gateway/peer/StoreClaims.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/StoreClaims.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.store.Freshness;
 import org.snowwind.wire.generated.CopyClaim;
@@ -59,8 +60,8 @@
 		List<CopyClaim> claims = new ArrayList<>();
 		this.copies.forEach((prefix, freshness) -> {
 			Optional<Freshness.Claim> claim = freshness.claim();
-			claim.ifPresent((present) -> claims
-				.add(new CopyClaim(prefix, present.changedRevision(), present.coveredRevision(), present.ageMillis())));
+			claim.ifPresent((present) -> claims.add(new CopyClaim(prefix, present.changedRevision().toLong(),
+					present.coveredRevision().toLong(), present.ageMillis())));
 		});
 		report.setClaims(claims);
 	}
@@ -110,9 +111,11 @@
 		}
 		for (CopyClaim claim : report.getClaims()) {
 			Freshness freshness = this.copies.get(claim.getPrefix());
-			if (freshness != null) {
-				freshness.claimed(new Freshness.Claim(claim.getChangedRevision(), claim.getCoveredRevision(),
-						claim.getAgeMillis()), report.getControlAddress(), composedAfterMillis);
+			if (freshness != null && claim.getChangedRevision() >= 0 && claim.getCoveredRevision() >= 0) {
+				freshness.claimed(
+						new Freshness.Claim(EraRevision.ofLong(claim.getChangedRevision()),
+								EraRevision.ofLong(claim.getCoveredRevision()), claim.getAgeMillis()),
+						report.getControlAddress(), composedAfterMillis);
 			}
 		}
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/registry/Registry.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/Registry.java
@@ -4,16 +4,18 @@
 import java.util.List;
 import java.util.Map;
 
+import org.snowwind.model.EraRevision;
+
 /**
  * The registered backend servers as of one revision of the platform.
  *
  * @param revision the platform's revision
  * @param servers the servers by id
  */
-public record Registry(long revision, Map<String, BackendEntry> servers) {
+public record Registry(EraRevision revision, Map<String, BackendEntry> servers) {
 
 	/** The empty registry that is in use until the first listing. */
-	public static final Registry NONE = new Registry(0, Map.of());
+	public static final Registry NONE = new Registry(EraRevision.NONE, Map.of());
 
 	/**
 	 * Copies the servers.
--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryHolder.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryHolder.java
@@ -36,9 +36,9 @@
 	 * @return true if the registry was replaced
 	 */
 	public synchronized boolean offer(Registry registry) {
-		boolean older = registry.revision() < this.current.revision();
+		boolean older = this.current.revision().isNewerThan(registry.revision());
 		boolean same = registry.servers().equals(this.current.servers());
-		if (older || (same && registry.revision() == this.current.revision())) {
+		if (older || (same && registry.revision().equals(this.current.revision()))) {
 			return false;
 		}
 		this.current = registry;
--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryView.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryView.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 
+import org.snowwind.model.EraRevision;
+
 /**
  * Keeps the registry up to date. After an outage of the platform it keeps, for a grace
  * period, the servers whose entries have lapsed. Confined to one thread.
@@ -21,7 +23,7 @@
 
 	private final Map<String, BackendEntry> lapsed = new HashMap<>();
 
-	private long revision;
+	private EraRevision revision = EraRevision.NONE;
 
 	private long graceUntilMillis = Long.MIN_VALUE;
 
@@ -48,12 +50,12 @@
 	 * @param servers all registered servers
 	 * @param nowMillis the current time, in milliseconds
 	 */
-	public void replaceAll(long listedRevision, List<BackendEntry> servers, long nowMillis) {
+	public void replaceAll(EraRevision listedRevision, List<BackendEntry> servers, long nowMillis) {
 		Map<String, BackendEntry> before = new HashMap<>(this.registered);
 		this.registered.clear();
 		servers.forEach((server) -> this.registered.put(server.id(), server));
 		this.lapsed.keySet().removeAll(this.registered.keySet());
-		this.revision = Math.max(this.revision, listedRevision);
+		this.revision = EraRevision.newest(this.revision, listedRevision);
 		before.keySet().removeAll(this.registered.keySet());
 		before.values().forEach((server) -> retainDuringGrace(server, nowMillis));
 	}
@@ -89,8 +91,8 @@
 	 * Advances the revision up to which all changes are known.
 	 * @param knownRevision the platform's revision
 	 */
-	public void advanceRevision(long knownRevision) {
-		this.revision = Math.max(this.revision, knownRevision);
+	public void advanceRevision(EraRevision knownRevision) {
+		this.revision = EraRevision.newest(this.revision, knownRevision);
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.snowwind.gateway.table.DocumentException;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -80,10 +81,17 @@
 	}
 
 	@Override
-	public void gap(long afterRevision) {
+	public void gap(EraRevision afterRevision) {
 		EventLog.log(Event.WATCH_GAP, "after", afterRevision);
 	}
 
+	@Override
+	public void restored(EraRevision before, EraRevision now) {
+		EventLog.log(Event.REGISTRY_RESTORED, "before", before, "registry", now, "servers",
+				this.holder.current().servers().size());
+		this.view.platformRecovered(this.clock.nowMillis());
+	}
+
 	@Override
 	public void away(String reason) {
 		EventLog.log(Event.PLATFORM_AWAY, "reason", reason);
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectArchive.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectArchive.java
@@ -9,6 +9,7 @@
 
 import org.snowwind.decide.blame.ServerEnd;
 import org.snowwind.gateway.suspect.SuspectDocument.SeenEnd;
+import org.snowwind.model.EraRevision;
 import org.snowwind.store.ListResult;
 import org.snowwind.store.ObjectStore;
 import org.snowwind.store.StoredObject;
@@ -62,7 +63,7 @@
 			return Optional.empty();
 		}
 		List<SuspectDocument> documents = new ArrayList<>();
-		long revision = 0;
+		EraRevision revision = EraRevision.NONE;
 		SuspectDocument own = SuspectDocument.EMPTY;
 		for (StoredObject object : objects.get()) {
 			documents.add(SuspectDocument.read(object.value()));
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
@@ -10,6 +10,7 @@
 import org.snowwind.decide.blame.Blame;
 import org.snowwind.decide.blame.ServerEnd;
 import org.snowwind.gateway.suspect.SuspectDocument.SeenEnd;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -48,8 +49,6 @@
 	/** So many documents of others are kept, more than there are gateways. */
 	private static final int MOST_DOCUMENTS = 1024;
 
-	private static final long UNKNOWN = -1;
-
 	private final ObjectStore store;
 
 	private final String key;
@@ -61,7 +60,8 @@
 
 	private final Map<String, Standing> others = new LinkedHashMap<>();
 
-	private long ownRevision = UNKNOWN;
+	/** The revision of the own document, {@code null} if it is not known. */
+	private EraRevision ownRevision;
 
 	private boolean unwritten;
 
@@ -136,6 +136,14 @@
 		rebuild();
 	}
 
+	// The own document may have been lost. The listing that follows contains what is
+	// left.
+	@Override
+	public synchronized void restored(EraRevision before, EraRevision now) {
+		this.ownRevision = null;
+		this.unwritten |= !this.own.document().equals(SuspectDocument.EMPTY);
+	}
+
 	@Override
 	public synchronized void changed(WatchResult.Changes changes) {
 		changes.objects().forEach(this::take);
@@ -154,7 +162,7 @@
 		}
 		else if (this.others.containsKey(object.key()) || this.others.size() < MOST_DOCUMENTS) {
 			Standing before = this.others.get(object.key());
-			if (before == null || before.revision < object.revision()) {
+			if (before == null || object.revision().isNewerThan(before.revision)) {
 				this.others.put(object.key(),
 						new Standing(SuspectDocument.read(object.value()), object.revision(), nowMillis));
 			}
@@ -163,8 +171,8 @@
 
 	// An earlier life of this gateway may have written it.
 	private void takeOwn(StoredObject object, long nowMillis) {
-		if (object.revision() > this.ownRevision) {
-			this.ownRevision = object.deleted() ? 0 : object.revision();
+		if (this.ownRevision == null || object.revision().isNewerThan(this.ownRevision)) {
+			this.ownRevision = object.deleted() ? EraRevision.NONE : object.revision();
 			this.own.adopt(SuspectDocument.read(object.value()), nowMillis);
 		}
 	}
@@ -207,7 +215,7 @@
 			return;
 		}
 		SuspectDocument document;
-		long revision;
+		EraRevision revision;
 		synchronized (this) {
 			document = this.own.document();
 			revision = this.ownRevision;
@@ -216,8 +224,8 @@
 		WriteResult result = this.store.put(this.key, revision, document.toJson());
 		EventLog.log(Event.SUSPECTS_WRITTEN, "ends", document.ends().size(), "cleared", document.cleared().size(),
 				"alive", document.alive().size(), "result", result);
-		result.match(new WriteResult.Cases<>((written) -> wrote(written, false), (conflict) -> wrote(UNKNOWN, true),
-				(refused) -> wrote(revision, true), (uncertain) -> wrote(UNKNOWN, true)));
+		result.match(new WriteResult.Cases<>((written) -> wrote(written, false), (conflict) -> wrote(null, true),
+				(refused) -> wrote(revision, true), (uncertain) -> wrote(null, true)));
 	}
 
 	private synchronized boolean due() {
@@ -230,18 +238,20 @@
 	}
 
 	private synchronized boolean ownKnown() {
-		return this.ownRevision != UNKNOWN;
+		return this.ownRevision != null;
 	}
 
-	private synchronized boolean wrote(long revision, boolean again) {
-		this.ownRevision = (revision == UNKNOWN) ? UNKNOWN : Math.max(this.ownRevision, revision);
+	private synchronized boolean wrote(EraRevision revision, boolean again) {
+		boolean known = revision != null && this.ownRevision != null;
+		this.ownRevision = known ? EraRevision.newest(this.ownRevision, revision) : revision;
 		this.unwritten |= again;
 		return !again;
 	}
 
 	private boolean readOwn() {
 		GetResult read = this.store.get(this.key);
-		return read.match(this::adopt, () -> adopt(new StoredObject(this.key, 0, null)), (away) -> false);
+		return read.match(this::adopt, () -> adopt(new StoredObject(this.key, EraRevision.NONE, null)),
+				(away) -> false);
 	}
 
 	private synchronized boolean adopt(StoredObject object) {
@@ -262,7 +272,7 @@
 
 	private void deleteOldest() {
 		String oldKey = null;
-		long revision = 0;
+		EraRevision revision = EraRevision.NONE;
 		synchronized (this) {
 			for (Map.Entry<String, Standing> other : this.others.entrySet()) {
 				if (this.clock.nowMillis() - other.getValue().sinceMillis > DELETE_MILLIS) {
@@ -284,7 +294,7 @@
 	 * @param revision its revision
 	 * @param sinceMillis since when it is known to stand, in milliseconds
 	 */
-	private record Standing(SuspectDocument document, long revision, long sinceMillis) {
+	private record Standing(SuspectDocument document, EraRevision revision, long sinceMillis) {
 
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/AdmissionTests.java
@@ -16,6 +16,7 @@
 import org.snowwind.gateway.registry.BackendIncarnation;
 import org.snowwind.gateway.registry.Registry;
 import org.snowwind.gateway.table.EngineProfile;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.ManualClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -38,7 +39,7 @@
 
 	@BeforeEach
 	void registerOneRank() {
-		this.table.update(new Registry(1,
+		this.table.update(new Registry(EraRevision.ofLong(1),
 				Map.of("r", new BackendEntry("r", BackendIncarnation.UNKNOWN, "s", "10.0.0.1", 80, "dc", 2, false))));
 		this.table.recordGroup(BackendIncarnation.of("r"), "g");
 	}
@@ -147,8 +148,10 @@
 	@Test
 	void limitBelongsToOneIncarnationOfTheServer() {
 		setLimit(0);
-		this.table.update(new Registry(2, Map.of("r", new BackendEntry("r", 7, "s", "10.0.0.1", 80, "dc", 2, false))));
-		this.table.update(new Registry(3, Map.of("r", new BackendEntry("r", 8, "s", "10.0.0.1", 80, "dc", 2, false))));
+		this.table.update(new Registry(EraRevision.ofLong(2),
+				Map.of("r", new BackendEntry("r", 7, "s", "10.0.0.1", 80, "dc", 2, false))));
+		this.table.update(new Registry(EraRevision.ofLong(3),
+				Map.of("r", new BackendEntry("r", 8, "s", "10.0.0.1", 80, "dc", 2, false))));
 		assertThat(this.table.limits().snapshot().activeLimits()).isEmpty();
 		assertThat(decide(10_000)).isInstanceOf(Admission.Verdict.Send.class);
 	}
@@ -177,7 +180,7 @@
 	}
 
 	private void registerTwoServers() {
-		this.table.update(new Registry(2, Map.of("r", plainServer("r"), "q", plainServer("q"))));
+		this.table.update(new Registry(EraRevision.ofLong(2), Map.of("r", plainServer("r"), "q", plainServer("q"))));
 	}
 
 	private static BackendEntry plainServer(String id) {
@@ -237,10 +240,12 @@
 	@Test
 	void backoffBelongsToOneIncarnationOfTheServer() {
 		reject("r", 60_000);
-		this.table.update(new Registry(2, Map.of("r", new BackendEntry("r", 7, "s", "10.0.0.1", 80, "dc", 2, false))));
+		this.table.update(new Registry(EraRevision.ofLong(2),
+				Map.of("r", new BackendEntry("r", 7, "s", "10.0.0.1", 80, "dc", 2, false))));
 		assertThat(decide(10_000)).as("the same incarnation, whose start time was unknown before")
 			.isInstanceOf(Admission.Verdict.Reject.class);
-		this.table.update(new Registry(3, Map.of("r", new BackendEntry("r", 8, "s", "10.0.0.1", 80, "dc", 2, false))));
+		this.table.update(new Registry(EraRevision.ofLong(3),
+				Map.of("r", new BackendEntry("r", 8, "s", "10.0.0.1", 80, "dc", 2, false))));
 		assertThat(decide(10_000)).isInstanceOf(Admission.Verdict.Send.class);
 	}
 
@@ -249,7 +254,7 @@
 		registerTwoServers();
 		this.table.onResponseHead(rank(), new ServerNotice(AnnouncedLimit.NONE, 0, true, ""),
 				new BackendNotices.Source("test", true, 10_000));
-		this.table.update(new Registry(3, Map.of("r", plainServer("r"), "q", plainServer("q"))));
+		this.table.update(new Registry(EraRevision.ofLong(3), Map.of("r", plainServer("r"), "q", plainServer("q"))));
 		assertThat(decideAfter("q")).isEqualTo(new Admission.Verdict.Send(this.table.find("q").orElseThrow()));
 		assertThat(rank().takesNewWork()).isFalse();
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -15,6 +15,7 @@
 import org.snowwind.gateway.registry.BackendIncarnation;
 import org.snowwind.gateway.registry.Registry;
 import org.snowwind.gateway.table.EngineProfile;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.ManualClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -42,8 +43,8 @@
 	}
 
 	private void register(BackendEntry... servers) {
-		this.table.update(
-				new Registry(1, Stream.of(servers).collect(Collectors.toMap(BackendEntry::id, (server) -> server))));
+		this.table.update(new Registry(EraRevision.ofLong(1),
+				Stream.of(servers).collect(Collectors.toMap(BackendEntry::id, (server) -> server))));
 	}
 
 	private String choose(Set<String> tried) {
@@ -126,8 +127,8 @@
 		int pickedEmptyServer = 0;
 		for (int gateway = 0; gateway < GATEWAYS; gateway++) {
 			BackendTable ofGateway = new BackendTable(this.clock, new Random(seeds.nextLong()), "dc", () -> 1);
-			ofGateway.update(
-					new Registry(1, Stream.of(ranks).collect(Collectors.toMap(BackendEntry::id, (server) -> server))));
+			ofGateway.update(new Registry(EraRevision.ofLong(1),
+					Stream.of(ranks).collect(Collectors.toMap(BackendEntry::id, (server) -> server))));
 			ofGateway.updatePeersInFlight(staleLoads, 1);
 			Optional<Backend> chosen = ofGateway.choose(new ServerRequirements("s", NONE, 0, ENGINE, 120));
 			pickedEmptyServer += chosen.orElseThrow().id().equals("r0") ? 1 : 0;
--- a/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/LoadModel.java
@@ -17,6 +17,7 @@
 import org.snowwind.gateway.registry.BackendIncarnation;
 import org.snowwind.gateway.registry.Registry;
 import org.snowwind.gateway.table.EngineProfile;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.ManualClock;
 
 /**
@@ -94,7 +95,7 @@
 		for (int i = 0; i < scenario.gateways(); i++) {
 			BackendTable table = new BackendTable(this.clock, new Random(this.random.nextLong()), dataCentre(i),
 					scenario::gateways, limit);
-			table.update(new Registry(1, entries));
+			table.update(new Registry(EraRevision.ofLong(1), entries));
 			entries.keySet().forEach((id) -> table.recordGroup(BackendIncarnation.of(id), "g"));
 			this.gateways.add(new Gateway(table, new Admission(table, this.clock)));
 		}
--- a/gateway/src/test/java/org/snowwind/gateway/backend/ReturnModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/ReturnModel.java
@@ -18,6 +18,7 @@
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendIncarnation;
 import org.snowwind.gateway.registry.Registry;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.ManualClock;
 
 /**
@@ -74,7 +75,7 @@
 		for (int i = 0; i < scenario.gateways(); i++) {
 			BackendTable table = new BackendTable(this.clock, new Random(this.random.nextLong()), "dc",
 					scenario::gateways);
-			table.update(new Registry(1, entries));
+			table.update(new Registry(EraRevision.ofLong(1), entries));
 			this.tables.add(table);
 			this.admissions.add(new Admission(table, this.clock));
 		}
--- a/gateway/src/test/java/org/snowwind/gateway/expert/GroupDirectoryTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/GroupDirectoryTests.java
@@ -21,6 +21,7 @@
 import org.snowwind.http.client.JsonClient;
 import org.snowwind.http.server.HttpLimits;
 import org.snowwind.http.server.HttpServer;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.ManualClock;
 import org.snowwind.store.GetResult;
 import org.snowwind.store.ListResult;
@@ -177,9 +178,10 @@
 		}
 
 		@Override
-		public WriteResult put(String key, long expectedRevision, JsonNode value) {
-			this.object = new StoredObject(key, expectedRevision + 1, value);
-			return new WriteResult.Written(expectedRevision + 1);
+		public WriteResult put(String key, EraRevision expectedRevision, JsonNode value) {
+			EraRevision written = new EraRevision(expectedRevision.era(), expectedRevision.number() + 1);
+			this.object = new StoredObject(key, written, value);
+			return new WriteResult.Written(written);
 		}
 
 		@Override
@@ -188,12 +190,12 @@
 		}
 
 		@Override
-		public WriteResult delete(String key, long expectedRevision) {
+		public WriteResult delete(String key, EraRevision expectedRevision) {
 			throw new UnsupportedOperationException();
 		}
 
 		@Override
-		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
+		public WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis) {
 			throw new UnsupportedOperationException();
 		}
 
--- a/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModel.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.node.BooleanNode;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.ManualClock;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.store.AsyncObjectStore;
@@ -47,6 +48,10 @@
 
 	private static final int CHANGES = 20;
 
+	private static final int MOST_LOST_CHANGES = 10;
+
+	private static final long MOST_REWRITE_MILLIS = 2500;
+
 	/** The time after the last fault during which changes are still made. */
 	private static final long LAST_CHANGE_MILLIS = 1500;
 
@@ -185,6 +190,12 @@
 					at(between(fromMillis, untilMillis), () -> this.store.compactedRevision = this.store.revision);
 				}
 			}
+			case DRILLS -> {
+				int count = 1 + this.random.nextInt(3);
+				for (int i = 0; i < count; i++) {
+					at(between(fromMillis, untilMillis), this.store::restoreFromCopy);
+				}
+			}
 			default -> {
 			}
 		}
@@ -219,7 +230,7 @@
 	enum Fault {
 
 		SILENT_CONNECTIONS, SLOW_STORE, STORE_SILENT, STORE_FAILING, FROZEN, PEER_MESSAGES_DELAYED, INVALID_CLAIMS,
-		HUGE_AGE, RESTARTS, GAPS, CHANGE_BURST
+		HUGE_AGE, RESTARTS, GAPS, CHANGE_BURST, DRILLS
 
 	}
 
@@ -310,9 +321,20 @@
 
 	private record Change(String prefix, StoredObject object, long ackedMillis) {
 
+		private StoredObject inEra(long era) {
+			EraRevision revision = new EraRevision(era, this.object.revision().number());
+			return new StoredObject(this.object.key(), revision, this.object.value());
+		}
+
+		// A change that was not lost is part of the history of all later eras.
+		private boolean isIncludedIn(EraRevision revision) {
+			return revision.era() >= this.object.revision().era()
+					&& revision.number() >= this.object.revision().number();
+		}
+
 	}
 
-	private record Waiter(Call call, long afterRevision) {
+	private record Waiter(Call call, EraRevision afterRevision) {
 
 	}
 
@@ -325,29 +347,54 @@
 
 		private final Map<String, List<Waiter>> waiters = new HashMap<>();
 
-		private long revision = 1;
+		private EraRevision revision = new EraRevision(1, 1);
 
-		private long compactedRevision;
+		private EraRevision compactedRevision = new EraRevision(1, 0);
 
 		private void change() {
-			this.revision++;
 			String prefix = PREFIXES.get(FreshnessModel.this.random.nextInt(PREFIXES.size()));
 			String key = prefix + FreshnessModel.this.random.nextInt(KEYS);
 			boolean deleted = FreshnessModel.this.random.nextInt(4) == 0;
+			change(prefix, key, deleted);
+		}
+
+		private void change(String prefix, String key, boolean deleted) {
+			this.revision = new EraRevision(this.revision.era(), this.revision.number() + 1);
 			StoredObject object = new StoredObject(key, this.revision, deleted ? null : BooleanNode.TRUE);
 			Change change = new Change(prefix, object, now() + between(0, 30));
 			this.changes.add(change);
 			List<Waiter> waiting = this.waiters.computeIfAbsent(prefix, (each) -> new ArrayList<>());
 			List<Waiter> woken = List.copyOf(waiting);
 			waiting.clear();
-			woken.forEach((waiter) -> waiter.call.respond(changesAfter(prefix, waiter.afterRevision)));
+			woken.forEach((waiter) -> waiter.call.respond(changesAfter(prefix, waiter.afterRevision.number())));
 			eachGateway((gateway) -> gateway.copies.forEach((copy) -> copy.expect(change)));
 		}
 
-		private WatchResult.Changes changesAfter(String prefix, long afterRevision) {
+		// Waiting calls are never answered. What was lost is written again later.
+		private void restoreFromCopy() {
+			long copied = Math.max(1, this.revision.number() - between(0, MOST_LOST_CHANGES));
+			List<Change> lost = this.changes.stream()
+				.filter((change) -> change.object.revision().number() > copied)
+				.toList();
+			this.changes.removeAll(lost);
+			this.waiters.clear();
+			this.revision = new EraRevision(this.revision.era() + 1, copied);
+			this.compactedRevision = new EraRevision(this.revision.era(),
+					Math.min(copied, this.compactedRevision.number()));
+			eachGateway((gateway) -> gateway.copies.forEach((copy) -> copy.missing.removeAll(lost)));
+			lost.forEach((change) -> after(between(0, MOST_REWRITE_MILLIS),
+					() -> change(change.prefix, change.object.key(), change.object.deleted())));
+		}
+
+		private boolean isGone(EraRevision afterRevision) {
+			long number = afterRevision.number();
+			return number < this.compactedRevision.number() || number > this.revision.number();
+		}
+
+		private WatchResult.Changes changesAfter(String prefix, long afterNumber) {
 			List<StoredObject> objects = this.changes.stream()
-				.filter((change) -> change.prefix.equals(prefix) && change.object.revision() > afterRevision)
-				.map(Change::object)
+				.filter((change) -> change.prefix.equals(prefix) && change.object.revision().number() > afterNumber)
+				.map((change) -> change.inEra(this.revision.era()))
 				.toList();
 			return new WatchResult.Changes(objects, this.revision);
 		}
@@ -359,12 +406,12 @@
 			call.respond(new ListResult.Listed(this.revision, List.copyOf(objects.values())));
 		}
 
-		private void watch(Call call, String prefix, long afterRevision, long waitMillis) {
-			if (afterRevision < this.compactedRevision) {
+		private void watch(Call call, String prefix, EraRevision afterRevision, long waitMillis) {
+			if (isGone(afterRevision)) {
 				call.respond(new WatchResult.Gap());
 				return;
 			}
-			WatchResult.Changes known = changesAfter(prefix, afterRevision);
+			WatchResult.Changes known = changesAfter(prefix, afterRevision.number());
 			if (!known.objects().isEmpty()) {
 				call.respond(known);
 				return;
@@ -487,13 +534,12 @@
 		@Override
 		public void changed(WatchResult.Changes changes) {
 			changes.objects().forEach((object) -> this.objects.put(object.key(), object));
-			this.missing.removeIf((change) -> recordIfContained(change, 0));
+			this.missing.removeIf((change) -> recordIfContained(change, EraRevision.NONE));
 		}
 
-		private boolean recordIfContained(Change change, long listedRevision) {
+		private boolean recordIfContained(Change change, EraRevision listedRevision) {
 			StoredObject object = this.objects.get(change.object.key());
-			boolean contained = (object != null) ? object.revision() >= change.object.revision()
-					: change.object.revision() <= listedRevision;
+			boolean contained = change.isIncludedIn((object != null) ? object.revision() : listedRevision);
 			if (contained) {
 				FreshnessModel.this.result.recordDelay(changeDelayMillis(change), describe(change));
 			}
@@ -529,7 +575,7 @@
 		}
 
 		private String describe(Change change) {
-			return String.format("%s (incarnation %d) at %d: change %d of %s, acknowledged at %d", this.gateway.address,
+			return String.format("%s (incarnation %d) at %d: change %s of %s, acknowledged at %d", this.gateway.address,
 					this.gateway.incarnation, now(), change.object.revision(), change.object.key(), change.ackedMillis);
 		}
 
@@ -628,7 +674,7 @@
 		}
 
 		@Override
-		public CompletableFuture<WatchResult> startWatch(String prefix, long afterRevision, long waitMillis,
+		public CompletableFuture<WatchResult> startWatch(String prefix, EraRevision afterRevision, long waitMillis,
 				long timeoutMillis) {
 			countCall(prefix);
 			Call call = new Call(this);
--- a/gateway/src/test/java/org/snowwind/gateway/peer/GatewayDirectoryTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/GatewayDirectoryTests.java
@@ -8,6 +8,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Test;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.store.GetResult;
 import org.snowwind.store.ListResult;
@@ -46,7 +47,7 @@
 
 	@Test
 	void gatewayRegistersOnceAndDiscoversOthers() {
-		this.store.put("gateways/other", 0, addressEntry("10.0.0.2:1"));
+		this.store.put("gateways/other", EraRevision.NONE, addressEntry("10.0.0.2:1"));
 		runRounds(3);
 		assertThat(this.found).containsExactly("10.0.0.2:1");
 		assertThat(this.store.objects.get("gateways/me").value()).isEqualTo(addressEntry("10.0.0.1:1"));
@@ -55,7 +56,7 @@
 
 	@Test
 	void entryWithOutdatedAddressIsReplaced() {
-		this.store.put("gateways/me", 0, addressEntry("10.0.0.7:1"));
+		this.store.put("gateways/me", EraRevision.NONE, addressEntry("10.0.0.7:1"));
 		runRounds(1);
 		assertThat(this.store.objects.get("gateways/me").value()).isEqualTo(addressEntry("10.0.0.1:1"));
 	}
@@ -70,8 +71,8 @@
 
 	@Test
 	void entryOfDeadGatewayIsDeletedAndThatOfLiveOneKept() {
-		this.store.put("gateways/gone", 0, addressEntry("10.0.0.2:1"));
-		this.store.put("gateways/live", 0, addressEntry("10.0.0.3:1"));
+		this.store.put("gateways/gone", EraRevision.NONE, addressEntry("10.0.0.2:1"));
+		this.store.put("gateways/live", EraRevision.NONE, addressEntry("10.0.0.3:1"));
 		this.alive = Set.of("10.0.0.3:1");
 		runRounds(20);
 		assertThat(this.store.objects).doesNotContainKey("gateways/gone").containsKey("gateways/live");
@@ -79,7 +80,7 @@
 
 	@Test
 	void noEntryIsDeletedWhilePlatformIsUnavailable() {
-		this.store.put("gateways/gone", 0, addressEntry("10.0.0.2:1"));
+		this.store.put("gateways/gone", EraRevision.NONE, addressEntry("10.0.0.2:1"));
 		this.store.unavailable = true;
 		runRounds(20);
 		assertThat(this.store.objects).containsKey("gateways/gone");
@@ -101,20 +102,20 @@
 		@Override
 		public ListResult list(String prefix) {
 			return this.unavailable ? new ListResult.Away("away")
-					: new ListResult.Listed(this.revision, List.copyOf(this.objects.values()));
+					: new ListResult.Listed(EraRevision.ofLong(this.revision), List.copyOf(this.objects.values()));
 		}
 
 		@Override
-		public WriteResult put(String key, long expectedRevision, JsonNode value) {
+		public WriteResult put(String key, EraRevision expectedRevision, JsonNode value) {
 			this.writes++;
-			this.objects.put(key, new StoredObject(key, ++this.revision, value));
-			return new WriteResult.Written(this.revision);
+			this.objects.put(key, new StoredObject(key, EraRevision.ofLong(++this.revision), value));
+			return new WriteResult.Written(EraRevision.ofLong(this.revision));
 		}
 
 		@Override
-		public WriteResult delete(String key, long expectedRevision) {
+		public WriteResult delete(String key, EraRevision expectedRevision) {
 			this.objects.remove(key);
-			return new WriteResult.Written(++this.revision);
+			return new WriteResult.Written(EraRevision.ofLong(++this.revision));
 		}
 
 		@Override
@@ -123,7 +124,7 @@
 		}
 
 		@Override
-		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
+		public WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis) {
 			throw new UnsupportedOperationException("the directory does not watch objects");
 		}
 
--- a/gateway/src/test/java/org/snowwind/gateway/peer/StoreClaimsTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/StoreClaimsTests.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.ManualClock;
 import org.snowwind.store.Freshness;
 import org.snowwind.wire.generated.CopyClaim;
@@ -147,7 +148,8 @@
 		}
 
 		private void answeredByStore() {
-			this.freshness.answered(this.clock.nowMillis(), 1, 1, 1);
+			this.freshness.answered(this.clock.nowMillis(), EraRevision.ofLong(1), EraRevision.ofLong(1),
+					EraRevision.ofLong(1));
 		}
 
 		private GatewayReport report() {
--- a/gateway/src/test/java/org/snowwind/gateway/registry/RegistryViewTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/registry/RegistryViewTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.snowwind.model.EraRevision;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -29,7 +30,7 @@
 
 	@Test
 	void removedServerIsDroppedImmediately() {
-		this.view.replaceAll(1, List.of(server("a"), server("b")), 0);
+		this.view.replaceAll(EraRevision.ofLong(1), List.of(server("a"), server("b")), 0);
 		this.view.remove("a", 10);
 		assertThat(contains("a", 10)).isFalse();
 		assertThat(contains("b", 10)).isTrue();
@@ -37,9 +38,9 @@
 
 	@Test
 	void serverThatLapsedDuringOutageIsKeptForGracePeriod() {
-		this.view.replaceAll(1, List.of(server("a"), server("b")), 0);
+		this.view.replaceAll(EraRevision.ofLong(1), List.of(server("a"), server("b")), 0);
 		this.view.platformRecovered(5000);
-		this.view.replaceAll(2, List.of(server("b")), 5001);
+		this.view.replaceAll(EraRevision.ofLong(2), List.of(server("b")), 5001);
 		assertThat(contains("a", 5001)).isTrue();
 		assertThat(this.view.hasLapsedServers()).isTrue();
 		assertThat(contains("a", 5000 + GRACE_MILLIS)).isFalse();
@@ -48,34 +49,34 @@
 
 	@Test
 	void lapsedServerThatRegistersAgainOutlivesGracePeriod() {
-		this.view.replaceAll(1, List.of(server("a")), 0);
+		this.view.replaceAll(EraRevision.ofLong(1), List.of(server("a")), 0);
 		this.view.platformRecovered(5000);
-		this.view.replaceAll(2, List.of(), 5001);
+		this.view.replaceAll(EraRevision.ofLong(2), List.of(), 5001);
 		this.view.put(server("a"));
 		assertThat(contains("a", 9000)).isTrue();
 	}
 
 	@Test
 	void drainingServerIsNotKeptAfterOutage() {
-		this.view.replaceAll(1, List.of(server("a", true)), 0);
+		this.view.replaceAll(EraRevision.ofLong(1), List.of(server("a", true)), 0);
 		this.view.platformRecovered(5000);
-		this.view.replaceAll(2, List.of(), 5001);
+		this.view.replaceAll(EraRevision.ofLong(2), List.of(), 5001);
 		assertThat(contains("a", 5001)).isFalse();
 	}
 
 	@Test
 	void revisionNeverDecreases() {
-		this.view.replaceAll(7, List.of(), 0);
-		this.view.advanceRevision(5);
-		assertThat(this.view.registry(0).revision()).isEqualTo(7);
-		this.view.advanceRevision(9);
-		assertThat(this.view.registry(0).revision()).isEqualTo(9);
+		this.view.replaceAll(EraRevision.ofLong(7), List.of(), 0);
+		this.view.advanceRevision(EraRevision.ofLong(5));
+		assertThat(this.view.registry(0).revision()).isEqualTo(EraRevision.ofLong(7));
+		this.view.advanceRevision(EraRevision.ofLong(9));
+		assertThat(this.view.registry(0).revision()).isEqualTo(EraRevision.ofLong(9));
 	}
 
 	@Test
 	void holderRejectsOlderRegistry() {
 		RegistryHolder holder = new RegistryHolder();
-		this.view.replaceAll(7, List.of(server("a")), 0);
+		this.view.replaceAll(EraRevision.ofLong(7), List.of(server("a")), 0);
 		assertThat(holder.offer(this.view.registry(0))).isTrue();
 		assertThat(holder.offer(Registry.NONE)).isFalse();
 		assertThat(holder.current().servers()).containsKey("a");
--- a/gateway/src/test/java/org/snowwind/gateway/registry/RegistryWatcherTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/registry/RegistryWatcherTests.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Test;
 import org.snowwind.gateway.table.DocumentException;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.ManualClock;
 import org.snowwind.store.ListResult;
@@ -27,7 +28,7 @@
 
 	private static StoredObject entry(String name, String value) {
 		try {
-			return new StoredObject("servers/" + name, 1, Json.MAPPER.readTree(value));
+			return new StoredObject("servers/" + name, EraRevision.ofLong(1), Json.MAPPER.readTree(value));
 		}
 		catch (java.io.IOException ex) {
 			throw new IllegalArgumentException(ex);
@@ -40,17 +41,19 @@
 
 	@Test
 	void unreadableEntryInListingDoesNotAffectOtherServers() {
-		this.watcher.listed(new ListResult.Listed(5, List.of(entry("a", "1"), entry("odd", "[]"), entry("b", "2"))));
+		this.watcher.listed(new ListResult.Listed(EraRevision.ofLong(5),
+				List.of(entry("a", "1"), entry("odd", "[]"), entry("b", "2"))));
 		assertThat(servers()).containsExactlyInAnyOrder("a", "b");
 		assertThat(this.watcher.unreadableCount()).isEqualTo(1);
 	}
 
 	@Test
 	void entryThatBecomesUnreadableRemovesOnlyItsServer() {
-		this.watcher.listed(new ListResult.Listed(5, List.of(entry("a", "1"))));
-		this.watcher.changed(new WatchResult.Changes(List.of(entry("a", "null"), entry("b", "2")), 7));
+		this.watcher.listed(new ListResult.Listed(EraRevision.ofLong(5), List.of(entry("a", "1"))));
+		this.watcher
+			.changed(new WatchResult.Changes(List.of(entry("a", "null"), entry("b", "2")), EraRevision.ofLong(7)));
 		assertThat(servers()).containsExactly("b");
-		this.watcher.changed(new WatchResult.Changes(List.of(entry("a", "1")), 8));
+		this.watcher.changed(new WatchResult.Changes(List.of(entry("a", "1")), EraRevision.ofLong(8)));
 		assertThat(servers()).containsExactlyInAnyOrder("a", "b");
 		assertThat(this.watcher.unreadableCount()).isZero();
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -42,6 +42,7 @@
 import org.snowwind.http.client.UpstreamClient;
 import org.snowwind.http.server.HttpLimits;
 import org.snowwind.http.server.HttpServer;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.store.Freshness;
 
@@ -96,7 +97,8 @@
 		RequestContext context = new RequestContext(this.loop, this.client, new TestDialect(), this.backends,
 				new Admission(this.backends, this.clock), budgets, suspects(),
 				new GatewayMeters(new SimpleMeterRegistry()), this.clock, new Random(1));
-		this.confirmations.answered(this.clock.nowMillis(), 1, 1, 1);
+		this.confirmations.answered(this.clock.nowMillis(), EraRevision.ofLong(1), EraRevision.ofLong(1),
+				EraRevision.ofLong(1));
 		this.handler = new GatewayHandler(context, this.tables, this.freshness);
 		this.server = new HttpServer(this.loop, HttpLimits.DEFAULT, this.handler);
 		this.address = this.server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -178,7 +180,7 @@
 			peerLoad.put("server-" + i, i);
 		}
 		onLoop(() -> {
-			this.backends.update(new Registry(this.entries.size(), this.entries));
+			this.backends.update(new Registry(EraRevision.ofLong(this.entries.size()), this.entries));
 			this.backends.updatePeersInFlight(peerLoad, 1);
 		});
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/SuspectBookTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/SuspectBookTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.snowwind.decide.blame.ServerEnd;
 import org.snowwind.gateway.suspect.SuspectDocument.SeenEnd;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.ManualClock;
 import org.snowwind.store.GetResult;
@@ -52,7 +53,7 @@
 	}
 
 	private void read(SuspectBook book) {
-		book.listed(new ListResult.Listed(this.store.revision, this.store.all()));
+		book.listed(new ListResult.Listed(EraRevision.ofLong(this.store.revision), this.store.all()));
 	}
 
 	private void share(SuspectBook... books) {
@@ -212,8 +213,8 @@
 
 	@Test
 	void documentsOfOtherWritersThatAreNotWholeHideNothing() {
-		this.store.put("suspects/odd", 0, Json.MAPPER.createArrayNode().add(7));
-		this.store.put("suspects/odder", 0, Json.MAPPER.valueToTree(Map.of("ends",
+		this.store.put("suspects/odd", EraRevision.NONE, Json.MAPPER.createArrayNode().add(7));
+		this.store.put("suspects/odder", EraRevision.NONE, Json.MAPPER.valueToTree(Map.of("ends",
 				List.of("x", Map.of("request", 7, "server", "s")), "cleared", Map.of("a", 1), "alive", List.of(3))));
 		for (String server : List.of("s1", "s2", "s3")) {
 			this.first.ended(end(FATAL, server));
@@ -245,28 +246,28 @@
 		}
 
 		@Override
-		public WriteResult put(String key, long expectedRevision, JsonNode value) {
+		public WriteResult put(String key, EraRevision expectedRevision, JsonNode value) {
 			if (this.away) {
 				return new WriteResult.Uncertain("away");
 			}
 			StoredObject standing = this.objects.get(key);
-			long actual = (standing != null) ? standing.revision() : 0;
-			if (expectedRevision != actual) {
+			EraRevision actual = (standing != null) ? standing.revision() : EraRevision.NONE;
+			if (!expectedRevision.equals(actual)) {
 				return new WriteResult.Conflict(actual);
 			}
 			this.writes++;
 			overwrite(key, value);
-			return new WriteResult.Written(this.revision);
+			return new WriteResult.Written(EraRevision.ofLong(this.revision));
 		}
 
 		private void overwrite(String key, JsonNode value) {
-			this.objects.put(key, new StoredObject(key, ++this.revision, value));
+			this.objects.put(key, new StoredObject(key, EraRevision.ofLong(++this.revision), value));
 		}
 
 		@Override
-		public WriteResult delete(String key, long expectedRevision) {
+		public WriteResult delete(String key, EraRevision expectedRevision) {
 			this.objects.remove(key);
-			return new WriteResult.Written(++this.revision);
+			return new WriteResult.Written(EraRevision.ofLong(++this.revision));
 		}
 
 		@Override
@@ -279,7 +280,7 @@
 		}
 
 		@Override
-		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
+		public WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis) {
 			throw new UnsupportedOperationException("changes are handed over");
 		}
 
--- a/gateway/src/test/java/org/snowwind/gateway/table/TableFreshnessTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/TableFreshnessTests.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.ManualClock;
 import org.snowwind.store.Freshness;
 
@@ -28,7 +29,7 @@
 
 	@BeforeEach
 	void confirmByStore() {
-		this.confirmations.answered(0, 1, 1, 1);
+		this.confirmations.answered(0, EraRevision.ofLong(1), EraRevision.ofLong(1), EraRevision.ofLong(1));
 	}
 
 	private void applyTable(long version) {
@@ -84,7 +85,8 @@
 		applyTable(3);
 		this.clock.advance(BOUND_MILLIS + 1);
 		assertThat(this.freshness.isRefusalFinal()).isFalse();
-		this.confirmations.answered(this.clock.nowMillis(), 1, 1, 1);
+		this.confirmations.answered(this.clock.nowMillis(), EraRevision.ofLong(1), EraRevision.ofLong(1),
+				EraRevision.ofLong(1));
 		assertThat(this.freshness.isRefusalFinal()).isTrue();
 	}
 
@@ -93,7 +95,8 @@
 		applyTable(3);
 		this.freshness.recordPeerVersion(Long.MAX_VALUE, "a:1");
 		this.clock.advance(BOUND_MILLIS + 1);
-		this.confirmations.answered(this.clock.nowMillis(), 1, 1, 1);
+		this.confirmations.answered(this.clock.nowMillis(), EraRevision.ofLong(1), EraRevision.ofLong(1),
+				EraRevision.ofLong(1));
 		assertThat(this.freshness.isRefusalFinal()).isTrue();
 	}
 
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -61,6 +61,9 @@
 	/** This entry closed its own watch. */
 	RELAY_LEFT(2105, Level.INFO, "relay duty left"),
 
+	/** The servers were listed again after the store was restored from an older copy. */
+	REGISTRY_RESTORED(2107, Level.INFO, "servers listed from a restored store"),
+
 	/** The store was restored from an older copy. */
 	STORE_ERA_CHANGED(2106, Level.WARNING, "store restored from an older copy"),
 
--- a/model/src/main/java/org/snowwind/model/resource/Resource.java
+++ b/model/src/main/java/org/snowwind/model/resource/Resource.java
@@ -1,5 +1,7 @@
 package org.snowwind.model.resource;
 
+import org.snowwind.model.EraRevision;
+
 /**
  * One declared resource.
  *
@@ -8,6 +10,6 @@
  * @param revision the platform's revision of its last change
  * @param spec what is wanted
  */
-public record Resource(ResourceKey key, long generation, long revision, ResourceSpec spec) {
+public record Resource(ResourceKey key, long generation, EraRevision revision, ResourceSpec spec) {
 
 }
--- a/store/src/main/java/org/snowwind/store/AsyncObjectStore.java
+++ b/store/src/main/java/org/snowwind/store/AsyncObjectStore.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.CompletableFuture;
 
+import org.snowwind.model.EraRevision;
+
 /**
  * Asynchronous reads of the platform's store. Several calls can be open at the same time.
  *
@@ -26,6 +28,7 @@
 	 * @param timeoutMillis the timeout of the whole call, in milliseconds
 	 * @return the future changes
 	 */
-	CompletableFuture<WatchResult> startWatch(String prefix, long afterRevision, long waitMillis, long timeoutMillis);
+	CompletableFuture<WatchResult> startWatch(String prefix, EraRevision afterRevision, long waitMillis,
+			long timeoutMillis);
 
 }
--- a/store/src/main/java/org/snowwind/store/Freshness.java
+++ b/store/src/main/java/org/snowwind/store/Freshness.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 
 /**
@@ -26,13 +27,13 @@
 
 	private boolean confirmed;
 
-	private long knownRevision;
+	private EraRevision knownRevision = EraRevision.NONE;
 
-	private long changedRevision;
+	private EraRevision changedRevision = EraRevision.NONE;
 
-	private long coveredRevision;
+	private EraRevision coveredRevision = EraRevision.NONE;
 
-	private long toldRevision;
+	private EraRevision toldRevision = EraRevision.NONE;
 
 	private String toldBy = "";
 
@@ -55,20 +56,20 @@
 	 * @param asOfMillis the time before which every acknowledged change is in the copy,
 	 * in milliseconds
 	 * @param known the store's revision up to which the copy contains changes
-	 * @param changed the revision of a change in the copy, 0 if the response contains
-	 * none
-	 * @param covered the revision after which there was no change at that time, 0 if the
-	 * response contains no change
+	 * @param changed the revision of a change in the copy, {@link EraRevision#NONE} if
+	 * the response contains none
+	 * @param covered the revision after which there was no change at that time,
+	 * {@link EraRevision#NONE} if the response contains no change
 	 */
-	public synchronized void answered(long asOfMillis, long known, long changed, long covered) {
+	public synchronized void answered(long asOfMillis, EraRevision known, EraRevision changed, EraRevision covered) {
 		confirm(asOfMillis);
-		this.knownRevision = Math.max(this.knownRevision, known);
-		this.changedRevision = Math.max(this.changedRevision, changed);
-		this.coveredRevision = Math.max(this.coveredRevision, covered);
+		this.knownRevision = EraRevision.newest(this.knownRevision, known);
+		this.changedRevision = EraRevision.newest(this.changedRevision, changed);
+		this.coveredRevision = EraRevision.newest(this.coveredRevision, covered);
 		if (isBehind() && asOfMillis >= this.toldMillis) {
 			this.distrusted = this.toldBy;
 			this.distrustedUntilMillis = this.clock.nowMillis() + DISTRUST_MILLIS;
-			this.toldRevision = 0;
+			this.toldRevision = EraRevision.NONE;
 		}
 	}
 
@@ -86,11 +87,12 @@
 		long nowMillis = this.clock.nowMillis();
 		boolean proves = madeMillis != Long.MIN_VALUE && madeMillis <= nowMillis
 				&& claim.ageMillis() < unconfirmedMillis();
-		if (proves && claim.coveredRevision() <= this.knownRevision) {
+		if (proves && this.knownRevision.includes(claim.coveredRevision())) {
 			confirm(madeMillis - claim.ageMillis());
 		}
 		boolean believed = !peer.equals(this.distrusted) || nowMillis >= this.distrustedUntilMillis;
-		if (believed && claim.changedRevision() > Math.max(this.knownRevision, this.toldRevision)) {
+		if (believed
+				&& claim.changedRevision().isNewerThan(EraRevision.newest(this.knownRevision, this.toldRevision))) {
 			this.toldMillis = isBehind() ? this.toldMillis : nowMillis;
 			this.toldRevision = claim.changedRevision();
 			this.toldBy = peer;
@@ -124,7 +126,7 @@
 	 * @return true if one has
 	 */
 	public synchronized boolean isBehind() {
-		return this.toldRevision > this.knownRevision;
+		return this.toldRevision.isNewerThan(this.knownRevision);
 	}
 
 	/**
@@ -146,16 +148,17 @@
 	/**
 	 * The claim of a process about its copy.
 	 *
-	 * @param changedRevision the revision of a change in the copy, 0 if there is none
+	 * @param changedRevision the revision of a change in the copy,
+	 * {@link EraRevision#NONE} if there is none
 	 * @param coveredRevision the revision after which the process knows of no change; a
 	 * copy with all changes up to this revision is as current
 	 * @param ageMillis the time since it was confirmed that there is no later change, in
 	 * milliseconds
 	 */
-	public record Claim(long changedRevision, long coveredRevision, long ageMillis) {
+	public record Claim(EraRevision changedRevision, EraRevision coveredRevision, long ageMillis) {
 
 		private boolean isValid() {
-			return this.changedRevision >= 0 && this.coveredRevision > 0 && this.coveredRevision >= this.changedRevision
+			return this.coveredRevision.number() > 0 && !this.changedRevision.isNewerThan(this.coveredRevision)
 					&& this.ageMillis >= 0;
 		}
 
--- a/store/src/main/java/org/snowwind/store/HttpObjectStore.java
+++ b/store/src/main/java/org/snowwind/store/HttpObjectStore.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.http.client.JsonClient;
 import org.snowwind.http.client.JsonClient.JsonAnswer;
+import org.snowwind.model.EraRevision;
 
 /**
  * Implements the object API of the stand-in platform, which is JSON over HTTP.
@@ -28,6 +29,9 @@
 
 	private static final String EXPECTED = "X-Expected-Revision";
 
+	/** The header, in lower case, with the era of the store. */
+	private static final String ERA = "x-store-era";
+
 	/** The time that a watch may take beyond its wait. */
 	private static final long WATCH_MARGIN_MILLIS = 2000;
 
@@ -37,6 +41,8 @@
 
 	private final long timeoutMillis;
 
+	private final StoreEra era = new StoreEra();
+
 	/**
 	 * Creates a client.
 	 * @param client the client for the calls
@@ -56,8 +62,9 @@
 			if (answer.status() != OK) {
 				return new ListResult.Away("status " + answer.status());
 			}
-			long revision = answer.body().path("revision").asLong();
-			return new ListResult.Listed(revision, objectsOf(answer.body().path("objects")));
+			long seenEra = eraOf(answer);
+			EraRevision revision = new EraRevision(seenEra, answer.body().path("revision").asLong());
+			return new ListResult.Listed(revision, objectsOf(seenEra, answer.body().path("objects")));
 		}
 		catch (IOException ex) {
 			return new ListResult.Away(reasonOf(ex));
@@ -74,7 +81,7 @@
 			if (answer.status() != OK) {
 				return new GetResult.Away("status " + answer.status());
 			}
-			return new GetResult.Found(objectOf(answer.body()));
+			return new GetResult.Found(objectOf(eraOf(answer), answer.body()));
 		}
 		catch (IOException ex) {
 			return new GetResult.Away(reasonOf(ex));
@@ -82,23 +89,26 @@
 	}
 
 	@Override
-	public WriteResult put(String key, long expectedRevision, JsonNode value) {
+	public WriteResult put(String key, EraRevision expectedRevision, JsonNode value) {
 		return write("PUT", key, expectedRevision, value);
 	}
 
 	@Override
-	public WriteResult delete(String key, long expectedRevision) {
+	public WriteResult delete(String key, EraRevision expectedRevision) {
 		return write("DELETE", key, expectedRevision, null);
 	}
 
-	private WriteResult write(String method, String key, long expectedRevision, JsonNode value) {
+	private WriteResult write(String method, String key, EraRevision expectedRevision, JsonNode value) {
+		if (StaleWrites.isStale(expectedRevision, this.era)) {
+			return StaleWrites.conflict(get(key));
+		}
 		try {
-			Map<String, String> headers = Map.of(EXPECTED, Long.toString(expectedRevision));
+			Map<String, String> headers = Map.of(EXPECTED, Long.toString(expectedRevision.number()));
 			JsonAnswer answer = call(method, objectPath(key), headers, value, this.timeoutMillis);
-			long revision = answer.body().path("revision").asLong();
+			EraRevision revision = new EraRevision(eraOf(answer), answer.body().path("revision").asLong());
 			return switch (answer.status()) {
-				case OK -> new WriteResult.Written(revision);
-				case CONFLICT, NOT_FOUND -> new WriteResult.Conflict(revision);
+				case OK -> StaleWrites.written(expectedRevision, revision);
+				case CONFLICT, NOT_FOUND -> StaleWrites.conflict(revision);
 				case TOO_MANY_REQUESTS -> new WriteResult.NotWritten("the platform's rate limit");
 				default -> new WriteResult.Uncertain("status " + answer.status());
 			};
@@ -109,17 +119,19 @@
 	}
 
 	@Override
-	public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
-		String path = "/v1/watch?prefix=" + encode(prefix) + "&after=" + afterRevision + "&waitMillis=" + waitMillis;
+	public WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis) {
+		String path = "/v1/watch?prefix=" + encode(prefix) + "&after=" + afterRevision.number() + "&waitMillis="
+				+ waitMillis;
 		try {
 			JsonAnswer answer = call("GET", path, Map.of(), null, waitMillis + WATCH_MARGIN_MILLIS);
-			if (answer.status() == GONE) {
+			long seenEra = eraOf(answer);
+			if (answer.status() == GONE || (answer.status() == OK && seenEra != afterRevision.era())) {
 				return new WatchResult.Gap();
 			}
 			if (answer.status() != OK) {
 				return new WatchResult.Away("status " + answer.status());
 			}
-			List<StoredObject> objects = objectsOf(answer.body().path("objects"));
+			List<StoredObject> objects = objectsOf(seenEra, answer.body().path("objects"));
 			return new WatchResult.Changes(objects, lastRevision(objects, afterRevision));
 		}
 		catch (IOException ex) {
@@ -127,8 +139,12 @@
 		}
 	}
 
-	private static long lastRevision(List<StoredObject> objects, long afterRevision) {
-		return objects.stream().mapToLong(StoredObject::revision).reduce(afterRevision, Math::max);
+	private static EraRevision lastRevision(List<StoredObject> objects, EraRevision afterRevision) {
+		return objects.stream().map(StoredObject::revision).reduce(afterRevision, EraRevision::newest);
+	}
+
+	private long eraOf(JsonAnswer answer) {
+		return this.era.observe(answer.headers().get(ERA));
 	}
 
 	private JsonAnswer call(String method, String path, Map<String, String> headers, Object body, long waitMillis)
@@ -148,14 +164,15 @@
 		return String.valueOf(cause.getMessage());
 	}
 
-	private static List<StoredObject> objectsOf(JsonNode array) {
+	private static List<StoredObject> objectsOf(long era, JsonNode array) {
 		List<StoredObject> objects = new ArrayList<>();
-		array.forEach((node) -> objects.add(objectOf(node)));
+		array.forEach((node) -> objects.add(objectOf(era, node)));
 		return List.copyOf(objects);
 	}
 
-	private static StoredObject objectOf(JsonNode node) {
-		return new StoredObject(node.path("key").asText(), node.path("revision").asLong(), node.get("value"));
+	private static StoredObject objectOf(long era, JsonNode node) {
+		return new StoredObject(node.path("key").asText(), new EraRevision(era, node.path("revision").asLong()),
+				node.get("value"));
 	}
 
 }
--- a/store/src/main/java/org/snowwind/store/ListResult.java
+++ b/store/src/main/java/org/snowwind/store/ListResult.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.function.Function;
 
+import org.snowwind.model.EraRevision;
+
 /**
  * The result of a listing.
  */
@@ -23,7 +25,7 @@
 	 * @param revision the revision
 	 * @param objects the objects
 	 */
-	record Listed(long revision, List<StoredObject> objects) implements ListResult {
+	record Listed(EraRevision revision, List<StoredObject> objects) implements ListResult {
 
 		@Override
 		public <R> R match(Function<Listed, R> onListed, Function<Away, R> onAway) {
--- a/store/src/main/java/org/snowwind/store/ObjectStore.java
+++ b/store/src/main/java/org/snowwind/store/ObjectStore.java
@@ -1,6 +1,7 @@
 package org.snowwind.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.model.EraRevision;
 
 /**
  * The part of the platform's object API that snowwind uses.
@@ -38,12 +39,12 @@
 	/**
 	 * Writes one object if it has not changed.
 	 * @param key its key
-	 * @param expectedRevision the revision of the object's last change; 0 if it must not
-	 * exist
+	 * @param expectedRevision the revision of the object's last change;
+	 * {@link EraRevision#NONE} if it must not exist
 	 * @param value the new value
 	 * @return the result of the write
 	 */
-	WriteResult put(String key, long expectedRevision, JsonNode value);
+	WriteResult put(String key, EraRevision expectedRevision, JsonNode value);
 
 	/**
 	 * Deletes one object if it has not changed.
@@ -51,7 +52,7 @@
 	 * @param expectedRevision the revision of the object's last change
 	 * @return the result of the write
 	 */
-	WriteResult delete(String key, long expectedRevision);
+	WriteResult delete(String key, EraRevision expectedRevision);
 
 	/**
 	 * Waits for changes of objects with a key prefix.
@@ -60,7 +61,7 @@
 	 * @param waitMillis how long to wait for a change, in milliseconds
 	 * @return the changes, empty if there was none during the wait
 	 */
-	WatchResult watch(String prefix, long afterRevision, long waitMillis);
+	WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis);
 
 	/**
 	 * Ends all open calls, which may never be answered, as unanswered.
--- a/store/src/main/java/org/snowwind/store/OpenCalls.java
+++ b/store/src/main/java/org/snowwind/store/OpenCalls.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.snowwind.model.EraRevision;
+
 /**
  * The unanswered calls of a watch. Confined to one thread.
  */
@@ -56,9 +58,18 @@
 	 * @param revision the revision of the change
 	 * @param learntMillis when another call returned it, in milliseconds
 	 */
-	void dropSilent(long revision, long learntMillis) {
-		this.calls
-			.removeIf((call) -> call.waits() && call.afterRevision() < revision && call.sentMillis() < learntMillis);
+	void dropSilent(EraRevision revision, long learntMillis) {
+		this.calls.removeIf((call) -> call.waits() && revision.isNewerThan(call.afterRevision())
+				&& call.sentMillis() < learntMillis);
+	}
+
+	/**
+	 * Drops calls that wait for changes after a revision of an earlier era, which may
+	 * never be answered.
+	 * @param era the era of the store
+	 */
+	void dropWaitsOfEarlierEras(long era) {
+		this.calls.removeIf((call) -> call.waits() && call.afterRevision().era() < era);
 	}
 
 	/**
@@ -70,7 +81,7 @@
 	 * @param afterRevision the revision after which changes are returned
 	 * @param waits whether it waits for a change
 	 */
-	record Call(long number, long sentMillis, long mostMillis, long afterRevision, boolean waits) {
+	record Call(long number, long sentMillis, long mostMillis, EraRevision afterRevision, boolean waits) {
 
 	}
 
--- a/store/src/main/java/org/snowwind/store/StoreEra.java
+++ b/store/src/main/java/org/snowwind/store/StoreEra.java
@@ -14,8 +14,7 @@
  */
 public final class StoreEra {
 
-	/** The era of a store that reports none. */
-	public static final long UNREPORTED = 0;
+	private static final long UNREPORTED = 0;
 
 	private static final long NOT_SEEN = -1;
 
@@ -23,21 +22,30 @@
 
 	/**
 	 * Records the era in a response. Responses may arrive out of order.
-	 * @param era the era
+	 * @param header the value of the response's header, {@code null} if it has none
+	 * @return the era of the response; without a readable header the newest one
 	 */
-	public void observe(long era) {
+	public long observe(String header) {
+		long era = parse(header);
+		if (era == UNREPORTED) {
+			return newest();
+		}
 		long before = this.newest.getAndAccumulate(era, Math::max);
 		if (before != NOT_SEEN && era > before) {
 			EventLog.log(Event.STORE_ERA_CHANGED, "eraBefore", before, "era", era);
 		}
+		return era;
 	}
 
 	/**
-	 * Reads the era that a response reports.
-	 * @param header the value of the header, {@code null} if there is none
-	 * @return the era, {@link #UNREPORTED} if there is none or it is not a number
+	 * Returns the newest era.
+	 * @return the era, 0 if the store has reported none
 	 */
-	public static long parse(String header) {
+	public long newest() {
+		return Math.max(UNREPORTED, this.newest.get());
+	}
+
+	private static long parse(String header) {
 		if (header == null) {
 			return UNREPORTED;
 		}
@@ -45,6 +53,7 @@
 			return Math.max(UNREPORTED, Long.parseLong(header.strip()));
 		}
 		catch (NumberFormatException ex) {
+			// Treated like a store without eras.
 			return UNREPORTED;
 		}
 	}
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -58,12 +59,14 @@
 
 	private boolean listed;
 
+	private boolean everListed;
+
 	private volatile boolean away;
 
 	/** Whether a watch was interrupted and no inquiry was answered since. */
 	private boolean inquiryNeeded;
 
-	private long revision;
+	private EraRevision revision = EraRevision.NONE;
 
 	/** When the last change was received. */
 	private long changedMillis;
@@ -205,19 +208,27 @@
 	}
 
 	private void takeListing(OpenCalls.Call call, ListResult.Listed listing) {
-		if (this.listed && listing.revision() < this.revision) {
+		boolean earlierEra = listing.revision().era() < this.revision.era();
+		if (earlierEra || (this.listed && this.revision.isNewerThan(listing.revision()))) {
 			return;
 		}
+		EraRevision before = this.revision;
+		boolean restored = this.everListed && listing.revision().era() > before.era();
+		if (restored) {
+			this.calls.dropWaitsOfEarlierEras(listing.revision().era());
+			this.listener.restored(before, listing.revision());
+		}
 		if (tell(() -> this.listener.listed(listing))) {
 			this.listed = true;
+			this.everListed = true;
 			this.revision = listing.revision();
 			// A listing does not contain deleted objects.
 			this.freshness.answered(call.sentMillis(), this.revision, lastChange(listing.objects()), this.revision);
 		}
 	}
 
-	private static long lastChange(List<StoredObject> objects) {
-		return objects.stream().mapToLong(StoredObject::revision).max().orElse(0);
+	private static EraRevision lastChange(List<StoredObject> objects) {
+		return objects.stream().map(StoredObject::revision).reduce(EraRevision.NONE, EraRevision::newest);
 	}
 
 	private void watch(long nowMillis, long waitMillis) {
@@ -238,26 +249,31 @@
 	}
 
 	private void takeChanges(OpenCalls.Call call, WatchResult.Changes changes, long waitMillis) {
+		if (changes.revision().era() > call.afterRevision().era()) {
+			takeGap(call);
+			return;
+		}
 		long nowMillis = this.clock.nowMillis();
 		boolean changed = !changes.objects().isEmpty();
 		boolean endedEarly = call.waits() && nowMillis - call.sentMillis() < waitMillis;
 		if (changed || endedEarly) {
 			this.nextWatchMillis = nowMillis + this.pace.gatherMillis();
 		}
-		if (!this.listed || changes.revision() < this.revision || !tell(() -> this.listener.changed(changes))) {
+		if (!this.listed || this.revision.isNewerThan(changes.revision())
+				|| !tell(() -> this.listener.changed(changes))) {
 			return;
 		}
 		this.changedMillis = changed ? nowMillis : this.changedMillis;
 		this.revision = changes.revision();
 		// A deleted object has the revision of its previous change.
 		boolean deleted = changes.objects().stream().anyMatch(StoredObject::deleted);
-		long last = deleted ? this.revision : lastChange(changes.objects());
+		EraRevision last = deleted ? this.revision : lastChange(changes.objects());
 		this.freshness.answered(call.sentMillis(), this.revision, last, last);
 	}
 
 	private void takeGap(OpenCalls.Call call) {
 		// A call made before the last listing does not prove a later gap.
-		if (this.listed && call.afterRevision() == this.revision) {
+		if (this.listed && call.afterRevision().equals(this.revision)) {
 			this.listed = false;
 			boolean again = this.gaps.hasFailed();
 			long pauseMillis = this.gaps.failed();
@@ -325,9 +341,8 @@
 			watchFailed(call, nowMillis);
 			return false;
 		}
-		// An inquiry is irrelevant once a later one was answered, and starts no pause
-		// once
-		// a later one was made.
+		// An inquiry is irrelevant once a later one was answered, and starts no pause once a
+		// later one was made.
 		if (call.sentMillis() >= this.answeredSentMillis && !this.away) {
 			this.away = true;
 			this.listener.away(reason);
@@ -395,7 +410,17 @@
 		 * Called when the store no longer has all changes. A listing follows.
 		 * @param afterRevision the last known revision
 		 */
-		default void gap(long afterRevision) {
+		default void gap(EraRevision afterRevision) {
+		}
+
+		/**
+		 * Called before {@link #listed} when the store was restored from an older copy
+		 * since the last known revision. The listing may lack objects that are about to
+		 * be written again, and contain objects as they were before they changed.
+		 * @param before the last known revision
+		 * @param now the revision of the listing
+		 */
+		default void restored(EraRevision before, EraRevision now) {
 		}
 
 		/**
--- a/store/src/main/java/org/snowwind/store/StoredObject.java
+++ b/store/src/main/java/org/snowwind/store/StoredObject.java
@@ -1,6 +1,7 @@
 package org.snowwind.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.model.EraRevision;
 
 /**
  * An object of the platform's store.
@@ -9,7 +10,7 @@
  * @param revision the revision of its last change
  * @param value its value; {@code null} if that change deleted it
  */
-public record StoredObject(String key, long revision, JsonNode value) {
+public record StoredObject(String key, EraRevision revision, JsonNode value) {
 
 	/**
 	 * Returns whether the object was deleted.
--- a/store/src/main/java/org/snowwind/store/VerifiedWrites.java
+++ b/store/src/main/java/org/snowwind/store/VerifiedWrites.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 
 /**
@@ -36,19 +37,20 @@
 	/**
 	 * Writes an object and, if the response is lost, determines the result.
 	 * @param key the object's key
-	 * @param expectedRevision the revision of its last change, 0 if it must not exist
+	 * @param expectedRevision the revision of its last change, {@link EraRevision#NONE}
+	 * if it must not exist
 	 * @param value the new value; {@code null} deletes
 	 * @return the result; uncertain only if the store does not answer or the write may
 	 * still take effect
 	 */
-	public WriteResult write(String key, long expectedRevision, JsonNode value) {
+	public WriteResult write(String key, EraRevision expectedRevision, JsonNode value) {
 		WriteResult first = (value != null) ? this.store.put(key, expectedRevision, value)
 				: this.store.delete(key, expectedRevision);
 		return first.match(new WriteResult.Cases<>(WriteResult.Written::new, WriteResult.Conflict::new,
 				WriteResult.NotWritten::new, (reason) -> readBack(key, expectedRevision, value, reason)));
 	}
 
-	private WriteResult readBack(String key, long expectedRevision, JsonNode value, String reason) {
+	private WriteResult readBack(String key, EraRevision expectedRevision, JsonNode value, String reason) {
 		WriteResult latest = new WriteResult.Uncertain(reason);
 		for (int read = 0; read < READS; read++) {
 			this.pause.accept(FIRST_PAUSE_MILLIS << read);
@@ -80,18 +82,19 @@
 		}
 	}
 
-	private WriteResult compare(String key, long expectedRevision, JsonNode value, String reason) {
+	private WriteResult compare(String key, EraRevision expectedRevision, JsonNode value, String reason) {
 		return this.store.get(key).match((object) -> {
 			if (sameText(object.value(), value)) {
 				return new WriteResult.Written(object.revision());
 			}
-			boolean unchanged = object.revision() == expectedRevision;
+			boolean unchanged = object.revision().equals(expectedRevision);
 			return unchanged ? new WriteResult.Uncertain(reason) : new WriteResult.Conflict(object.revision());
 		}, () -> {
 			if (value == null) {
 				return new WriteResult.Written(expectedRevision);
 			}
-			return (expectedRevision == 0) ? new WriteResult.Uncertain(reason) : new WriteResult.Conflict(0);
+			return expectedRevision.isNone() ? new WriteResult.Uncertain(reason)
+					: new WriteResult.Conflict(EraRevision.NONE);
 		}, WriteResult.Uncertain::new);
 	}
 
--- a/store/src/main/java/org/snowwind/store/WatchResult.java
+++ b/store/src/main/java/org/snowwind/store/WatchResult.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.function.Function;
 
+import org.snowwind.model.EraRevision;
+
 /**
  * The result of waiting for changes.
  */
@@ -24,7 +26,7 @@
 	 * @param objects the changed objects
 	 * @param revision the store's revision up to which the changes are complete
 	 */
-	record Changes(List<StoredObject> objects, long revision) implements WatchResult {
+	record Changes(List<StoredObject> objects, EraRevision revision) implements WatchResult {
 
 		@Override
 		public <R> R match(Function<Changes, R> onChanges, Function<Gap, R> onGap, Function<Away, R> onAway) {
@@ -34,7 +36,8 @@
 	}
 
 	/**
-	 * The store no longer has all changes, so all objects must be listed again.
+	 * The store no longer has all changes since the given revision, or was restored from
+	 * an older copy, so all objects must be listed again.
 	 */
 	record Gap() implements WatchResult {
 
--- a/store/src/main/java/org/snowwind/store/WriteResult.java
+++ b/store/src/main/java/org/snowwind/store/WriteResult.java
@@ -1,7 +1,8 @@
 package org.snowwind.store;
 
 import java.util.function.Function;
-import java.util.function.LongFunction;
+
+import org.snowwind.model.EraRevision;
 
 /**
  * The result of a conditional write.
@@ -22,12 +23,13 @@
 	 *
 	 * @param <R> the type of the result
 	 * @param onWritten gets the new revision
-	 * @param onConflict gets the current revision, 0 if the object does not exist
+	 * @param onConflict gets the current revision, {@link EraRevision#NONE} if the object
+	 * does not exist
 	 * @param onNotWritten gets the reason
 	 * @param onUncertain gets the reason
 	 */
-	record Cases<R>(LongFunction<R> onWritten, LongFunction<R> onConflict, Function<String, R> onNotWritten,
-			Function<String, R> onUncertain) {
+	record Cases<R>(Function<EraRevision, R> onWritten, Function<EraRevision, R> onConflict,
+			Function<String, R> onNotWritten, Function<String, R> onUncertain) {
 
 	}
 
@@ -36,7 +38,7 @@
 	 *
 	 * @param revision the new revision
 	 */
-	record Written(long revision) implements WriteResult {
+	record Written(EraRevision revision) implements WriteResult {
 
 		@Override
 		public <R> R match(Cases<R> cases) {
@@ -48,9 +50,10 @@
 	/**
 	 * The object was changed by another writer; the write had no effect.
 	 *
-	 * @param actualRevision the current revision, 0 if the object does not exist
+	 * @param actualRevision the current revision, {@link EraRevision#NONE} if the object
+	 * does not exist
 	 */
-	record Conflict(long actualRevision) implements WriteResult {
+	record Conflict(EraRevision actualRevision) implements WriteResult {
 
 		@Override
 		public <R> R match(Cases<R> cases) {
--- a/store/src/test/java/org/snowwind/store/StoreWatchTests.java
+++ b/store/src/test/java/org/snowwind/store/StoreWatchTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.Test;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.ManualClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -52,9 +53,9 @@
 
 	@Test
 	void aListingComesFirstAndThenChangesAfterIt() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
-		this.store.answers.add(new WatchResult.Changes(List.of(), 6));
-		this.store.answers.add(new WatchResult.Changes(List.of(), 6));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
+		this.store.answers.add(new WatchResult.Changes(List.of(), EraRevision.ofLong(6)));
+		this.store.answers.add(new WatchResult.Changes(List.of(), EraRevision.ofLong(6)));
 		rounds(2);
 		// An answer that came before its wait was over has a pause.
 		this.clock.advance(500);
@@ -65,9 +66,10 @@
 
 	@Test
 	void changesThatComeTogetherCostOneCall() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
-		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", 5, null)), 5));
-		this.store.answers.add(new WatchResult.Changes(List.of(), 9));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
+		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", EraRevision.ofLong(5), null)),
+				EraRevision.ofLong(5)));
+		this.store.answers.add(new WatchResult.Changes(List.of(), EraRevision.ofLong(9)));
 		rounds(12);
 		assertThat(this.store.calls).as("no further call at once").containsExactly("list", "watch 4 for 5000");
 		this.clock.advance(500);
@@ -77,19 +79,66 @@
 
 	@Test
 	void afterAGapEverythingIsListedAgain() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		this.store.answers.add(new WatchResult.Gap());
-		this.store.answers.add(new ListResult.Listed(9, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(9), List.of()));
 		rounds(3);
 		assertThat(this.told).containsExactly("listed 4", "gap 4", "listed 9");
 	}
 
+	@Test
+	void changesOfANewEraAreListedAgainThoughTheirRevisionIsHigher() {
+		this.store.answers.add(new ListResult.Listed(new EraRevision(1, 4), List.of()));
+		this.store.answers.add(new WatchResult.Changes(List.of(), new EraRevision(2, 9)));
+		this.store.answers.add(new ListResult.Listed(new EraRevision(2, 9), List.of()));
+		rounds(3);
+		assertThat(this.told).containsExactly("listed 1.4", "gap 1.4", "restored 1.4 to 2.9", "listed 2.9");
+	}
+
+	@Test
+	void listingOfANewEraReplacesAHigherRevision() {
+		this.store.answers.add(new ListResult.Listed(new EraRevision(1, 75), List.of()));
+		this.store.answers.add(new WatchResult.Gap());
+		this.store.answers.add(new ListResult.Listed(new EraRevision(2, 64), List.of()));
+		this.store.answers.add(new WatchResult.Changes(List.of(), new EraRevision(2, 65)));
+		rounds(4);
+		assertThat(this.told).containsExactly("listed 1.75", "gap 1.75", "restored 1.75 to 2.64", "listed 2.64",
+				"changed 2.65");
+	}
+
+	@Test
+	void watchOfAnEarlierEraDoesNotDelayTheNextOne() {
+		this.store.answers.add(new ListResult.Listed(new EraRevision(1, 75), List.of()));
+		this.store.answers.add(SILENCE);
+		this.store.answers.add(new WatchResult.Gap());
+		this.store.answers.add(new ListResult.Listed(new EraRevision(2, 64), List.of()));
+		this.store.answers.add(SILENCE);
+		roundsFor(1500);
+		assertThat(this.store.calls).containsExactly("list", "watch 1.75 for 5000", "watch 1.75 for 1", "list",
+				"watch 2.64 for 5000");
+	}
+
+	@Test
+	void lateAnswersOfAnEarlierEraAreIgnored() {
+		this.store.answers.add(new ListResult.Listed(new EraRevision(1, 75), List.of()));
+		this.store.answers.add(SILENCE);
+		this.store.answers.add(SILENCE);
+		this.store.answers.add(new WatchResult.Gap());
+		this.store.answers.add(new ListResult.Listed(new EraRevision(2, 64), List.of()));
+		this.store.answers.add(SILENCE);
+		roundsFor(2500);
+		this.store.complete(2, new WatchResult.Changes(List.of(), new EraRevision(1, 76)));
+		rounds(2);
+		assertThat(this.told).containsExactly("listed 1.75", "gap 1.75", "restored 1.75 to 2.64",
+				"listed 2.64");
+	}
+
 	@Test
 	void aFailedCallIsToldOnceAndHidesNoChange() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		this.store.answers.add(new WatchResult.Away("cut"));
 		this.store.answers.add(new WatchResult.Away("cut"));
-		this.store.answers.add(new WatchResult.Changes(List.of(), 9));
+		this.store.answers.add(new WatchResult.Changes(List.of(), EraRevision.ofLong(9)));
 		rounds(2);
 		rounds(3);
 		assertThat(this.store.calls).as("pauses after a failure").hasSize(2);
@@ -104,7 +153,7 @@
 	@Test
 	void aListingThatFailedIsMadeAgain() {
 		this.store.answers.add(new ListResult.Away("cut"));
-		this.store.answers.add(new ListResult.Listed(9, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(9), List.of()));
 		rounds(1);
 		this.clock.advance(2000);
 		rounds(1);
@@ -113,9 +162,10 @@
 
 	@Test
 	void aWatchThatWentSilentHidesNoChangeForLongerThanTheBound() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		this.store.answers.add(SILENCE);
-		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", 5, null)), 5));
+		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", EraRevision.ofLong(5), null)),
+				EraRevision.ofLong(5)));
 		roundsFor(BOUND_MILLIS);
 		assertThat(this.told).contains("changed 5");
 		assertThat(this.freshness.unconfirmedMillis()).isLessThan(BOUND_MILLIS);
@@ -124,10 +174,10 @@
 	@Test
 	void aStoreThatAnswersLaterThanCallsAreMadeIsRead() {
 		this.store.delayMillis = 1600;
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		for (int i = 0; i < 20; i++) {
-			this.store.answers.add(new WatchResult.Changes(List.of(), 4 + i));
+			this.store.answers.add(new WatchResult.Changes(List.of(), EraRevision.ofLong(4 + i)));
 		}
 		roundsFor(6000);
 		assertThat(this.told).contains("listed 4", "changed 7");
@@ -136,7 +186,7 @@
 
 	@Test
 	void aSilentStoreGetsBoundedCalls() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		for (int i = 0; i < 60; i++) {
 			this.store.answers.add(SILENCE);
 		}
@@ -146,36 +196,42 @@
 
 	@Test
 	void anAnswerThatComesAfterANewerOneChangesNothing() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		this.store.answers.add(SILENCE);
-		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", 7, null)), 7));
+		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", EraRevision.ofLong(7), null)),
+				EraRevision.ofLong(7)));
 		roundsFor(1500);
-		this.store.complete(1, new WatchResult.Changes(List.of(new StoredObject("kind/a", 5, null)), 5));
+		this.store.complete(1, new WatchResult.Changes(List.of(new StoredObject("kind/a", EraRevision.ofLong(5), null)),
+				EraRevision.ofLong(5)));
 		rounds(2);
 		assertThat(this.told).containsExactly("listed 4", "changed 7");
 	}
 
 	@Test
 	void aPeerThatHasANewerChangeMakesTheStoreBeAskedBeforeTheBound() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		this.store.answers.add(SILENCE);
-		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", 5, null)), 5));
+		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", EraRevision.ofLong(5), null)),
+				EraRevision.ofLong(5)));
 		rounds(2);
-		this.freshness.claimed(new Freshness.Claim(5, 5, 0), "peer", Long.MIN_VALUE);
+		this.freshness.claimed(new Freshness.Claim(EraRevision.ofLong(5), EraRevision.ofLong(5), 0), "peer",
+				Long.MIN_VALUE);
 		roundsFor(BOUND_MILLIS / 4);
 		assertThat(this.told).containsExactly("listed 4", "changed 5");
 	}
 
 	@Test
 	void aPeerThatTellsOfAChangeWhichTheStoreDeniesIsNotBelievedAgain() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		this.store.answers.add(SILENCE);
 		for (int i = 0; i < 20; i++) {
-			this.store.answers.add(new WatchResult.Changes(List.of(), 4));
+			this.store.answers.add(new WatchResult.Changes(List.of(), EraRevision.ofLong(4)));
 		}
 		rounds(2);
 		for (int i = 0; i < 100; i++) {
-			this.freshness.claimed(new Freshness.Claim(Long.MAX_VALUE, Long.MAX_VALUE, 0), "peer", Long.MIN_VALUE);
+			this.freshness.claimed(
+					new Freshness.Claim(EraRevision.ofLong(Long.MAX_VALUE), EraRevision.ofLong(Long.MAX_VALUE), 0),
+					"peer", Long.MIN_VALUE);
 			roundsFor(100);
 		}
 		assertThat(this.store.calls.size()).as("one call more than without the peer").isLessThanOrEqualTo(14);
@@ -183,12 +239,13 @@
 
 	@Test
 	void aPeersConfirmationSparesTheCall() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		this.store.answers.add(SILENCE);
 		rounds(2);
 		for (int i = 0; i < 30; i++) {
 			this.clock.advance(100);
-			this.freshness.claimed(new Freshness.Claim(4, 4, 0), "peer", this.clock.nowMillis());
+			this.freshness.claimed(new Freshness.Claim(EraRevision.ofLong(4), EraRevision.ofLong(4), 0), "peer",
+					this.clock.nowMillis());
 			rounds(1);
 		}
 		assertThat(this.store.calls).hasSize(2);
@@ -196,10 +253,10 @@
 
 	@Test
 	void aWatchThatIsCutOffIsNoOutage() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		for (int i = 0; i < 40; i++) {
 			this.store.answers.add(new WatchResult.Away("cut off"));
-			this.store.answers.add(new WatchResult.Changes(List.of(), 4));
+			this.store.answers.add(new WatchResult.Changes(List.of(), EraRevision.ofLong(4)));
 		}
 		roundsFor(10_000);
 		assertThat(this.told).doesNotContain("away");
@@ -209,7 +266,7 @@
 	@Test
 	void aHistoryThatIsAlwaysGoneCostsBoundedCalls() {
 		for (int i = 0; i < 100; i++) {
-			this.store.answers.add(new ListResult.Listed(4, List.of()));
+			this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 			this.store.answers.add(new WatchResult.Gap());
 		}
 		roundsFor(10_000);
@@ -218,9 +275,9 @@
 
 	@Test
 	void watchesThatEndAtOnceCostBoundedCalls() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		for (int i = 0; i < 100; i++) {
-			this.store.answers.add(new WatchResult.Changes(List.of(), 4));
+			this.store.answers.add(new WatchResult.Changes(List.of(), EraRevision.ofLong(4)));
 		}
 		roundsFor(10_000);
 		assertThat(this.store.calls.size()).isLessThan(45);
@@ -228,9 +285,10 @@
 
 	@Test
 	void aChangeThatTheListenerCouldNotTakeIsListedAgain() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
-		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", 5, null)), 5));
-		this.store.answers.add(new ListResult.Listed(6, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
+		this.store.answers.add(new WatchResult.Changes(List.of(new StoredObject("kind/a", EraRevision.ofLong(5), null)),
+				EraRevision.ofLong(5)));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(6), List.of()));
 		this.store.answers.add(SILENCE);
 		rounds(1);
 		this.listenerFails = true;
@@ -247,7 +305,7 @@
 	void aListingOfManySlowPagesIsTaken() {
 		this.store.delayMillis = 4 * 1600;
 		for (int i = 0; i < 8; i++) {
-			this.store.answers.add(new ListResult.Listed(4, List.of()));
+			this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		}
 		for (int i = 0; i < 30; i++) {
 			this.store.answers.add(SILENCE);
@@ -258,7 +316,7 @@
 
 	@Test
 	void callsThatTimeOutAfterASilenceDoNotDelayTheNextOne() {
-		this.store.answers.add(new ListResult.Listed(4, List.of()));
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
 		for (int i = 0; i < 60; i++) {
 			this.store.answers.add(SILENCE);
 		}
@@ -309,10 +367,15 @@
 		}
 
 		@Override
-		public void gap(long afterRevision) {
+		public void gap(EraRevision afterRevision) {
 			StoreWatchTests.this.told.add("gap " + afterRevision);
 		}
 
+		@Override
+		public void restored(EraRevision before, EraRevision now) {
+			StoreWatchTests.this.told.add("restored " + before + " to " + now);
+		}
+
 		@Override
 		public void away(String reason) {
 			StoreWatchTests.this.told.add("away");
@@ -348,7 +411,7 @@
 		}
 
 		@Override
-		public CompletableFuture<WatchResult> startWatch(String prefix, long afterRevision, long waitMillis,
+		public CompletableFuture<WatchResult> startWatch(String prefix, EraRevision afterRevision, long waitMillis,
 				long timeoutMillis) {
 			return begin("watch " + afterRevision + " for " + waitMillis).thenApply(WatchResult.class::cast);
 		}
--- a/store/src/test/java/org/snowwind/store/VerifiedWritesTests.java
+++ b/store/src/test/java/org/snowwind/store/VerifiedWritesTests.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.TextNode;
 import org.junit.jupiter.api.Test;
+import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -22,14 +23,16 @@
 
 	@Test
 	void aWriteThatIsAnsweredIsNotReadBack() {
-		assertThat(this.writes.write("k", 0, MINE)).isEqualTo(new WriteResult.Written(1));
+		assertThat(this.writes.write("k", EraRevision.ofLong(0), MINE))
+			.isEqualTo(new WriteResult.Written(EraRevision.ofLong(1)));
 		assertThat(this.store.reads).isZero();
 	}
 
 	@Test
 	void aLostAnswerAfterTheEffectIsFoundOut() {
 		this.store.loseAnswer = true;
-		assertThat(this.writes.write("k", 0, MINE)).isEqualTo(new WriteResult.Written(1));
+		assertThat(this.writes.write("k", EraRevision.ofLong(0), MINE))
+			.isEqualTo(new WriteResult.Written(EraRevision.ofLong(1)));
 		assertThat(this.store.writes).isEqualTo(1);
 	}
 
@@ -37,35 +40,37 @@
 	void aNumberThatWasParsedIsTheNumberThatWasWritten() {
 		this.store.loseAnswer = true;
 		JsonNode built = Json.MAPPER.createObjectNode().put("generation", 1L);
-		assertThat(this.writes.write("k", 0, built)).isEqualTo(new WriteResult.Written(1));
+		assertThat(this.writes.write("k", EraRevision.ofLong(0), built))
+			.isEqualTo(new WriteResult.Written(EraRevision.ofLong(1)));
 	}
 
 	@Test
 	void aLostAnswerBeforeTheEffectIsNeverRepeatedBlind() {
 		this.store.loseWrite = true;
-		assertThat(this.writes.write("k", 0, MINE)).isInstanceOf(WriteResult.Uncertain.class);
+		assertThat(this.writes.write("k", EraRevision.ofLong(0), MINE)).isInstanceOf(WriteResult.Uncertain.class);
 		assertThat(this.store.writes).isEqualTo(1);
 	}
 
 	@Test
 	void anothersWriteFoundInPlaceOfOursIsAConflict() {
 		this.store.loseWrite = true;
-		this.store.values.put("k", new StoredObject("k", 9, TextNode.valueOf("theirs")));
-		assertThat(this.writes.write("k", 0, MINE)).isEqualTo(new WriteResult.Conflict(9));
+		this.store.values.put("k", new StoredObject("k", EraRevision.ofLong(9), TextNode.valueOf("theirs")));
+		assertThat(this.writes.write("k", EraRevision.ofLong(0), MINE))
+			.isEqualTo(new WriteResult.Conflict(EraRevision.ofLong(9)));
 	}
 
 	@Test
 	void aLostDeletionIsFoundOut() {
-		this.store.put("k", 0, MINE);
+		this.store.put("k", EraRevision.ofLong(0), MINE);
 		this.store.loseAnswer = true;
-		assertThat(this.writes.write("k", 1, null)).isInstanceOf(WriteResult.Written.class);
+		assertThat(this.writes.write("k", EraRevision.ofLong(1), null)).isInstanceOf(WriteResult.Written.class);
 	}
 
 	@Test
 	void whileThePlatformIsAwayItStaysUncertain() {
 		this.store.loseAnswer = true;
 		this.store.readsFail = true;
-		assertThat(this.writes.write("k", 0, MINE)).isInstanceOf(WriteResult.Uncertain.class);
+		assertThat(this.writes.write("k", EraRevision.ofLong(0), MINE)).isInstanceOf(WriteResult.Uncertain.class);
 		assertThat(this.store.pauses).isEqualTo(4);
 	}
 
@@ -89,7 +94,7 @@
 
 		@Override
 		public ListResult list(String prefix) {
-			return new ListResult.Listed(this.revision, List.copyOf(this.values.values()));
+			return new ListResult.Listed(EraRevision.ofLong(this.revision), List.copyOf(this.values.values()));
 		}
 
 		@Override
@@ -103,14 +108,15 @@
 		}
 
 		@Override
-		public WriteResult put(String key, long expectedRevision, JsonNode value) {
+		public WriteResult put(String key, EraRevision expectedRevision, JsonNode value) {
 			this.writes++;
 			if (this.loseWrite) {
 				return new WriteResult.Uncertain("fake");
 			}
 			this.revision++;
-			this.values.put(key, new StoredObject(key, this.revision, parsed(value)));
-			return this.loseAnswer ? new WriteResult.Uncertain("fake") : new WriteResult.Written(this.revision);
+			this.values.put(key, new StoredObject(key, EraRevision.ofLong(this.revision), parsed(value)));
+			return this.loseAnswer ? new WriteResult.Uncertain("fake")
+					: new WriteResult.Written(EraRevision.ofLong(this.revision));
 		}
 
 		private static JsonNode parsed(JsonNode value) {
@@ -123,15 +129,16 @@
 		}
 
 		@Override
-		public WriteResult delete(String key, long expectedRevision) {
+		public WriteResult delete(String key, EraRevision expectedRevision) {
 			this.revision++;
 			this.values.remove(key);
-			return this.loseAnswer ? new WriteResult.Uncertain("fake") : new WriteResult.Written(this.revision);
+			return this.loseAnswer ? new WriteResult.Uncertain("fake")
+					: new WriteResult.Written(EraRevision.ofLong(this.revision));
 		}
 
 		@Override
-		public WatchResult watch(String prefix, long afterRevision, long waitMillis) {
-			return new WatchResult.Changes(List.of(), 0);
+		public WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis) {
+			return new WatchResult.Changes(List.of(), EraRevision.NONE);
 		}
 
 	}
