Keep servers that were seen leaving out of service after a drill

Cause: the registry took each entry as it came, so that an older copy of it, from the restored store or from a peer that listed it, undid a leaving that this process had seen.

Change: RegistryHolder applies Departures to every registry, whatever its source. An incarnation that was seen draining does not become ready again. One whose entry was removed may register again in the same era; in a restored store its entry may be the old one, and counts only once it has outlived that of a server that has ended.

--- a/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
+++ b/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
@@ -65,7 +65,7 @@
 
 	private final TableHolder tables = new TableHolder();
 
-	private final RegistryHolder registries = new RegistryHolder();
+	private final RegistryHolder registries;
 
 	private final RegistryView registryView = new RegistryView(LAPSE_GRACE_MILLIS);
 
@@ -101,6 +101,7 @@
 		this.rank = rank;
 		this.clock = clock;
 		this.random = random;
+		this.registries = new RegistryHolder(clock);
 		this.tableWatcher = new TableWatcher(adapters.tables(), this.tables);
 		this.registryWatcher = new RegistryWatcher(adapters.servers(), this.registryView, this.registries, clock);
 		this.tableConfirmations = new Freshness(clock);
--- a/gateway/src/main/java/org/snowwind/gateway/registry/BackendEntry.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/BackendEntry.java
@@ -27,6 +27,15 @@
 		return new BackendIncarnation(this.id, this.bornMillis);
 	}
 
+	/**
+	 * Returns the entry of a server that accepts no new requests.
+	 * @return this entry, draining
+	 */
+	BackendEntry asDraining() {
+		return new BackendEntry(this.id, this.bornMillis, this.service, this.host, this.port, this.dataCentre,
+				this.slots, true);
+	}
+
 	/**
 	 * Returns the address.
 	 * @return {@code IP:PORT}
--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
@@ -68,12 +68,14 @@
 	}
 
 	/**
-	 * Drops the servers whose grace period has ended.
+	 * Drops the servers whose grace period has ended, and returns those to service that
+	 * have proved to be alive.
 	 */
 	public void expire() {
 		if (this.view.hasLapsedServers()) {
 			publish();
 		}
+		this.holder.refresh();
 	}
 
 	private void publish() {
--- a/gateway/src/test/java/org/snowwind/gateway/registry/RegistryViewTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/registry/RegistryViewTests.java
@@ -75,7 +75,7 @@
 
 	@Test
 	void holderRejectsOlderRegistry() {
-		RegistryHolder holder = new RegistryHolder();
+		RegistryHolder holder = new RegistryHolder(() -> 0);
 		this.view.replaceAll(EraRevision.ofLong(7), List.of(server("a")), 0);
 		assertThat(holder.offer(this.view.registry(0))).isTrue();
 		assertThat(holder.offer(Registry.NONE)).isFalse();
--- a/gateway/src/test/java/org/snowwind/gateway/registry/RegistryWatcherTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/registry/RegistryWatcherTests.java
@@ -21,7 +21,7 @@
 
 	private final ManualClock clock = new ManualClock(0);
 
-	private final RegistryHolder holder = new RegistryHolder();
+	private final RegistryHolder holder = new RegistryHolder(this.clock);
 
 	private final RegistryWatcher watcher = new RegistryWatcher(new NumberDecoder(), new RegistryView(1000),
 			this.holder, this.clock);
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -88,6 +88,9 @@
 	/** A server is no longer registered. */
 	SERVER_REMOVED(3007, Level.INFO, "server removed"),
 
+	/** The registry shows a server as ready that was seen leaving. */
+	SERVER_OLDER_ENTRY(3021, Level.INFO, "older entry of a leaving server ignored"),
+
 	/** A server is left out for a while because its answers failed. */
 	SERVER_EJECTED(3008, Level.WARNING, "server ejected"),
 
