Take no late failure of a call for an outage of the store

Callers: without any drill, servers that were removed 3 s after a silent outage of the store still got requests more than 2 s after their removal (4 of 140 in the test).

Cause: a call that was sent into the outage fails 4 s later. If a peer had confirmed the copy in the meantime, the gateway had made no later call of its own, took the old failure for a new outage, and began the grace for entries that lapse in an outage when the store answered: seconds after its real return. Each removal in the 2.2 s after that passed for a lapse.

Change: a failure counts only if the store has answered no later call, of this process or, by a peer's claim, of another one. The grace begins when the copy is first confirmed after it was unconfirmed for longer than the bound, which also protects entries in silent outages that end before a call fails; no grace began then.

Ruled out: a cut history and a drill; the test has neither.

--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
@@ -99,6 +99,11 @@
 		EventLog.log(Event.PLATFORM_AWAY, "reason", reason);
 	}
 
+	@Override
+	public void recovered() {
+		this.view.platformRecovered(this.clock.nowMillis());
+	}
+
 	@Override
 	public void back() {
 		EventLog.log(Event.PLATFORM_BACK);
--- a/store/src/main/java/org/snowwind/store/ConfirmationSchedule.java
+++ b/store/src/main/java/org/snowwind/store/ConfirmationSchedule.java
@@ -51,6 +51,16 @@
 				&& (share >= SHARES[last] || share >= SHARES[Math.min(last, Math.max(0, this.rank.getAsInt()))]);
 	}
 
+	/**
+	 * Returns whether a copy has been unconfirmed for longer than the bound, which no
+	 * copy is while the store answers.
+	 * @param unconfirmedMillis the time since the copy was confirmed, in milliseconds
+	 * @return true if the store must have been unavailable
+	 */
+	public boolean isOverdue(long unconfirmedMillis) {
+		return unconfirmedMillis > this.boundMillis;
+	}
+
 	/**
 	 * Returns how long an unanswered call delays the next one. The unanswered call stays
 	 * open, because a slow store still answers it; a silent connection never does.
--- a/store/src/main/java/org/snowwind/store/Freshness.java
+++ b/store/src/main/java/org/snowwind/store/Freshness.java
@@ -121,6 +121,15 @@
 		return this.confirmed ? Math.max(0, this.clock.nowMillis() - this.confirmedMillis) : Long.MAX_VALUE;
 	}
 
+	/**
+	 * Returns whether the copy is confirmed as of a time.
+	 * @param millis the time, in milliseconds
+	 * @return true if the store has answered a later call of this process or of a peer
+	 */
+	synchronized boolean isConfirmedAsOf(long millis) {
+		return this.confirmed && this.confirmedMillis >= millis;
+	}
+
 	/**
 	 * Returns whether a peer has reported a change that the copy lacks.
 	 * @return true if one has
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -63,6 +63,9 @@
 
 	private volatile boolean away;
 
+	/** Whether the copy has been unconfirmed for too long since it was last confirmed. */
+	private boolean overdue;
+
 	/** Whether a watch was interrupted and no inquiry was answered since. */
 	private boolean inquiryNeeded;
 
@@ -138,6 +141,7 @@
 	 * Processes the responses that have arrived, and makes a call if one is due.
 	 */
 	public void round() {
+		noteOverdue();
 		takeAnswers();
 		long nowMillis = this.clock.nowMillis();
 		dropSilentCalls(nowMillis);
@@ -151,6 +155,15 @@
 		}
 	}
 
+	// A peer may confirm the copy before the store answers this process.
+	private void noteOverdue() {
+		boolean nowOverdue = this.listed && this.pace.schedule().isOverdue(this.freshness.unconfirmedMillis());
+		if (this.overdue && !nowOverdue) {
+			this.listener.recovered();
+		}
+		this.overdue = nowOverdue;
+	}
+
 	private void takeAnswers() {
 		Runnable answer = this.answers.poll();
 		while (answer != null) {
@@ -322,6 +335,11 @@
 	}
 
 	private void answered(OpenCalls.Call call) {
+		boolean isToldBack = this.away && !call.waits();
+		if (this.overdue && !isToldBack) {
+			this.listener.recovered();
+		}
+		this.overdue = false;
 		this.answeredSentMillis = Math.max(this.answeredSentMillis, call.sentMillis());
 		if (call.waits()) {
 			this.watches.succeeded();
@@ -341,9 +359,12 @@
 			watchFailed(call, nowMillis);
 			return false;
 		}
-		// An inquiry is irrelevant once a later one was answered, and starts no pause once a
-		// later one was made.
-		if (call.sentMillis() >= this.answeredSentMillis && !this.away) {
+		// An inquiry is irrelevant once the store has answered a later one, also of a
+		// peer,
+		// and starts no pause once a later one was made.
+		boolean relevant = call.sentMillis() >= this.answeredSentMillis
+				&& !this.freshness.isConfirmedAsOf(call.sentMillis());
+		if (relevant && !this.away) {
 			this.away = true;
 			this.listener.away(reason);
 		}
@@ -430,6 +451,14 @@
 		default void away(String reason) {
 		}
 
+		/**
+		 * Called before the first changes after the copy was unconfirmed for too long.
+		 * The store was unavailable, also if no call has failed and {@link #back} is not
+		 * called.
+		 */
+		default void recovered() {
+		}
+
 		/**
 		 * Called when the store answers again.
 		 */
--- a/store/src/test/java/org/snowwind/store/StoreWatchTests.java
+++ b/store/src/test/java/org/snowwind/store/StoreWatchTests.java
@@ -129,7 +129,7 @@
 		roundsFor(2500);
 		this.store.complete(2, new WatchResult.Changes(List.of(), new EraRevision(1, 76)));
 		rounds(2);
-		assertThat(this.told).containsExactly("listed 1.75", "gap 1.75", "restored 1.75 to 2.64",
+		assertThat(this.told).containsExactly("listed 1.75", "recovered", "gap 1.75", "restored 1.75 to 2.64",
 				"listed 2.64");
 	}
 
@@ -251,6 +251,47 @@
 		assertThat(this.store.calls).hasSize(2);
 	}
 
+	@Test
+	void lateFailureOfACallIsNoOutageOnceAPeerHasConfirmedTheCopy() {
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
+		for (int i = 0; i < 4; i++) {
+			this.store.answers.add(SILENCE);
+		}
+		roundsFor(2500);
+		this.freshness.claimed(new Freshness.Claim(EraRevision.ofLong(4), EraRevision.ofLong(4), 0), "peer",
+				this.clock.nowMillis());
+		this.store.complete(2, new WatchResult.Away("no answer"));
+		rounds(1);
+		assertThat(this.told).doesNotContain("away");
+	}
+
+	@Test
+	void copyThatIsConfirmedAfterTooLongHasRecoveredBeforeItChanges() {
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
+		for (int i = 0; i < 3; i++) {
+			this.store.answers.add(SILENCE);
+		}
+		this.store.answers.add(new WatchResult.Changes(List.of(), EraRevision.ofLong(5)));
+		for (int i = 0; i < 3; i++) {
+			this.store.answers.add(SILENCE);
+		}
+		roundsFor(3500);
+		assertThat(this.told).containsExactly("listed 4", "recovered", "changed 5");
+	}
+
+	@Test
+	void copyThatAPeerConfirmsAfterTooLongHasRecovered() {
+		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
+		for (int i = 0; i < 4; i++) {
+			this.store.answers.add(SILENCE);
+		}
+		roundsFor(2500);
+		this.freshness.claimed(new Freshness.Claim(EraRevision.ofLong(4), EraRevision.ofLong(4), 0), "peer",
+				this.clock.nowMillis());
+		rounds(2);
+		assertThat(this.told).containsExactly("listed 4", "recovered");
+	}
+
 	@Test
 	void aWatchThatIsCutOffIsNoOutage() {
 		this.store.answers.add(new ListResult.Listed(EraRevision.ofLong(4), List.of()));
@@ -381,6 +422,11 @@
 			StoreWatchTests.this.told.add("away");
 		}
 
+		@Override
+		public void recovered() {
+			StoreWatchTests.this.told.add("recovered");
+		}
+
 		@Override
 		public void back() {
 			StoreWatchTests.this.told.add("back");
