Keep an entry's configuration in force when the store is restored

Callers: after a drill an entry would have put older generations of resources in force again, and deleted ones, such as an organisation whose key was revoked; before revisions had eras it ignored each change until the revisions had passed the old maximum. Read off the code; no caller saw it.

Cause: a listing replaced the configuration whenever its revision was newer. What the resource API had acknowledged and the store had lost was forgotten without a word.

Change: a listing of a later era does not replace a resource by an earlier generation, does not drop one that it lacks, and does not bring back one that was removed by a later change of an earlier era. The stand-in platform can be restored from a copy and tells its era.

Open: claims of idempotency keys that the store has lost can be claimed once more.

--- a/config/src/main/java/org/snowwind/config/snapshot/SnapshotBuilder.java
+++ b/config/src/main/java/org/snowwind/config/snapshot/SnapshotBuilder.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -36,7 +37,9 @@
 	}
 
 	/**
-	 * Makes a snapshot from a whole listing.
+	 * Makes a snapshot from a whole listing. Resources of an earlier era of the store
+	 * that it lacks, or has in an earlier generation, stay in force: a store that was
+	 * restored from an older copy has lost their last change.
 	 * @param last the snapshot in force
 	 * @param revision the revision as of which the values are listed
 	 * @param values the platform's values
@@ -46,6 +49,13 @@
 		Map<ResourceKey, List<Finding>> rejected = new LinkedHashMap<>();
 		Map<ResourceKey, Resource> candidates = new LinkedHashMap<>();
 		values.forEach((value) -> admit(last, value, candidates, rejected));
+		last.resources().all().forEach((resource) -> {
+			Resource listed = candidates.get(resource.key());
+			boolean lost = listed == null || listed.generation() < resource.generation();
+			if (lost && resource.revision().era() < revision.era()) {
+				candidates.put(resource.key(), resource);
+			}
+		});
 		return settle(last, revision, candidates, rejected);
 	}
 
@@ -74,7 +84,7 @@
 
 	private void admit(Snapshot last, RawValue value, Map<ResourceKey, Resource> candidates,
 			Map<ResourceKey, List<Finding>> rejected) {
-		ResourceKey key = keyOf(value.storeKey());
+		ResourceKey key = keyOf(value.storeKey()).orElse(null);
 		if (key == null) {
 			return;
 		}
@@ -140,12 +150,17 @@
 		last.resources().find(key.kind(), key.name()).ifPresent((resource) -> candidates.put(key, resource));
 	}
 
-	private static ResourceKey keyOf(String storeKey) {
+	/**
+	 * Returns the resource that an object of the platform contains.
+	 * @param storeKey the object's key
+	 * @return the resource's key, empty if it is no key of a resource
+	 */
+	public static Optional<ResourceKey> keyOf(String storeKey) {
 		String[] parts = storeKey.split("/");
 		if (!storeKey.startsWith(PREFIX) || parts.length != 3) {
-			return null;
+			return Optional.empty();
 		}
-		return ResourceKind.parse(parts[1]).map((kind) -> new ResourceKey(kind, parts[2])).orElse(null);
+		return ResourceKind.parse(parts[1]).map((kind) -> new ResourceKey(kind, parts[2]));
 	}
 
 	/**
--- a/entry/src/main/java/org/snowwind/entry/config/ConfigHolder.java
+++ b/entry/src/main/java/org/snowwind/entry/config/ConfigHolder.java
@@ -10,6 +10,7 @@
 import org.snowwind.model.EraRevision;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
+import org.snowwind.model.resource.ResourceKey;
 
 /**
  * Holds the configuration in force; its revision never falls.
@@ -92,6 +93,18 @@
 		}
 	}
 
+	/**
+	 * Returns whether an object of a restored store may be a resource that was removed
+	 * before, and is not in force.
+	 * @param key the resource
+	 * @param revision the object's revision
+	 * @return true if it may be an old copy
+	 */
+	synchronized boolean mayBeRemoved(ResourceKey key, EraRevision revision) {
+		return this.current.resources().find(key.kind(), key.name()).isEmpty()
+				&& this.removals.mayBeRemoved(key, revision);
+	}
+
 	/**
 	 * Returns what a peer must learn to come to the configuration in force.
 	 * @param haveRevision the revision that the peer has
--- a/entry/src/main/java/org/snowwind/entry/config/PlatformWatcher.java
+++ b/entry/src/main/java/org/snowwind/entry/config/PlatformWatcher.java
@@ -12,6 +12,8 @@
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
+import org.snowwind.model.resource.Resource;
+import org.snowwind.model.resource.ResourceKey;
 import org.snowwind.store.ListResult;
 import org.snowwind.store.ObjectStore;
 import org.snowwind.store.StoredObject;
@@ -31,6 +33,9 @@
 
 	private static final long WATCH_MILLIS = 5000;
 
+	/** The maximum number of resources in a log line. */
+	private static final int MAX_LOGGED = 20;
+
 	private static final long FIRST_BACKOFF_MILLIS = 200;
 
 	private static final long MOST_BACKOFF_MILLIS = 5000;
@@ -123,13 +128,37 @@
 	private boolean useListing(ListResult.Listed listing) {
 		Snapshot last = this.config.current();
 		if (listing.revision().isNewerThan(last.revision())) {
-			offer(this.builder.fromListing(last, listing.revision(), rawValues(listing.objects())));
+			List<RawValue> values = rawValues(listing.objects()).stream()
+				.filter((value) -> !mayBeRemoved(value))
+				.toList();
+			Snapshot next = this.builder.fromListing(last, listing.revision(), values);
+			offer(next);
+			logKept(next);
 		}
 		this.watchedRevision = listing.revision();
 		this.listed = true;
 		return true;
 	}
 
+	private boolean mayBeRemoved(RawValue value) {
+		return SnapshotBuilder.keyOf(value.storeKey())
+			.map((key) -> this.config.mayBeRemoved(key, value.revision()))
+			.orElse(false);
+	}
+
+	private void logKept(Snapshot next) {
+		List<ResourceKey> kept = next.resources()
+			.all()
+			.stream()
+			.filter((resource) -> resource.revision().era() < next.revision().era())
+			.map(Resource::key)
+			.toList();
+		if (!kept.isEmpty()) {
+			EventLog.log(Event.CONFIG_KEPT, "revision", next.revision(), "count", kept.size(), "resources",
+					kept.stream().limit(MAX_LOGGED).toList());
+		}
+	}
+
 	private void watch() {
 		WatchResult result = this.store.watch(PREFIX, this.watchedRevision, WATCH_MILLIS);
 		boolean answered = result.match(this::useChanges, (gap) -> {
--- a/entry/src/main/java/org/snowwind/entry/config/Removals.java
+++ b/entry/src/main/java/org/snowwind/entry/config/Removals.java
@@ -52,6 +52,18 @@
 			.toList();
 	}
 
+	/**
+	 * Returns whether an object of a restored store may be one that was removed before.
+	 * @param key the resource
+	 * @param revision the object's revision
+	 * @return true if it was removed by a later change of an earlier era
+	 */
+	boolean mayBeRemoved(ResourceKey key, EraRevision revision) {
+		return this.recent.stream()
+			.anyMatch((removal) -> removal.key().equals(key) && removal.revision().era() < revision.era()
+					&& revision.number() <= removal.revision().number());
+	}
+
 	private record Removal(EraRevision revision, ResourceKey key) {
 	}
 
--- a/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
+++ b/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
@@ -14,6 +14,7 @@
 import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.ManualClock;
+import org.snowwind.model.resource.ResourceKind;
 import org.snowwind.model.resource.StoredResource;
 import org.snowwind.store.GetResult;
 import org.snowwind.store.ListResult;
@@ -85,6 +86,51 @@
 		assertThat(this.config.current().hasService("desk")).isFalse();
 	}
 
+	private static StoredObject service(EraRevision revision, String name, long generation) {
+		JsonNode value = Json.MAPPER
+			.valueToTree(new StoredResource("Service", name, generation, null, Json.MAPPER.createObjectNode()));
+		return new StoredObject("resources/Service/" + name, revision, value);
+	}
+
+	private long generationOf(String service) {
+		return this.config.current().resources().find(ResourceKind.SERVICE, service).orElseThrow().generation();
+	}
+
+	@Test
+	void configurationDoesNotGoBackWhenTheStoreIsRestored() {
+		this.store.lists.add(new ListResult.Listed(new EraRevision(1, 9),
+				List.of(service(new EraRevision(1, 8), "desk", 2), service(new EraRevision(1, 9), "shop", 1))));
+		this.store.watches.add(new WatchResult.Gap());
+		this.store.lists
+			.add(new ListResult.Listed(new EraRevision(2, 7), List.of(service(new EraRevision(2, 5), "desk", 1))));
+		this.store.watches
+			.add(new WatchResult.Changes(List.of(service(new EraRevision(2, 8), "desk", 3)), new EraRevision(2, 8)));
+		for (int i = 0; i < 3; i++) {
+			this.watcher.round();
+		}
+		assertThat(generationOf("desk")).isEqualTo(2);
+		assertThat(this.config.current().hasService("shop")).isTrue();
+		this.watcher.round();
+		assertThat(generationOf("desk")).as("a change whose revision was given out again").isEqualTo(3);
+		assertThat(this.config.current().revision()).isEqualTo(new EraRevision(2, 8));
+	}
+
+	@Test
+	void removedResourceDoesNotReturnWhenTheStoreIsRestored() {
+		StoredObject shop = service(new EraRevision(1, 5), "shop", 1);
+		this.store.lists.add(new ListResult.Listed(new EraRevision(1, 5), List.of(shop)));
+		this.store.watches.add(new WatchResult.Changes(
+				List.of(new StoredObject(shop.key(), new EraRevision(1, 9), null)), new EraRevision(1, 9)));
+		this.store.watches.add(new WatchResult.Gap());
+		this.store.lists
+			.add(new ListResult.Listed(new EraRevision(2, 7), List.of(service(new EraRevision(2, 5), "shop", 1))));
+		for (int i = 0; i < 4; i++) {
+			this.watcher.round();
+		}
+		assertThat(this.config.current().hasService("shop")).isFalse();
+		assertThat(this.config.current().revision()).isEqualTo(new EraRevision(2, 7));
+	}
+
 	@Test
 	void anOldListingNeverDisplacesANewerConfiguration() {
 		this.store.lists.add(listed(9, service(9, "shop")));
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -37,6 +37,9 @@
 	/** An older configuration was offered and ignored. */
 	CONFIG_STALE_IGNORED(2003, Level.INFO, "older configuration ignored"),
 
+	/** A restored store lacks resources that stay in force. */
+	CONFIG_KEPT(2007, Level.WARNING, "resources kept that the store has lost"),
+
 	/** A newer route table is in force in this process. */
 	TABLE_APPLIED(2004, Level.INFO, "route table applied"),
 
--- a/standin/src/main/java/org/snowwind/standin/ObjectTable.java
+++ b/standin/src/main/java/org/snowwind/standin/ObjectTable.java
@@ -22,6 +22,34 @@
 
 	private long forgottenRevision;
 
+	private long era = 1;
+
+	long era() {
+		return this.era;
+	}
+
+	/**
+	 * Copies the objects, so that the table can be restored from the copy.
+	 * @return the copy
+	 */
+	Copy copy() {
+		return new Copy(this.revision, List.copyOf(this.rows.values()));
+	}
+
+	/**
+	 * Restores an older state. Changes since then are lost, and their revisions are given
+	 * out again in a new era.
+	 * @param copy the older state
+	 */
+	void restore(Copy copy) {
+		this.rows.clear();
+		copy.rows().forEach((row) -> this.rows.put(row.key(), row));
+		this.history.removeIf((row) -> row.revision() > copy.revision());
+		this.forgottenRevision = Math.min(this.forgottenRevision, copy.revision());
+		this.revision = copy.revision();
+		this.era++;
+	}
+
 	long revision() {
 		return this.revision;
 	}
@@ -71,10 +99,11 @@
 	 * Finds changes.
 	 * @param prefix the start of the keys
 	 * @param afterRevision changes after this revision
-	 * @return the changes; empty optional if some are forgotten
+	 * @return the changes; empty optional if some are forgotten or the revision was not
+	 * reached
 	 */
 	Optional<List<Row>> changes(String prefix, long afterRevision) {
-		if (afterRevision < this.forgottenRevision) {
+		if (afterRevision < this.forgottenRevision || afterRevision > this.revision) {
 			return Optional.empty();
 		}
 		List<Row> found = new ArrayList<>();
@@ -86,6 +115,16 @@
 		return Optional.of(found);
 	}
 
+	/**
+	 * The objects at one moment.
+	 *
+	 * @param revision the revision
+	 * @param rows the objects
+	 */
+	record Copy(long revision, List<Row> rows) {
+
+	}
+
 	/**
 	 * One object, or the trace of its deletion.
 	 *
--- a/standin/src/main/java/org/snowwind/standin/StandInPlatform.java
+++ b/standin/src/main/java/org/snowwind/standin/StandInPlatform.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.server.HttpExchange;
@@ -83,6 +85,20 @@
 		}
 	}
 
+	/**
+	 * Copies all objects.
+	 * @return restores them: changes since then are lost, their revisions are given out
+	 * again, and waiting calls are broken off
+	 */
+	public Runnable copy() {
+		CompletableFuture<ObjectTable.Copy> copy = new CompletableFuture<>();
+		loop().run(() -> copy.complete(this.table.copy()));
+		return () -> loop().run(() -> {
+			this.table.restore(copy.join());
+			breakWatches();
+		});
+	}
+
 	/**
 	 * Returns what is wrong.
 	 * @return the faults
@@ -164,8 +180,7 @@
 		switch (exchange.method()) {
 			case "GET" -> {
 				Optional<ObjectTable.Row> row = this.table.get(key);
-				Responses.json(exchange, row.isPresent() ? OK : NOT_FOUND,
-						row.<Object>map((found) -> found).orElse(Map.of()));
+				json(exchange, row.isPresent() ? OK : NOT_FOUND, row.<Object>map((found) -> found).orElse(Map.of()));
 			}
 			case "PUT" -> exchange.readBody(MAX_VALUE_BYTES,
 					(body) -> parse(exchange, body).ifPresent((value) -> write(exchange, key, value)));
@@ -179,7 +194,7 @@
 		Optional<ObjectTable.Row> written = this.table.write(key, expected, value, this.faults.historySize());
 		if (written.isEmpty()) {
 			long standing = this.table.get(key).map(ObjectTable.Row::revision).orElse(0L);
-			Responses.json(exchange, CONFLICT, Map.of("revision", standing));
+			json(exchange, CONFLICT, Map.of("revision", standing));
 			return;
 		}
 		wakeWatchers();
@@ -188,11 +203,11 @@
 			exchange.abort();
 			return;
 		}
-		Responses.json(exchange, OK, Map.of("revision", written.get().revision()));
+		json(exchange, OK, Map.of("revision", written.get().revision()));
 	}
 
 	private void list(HttpExchange exchange, String prefix) {
-		Responses.json(exchange, OK, Map.of("revision", this.table.revision(), "objects", this.table.list(prefix)));
+		json(exchange, OK, Map.of("revision", this.table.revision(), "objects", this.table.list(prefix)));
 	}
 
 	private void watch(HttpExchange exchange, Map<String, String> query) {
@@ -215,16 +230,31 @@
 	private boolean answerWatch(Watcher watcher, boolean evenIfEmpty) {
 		Optional<List<ObjectTable.Row>> changes = this.table.changes(watcher.prefix(), watcher.after());
 		if (changes.isEmpty()) {
-			watcher.exchange().respond(GONE, Map.of(), new byte[0]);
+			watcher.exchange().respond(GONE, era(), new byte[0]);
 			return true;
 		}
 		if (changes.get().isEmpty() && !evenIfEmpty) {
 			return false;
 		}
-		Responses.json(watcher.exchange(), OK, Map.of("objects", changes.get()));
+		json(watcher.exchange(), OK, Map.of("objects", changes.get()));
 		return true;
 	}
 
+	private Map<String, String> era() {
+		return Map.of("X-Store-Era", Long.toString(this.table.era()));
+	}
+
+	private void json(HttpExchange exchange, int status, Object value) {
+		Map<String, String> headers = new HashMap<>(era());
+		headers.put("Content-Type", "application/json");
+		try {
+			exchange.respond(status, headers, Json.MAPPER.writeValueAsBytes(value));
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("our own types always serialize", ex);
+		}
+	}
+
 	private void wakeWatchers() {
 		this.watchers.removeIf((watcher) -> answerWatch(watcher, false));
 	}
