Play drills in the soak, and check that a seen leaving is kept

SeenLeavingIsKept checks sends to a server whose leaving the gateway has seen in calm, whatever happens to the store afterwards; the test of LeavingServersGetNothing uses a moment at which only that rule applies.

--- a/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.snowwind.app.harness.Link;
@@ -12,6 +13,7 @@
 import org.snowwind.platform.standin.BackendBehaviour;
 import org.snowwind.platform.standin.BackoffRequest;
 import org.snowwind.platform.standin.LimitChange;
+import org.snowwind.platform.standin.StoreCopy;
 import org.snowwind.platform.standin.StoreFault;
 
 /**
@@ -38,6 +40,12 @@
 
 	private static final long MOST_BEFORE_CHANGE_MILLIS = 500;
 
+	/** The maximum age of the copy from which the store is restored. */
+	private static final long MOST_LOST_MILLIS = 4000;
+
+	/** The kinds of objects whose writers write again what a restored store lost. */
+	private static final Set<String> WRITTEN_AGAIN = Set.of("config", "servers");
+
 	private static final List<StoreFault> STORE_FAULTS = List.of(StoreFault.DOWN, StoreFault.SILENT, StoreFault.SLOW,
 			StoreFault.LOSES_ANSWERS);
 
@@ -162,6 +170,34 @@
 		later.after(millis, () -> world.store().fault(StoreFault.NONE));
 	}
 
+	/**
+	 * Restores the store from a copy, after a moment in which it answers nobody. The
+	 * operator and the servers write again what was lost.
+	 * @param world holds the store
+	 * @param random decides how old the copy is and how long each part takes
+	 * @param later carries it out
+	 */
+	static void drill(SoakWorld world, Random random, SoakFault.Later later) {
+		long lostMillis = between(random, 200, MOST_LOST_MILLIS);
+		long awayMillis = between(random, 50, 1500);
+		long rewriteMillis = between(random, 0, 2500);
+		StoreFault away = random.nextBoolean() ? StoreFault.DOWN : StoreFault.SILENT;
+		boolean silent = random.nextBoolean();
+		StoreCopy copy = world.store().copy();
+		later.after(lostMillis, () -> {
+			disturb(world, "store-drill", Disturbance.STORE, awayMillis + rewriteMillis + 3000);
+			world.store().fault(away);
+			if (silent) {
+				world.gateways().forEach((gateway) -> gateway.toStore().silenceOpenConnections());
+			}
+			later.after(awayMillis, () -> {
+				StoreCopy lost = world.store().restore(copy);
+				world.store().fault(StoreFault.NONE);
+				later.after(rewriteMillis, () -> world.store().writeAgain(lost, WRITTEN_AGAIN));
+			});
+		});
+	}
+
 	private static void storeLink(SoakWorld world, Random random, SoakFault.Later later) {
 		SoakGateway gateway = anyGateway(world, random);
 		long millis = between(random, 300, 4000);
--- a/app/src/test/java/org/snowwind/app/soak/SoakRules.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRules.java
@@ -10,7 +10,7 @@
 	private static final List<SoakRule> ALL = List.of(new AnswersAreWholeAndOwn(), new RunsOnceAtMost(),
 			new RefusalsAreTrue(), new RunsWereAskedFor(), new AnswersComeInTime(), new LeavingServersGetNothing(),
 			new StopsCutNothingOff(), new FatalRequestsAreKeptBack(), new LimitsAreKept(), new RetryAfterIsKept(),
-			new AnnouncedLeavingIsKept(), new ConfigurationsComeInForce());
+			new AnnouncedLeavingIsKept(), new ConfigurationsComeInForce(), new SeenLeavingIsKept());
 
 	private SoakRules() {
 	}
--- a/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
@@ -143,12 +143,24 @@
 	void workForALeavingServerIsFoundUnlessTheStoreWasDisturbed() {
 		call(CallKind.AGAIN, 200, Answers.plain("c1"), true, 50);
 		ran(CallKind.AGAIN);
-		this.drains = Map.of(SERVER, START - TimeUnit.SECONDS.toNanos(5));
+		// Sent a moment too early for the rule on what a gateway has seen.
+		this.drains = Map.of(SERVER, START - TimeUnit.MILLISECONDS.toNanos(3995));
 		assertThat(broken()).singleElement().asString().startsWith("LeavingServersGetNothing");
 		disturbed("store", Disturbance.STORE);
 		assertThat(broken()).isEmpty();
 	}
 
+	@Test
+	void workForAServerThatWasSeenLeavingIsFoundThoughTheStoreIsDisturbedLater() {
+		call(CallKind.AGAIN, 200, Answers.plain("c1"), true, 50);
+		ran(CallKind.AGAIN);
+		this.drains = Map.of(SERVER, START - TimeUnit.SECONDS.toNanos(5));
+		disturbed("store", Disturbance.STORE);
+		assertThat(broken()).singleElement().asString().startsWith("SeenLeavingIsKept");
+		disturbed("pause", "g0");
+		assertThat(broken()).isEmpty();
+	}
+
 	@Test
 	void aRequestThatAStopCutOffIsFoundUnlessSomethingElseWasWrong() {
 		call(CallKind.ONCE, 0, "", false, 50);
--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -71,6 +71,9 @@
 	 */
 	private static final long SILENCE_EVERY_MILLIS = 6000;
 
+	/** How often the store is restored from an older copy; some come close together. */
+	private static final long DRILL_EVERY_MILLIS = 3500;
+
 	private static final long CALL_WITH_KEY_EVERY_MILLIS = 40;
 
 	/** How often a caller sends the request again that ends servers. */
@@ -103,6 +106,8 @@
 
 	private final Random keys;
 
+	private final Random drills;
+
 	private final SoakExtras extras;
 
 	private final SoakWorld world;
@@ -133,6 +138,7 @@
 		this.notices = new Random(seed + 5);
 		this.silences = new Random(seed + 6);
 		this.keys = new Random(seed + 7);
+		this.drills = new Random(seed + 8);
 		this.extras = extras;
 		this.streams = new Random(seed + 2);
 		this.world = new SoakWorld(folder, GATEWAYS, new Random(seed + 1));
@@ -160,6 +166,8 @@
 				TimeUnit.MILLISECONDS);
 		var silencing = this.later.scheduleWithFixedDelay(this::silenceStore, 0, SILENCE_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
+		var drilling = this.later.scheduleWithFixedDelay(this::drill, DRILL_EVERY_MILLIS, DRILL_EVERY_MILLIS,
+				TimeUnit.MILLISECONDS);
 		var callingWithKeys = this.later.scheduleAtFixedRate(this::callWithKey, 0, CALL_WITH_KEY_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faultMillis);
@@ -173,6 +181,7 @@
 		breaking.cancel(false);
 		limiting.cancel(false);
 		noticing.cancel(false);
+		drilling.cancel(false);
 		this.world.servers().forEach((server) -> server.server().limit(LimitChange.NONE));
 		awaitPending();
 		stopTogether();
@@ -285,6 +294,12 @@
 		}
 	}
 
+	private void drill() {
+		if (this.extras.drills()) {
+			SoakFaults.drill(this.world, this.drills, this::after);
+		}
+	}
+
 	// With the newest key, or with the one that it has replaced.
 	private void callWithKey() {
 		if (this.extras.silentStore()) {
