Split availability and listener out of StoreWatch

Whether the store is unavailable is a decision of its own, StoreAvailability. Behaviour unchanged; the tests of StoreWatch, Freshness and the model with one kind of fault pass.

--- a/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
+++ b/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
@@ -17,6 +17,7 @@
 import org.snowwind.model.duty.DutyThread;
 import org.snowwind.store.ConfirmationSchedule;
 import org.snowwind.store.Freshness;
+import org.snowwind.store.StoreListener;
 import org.snowwind.store.StoreWatch;
 
 /**
@@ -155,7 +156,7 @@
 		return new ConfirmationSchedule(boundMillis, () -> this.rank.of(prefix));
 	}
 
-	private StoreWatch watch(String prefix, StoreWatch.Pace pace, StoreWatch.Listener listener, Freshness freshness) {
+	private StoreWatch watch(String prefix, StoreWatch.Pace pace, StoreListener listener, Freshness freshness) {
 		return new StoreWatch(this.adapters.reads(), prefix, pace, listener, freshness, this.clock, this.random);
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
@@ -10,7 +10,7 @@
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 import org.snowwind.store.ListResult;
-import org.snowwind.store.StoreWatch;
+import org.snowwind.store.StoreListener;
 import org.snowwind.store.StoredObject;
 import org.snowwind.store.WatchResult;
 
@@ -18,7 +18,7 @@
  * Watches the platform for backend servers and publishes the registry. Confined to the
  * thread of the watch.
  */
-public final class RegistryWatcher implements StoreWatch.Listener {
+public final class RegistryWatcher implements StoreListener {
 
 	private final RegistryDecoder decoder;
 
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
@@ -17,7 +17,7 @@
 import org.snowwind.store.GetResult;
 import org.snowwind.store.ListResult;
 import org.snowwind.store.ObjectStore;
-import org.snowwind.store.StoreWatch;
+import org.snowwind.store.StoreListener;
 import org.snowwind.store.StoredObject;
 import org.snowwind.store.WatchResult;
 import org.snowwind.store.WriteResult;
@@ -31,7 +31,7 @@
  * it is certain, and every gateway watches what all have written. While the platform is
  * away a gateway goes by what it knows, and writes when it is back.
  */
-public final class SuspectBook implements StoreWatch.Listener {
+public final class SuspectBook implements StoreListener {
 
 	/** The start of the keys of all documents. */
 	public static final String PREFIX = "suspects/";
--- a/gateway/src/main/java/org/snowwind/gateway/table/TableWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/TableWatcher.java
@@ -6,14 +6,14 @@
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 import org.snowwind.store.ListResult;
-import org.snowwind.store.StoreWatch;
+import org.snowwind.store.StoreListener;
 import org.snowwind.store.StoredObject;
 import org.snowwind.store.WatchResult;
 
 /**
  * Watches the platform for route tables and offers them to the holder.
  */
-public final class TableWatcher implements StoreWatch.Listener {
+public final class TableWatcher implements StoreListener {
 
 	private final TableDecoder decoder;
 
--- a/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModel.java
@@ -19,6 +19,7 @@
 import org.snowwind.store.ConfirmationSchedule;
 import org.snowwind.store.Freshness;
 import org.snowwind.store.ListResult;
+import org.snowwind.store.StoreListener;
 import org.snowwind.store.StoreWatch;
 import org.snowwind.store.StoredObject;
 import org.snowwind.store.WatchResult;
@@ -479,7 +480,7 @@
 	 * A copy of the objects under one prefix, and the changes that it does not contain
 	 * yet.
 	 */
-	private final class Copy implements StoreWatch.Listener {
+	private final class Copy implements StoreListener {
 
 		private final Gateway gateway;
 
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -44,7 +44,7 @@
 
 	private final Pace pace;
 
-	private final Listener listener;
+	private final StoreListener listener;
 
 	private final MonotonicClock clock;
 
@@ -52,6 +52,8 @@
 
 	private final OpenCalls calls = new OpenCalls();
 
+	private final StoreAvailability availability;
+
 	private final Queue<Runnable> answers = new ConcurrentLinkedQueue<>();
 
 	private Runnable onAnswer = () -> {
@@ -61,11 +63,6 @@
 
 	private boolean everListed;
 
-	private volatile boolean away;
-
-	/** Whether the copy has been unconfirmed for too long since it was last confirmed. */
-	private boolean overdue;
-
 	/** Whether a watch was interrupted and no inquiry was answered since. */
 	private boolean inquiryNeeded;
 
@@ -78,9 +75,6 @@
 
 	private long lastInquiryMillis = Long.MIN_VALUE;
 
-	/** When the latest of the answered calls was sent. */
-	private long answeredSentMillis = Long.MIN_VALUE;
-
 	private long nextInquiryMillis = Long.MIN_VALUE;
 
 	private long nextWatchMillis = Long.MIN_VALUE;
@@ -105,13 +99,14 @@
 	 * @param clock the clock
 	 * @param random adds jitter to the backoff
 	 */
-	public StoreWatch(AsyncObjectStore store, String prefix, Pace pace, Listener listener, Freshness freshness,
+	public StoreWatch(AsyncObjectStore store, String prefix, Pace pace, StoreListener listener, Freshness freshness,
 			MonotonicClock clock, RandomGenerator random) {
 		this.store = store;
 		this.prefix = prefix;
 		this.pace = pace;
 		this.listener = listener;
 		this.freshness = freshness;
+		this.availability = new StoreAvailability(freshness, pace.schedule(), listener);
 		this.clock = clock;
 		long mostMillis = Math.round(MOST_BACKOFF_SHARE * pace.schedule().retryMillis());
 		this.inquiries = new Backoff(FIRST_BACKOFF_MILLIS, mostMillis, random);
@@ -134,14 +129,16 @@
 	 * @return true if the last inquiry failed
 	 */
 	public boolean isAway() {
-		return this.away;
+		return this.availability.isAway();
 	}
 
 	/**
 	 * Processes the responses that have arrived, and makes a call if one is due.
 	 */
 	public void round() {
-		noteOverdue();
+		if (this.listed) {
+			this.availability.check();
+		}
 		takeAnswers();
 		long nowMillis = this.clock.nowMillis();
 		dropSilentCalls(nowMillis);
@@ -155,15 +152,6 @@
 		}
 	}
 
-	// A peer may confirm the copy before the store answers this process.
-	private void noteOverdue() {
-		boolean nowOverdue = this.listed && this.pace.schedule().isOverdue(this.freshness.unconfirmedMillis());
-		if (this.overdue && !nowOverdue) {
-			this.listener.recovered();
-		}
-		this.overdue = nowOverdue;
-	}
-
 	private void takeAnswers() {
 		Runnable answer = this.answers.poll();
 		while (answer != null) {
@@ -187,7 +175,7 @@
 		if (this.calls.inquiries() >= MOST_INQUIRIES) {
 			return false;
 		}
-		boolean needed = !this.listed || this.away || this.inquiryNeeded
+		boolean needed = !this.listed || this.availability.isAway() || this.inquiryNeeded
 				|| this.pace.schedule().isDue(this.freshness.unconfirmedMillis());
 		return (needed && nowMillis >= this.nextInquiryMillis) || isPeerAhead(nowMillis);
 	}
@@ -335,22 +323,13 @@
 	}
 
 	private void answered(OpenCalls.Call call) {
-		boolean isToldBack = this.away && !call.waits();
-		if (this.overdue && !isToldBack) {
-			this.listener.recovered();
-		}
-		this.overdue = false;
-		this.answeredSentMillis = Math.max(this.answeredSentMillis, call.sentMillis());
+		this.availability.answered(call);
 		if (call.waits()) {
 			this.watches.succeeded();
 			return;
 		}
 		this.inquiryNeeded = false;
 		this.inquiries.succeeded();
-		if (this.away) {
-			this.away = false;
-			this.listener.back();
-		}
 	}
 
 	private boolean failed(OpenCalls.Call call, String reason) {
@@ -359,15 +338,8 @@
 			watchFailed(call, nowMillis);
 			return false;
 		}
-		// An inquiry is irrelevant once the store has answered a later one, also of a
-		// peer,
-		// and starts no pause once a later one was made.
-		boolean relevant = call.sentMillis() >= this.answeredSentMillis
-				&& !this.freshness.isConfirmedAsOf(call.sentMillis());
-		if (relevant && !this.away) {
-			this.away = true;
-			this.listener.away(reason);
-		}
+		this.availability.failed(call, reason);
+		// Only the latest inquiry starts a pause.
 		if (call.sentMillis() >= this.lastInquiryMillis) {
 			long latestMillis = Math.max(nowMillis, call.sentMillis() + this.pace.schedule().retryMillis());
 			this.nextInquiryMillis = Math.min(nowMillis + this.inquiries.failed(), latestMillis);
@@ -379,7 +351,7 @@
 	private void watchFailed(OpenCalls.Call call, long nowMillis) {
 		long pauseMillis = this.watches.failed();
 		this.nextWatchMillis = nowMillis + pauseMillis;
-		if (call.sentMillis() >= this.answeredSentMillis) {
+		if (!this.availability.isAnsweredSince(call)) {
 			this.inquiryNeeded = true;
 			this.nextInquiryMillis = Math.min(this.nextInquiryMillis,
 					nowMillis + Math.min(FIRST_BACKOFF_MILLIS, pauseMillis));
@@ -410,61 +382,4 @@
 
 	}
 
-	/**
-	 * Is notified of objects and of the state of the store, on the watch's thread.
-	 */
-	public interface Listener {
-
-		/**
-		 * Called when all objects were listed.
-		 * @param listing the objects
-		 */
-		void listed(ListResult.Listed listing);
-
-		/**
-		 * Called when objects have changed or the wait ended without a change.
-		 * @param changes the changes
-		 */
-		void changed(WatchResult.Changes changes);
-
-		/**
-		 * Called when the store no longer has all changes. A listing follows.
-		 * @param afterRevision the last known revision
-		 */
-		default void gap(EraRevision afterRevision) {
-		}
-
-		/**
-		 * Called before {@link #listed} when the store was restored from an older copy
-		 * since the last known revision. The listing may lack objects that are about to
-		 * be written again, and contain objects as they were before they changed.
-		 * @param before the last known revision
-		 * @param now the revision of the listing
-		 */
-		default void restored(EraRevision before, EraRevision now) {
-		}
-
-		/**
-		 * Called when the store stops answering.
-		 * @param reason the reason, one line
-		 */
-		default void away(String reason) {
-		}
-
-		/**
-		 * Called before the first changes after the copy was unconfirmed for too long.
-		 * The store was unavailable, also if no call has failed and {@link #back} is not
-		 * called.
-		 */
-		default void recovered() {
-		}
-
-		/**
-		 * Called when the store answers again.
-		 */
-		default void back() {
-		}
-
-	}
-
 }
--- a/store/src/test/java/org/snowwind/store/StoreWatchTests.java
+++ b/store/src/test/java/org/snowwind/store/StoreWatchTests.java
@@ -387,7 +387,7 @@
 	/**
 	 * Notes what it is told.
 	 */
-	private final class Told implements StoreWatch.Listener {
+	private final class Told implements StoreListener {
 
 		private void failIfAsked() {
 			if (StoreWatchTests.this.listenerFails) {
