--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -23,9 +23,11 @@
 import org.snowwind.gateway.peer.ConfirmationRank;
 import org.snowwind.gateway.peer.GatewayControlService;
 import org.snowwind.gateway.peer.GatewayDirectory;
+import org.snowwind.gateway.peer.PeerConsumers;
 import org.snowwind.gateway.peer.PeerDocuments;
 import org.snowwind.gateway.peer.PeerMesh;
 import org.snowwind.gateway.peer.PeerTable;
+import org.snowwind.gateway.peer.PeerView;
 import org.snowwind.gateway.peer.StoreClaims;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendIncarnation;
@@ -45,10 +47,8 @@
 import org.snowwind.http.admin.AdminServer;
 import org.snowwind.http.client.JsonClient;
 import org.snowwind.http.client.UpstreamClient;
-import org.snowwind.http.server.HttpExchange;
 import org.snowwind.http.server.HttpLimits;
 import org.snowwind.http.server.HttpServer;
-import org.snowwind.http.server.Responses;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.DutyThread;
 import org.snowwind.model.event.Event;
@@ -90,10 +90,6 @@
 	/** The platform has this part of the table's bound to bring what a peer has. */
 	private static final int FETCHES_PER_BOUND = 4;
 
-	private static final int OK = 200;
-
-	private static final int UNAVAILABLE = 503;
-
 	private final GatewaySettings settings;
 
 	private final GatewayAdapters adapters;
@@ -119,6 +115,8 @@
 
 	private final BackendTable backends;
 
+	private final GatewayReadiness readiness;
+
 	private final AdminServer admin;
 
 	private final GatewayHandler handler;
@@ -160,8 +158,6 @@
 
 	private volatile long graceMillis;
 
-	private boolean ready;
-
 	/** Confined to the loop. */
 	private long seenSuspendedMillis;
 
@@ -179,14 +175,15 @@
 		this.copies = new StoreCopies(settings, adapters, rank, this.clock, this.random);
 		this.tables = this.copies.tables();
 		this.registries = this.copies.registries();
-		this.admin = new AdminServer(this.loop, this::adminReadiness);
+		this.readiness = new GatewayReadiness(this.tables, this.registries, this.backends, () -> this.draining);
+		this.admin = new AdminServer(this.loop, this.readiness::admin);
 		this.suspects = new SuspectDuty(adapters.store(), adapters.reads(), settings.name(), rank,
 				StoreCopies.watchMillis(settings, this.random), this.clock, this.random);
 		this.handler = new GatewayHandler(newContext(), this.tables, this.copies.tableFreshness());
 		HttpLimits limits = new HttpLimits(MAX_URI_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
 				HttpLimits.DEFAULT.readTimeoutMillis());
 		this.callerServer = new HttpServer(this.loop, limits, this.handler);
-		this.readinessServer = new HttpServer(this.loop, HttpLimits.DEFAULT, this::answerReadiness);
+		this.readinessServer = new HttpServer(this.loop, HttpLimits.DEFAULT, this.readiness::answer);
 		this.documents = new PeerDocuments(this.tables, this.copies.tableWatcher(), this.registries,
 				this.copies.registryPrefix());
 		String ownAddress = Addresses.render(settings.peers());
@@ -226,7 +223,7 @@
 	}
 
 	private boolean shouldPlanExperts() {
-		PeerMesh.View peers = this.mesh.view();
+		PeerView peers = this.mesh.view();
 		return !this.draining
 				&& this.experts.claim().stands(peers.plannerFence(), peers.recentNames(), this.settings.name());
 	}
@@ -356,31 +353,6 @@
 				"needsRestart", needsRestart);
 	}
 
-	// ---- readiness
-
-	private boolean readyNow() {
-		boolean nowReady = !this.draining && this.tables.current().version() > 0
-				&& this.backends.anyTakesNewWork(this.tables.current().services().keySet());
-		if (nowReady != this.ready) {
-			this.ready = nowReady;
-			EventLog.log(Event.GATEWAY_READINESS, "ready", nowReady, "draining", this.draining, "table",
-					this.tables.current().version(), "registry", this.registries.current().revision());
-		}
-		return nowReady;
-	}
-
-	private void answerReadiness(HttpExchange exchange) {
-		boolean nowReady = readyNow();
-		Responses.text(exchange, nowReady ? OK : UNAVAILABLE, nowReady ? "ready\n" : "not ready\n");
-	}
-
-	private AdminServer.Readiness adminReadiness() {
-		return readyNow() ? AdminServer.Readiness.READY
-				: new AdminServer.Readiness(false, this.draining ? "draining" : "no configuration or no server known");
-	}
-
-	// ---- the end
-
 	/**
 	 * Says that it is not ready, goes on serving until the balancer has noticed and open
 	 * requests have ended, and stops.
@@ -449,7 +421,7 @@
 	/**
 	 * Hands what peers say to the loop.
 	 */
-	private final class LoopConsumers implements PeerMesh.Consumers {
+	private final class LoopConsumers implements PeerConsumers {
 
 		@Override
 		public boolean isStoreUnavailable() {
--- a/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
+++ b/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
@@ -19,6 +19,7 @@
 import org.snowwind.store.Freshness;
 import org.snowwind.store.StoreListener;
 import org.snowwind.store.StoreWatch;
+import org.snowwind.store.WatchPace;
 
 /**
  * What a gateway holds of the platform's store to serve by, the route table and the
@@ -119,8 +120,8 @@
 		});
 	}
 
-	private StoreWatch.Pace tablePace(GatewaySettings settings) {
-		return new StoreWatch.Pace(watchMillis(settings, this.random), GATHER_MILLIS,
+	private WatchPace tablePace(GatewaySettings settings) {
+		return new WatchPace(watchMillis(settings, this.random), GATHER_MILLIS,
 				schedule(tablePrefix(), tableBoundMillis(settings)));
 	}
 
@@ -145,18 +146,17 @@
 		return Math.min(settings.inForceMillis(), settings.stableMillis());
 	}
 
-	private StoreWatch.Pace registryPace(GatewaySettings settings) {
+	private WatchPace registryPace(GatewaySettings settings) {
 		long gatherMillis = Math.max(GATHER_MILLIS, Math.min(MOST_GATHER_MILLIS, settings.drainMillis() / 4));
 		long boundMillis = Math.min(settings.drainMillis(), settings.stableMillis());
-		return new StoreWatch.Pace(watchMillis(settings, this.random), gatherMillis,
-				schedule(registryPrefix(), boundMillis));
+		return new WatchPace(watchMillis(settings, this.random), gatherMillis, schedule(registryPrefix(), boundMillis));
 	}
 
 	private ConfirmationSchedule schedule(String prefix, long boundMillis) {
 		return new ConfirmationSchedule(boundMillis, () -> this.rank.of(prefix));
 	}
 
-	private StoreWatch watch(String prefix, StoreWatch.Pace pace, StoreListener listener, Freshness freshness) {
+	private StoreWatch watch(String prefix, WatchPace pace, StoreListener listener, Freshness freshness) {
 		return new StoreWatch(this.adapters.reads(), prefix, pace, listener, freshness, this.clock, this.random);
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -9,7 +9,6 @@
 import java.util.function.Supplier;
 
 import org.snowwind.config.settings.Addresses;
-import org.snowwind.gateway.backend.SharedLimits;
 import org.snowwind.gateway.limit.LimitMessages;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.duty.DutyThread;
@@ -68,7 +67,7 @@
 
 	private final CallSchedule schedule;
 
-	private final Consumers consumers;
+	private final PeerConsumers consumers;
 
 	private final Map<String, ThriftLink<GatewayControl.AsyncClient>> links = new HashMap<>();
 
@@ -78,7 +77,7 @@
 
 	private final FleetSize fleet = new FleetSize();
 
-	private volatile View view = new View(FleetSize.UNKNOWN, Map.of(), Set.of(), Set.of(), 0, Set.of());
+	private volatile PeerView view = new PeerView(FleetSize.UNKNOWN, Map.of(), Set.of(), Set.of(), 0, Set.of());
 
 	/**
 	 * Creates a mesh that does not call peers yet.
@@ -93,7 +92,7 @@
 	 * @param clock provides the current time
 	 */
 	public PeerMesh(PeerTable peers, PeerDocuments documents, ThriftCalls calls, Supplier<GatewayReport> ownReport,
-			StoreClaims claims, long fetchGraceMillis, Consumers consumers, MonotonicClock clock) {
+			StoreClaims claims, long fetchGraceMillis, PeerConsumers consumers, MonotonicClock clock) {
 		this.peers = peers;
 		this.documents = documents;
 		this.calls = calls;
@@ -120,7 +119,7 @@
 	 * Returns the current view of the peers.
 	 * @return the view as of the last round or report
 	 */
-	public View view() {
+	public PeerView view() {
 		return this.view;
 	}
 
@@ -268,7 +267,7 @@
 	private void publish(long nowMillis) {
 		Set<String> live = Set.copyOf(this.peers.liveAddresses());
 		this.fleet.observe(this.peers.knownCount(), live.size());
-		this.view = new View(this.fleet.size(), Map.copyOf(this.peers.liveByName()), live,
+		this.view = new PeerView(this.fleet.size(), Map.copyOf(this.peers.liveByName()), live,
 				this.peers.recentNames(nowMillis), this.peers.plannerFence(nowMillis), this.peers.confirmingNames());
 		this.consumers.peersChanged(this.peers.inFlight(nowMillis), this.peers.unreportedFactor(nowMillis));
 	}
@@ -299,59 +298,4 @@
 		this.links.values().forEach(ThriftLink::close);
 	}
 
-	/**
-	 * The state of the other gateways as this process sees it.
-	 *
-	 * @param fleetSize the estimated number of gateways, including this one and
-	 * unreachable ones; 0 until a peer or the platform has been heard from
-	 * @param liveByName the control addresses of the live gateways that are not leaving,
-	 * by name
-	 * @param liveAddresses the control addresses of the live gateways
-	 * @param recentNames the names of the gateways that have reported within the
-	 * planner's timeout and are not leaving
-	 * @param plannerFence the highest fencing token under which a gateway that has
-	 * reported within the planner's timeout plans expert maps, 0 if none does
-	 * @param confirmingNames the names of the live gateways that are not leaving and
-	 * reach the store
-	 */
-	public record View(int fleetSize, Map<String, String> liveByName, Set<String> liveAddresses,
-			Set<String> recentNames, long plannerFence, Set<String> confirmingNames) {
-
-	}
-
-	/**
-	 * Receives what peers report.
-	 */
-	public interface Consumers {
-
-		/**
-		 * Returns whether the platform's store does not answer this process.
-		 * @return true if the store is unavailable
-		 */
-		boolean isStoreUnavailable();
-
-		/**
-		 * Called when a peer has reported the version of the route table that it has in
-		 * force.
-		 * @param version the version
-		 * @param peer the peer's control address
-		 */
-		void tableVersionReported(long version, String peer);
-
-		/**
-		 * Called when the in-flight requests of the peers may have changed.
-		 * @param inFlight the numbers of in-flight requests of all peers by server id
-		 * @param unreportedFactor the factor by which the in-flight requests of all peers
-		 * may exceed those of the peers that have reported, 1 or more
-		 */
-		void peersChanged(Map<String, Integer> inFlight, double unreportedFactor);
-
-		/**
-		 * Called when a peer has relayed the limits that servers reported.
-		 * @param words the reported limits, with times by the own clock
-		 */
-		void limitsReported(List<SharedLimits.LimitAnnouncement> words);
-
-	}
-
 }
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDuty.java
@@ -11,6 +11,7 @@
 import org.snowwind.store.Freshness;
 import org.snowwind.store.ObjectStore;
 import org.snowwind.store.StoreWatch;
+import org.snowwind.store.WatchPace;
 
 /**
  * Keeps the {@link SuspectBook} of this gateway on three threads: one takes note of what
@@ -60,7 +61,7 @@
 		this.freshness = new Freshness(clock);
 		ConfirmationSchedule schedule = new ConfirmationSchedule(BOUND_MILLIS, () -> rank.of(SuspectBook.PREFIX));
 		StoreWatch watch = new StoreWatch(reads, SuspectBook.PREFIX,
-				new StoreWatch.Pace(watchMillis, GATHER_MILLIS, schedule), this.book, this.freshness, clock, random);
+				new WatchPace(watchMillis, GATHER_MILLIS, schedule), this.book, this.freshness, clock, random);
 		this.thread = new DutyThread("suspects", RING_SIZE, TICK_MILLIS, this.book::forget);
 		this.writeThread = new DutyThread("suspect-writes", SMALL_RING, TICK_MILLIS, this.book::round);
 		this.watchThread = new DutyThread("suspect-watch", SMALL_RING, WATCH_TICK_MILLIS, watch::round);
--- a/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModel.java
@@ -22,6 +22,7 @@
 import org.snowwind.store.StoreListener;
 import org.snowwind.store.StoreWatch;
 import org.snowwind.store.StoredObject;
+import org.snowwind.store.WatchPace;
 import org.snowwind.store.WatchResult;
 import org.snowwind.wire.generated.CopyClaim;
 import org.snowwind.wire.generated.ExchangeStamp;
@@ -502,8 +503,8 @@
 			this.freshness = new Freshness(gateway.clock);
 			ConfirmationSchedule schedule = new ConfirmationSchedule(FreshnessModel.this.scenario.boundMillis(),
 					() -> rank.of(prefix));
-			this.watch = new StoreWatch(gateway, prefix, new StoreWatch.Pace(WAIT_MILLIS, GATHER_MILLIS, schedule),
-					this, this.freshness, gateway.clock, new Random(FreshnessModel.this.random.nextLong()));
+			this.watch = new StoreWatch(gateway, prefix, new WatchPace(WAIT_MILLIS, GATHER_MILLIS, schedule), this,
+					this.freshness, gateway.clock, new Random(FreshnessModel.this.random.nextLong()));
 			this.watch.onAnswer(() -> gateway.later(0, this::round));
 			FreshnessModel.this.store.changes.forEach(this::expect);
 		}
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -42,7 +42,7 @@
 
 	private final String prefix;
 
-	private final Pace pace;
+	private final WatchPace pace;
 
 	private final StoreListener listener;
 
@@ -99,8 +99,8 @@
 	 * @param clock the clock
 	 * @param random adds jitter to the backoff
 	 */
-	public StoreWatch(AsyncObjectStore store, String prefix, Pace pace, StoreListener listener, Freshness freshness,
-			MonotonicClock clock, RandomGenerator random) {
+	public StoreWatch(AsyncObjectStore store, String prefix, WatchPace pace, StoreListener listener,
+			Freshness freshness, MonotonicClock clock, RandomGenerator random) {
 		this.store = store;
 		this.prefix = prefix;
 		this.pace = pace;
@@ -358,18 +358,6 @@
 		}
 	}
 
-	/**
-	 * The timing of calls.
-	 *
-	 * @param waitMillis how long the store waits for a change, in milliseconds
-	 * @param gatherMillis the delay of the next call after a change, in milliseconds, so
-	 * that several changes need only one call
-	 * @param schedule decides when an inquiry is made
-	 */
-	public record Pace(long waitMillis, long gatherMillis, ConfirmationSchedule schedule) {
-
-	}
-
 	/**
 	 * Processes a response on the watch's thread.
 	 *
--- a/store/src/test/java/org/snowwind/store/StoreWatchTests.java
+++ b/store/src/test/java/org/snowwind/store/StoreWatchTests.java
@@ -34,7 +34,7 @@
 	private final Freshness freshness = new Freshness(this.clock);
 
 	private final StoreWatch watch = new StoreWatch(this.store, "kind/",
-			new StoreWatch.Pace(5000, 400, new ConfirmationSchedule(BOUND_MILLIS, () -> 0)), new Told(), this.freshness,
+			new WatchPace(5000, 400, new ConfirmationSchedule(BOUND_MILLIS, () -> 0)), new Told(), this.freshness,
 			this.clock, new Random(1));
 
 	private void rounds(int count) {
