--- a/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
+++ b/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
@@ -227,6 +227,7 @@
 			.builder("snowwind.gateway.registry.unconfirmed.millis", this.registryFreshness,
 					Freshness::unconfirmedMillis)
 			.register(registry);
+		Gauge.builder("snowwind.gateway.store.era", this.registryFreshness, Freshness::era).register(registry);
 		Gauge.builder("snowwind.gateway.servers.unreadable", this.registryWatcher, RegistryWatcher::unreadableCount)
 			.register(registry);
 	}
--- a/store/src/main/java/org/snowwind/store/Freshness.java
+++ b/store/src/main/java/org/snowwind/store/Freshness.java
@@ -121,6 +121,14 @@
 		return this.confirmed ? Math.max(0, this.clock.nowMillis() - this.confirmedMillis) : Long.MAX_VALUE;
 	}
 
+	/**
+	 * Returns the era of the store that the copy is of.
+	 * @return the era, 0 if the store reports none or has not answered
+	 */
+	public synchronized long era() {
+		return this.knownRevision.era();
+	}
+
 	/**
 	 * Returns whether the copy is confirmed as of a time.
 	 * @param millis the time, in milliseconds
