Take the listing of an empty store with an era for no configuration

An entry before an empty store that reports an era would have been ready and answered 404; the position before the first change has number 0 in any era. Found by reading; the test is new.

--- a/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
+++ b/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
@@ -96,6 +96,13 @@
 		return this.config.current().resources().find(ResourceKind.SERVICE, service).orElseThrow().generation();
 	}
 
+	@Test
+	void listingOfAnEmptyStoreIsNoConfiguration() {
+		this.store.lists.add(new ListResult.Listed(new EraRevision(1, 0), List.of()));
+		this.watcher.round();
+		assertThat(this.config.current().revision().isNone()).isTrue();
+	}
+
 	@Test
 	void configurationDoesNotGoBackWhenTheStoreIsRestored() {
 		this.store.lists.add(new ListResult.Listed(new EraRevision(1, 9),
--- a/model/src/main/java/org/snowwind/model/EraRevision.java
+++ b/model/src/main/java/org/snowwind/model/EraRevision.java
@@ -72,11 +72,11 @@
 	}
 
 	/**
-	 * Returns whether this is the position before all changes of a store without eras.
-	 * @return true for {@link #NONE}
+	 * Returns whether this is the position before all changes.
+	 * @return true if no change has this position
 	 */
 	public boolean isNone() {
-		return equals(NONE);
+		return this.number == 0;
 	}
 
 	/**
