Keep watches open in the test of a leaving behind silent watches

The store in memory broke waiting calls off when it was restored, which ended the silenced connections as well, so that the test passed on the code before the fix. Restored while it is silent it leaves them open now.

--- a/app/src/test/java/org/snowwind/app/soak/StoreDrillTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/StoreDrillTests.java
@@ -101,7 +101,9 @@
 	void leavingAfterADrillIsSeenByGatewaysWhoseWatchesWentSilent() throws Exception {
 		StoreCopy copy = loseChangesOfServers();
 		this.fleet.world().gateways().forEach((gateway) -> gateway.toStore().silenceOpenConnections());
+		this.fleet.world().store().fault(StoreFault.SILENT);
 		StoreCopy lost = this.fleet.world().store().restore(copy);
+		storeReturns();
 		this.fleet.world().store().writeAgain(lost, WRITTEN_AGAIN);
 		TimeUnit.MILLISECONDS.sleep(STABLE_MILLIS);
 		this.fleet.world().drains(this.leaving);
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
@@ -136,8 +136,7 @@
 		rebuild();
 	}
 
-	// The own document may have been lost. The listing that follows contains what is
-	// left.
+	// The own document may have been lost, at least its last changes.
 	@Override
 	public synchronized void restored(EraRevision before, EraRevision now) {
 		this.ownRevision = null;
