Tell era 0 from a response without an era

Callers: none seen. Cause: a header of 0 was read like a missing one, so that in a store whose eras begin at 0 a late response from before the first drill counted as one of the new era, and the first drill was not logged. Change: only a missing or unreadable header takes the newest era. Evidence: found by reading; StoreEraTests pass, and were not run on the code before.

--- a/model/src/main/java/org/snowwind/model/EraRevision.java
+++ b/model/src/main/java/org/snowwind/model/EraRevision.java
@@ -11,7 +11,7 @@
  * its last changes, gives out their numbers again, and begins a new era. Numbers of
  * different eras therefore cannot be compared.
  *
- * @param era the era, 0 for a store that reports none
+ * @param era the era, also 0 for a store that reports none
  * @param number the number of the change, 0 for the position before the first one
  */
 public record EraRevision(long era, long number) {
@@ -46,7 +46,7 @@
 	 * @return the revision
 	 * @throws IllegalArgumentException if the value is negative
 	 */
-	@JsonCreator
+	@JsonCreator(mode = JsonCreator.Mode.DELEGATING)
 	public static EraRevision ofLong(long encoded) {
 		return new EraRevision(encoded >> NUMBER_BITS, encoded & MAX_NUMBER);
 	}
@@ -99,7 +99,7 @@
 	}
 
 	/**
-	 * Returns the era and the number, or only the number if the store reports no era.
+	 * Returns the era and the number, or only the number in era 0.
 	 * @return for example {@code 2.74}
 	 */
 	@Override
--- a/store/src/main/java/org/snowwind/store/StoreEra.java
+++ b/store/src/main/java/org/snowwind/store/StoreEra.java
@@ -14,11 +14,9 @@
  */
 public final class StoreEra {
 
-	private static final long UNREPORTED = 0;
+	private static final long UNKNOWN = -1;
 
-	private static final long NOT_SEEN = -1;
-
-	private final AtomicLong newest = new AtomicLong(NOT_SEEN);
+	private final AtomicLong newest = new AtomicLong(UNKNOWN);
 
 	/**
 	 * Records the era in a response. Responses may arrive out of order.
@@ -27,11 +25,11 @@
 	 */
 	public long observe(String header) {
 		long era = parse(header);
-		if (era == UNREPORTED) {
+		if (era == UNKNOWN) {
 			return newest();
 		}
 		long before = this.newest.getAndAccumulate(era, Math::max);
-		if (before != NOT_SEEN && era > before) {
+		if (before != UNKNOWN && era > before) {
 			EventLog.log(Event.STORE_ERA_CHANGED, "eraBefore", before, "era", era);
 		}
 		return era;
@@ -42,19 +40,19 @@
 	 * @return the era, 0 if the store has reported none
 	 */
 	public long newest() {
-		return Math.max(UNREPORTED, this.newest.get());
+		return Math.max(0, this.newest.get());
 	}
 
+	// An unreadable header is treated like a missing one.
 	private static long parse(String header) {
 		if (header == null) {
-			return UNREPORTED;
+			return UNKNOWN;
 		}
 		try {
-			return Math.max(UNREPORTED, Long.parseLong(header.strip()));
+			return Math.max(UNKNOWN, Long.parseLong(header.strip()));
 		}
 		catch (NumberFormatException ex) {
-			// Treated like a store without eras.
-			return UNREPORTED;
+			return UNKNOWN;
 		}
 	}
 
