Let what is applied to a restored store replace a lost later generation

Callers: none seen. Cause: a listing of a new era did not replace a resource by a lower generation, also if that was applied after the drill, before the entry listed: acknowledged and not in force until the next change. Change: an object whose revision is not below that of the lost change was written after the store was restored, and counts; the same holds for resources that had been removed. What is written under a revision below that of the lost change in that time still does not count until its next change. Evidence: found by reading; a new test of PlatformWatcher passes, and was not run on the code before.

--- a/config/src/main/java/org/snowwind/config/snapshot/SnapshotBuilder.java
+++ b/config/src/main/java/org/snowwind/config/snapshot/SnapshotBuilder.java
@@ -51,14 +51,20 @@
 		values.forEach((value) -> admit(last, value, candidates, rejected));
 		last.resources().all().forEach((resource) -> {
 			Resource listed = candidates.get(resource.key());
-			boolean lost = listed == null || listed.generation() < resource.generation();
-			if (lost && resource.revision().era() < revision.era()) {
+			if (resource.revision().era() < revision.era() && isLost(resource, listed)) {
 				candidates.put(resource.key(), resource);
 			}
 		});
 		return settle(last, revision, candidates, rejected);
 	}
 
+	// Revisions up to that of the copy are the same in both eras, so that an object with
+	// a higher one was written after the store was restored.
+	private static boolean isLost(Resource resource, Resource listed) {
+		return listed == null || (listed.generation() < resource.generation()
+				&& listed.revision().number() < resource.revision().number());
+	}
+
 	/**
 	 * Makes a snapshot from changes.
 	 * @param last the snapshot in force
--- a/entry/src/main/java/org/snowwind/entry/config/ConfigHolder.java
+++ b/entry/src/main/java/org/snowwind/entry/config/ConfigHolder.java
@@ -94,15 +94,15 @@
 	}
 
 	/**
-	 * Returns whether an object of a restored store may be a resource that was removed
-	 * before, and is not in force.
+	 * Returns whether a resource is not in force and was removed in an earlier era, and
+	 * an object in a restored store is older than that.
 	 * @param key the resource
 	 * @param revision the object's revision
-	 * @return true if it may be an old copy
+	 * @return true if the object must not bring the resource back
 	 */
-	synchronized boolean mayBeRemoved(ResourceKey key, EraRevision revision) {
+	synchronized boolean isOlderThanRemoval(ResourceKey key, EraRevision revision) {
 		return this.current.resources().find(key.kind(), key.name()).isEmpty()
-				&& this.removals.mayBeRemoved(key, revision);
+				&& this.removals.isOlderThanRemoval(key, revision);
 	}
 
 	/**
--- a/entry/src/main/java/org/snowwind/entry/config/PlatformWatcher.java
+++ b/entry/src/main/java/org/snowwind/entry/config/PlatformWatcher.java
@@ -1,9 +1,11 @@
 package org.snowwind.entry.config;
 
 import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import org.snowwind.config.snapshot.Snapshot;
 import org.snowwind.config.snapshot.SnapshotBuilder;
@@ -128,34 +130,34 @@
 	private boolean useListing(ListResult.Listed listing) {
 		Snapshot last = this.config.current();
 		if (listing.revision().isNewerThan(last.revision())) {
-			List<RawValue> values = rawValues(listing.objects()).stream()
-				.filter((value) -> !mayBeRemoved(value))
-				.toList();
-			Snapshot next = this.builder.fromListing(last, listing.revision(), values);
+			Map<Boolean, List<RawValue>> values = rawValues(listing.objects()).stream()
+				.collect(Collectors.partitioningBy(this::isOlderThanRemoval));
+			Snapshot next = this.builder.fromListing(last, listing.revision(), values.get(false));
 			offer(next);
-			logKept(next);
+			logKept(next, values.get(true));
 		}
 		this.watchedRevision = listing.revision();
 		this.listed = true;
 		return true;
 	}
 
-	private boolean mayBeRemoved(RawValue value) {
+	private boolean isOlderThanRemoval(RawValue value) {
 		return SnapshotBuilder.keyOf(value.storeKey())
-			.map((key) -> this.config.mayBeRemoved(key, value.revision()))
+			.map((key) -> this.config.isOlderThanRemoval(key, value.revision()))
 			.orElse(false);
 	}
 
-	private void logKept(Snapshot next) {
+	private static void logKept(Snapshot next, List<RawValue> leftOut) {
 		List<ResourceKey> kept = next.resources()
 			.all()
 			.stream()
 			.filter((resource) -> resource.revision().era() < next.revision().era())
 			.map(Resource::key)
 			.toList();
-		if (!kept.isEmpty()) {
-			EventLog.log(Event.CONFIG_KEPT, "revision", next.revision(), "count", kept.size(), "resources",
-					kept.stream().limit(MAX_LOGGED).toList());
+		if (!kept.isEmpty() || !leftOut.isEmpty()) {
+			EventLog.log(Event.CONFIG_KEPT, "revision", next.revision(), "kept", kept.size(), "keptResources",
+					kept.stream().limit(MAX_LOGGED).toList(), "leftOut", leftOut.size(), "leftOutResources",
+					leftOut.stream().limit(MAX_LOGGED).map(RawValue::storeKey).toList());
 		}
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/config/Removals.java
+++ b/entry/src/main/java/org/snowwind/entry/config/Removals.java
@@ -53,15 +53,18 @@
 	}
 
 	/**
-	 * Returns whether an object of a restored store may be one that was removed before.
+	 * Returns whether an object in a restored store is older than the removal of its
+	 * resource in an earlier era. Revisions up to that of the copy are the same in both
+	 * eras.
 	 * @param key the resource
 	 * @param revision the object's revision
-	 * @return true if it was removed by a later change of an earlier era
+	 * @return true if it may have been removed since; also for a resource that was
+	 * created again under a revision that was given out again
 	 */
-	boolean mayBeRemoved(ResourceKey key, EraRevision revision) {
+	boolean isOlderThanRemoval(ResourceKey key, EraRevision revision) {
 		return this.recent.stream()
 			.anyMatch((removal) -> removal.key().equals(key) && removal.revision().era() < revision.era()
-					&& revision.number() <= removal.revision().number());
+					&& revision.number() < removal.revision().number());
 	}
 
 	private record Removal(EraRevision revision, ResourceKey key) {
--- a/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
+++ b/entry/src/test/java/org/snowwind/entry/config/PlatformWatcherTests.java
@@ -122,6 +122,19 @@
 		assertThat(this.config.current().revision()).isEqualTo(new EraRevision(2, 8));
 	}
 
+	@Test
+	void resourceThatWasAppliedToARestoredStoreReplacesALaterGenerationThatWasLost() {
+		this.store.lists
+			.add(new ListResult.Listed(new EraRevision(1, 9), List.of(service(new EraRevision(1, 9), "desk", 5))));
+		this.store.watches.add(new WatchResult.Gap());
+		this.store.lists
+			.add(new ListResult.Listed(new EraRevision(2, 9), List.of(service(new EraRevision(2, 9), "desk", 4))));
+		for (int i = 0; i < 3; i++) {
+			this.watcher.round();
+		}
+		assertThat(generationOf("desk")).isEqualTo(4);
+	}
+
 	@Test
 	void removedResourceDoesNotReturnWhenTheStoreIsRestored() {
 		StoredObject shop = service(new EraRevision(1, 5), "shop", 1);
