Take a revision out of range for no answer of the own platform, and test it at both

HttpObjectStore threw to its caller where PlatformObjectStore returns a result. The test of Freshness for negative claims had gone with the type of its arguments; StoreClaimsTests holds it where such values arrive.

--- a/gateway/src/test/java/org/snowwind/gateway/peer/StoreClaimsTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/StoreClaimsTests.java
@@ -107,6 +107,17 @@
 		assertThat(this.other.freshness.isBehind()).isFalse();
 	}
 
+	@Test
+	void claimsWithNegativeRevisionsAreIgnored() {
+		pass(100);
+		GatewayReport report = this.one.report();
+		report.setClaims(List.of(new CopyClaim(PREFIX, -7, -7, 0), new CopyClaim(PREFIX, -7, 7, 0),
+				new CopyClaim(PREFIX, 7, Long.MIN_VALUE, 0)));
+		this.other.claims.acceptAnswer("one:1", report, this.other.clock.nowMillis(), this.other.clock.nowMillis());
+		assertThat(this.other.freshness.unconfirmedMillis()).isEqualTo(100);
+		assertThat(this.other.freshness.isBehind()).isFalse();
+	}
+
 	@Test
 	void gatewayWithoutStoreAnswerDoesNotConfirm() {
 		pass(5000);
--- a/store/src/main/java/org/snowwind/store/HttpObjectStore.java
+++ b/store/src/main/java/org/snowwind/store/HttpObjectStore.java
@@ -66,7 +66,7 @@
 			EraRevision revision = new EraRevision(seenEra, answer.body().path("revision").asLong());
 			return new ListResult.Listed(revision, objectsOf(seenEra, answer.body().path("objects")));
 		}
-		catch (IOException ex) {
+		catch (IOException | IllegalArgumentException ex) {
 			return new ListResult.Away(reasonOf(ex));
 		}
 	}
@@ -83,7 +83,7 @@
 			}
 			return new GetResult.Found(objectOf(eraOf(answer), answer.body()));
 		}
-		catch (IOException ex) {
+		catch (IOException | IllegalArgumentException ex) {
 			return new GetResult.Away(reasonOf(ex));
 		}
 	}
@@ -113,7 +113,7 @@
 				default -> new WriteResult.Uncertain("status " + answer.status());
 			};
 		}
-		catch (IOException ex) {
+		catch (IOException | IllegalArgumentException ex) {
 			return new WriteResult.Uncertain(reasonOf(ex));
 		}
 	}
@@ -134,7 +134,7 @@
 			List<StoredObject> objects = objectsOf(seenEra, answer.body().path("objects"));
 			return new WatchResult.Changes(objects, lastRevision(objects, afterRevision));
 		}
-		catch (IOException ex) {
+		catch (IOException | IllegalArgumentException ex) {
 			return new WatchResult.Away(reasonOf(ex));
 		}
 	}
@@ -160,7 +160,7 @@
 		return URLEncoder.encode(text, StandardCharsets.UTF_8);
 	}
 
-	private static String reasonOf(IOException cause) {
+	private static String reasonOf(Exception cause) {
 		return String.valueOf(cause.getMessage());
 	}
 
