--- a/entry/src/main/java/org/snowwind/entry/burn/BurnWriter.java
+++ b/entry/src/main/java/org/snowwind/entry/burn/BurnWriter.java
@@ -78,7 +78,8 @@
 			.valueToTree(new BurnDocument(this.dataCentre, new ArrayList<>(hour.minutes), hour.lines()));
 		WriteResult result = this.store.put(key, hour.revision, value);
 		return result.match(new WriteResult.Cases<>((revision) -> hour.written(revision),
-				(revision) -> hour.standsAt(revision), (reason) -> false, (reason) -> hour.uncertain(this.store, key)));
+				(revision) -> hour.adoptRevision(revision), (reason) -> false,
+				(reason) -> hour.uncertain(this.store, key)));
 	}
 
 	private static final class Hour {
@@ -118,14 +119,15 @@
 		// Only this writer writes the object, so what stands there is a write of ours
 		// whose
 		// answer was lost; the next write goes on top of it.
-		private boolean standsAt(EraRevision standing) {
-			this.revision = standing;
+		private boolean adoptRevision(EraRevision current) {
+			this.revision = current;
 			return false;
 		}
 
 		private boolean uncertain(ObjectStore store, String key) {
 			store.get(key)
-				.match((object) -> standsAt(object.revision()), () -> standsAt(EraRevision.NONE), (reason) -> false);
+				.match((object) -> adoptRevision(object.revision()), () -> adoptRevision(EraRevision.NONE),
+						(reason) -> false);
 			return false;
 		}
 
--- a/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/expert/ExpertDuty.java
@@ -224,8 +224,8 @@
 		if (result instanceof WriteResult.Written written) {
 			this.given.set(0);
 			this.fence.set(written.revision().toLong());
-			EventLog.log(Event.EXPERT_DUTY_TAKEN, "fence", written.revision().toLong(), "claimed", written.revision(),
-					"before", revision);
+			EventLog.log(Event.EXPERT_DUTY_TAKEN, "fence", written.revision().toLong(), "claimRevision",
+					written.revision(), "before", revision);
 			return;
 		}
 		EventLog.log(Event.EXPERT_DUTY_NOT_CLAIMED, "reason", result);
--- a/gateway/src/main/java/org/snowwind/gateway/registry/Departures.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/Departures.java
@@ -1,17 +1,17 @@
 package org.snowwind.gateway.registry;
 
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 
 /**
  * Remembers which incarnations of servers were seen leaving, so that an older entry does
- * not return them to service. Confined to one thread.
+ * not return them to service. Not thread-safe.
  *
  * <p>
  * An incarnation that was seen draining does not become ready again. One whose entry was
@@ -39,7 +39,8 @@
 
 	};
 
-	private final Map<String, BackendEntry> kept = new HashMap<>();
+	/** The ids of the servers that are draining here and ready by their entry. */
+	private Set<String> olderEntries = Set.of();
 
 	private long unverifiedUntilMillis = Long.MIN_VALUE;
 
@@ -56,34 +57,37 @@
 		if (restored) {
 			this.unverifiedUntilMillis = nowMillis + UNVERIFIED_MILLIS;
 		}
+		recordRemoved(before, next);
+		next.servers().values().forEach((server) -> recordRegistered(server, next.revision().era(), nowMillis));
+		Map<String, BackendEntry> servers = new HashMap<>(next.servers());
+		servers.replaceAll((id, server) -> this.byId.containsKey(id) ? server.asDraining() : server);
+		logOlderEntries(next, servers);
+		return new Registry(next.revision(), servers);
+	}
+
+	private void recordRemoved(Registry before, Registry next) {
 		for (BackendEntry server : before.servers().values()) {
 			if (!next.servers().containsKey(server.id())) {
 				this.byId.put(server.id(), new Departure(server.incarnation(), next.revision().era()));
 			}
 		}
-		Map<String, BackendEntry> servers = new HashMap<>(next.servers());
-		servers.replaceAll(
-				(id, server) -> isLeaving(server, next.revision().era(), nowMillis) ? server.asDraining() : server);
-		log(next, servers);
-		return new Registry(next.revision(), servers);
 	}
 
-	private boolean isLeaving(BackendEntry server, long era, long nowMillis) {
+	private void recordRegistered(BackendEntry server, long era, long nowMillis) {
 		if (server.draining()) {
 			this.byId.put(server.id(), new Departure(server.incarnation(), Departure.REGISTERED));
-			return true;
+			return;
 		}
 		Departure departure = this.byId.get(server.id());
-		if (departure == null) {
-			return false;
-		}
-		boolean removed = departure.removedEra() != Departure.REGISTERED;
-		boolean returned = removed && (departure.removedEra() == era || nowMillis >= this.unverifiedUntilMillis);
-		if (returned || !departure.incarnation().mayEqual(server.incarnation())) {
+		if (departure != null && hasReturned(server, departure, era, nowMillis)) {
 			this.byId.remove(server.id());
-			return false;
 		}
-		return true;
+	}
+
+	private boolean hasReturned(BackendEntry server, Departure departure, long era, long nowMillis) {
+		boolean removed = departure.removedEra() != Departure.REGISTERED;
+		boolean verified = departure.removedEra() == era || nowMillis >= this.unverifiedUntilMillis;
+		return (removed && verified) || !departure.incarnation().mayEqual(server.incarnation());
 	}
 
 	/**
@@ -91,24 +95,21 @@
 	 * @return true if a server is kept draining that its entry does not show as draining
 	 */
 	boolean correctsEntries() {
-		return !this.kept.isEmpty();
+		return !this.olderEntries.isEmpty();
 	}
 
-	private void log(Registry next, Map<String, BackendEntry> corrected) {
-		List<BackendEntry> now = new ArrayList<>();
-		corrected.values().forEach((server) -> {
-			if (server.draining() && !next.servers().get(server.id()).draining()) {
-				now.add(server);
+	private void logOlderEntries(Registry next, Map<String, BackendEntry> corrected) {
+		Set<String> older = new HashSet<>();
+		corrected.forEach((id, server) -> {
+			if (server.draining() && !next.servers().get(id).draining()) {
+				older.add(id);
+				if (!this.olderEntries.contains(id)) {
+					EventLog.log(Event.SERVER_OLDER_ENTRY, "server", id, "bornMillis", server.bornMillis(), "registry",
+							next.revision());
+				}
 			}
 		});
-		for (BackendEntry server : now) {
-			if (!this.kept.containsKey(server.id())) {
-				EventLog.log(Event.SERVER_OLDER_ENTRY, "server", server.id(), "bornMillis", server.bornMillis(),
-						"registry", next.revision());
-			}
-		}
-		this.kept.clear();
-		now.forEach((server) -> this.kept.put(server.id(), server));
+		this.olderEntries = older;
 	}
 
 	/**
