Read settings of optional features, and the rate of cold servers

Cause: evacuations, cold servers and memory need bounds that some deployments set. Nothing read them. Change: OptionalFeatures holds them; all are off unless the settings name the feature. The configuration's rate of cold servers is part of ServiceEntry, and reports can tell evacuations.

--- a/app/src/main/java/org/snowwind/app/rehearse/Rehearsal.java
+++ b/app/src/main/java/org/snowwind/app/rehearse/Rehearsal.java
@@ -12,6 +12,7 @@
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.config.settings.GatewaySettings;
 import org.snowwind.config.settings.LogFormat;
+import org.snowwind.config.settings.OptionalFeatures;
 import org.snowwind.gateway.GatewayDaemon;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.client.JsonClient;
@@ -73,7 +74,7 @@
 
 	private static GatewaySettings settings(InetSocketAddress platform) {
 		return new GatewaySettings("rehearsal", "rehearsal", free(), free(), free(), free(), List.of(), platform, 1000,
-				1, 1, 1000, 2000, 2000, 3000, 20_000, LogFormat.JSON);
+				1, 1, 1000, 2000, 2000, 3000, 20_000, LogFormat.JSON, OptionalFeatures.NONE);
 	}
 
 	private static InetSocketAddress free() {
--- a/app/src/test/java/org/snowwind/app/proof/GatewayStopTests.java
+++ b/app/src/test/java/org/snowwind/app/proof/GatewayStopTests.java
@@ -12,6 +12,7 @@
 import org.snowwind.app.harness.Ports;
 import org.snowwind.config.settings.GatewaySettings;
 import org.snowwind.config.settings.LogFormat;
+import org.snowwind.config.settings.OptionalFeatures;
 import org.snowwind.gateway.GatewayDaemon;
 import org.snowwind.http.client.JsonClient;
 import org.snowwind.platform.PlatformAdapters;
@@ -32,7 +33,7 @@
 
 	private static GatewaySettings settings() throws IOException {
 		return new GatewaySettings("g", "dc", address(), address(), address(), address(), List.of(), address(),
-				GRACE_MILLIS, 0, 0, 1000, 2000, 2000, 3000, 20_000, LogFormat.JSON);
+				GRACE_MILLIS, 0, 0, 1000, 2000, 2000, 3000, 20_000, LogFormat.JSON, OptionalFeatures.NONE);
 	}
 
 	@Test
--- a/config/src/main/java/org/snowwind/config/settings/GatewaySettings.java
+++ b/config/src/main/java/org/snowwind/config/settings/GatewaySettings.java
@@ -26,11 +26,12 @@
  * @param historyMillis for how long the platform keeps changes for watches, in
  * milliseconds
  * @param logFormat how log lines look
+ * @param features what the deployment asks for beyond that
  */
 public record GatewaySettings(String name, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
 		InetSocketAddress peers, InetSocketAddress admin, List<InetSocketAddress> seeds, InetSocketAddress platform,
 		long graceMillis, double retryFraction, int retryExtra, long retryWindowMillis, long drainMillis,
-		long inForceMillis, long stableMillis, long historyMillis, LogFormat logFormat) {
+		long inForceMillis, long stableMillis, long historyMillis, LogFormat logFormat, OptionalFeatures features) {
 
 	private static final double MILLIS_PER_SECOND = 1000;
 
@@ -50,7 +51,7 @@
 				(long) reader.decimal("configuration.in_force_millis", 2000, 200, 600_000),
 				(long) reader.decimal("platform.stable_millis", 3000, 200, 600_000),
 				millis(reader.decimal("platform.history_seconds", 20, 1, 86_400)),
-				reader.oneOf("log.format", LogFormat.JSON));
+				reader.oneOf("log.format", LogFormat.JSON), OptionalFeatures.from(reader));
 	}
 
 	private static long millis(double seconds) {
--- a/config/src/main/java/org/snowwind/config/settings/SettingsReader.java
+++ b/config/src/main/java/org/snowwind/config/settings/SettingsReader.java
@@ -166,6 +166,25 @@
 		});
 	}
 
+	/**
+	 * Reads a list of texts.
+	 * @param key the key with its tables
+	 * @return the texts, empty when the key is absent
+	 */
+	public List<String> texts(String key) {
+		JsonNode node = find(key);
+		if (node.isMissingNode()) {
+			return List.of();
+		}
+		List<String> texts = new ArrayList<>();
+		node.forEach((element) -> texts.add(element.isTextual() ? element.textValue() : ""));
+		if (!node.isArray() || texts.contains("")) {
+			fault(key, node, "a list of texts", "write [\"places\"]");
+			return List.of();
+		}
+		return List.copyOf(texts);
+	}
+
 	/**
 	 * Reads one of the constants of an enum.
 	 * @param <E> the enum
--- a/config/src/test/java/org/snowwind/config/settings/GatewaySettingsTests.java
+++ b/config/src/test/java/org/snowwind/config/settings/GatewaySettingsTests.java
@@ -28,7 +28,9 @@
 			Map.entry("{{bounds.budgetRatio}}", "0.2"), Map.entry("{{bounds.budgetExtra}}", "92"),
 			Map.entry("{{bounds.budgetWindowS}}", "10"), Map.entry("{{bounds.drainMs}}", "2000"),
 			Map.entry("{{bounds.configMs}}", "3000"), Map.entry("{{bounds.stableWindowMs}}", "4000"),
-			Map.entry("{{platform.historyS}}", "21"));
+			Map.entry("{{platform.historyS}}", "21"), Map.entry("{{limits.memoryMb}}", "330"),
+			Map.entry("{{bounds.evacuationMs}}", "6000"), Map.entry("{{bounds.coldOver}}", "1.5"),
+			Map.entry("{{bounds.coldSlack}}", "5"));
 
 	@TempDir
 	private Path folder;
@@ -39,8 +41,10 @@
 		return SettingsReader.read(file, GatewaySettings::from);
 	}
 
-	private static String template() throws IOException {
-		String text = Files.readString(ROOT.resolve("platform/gateway.toml"));
+	private static String template(String features) throws IOException {
+		String text = Files.readString(ROOT.resolve("platform/gateway.toml"))
+			.replace("{{contracts|json}}", features)
+			.replaceAll("\\{\\{[#/][A-Za-z.]+}}\n", "");
 		for (Map.Entry<String, String> value : VALUES.entrySet()) {
 			text = text.replace(value.getKey(), value.getValue());
 		}
@@ -49,7 +53,7 @@
 
 	@Test
 	void theTemplateOfThePlatformIsValidOnceFilledIn() throws IOException {
-		GatewaySettings settings = read(template()).match((valid) -> valid, (faults) -> {
+		GatewaySettings settings = read(template("[\"base\"]")).match((valid) -> valid, (faults) -> {
 			throw new AssertionError(faults);
 		});
 		assertThat(settings.graceMillis()).isEqualTo(8000);
@@ -59,7 +63,27 @@
 		assertThat(settings.inForceMillis()).isEqualTo(3000);
 		assertThat(settings.stableMillis()).isEqualTo(4000);
 		assertThat(settings.historyMillis()).isEqualTo(21_000);
-		assertThat(template()).doesNotContain("{{");
+		assertThat(template("[\"base\"]")).doesNotContain("{{");
+	}
+
+	@Test
+	void featuresThatTheDeploymentDoesNotAskForAreOff() throws IOException {
+		OptionalFeatures features = read(template("[\"base\", \"experts\"]")).match(GatewaySettings::features,
+				(faults) -> null);
+		assertThat(features).isEqualTo(OptionalFeatures.NONE);
+	}
+
+	@Test
+	void featuresThatTheDeploymentAsksForHaveItsBounds() throws IOException {
+		OptionalFeatures features = read(template("[\"places\", \"pressure\"]")).match(GatewaySettings::features,
+				(faults) -> null);
+		assertThat(features).isEqualTo(new OptionalFeatures(6000, 1.5, 5, 330));
+	}
+
+	@Test
+	void featuresThatAreNoListOfTextsAreAFault() throws IOException {
+		List<SettingsFault> faults = read(template("[1]")).match((valid) -> List.of(), (found) -> found);
+		assertThat(faults).extracting(SettingsFault::key).contains("features");
 	}
 
 	@Test
@@ -71,7 +95,7 @@
 
 	@Test
 	void everyFaultIsListedAtOnce() throws IOException {
-		String broken = template().replace("fraction = 0.2", "fraction = \"some\"")
+		String broken = template("[\"base\"]").replace("fraction = 0.2", "fraction = \"some\"")
 			.replace("grace_seconds = 8", "grace_seconds = 0") + "\nnonsense = 1\n";
 		List<SettingsFault> faults = read(broken).match((valid) -> List.of(), (found) -> found);
 		assertThat(faults).extracting(SettingsFault::key)
--- a/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
@@ -117,7 +117,7 @@
 	 */
 	public ServiceEntry chooseService(Route route, RandomGenerator random) {
 		String name = route.chooseService(random);
-		return service(name).orElseGet(() -> new ServiceEntry(name, null));
+		return service(name).orElseGet(() -> new ServiceEntry(name, null, 0));
 	}
 
 	/**
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -129,7 +129,7 @@
 	/** Installs the same routes to a service whose servers are ranks of one group. */
 	GatewayFixture withRoutesToRanks() {
 		EngineProfile engine = new EngineProfile(8, 300_000, 6, 5, 0.5, 0.01, 70_000, 6, 64, 11, 4, 1700, 92_000, 0.85);
-		return withRoutes(Map.of("service", new ServiceEntry("service", engine)));
+		return withRoutes(Map.of("service", new ServiceEntry("service", engine, 0)));
 	}
 
 	private GatewayFixture withRoutes(Map<String, ServiceEntry> services) {
--- a/wire/snowwind.thrift
+++ b/wire/snowwind.thrift
@@ -105,6 +105,14 @@
   4: i64 ageMillis
 }
 
+/** What is known of the evacuation of a data centre. */
+struct EvacuationNews {
+  1: string dataCentre
+  /** The revision of the store at which it was asked for or, if it has ended, at which its end was seen. */
+  2: i64 revision
+  3: bool ended
+}
+
 /** What a gateway tells another one about itself. */
 struct GatewayReport {
   1: string name
@@ -127,6 +135,8 @@
   12: optional i64 composedMillis
   /** Whether the store does not answer the sender. */
   13: optional bool storeAway
+  /** The evacuations that the sender knows of; not set if it does not look for them. */
+  14: optional list<EvacuationNews> evacuations
 }
 
 /** What a gateway claims of its copy of the store's objects below a prefix. */
