Send nothing to the servers of an evacuated data centre

Change: EvacuationBook keeps the newest news of each data centre, from the store and from peers' reports; three gateways keep a call waiting, the others learn from reports and ask when their copy is too old. Servers of an evacuated data centre take no new work but stay ranks of their group; afterwards their share of new requests rises over 3 s. Off unless the settings ask for it.

--- a/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
@@ -90,7 +90,7 @@
 		this.state = new AgentState(settings.name(), incarnation, ledger, lanes(ledger, weights), weights);
 		AttemptHandler handler = new AttemptHandler(this.state, this.clock, settings.fleetCredential());
 		this.server = new HttpServer(this.loop, HttpLimits.DEFAULT, handler);
-		this.admin = new AdminServer(this.loop, this::readiness);
+		this.admin = new AdminServer(this.loop, this::readiness, Map.of());
 		registerMeters(this.admin.registry());
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
@@ -140,7 +140,7 @@
 		this.claims = new ClaimDuty(this.store);
 		this.burnWriter = new BurnWriter(this.store, settings.dataCentre(),
 				settings.name() + "-" + Long.toHexString(this.sequence.incarnation()));
-		this.admin = new AdminServer(this.loop, this::readiness);
+		this.admin = new AdminServer(this.loop, this::readiness, Map.of());
 		this.callers = new CallerHandler(newContext(), this.config, this.claims);
 		HttpLimits limits = new HttpLimits(HttpLimits.DEFAULT.maxUriBytes(), HttpLimits.DEFAULT.maxHeaderBytes(),
 				settings.maxConnections(), HttpLimits.DEFAULT.readTimeoutMillis());
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayAdapters.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayAdapters.java
@@ -1,5 +1,6 @@
 package org.snowwind.gateway;
 
+import org.snowwind.gateway.evacuation.EvacuationDecoder;
 import org.snowwind.gateway.expert.RankProtocol;
 import org.snowwind.gateway.registry.RegistryDecoder;
 import org.snowwind.gateway.request.BackendDialect;
@@ -14,10 +15,11 @@
  * @param reads the same, for calls whose answers are not waited for
  * @param tables reads route tables
  * @param servers reads backend servers
+ * @param evacuations reads evacuations of data centres
  * @param dialect names what is said in headers
  * @param ranks names what is said to ranks of groups
  */
 public record GatewayAdapters(ObjectStore store, AsyncObjectStore reads, TableDecoder tables, RegistryDecoder servers,
-		BackendDialect dialect, RankProtocol ranks) {
+		EvacuationDecoder evacuations, BackendDialect dialect, RankProtocol ranks) {
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -18,6 +18,7 @@
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
 import org.snowwind.gateway.backend.SharedLimits;
+import org.snowwind.gateway.evacuation.EvacuationDuty;
 import org.snowwind.gateway.expert.ExpertDuty;
 import org.snowwind.gateway.expert.GroupDirectory;
 import org.snowwind.gateway.peer.ConfirmationRank;
@@ -141,6 +142,8 @@
 
 	private final SuspectDuty suspects;
 
+	private final EvacuationDuty evacuations;
+
 	private final GatewayLimits limits;
 
 	private ThriftServer control;
@@ -176,9 +179,10 @@
 		this.tables = this.copies.tables();
 		this.registries = this.copies.registries();
 		this.readiness = new GatewayReadiness(this.tables, this.registries, this.backends, () -> this.draining);
-		this.admin = new AdminServer(this.loop, this.readiness::admin);
+		this.admin = new AdminServer(this.loop, this.readiness::admin, Map.of("/evacuations", this::evacuationsPage));
 		this.suspects = new SuspectDuty(adapters.store(), adapters.reads(), settings.name(), rank,
 				StoreCopies.watchMillis(settings, this.random), this.clock, this.random);
+		this.evacuations = newEvacuations(rank);
 		this.handler = new GatewayHandler(newContext(), this.tables, this.copies.tableFreshness());
 		HttpLimits limits = new HttpLimits(MAX_URI_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
 				HttpLimits.DEFAULT.readTimeoutMillis());
@@ -211,13 +215,35 @@
 	private Map<String, Freshness> storeFreshness() {
 		Map<String, Freshness> freshness = new HashMap<>(this.copies.freshness());
 		freshness.put(SuspectBook.PREFIX, this.suspects.freshness());
+		freshness.putAll(this.evacuations.freshness());
 		return freshness;
 	}
 
+	private EvacuationDuty newEvacuations(ConfirmationRank rank) {
+		long boundMillis = Math.min(this.settings.features().evacuationMillis(), this.settings.stableMillis());
+		return new EvacuationDuty(this.settings.name(),
+				new EvacuationDuty.StoreAccess(this.adapters.reads(), this.adapters.evacuations()),
+				new EvacuationDuty.Timing(boundMillis, StoreCopies.watchMillis(this.settings, this.random), rank),
+				(dataCentres) -> this.loop.run(() -> this.backends.evacuate(dataCentres)), this.clock, this.random);
+	}
+
 	private Set<BackendIncarnation> registeredRuns() {
 		return this.registries.current().list().stream().map(BackendEntry::incarnation).collect(Collectors.toSet());
 	}
 
+	private String evacuationsPage() {
+		return this.evacuations.describe(this.mesh.view().liveByName().keySet());
+	}
+
+	private Set<String> dataCentres() {
+		return this.registries.current()
+			.servers()
+			.values()
+			.stream()
+			.map(BackendEntry::dataCentre)
+			.collect(Collectors.toSet());
+	}
+
 	private boolean plansExperts() {
 		return this.experts.fence() != 0;
 	}
@@ -253,6 +279,7 @@
 		Gauge.builder("snowwind.gateway.open.requests", this.handler, GatewayHandler::openRequestCount)
 			.register(registry);
 		this.copies.registerMeters(registry);
+		this.evacuations.registerMeters(registry, this::dataCentres);
 		Gauge.builder("snowwind.gateway.requests.suspected", () -> this.suspects.view().suspects().size())
 			.register(registry);
 		Gauge.builder("snowwind.gateway.requests.blamed", () -> this.suspects.view().blamed().size())
@@ -279,6 +306,7 @@
 		this.mesh.start(this.settings.seeds());
 		this.directoryThread.start();
 		this.suspects.start();
+		this.evacuations.start();
 		this.limits.start();
 		this.experts.start();
 		this.groupThread.start();
@@ -335,6 +363,7 @@
 				Addresses.render(this.settings.peers()), this.draining, this.tables.current().version(),
 				this.registries.current().revision().toLong(), this.inFlight, List.of(), this.experts.fence());
 		this.claims.addClaims(report);
+		this.evacuations.addNews(report);
 		report.setStoreAway(this.copies.isStoreAway());
 		return report.setLimits(this.limits.news());
 	}
@@ -374,6 +403,7 @@
 		this.copies.close();
 		this.directoryThread.close();
 		this.suspects.close();
+		this.evacuations.close();
 		this.limits.close();
 		this.experts.close();
 		this.groupThread.close();
@@ -439,6 +469,11 @@
 				.run(() -> GatewayDaemon.this.backends.updatePeersInFlight(peersInFlight, unheardFactor));
 		}
 
+		@Override
+		public void reported(GatewayReport report) {
+			GatewayDaemon.this.evacuations.applyReport(report);
+		}
+
 		@Override
 		public void limitsReported(List<SharedLimits.LimitAnnouncement> words) {
 			GatewayDaemon.this.limits.heard(words);
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayReadiness.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayReadiness.java
@@ -47,7 +47,7 @@
 
 	private boolean isReady() {
 		boolean nowReady = !this.draining.getAsBoolean() && this.tables.current().version() > 0
-				&& this.backends.anyTakesNewWork(this.tables.current().services().keySet());
+				&& this.backends.anyInService(this.tables.current().services().keySet());
 		if (nowReady != this.ready) {
 			this.ready = nowReady;
 			EventLog.log(Event.GATEWAY_READINESS, "ready", nowReady, "draining", this.draining.getAsBoolean(), "table",
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -1,6 +1,7 @@
 package org.snowwind.gateway.backend;
 
 import org.snowwind.decide.choice.CircuitBreaker;
+import org.snowwind.decide.choice.SlowStart;
 import org.snowwind.decide.notice.RampUp;
 import org.snowwind.decide.notice.ServerNotice;
 import org.snowwind.gateway.registry.BackendEntry;
@@ -43,6 +44,10 @@
 
 	private boolean ejected;
 
+	private boolean evacuated;
+
+	private SlowStart returning = SlowStart.NONE;
+
 	private GroupLoad group;
 
 	private int inFlight;
@@ -121,13 +126,40 @@
 	}
 
 	/**
-	 * Returns whether the server accepts new work.
+	 * Returns whether the server is in service, also if it must get no new work now.
 	 * @return false if it is leaving or its entry was removed
 	 */
-	public boolean takesNewWork() {
+	boolean isInService() {
 		return !this.removed && !this.notices.isLeaving() && !this.entry.draining();
 	}
 
+	/**
+	 * Returns whether the server may be sent new work.
+	 * @return false if it is leaving, its entry was removed or its data centre is
+	 * evacuated
+	 */
+	public boolean takesNewWork() {
+		return isInService() && !this.evacuated;
+	}
+
+	boolean isEvacuated() {
+		return this.evacuated;
+	}
+
+	/**
+	 * Records whether the data centre of the server is evacuated.
+	 * @param nowEvacuated whether it is
+	 * @param returnMillis how long the share of new requests rises after an evacuation,
+	 * in milliseconds
+	 * @param nowMillis the time, in milliseconds
+	 */
+	void evacuated(boolean nowEvacuated, long returnMillis, long nowMillis) {
+		if (this.evacuated && !nowEvacuated) {
+			this.returning = new SlowStart(nowMillis, returnMillis);
+		}
+		this.evacuated = nowEvacuated;
+	}
+
 	/**
 	 * Returns whether a request may be sent to the server. This is checked right before
 	 * each send: of first attempts, retries, resumed streams and requests that waited.
@@ -322,7 +354,7 @@
 	 */
 	public BackendView view(long nowMillis) {
 		return new BackendView(id(), load(), this.entry.slots(), this.answerMillis, failureRate(nowMillis),
-				this.breaker.slowStartFactor(nowMillis));
+				this.breaker.slowStartFactor(nowMillis) * this.returning.factor(nowMillis));
 	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -48,6 +48,8 @@
 
 	private final SharedLimits limits;
 
+	private final EvacuatedServers evacuated = new EvacuatedServers();
+
 	private EraRevision revision = EraRevision.NONE;
 
 	private double unreportedFactor = 1;
@@ -95,6 +97,15 @@
 		updateGroupCounts();
 	}
 
+	/**
+	 * Applies the evacuations in force.
+	 * @param dataCentres the names of the data centres whose servers get no new requests
+	 */
+	public void evacuate(Set<String> dataCentres) {
+		this.evacuated.update(dataCentres, this.byId.values(), this.clock.nowMillis());
+		updateGroupCounts();
+	}
+
 	private void remove(String id) {
 		Backend backend = this.byId.remove(id);
 		backend.remove();
@@ -111,7 +122,9 @@
 			existing = null;
 		}
 		if (existing == null) {
-			this.byId.put(entry.id(), new Backend(entry, this.removedNotices.take(entry.incarnation())));
+			Backend added = new Backend(entry, this.removedNotices.take(entry.incarnation()));
+			this.byId.put(entry.id(), added);
+			this.evacuated.apply(added, this.clock.nowMillis());
 			EventLog.log(Event.SERVER_ADDED, "server", entry.id(), "service", entry.service(), "address",
 					entry.address(), "dataCentre", entry.dataCentre(), "draining", entry.draining(), "registry",
 					this.revision);
@@ -121,6 +134,7 @@
 			EventLog.log(Event.SERVER_DRAINING, "server", entry.id(), "source", "registry", "registry", this.revision);
 		}
 		existing.entry(entry);
+		this.evacuated.apply(existing, this.clock.nowMillis());
 	}
 
 	/**
@@ -192,15 +206,16 @@
 	}
 
 	/**
-	 * Returns whether any server of the configured services accepts new work.
+	 * Returns whether any server of the configured services is in service. An evacuation
+	 * is no fault of this process, so evacuated servers count.
 	 * @param services the configured services; a server of another service gets no
 	 * requests
-	 * @return true if at least one does
+	 * @return true if at least one is
 	 */
-	public boolean anyTakesNewWork(Set<String> services) {
+	public boolean anyInService(Set<String> services) {
 		return this.byId.values()
 			.stream()
-			.anyMatch((backend) -> backend.takesNewWork() && services.contains(backend.entry().service()));
+			.anyMatch((backend) -> backend.isInService() && services.contains(backend.entry().service()));
 	}
 
 	/**
@@ -277,8 +292,10 @@
 	 * @return the outage, {@link ServiceOutage#NONE} if a server may accept a request
 	 */
 	public ServiceOutage outage(String service) {
-		List<Backend> serving = serversOf(service).stream().filter(Backend::takesNewWork).toList();
-		return ServiceOutage.of(serving, this.clock.nowMillis());
+		List<Backend> inService = serversOf(service).stream().filter(Backend::isInService).toList();
+		List<Backend> serving = inService.stream().filter(Backend::takesNewWork).toList();
+		boolean allEvacuated = serving.isEmpty() && !inService.isEmpty();
+		return allEvacuated ? ServiceOutage.WITHOUT_RETURN : ServiceOutage.of(serving, this.clock.nowMillis());
 	}
 
 	/**
@@ -314,17 +331,14 @@
 	}
 
 	private void updateGroupCounts() {
-		Map<GroupLoad, Integer> ranks = new HashMap<>();
-		Map<GroupLoad, Integer> loads = new HashMap<>();
+		Map<GroupLoad, GroupLoad.Counts> counts = new HashMap<>();
 		for (Backend backend : this.byId.values()) {
 			if (backend.group() != null) {
-				ranks.merge(backend.group(), 1, Integer::sum);
-				loads.merge(backend.group(), backend.load(), Integer::sum);
+				counts.merge(backend.group(), GroupLoad.Counts.of(backend), GroupLoad.Counts::plus);
 			}
 		}
-		this.groups.values().removeIf((group) -> !ranks.containsKey(group));
-		ranks.forEach((group, count) -> group.updateCounts(count,
-				(int) Math.round(this.unreportedFactor * loads.get(group))));
+		this.groups.values().removeIf((group) -> !counts.containsKey(group));
+		counts.forEach((group, count) -> group.updateCounts(count, this.unreportedFactor));
 	}
 
 	private static boolean isEligible(Backend backend, String service, Set<String> tried) {
--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -36,7 +36,7 @@
 
 	private final String name;
 
-	private int ranks;
+	private Counts counts = Counts.NONE;
 
 	private int load;
 
@@ -73,9 +73,9 @@
 		return this.name;
 	}
 
-	void updateCounts(int nowRanks, int nowLoad) {
-		this.ranks = nowRanks;
-		this.load = nowLoad;
+	void updateCounts(Counts nowCounts, double unreportedFactor) {
+		this.counts = nowCounts;
+		this.load = (int) Math.round(unreportedFactor * nowCounts.load());
 	}
 
 	void sent() {
@@ -160,7 +160,7 @@
 	 * @return a number of requests
 	 */
 	int limit(long pauseTargetMillis, EngineProfile profile, long nowMillis) {
-		int slots = this.ranks * profile.slots();
+		int slots = this.counts.usableRanks() * profile.slots() + this.counts.evacuatedLoad();
 		GroupLimit.Parameters parameters = new GroupLimit.Parameters(slots, emptyPassMillis(profile),
 				pauseTargetMillis);
 		return this.limit.limit(this.passes, parameters, nowMillis);
@@ -247,4 +247,27 @@
 		return !this.closed || (nowMillis >= this.closedUntilMillis && !this.probeInFlight);
 	}
 
+	/**
+	 * The ranks and requests of a group. Requests that still run on evacuated ranks take
+	 * part in each pass, but the slots there are not available.
+	 *
+	 * @param usableRanks the number of ranks that are not evacuated
+	 * @param load the number of requests on all ranks
+	 * @param evacuatedLoad the number of requests on evacuated ranks
+	 */
+	record Counts(int usableRanks, int load, int evacuatedLoad) {
+
+		static final Counts NONE = new Counts(0, 0, 0);
+
+		static Counts of(Backend rank) {
+			return rank.isEvacuated() ? new Counts(0, rank.load(), rank.load()) : new Counts(1, rank.load(), 0);
+		}
+
+		Counts plus(Counts other) {
+			return new Counts(this.usableRanks + other.usableRanks, this.load + other.load,
+					this.evacuatedLoad + other.evacuatedLoad);
+		}
+
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/backend/ServiceOutage.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/ServiceOutage.java
@@ -15,6 +15,9 @@
 	/** No outage: a server of the service may accept a request. */
 	public static final ServiceOutage NONE = new ServiceOutage(false, List.of());
 
+	/** All servers reject requests, and none of them is known to return. */
+	static final ServiceOutage WITHOUT_RETURN = new ServiceOutage(true, List.of());
+
 	static ServiceOutage of(List<Backend> serving, long nowMillis) {
 		if (serving.isEmpty() || serving.stream().anyMatch((backend) -> isAvailable(backend, nowMillis))) {
 			return NONE;
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerConsumers.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerConsumers.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.snowwind.gateway.backend.SharedLimits;
+import org.snowwind.wire.generated.GatewayReport;
 
 /**
  * Receives what peers report.
@@ -38,4 +39,10 @@
 	 */
 	void limitsReported(List<SharedLimits.LimitAnnouncement> words);
 
+	/**
+	 * Called with each report of a peer.
+	 * @param report the report
+	 */
+	void reported(GatewayReport report);
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerMesh.java
@@ -213,6 +213,7 @@
 	private void handleReport(GatewayReport report) {
 		long nowMillis = this.clock.nowMillis();
 		this.peers.acceptReport(report, nowMillis);
+		this.consumers.reported(report);
 		if (report.isSetLimits() && !report.getLimits().isEmpty()) {
 			this.consumers.limitsReported(LimitMessages.fromMessages(report.getLimits(), nowMillis));
 		}
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -237,8 +237,8 @@
 	@Test
 	void serverOfUnconfiguredServiceDoesNotCountAsTakingNewWork() {
 		register(server("a", false));
-		assertThat(this.table.anyTakesNewWork(Set.of("other"))).isFalse();
-		assertThat(this.table.anyTakesNewWork(Set.of("s"))).isTrue();
+		assertThat(this.table.anyInService(Set.of("other"))).isFalse();
+		assertThat(this.table.anyInService(Set.of("s"))).isTrue();
 	}
 
 	private void announce(long retryAfterMillis, boolean leaving) {
--- a/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
@@ -22,7 +22,7 @@
 	private final GroupLoad group = new GroupLoad("g");
 
 	private void observePasses(int load, long passMillis, int events, long nowMillis) {
-		this.group.updateCounts(8, load);
+		this.group.updateCounts(new GroupLoad.Counts(8, load, 0), 1);
 		for (int i = 0; i < events; i++) {
 			this.group.onPause(passMillis, TARGET_MILLIS, PROFILE, nowMillis);
 		}
@@ -34,7 +34,7 @@
 
 	@Test
 	void allSlotsAreUsedBeforeFirstObservation() {
-		this.group.updateCounts(8, 0);
+		this.group.updateCounts(new GroupLoad.Counts(8, 0, 0), 1);
 		assertThat(limit(0)).isEqualTo(SLOTS);
 	}
 
@@ -104,7 +104,7 @@
 	@Test
 	void groupWithoutEventsOnAnyStreamGetsNoNewRequests() {
 		ServerRequirements requirements = new ServerRequirements("s", Set.of(), 0, PROFILE, TARGET_MILLIS);
-		this.group.updateCounts(8, 2);
+		this.group.updateCounts(new GroupLoad.Counts(8, 2, 0), 1);
 		this.group.streamBegan(1000);
 		assertThat(this.group.freeShare(requirements, 1400)).isPositive();
 		assertThat(this.group.freeShare(requirements, 1600)).isZero();
@@ -116,7 +116,7 @@
 	@Test
 	void groupWithoutStreamsIsNotStalled() {
 		ServerRequirements requirements = new ServerRequirements("s", Set.of(), 0, PROFILE, TARGET_MILLIS);
-		this.group.updateCounts(8, 0);
+		this.group.updateCounts(new GroupLoad.Counts(8, 0, 0), 1);
 		this.group.streamBegan(1000);
 		this.group.removeStreams(1);
 		assertThat(this.group.freeShare(requirements, 60_000)).isPositive();
--- a/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModel.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModel.java
@@ -247,18 +247,25 @@
 	 * @param startWithinMillis the time within which all gateways start, in milliseconds
 	 * @param countFromMillis the time from which calls are counted, in milliseconds
 	 * @param endMillis when the simulation ends, in milliseconds
+	 * @param waitingGateways the number of gateways that keep a call waiting for changes
 	 */
 	record Scenario(int gateways, long boundMillis, Set<Fault> faults, long faultsEndMillis, int changes,
-			long startWithinMillis, long countFromMillis, long endMillis) {
+			long startWithinMillis, long countFromMillis, long endMillis, int waitingGateways) {
 
 		static Scenario quiet(int gateways, long boundMillis, long startWithinMillis, long countFromMillis,
 				long endMillis) {
-			return new Scenario(gateways, boundMillis, Set.of(), 0, 0, startWithinMillis, countFromMillis, endMillis);
+			return new Scenario(gateways, boundMillis, Set.of(), 0, 0, startWithinMillis, countFromMillis, endMillis,
+					gateways);
 		}
 
 		static Scenario disrupted(int gateways, long boundMillis, Set<Fault> faults, long faultsEndMillis) {
 			return new Scenario(gateways, boundMillis, faults, faultsEndMillis, CHANGES, 1000, 0,
-					faultsEndMillis + LAST_CHANGE_MILLIS + boundMillis + 1000);
+					faultsEndMillis + LAST_CHANGE_MILLIS + boundMillis + 1000, gateways);
+		}
+
+		Scenario withWaiting(int nowWaitingGateways) {
+			return new Scenario(this.gateways, this.boundMillis, this.faults, this.faultsEndMillis, this.changes,
+					this.startWithinMillis, this.countFromMillis, this.endMillis, nowWaitingGateways);
 		}
 
 	}
@@ -282,6 +289,10 @@
 			return this.calls.values().stream().mapToInt(Integer::intValue).max().orElse(0);
 		}
 
+		int totalCalls() {
+			return this.calls.values().stream().mapToInt(Integer::intValue).sum();
+		}
+
 		List<String> falseConfirmations() {
 			return this.falseConfirmations;
 		}
@@ -503,8 +514,10 @@
 			this.freshness = new Freshness(gateway.clock);
 			ConfirmationSchedule schedule = new ConfirmationSchedule(FreshnessModel.this.scenario.boundMillis(),
 					() -> rank.of(prefix));
-			this.watch = new StoreWatch(gateway, prefix, new WatchPace(WAIT_MILLIS, GATHER_MILLIS, schedule), this,
-					this.freshness, gateway.clock, new Random(FreshnessModel.this.random.nextLong()));
+			this.watch = new StoreWatch(gateway, prefix,
+					new WatchPace(WAIT_MILLIS, GATHER_MILLIS, schedule,
+							() -> rank.of(prefix) < FreshnessModel.this.scenario.waitingGateways()),
+					this, this.freshness, gateway.clock, new Random(FreshnessModel.this.random.nextLong()));
 			this.watch.onAnswer(() -> gateway.later(0, this::round));
 			FreshnessModel.this.store.changes.forEach(this::expect);
 		}
--- a/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModelTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/FreshnessModelTests.java
@@ -23,6 +23,8 @@
 
 	private static final int CALLS_PER_MINUTE = 12;
 
+	private static final int FEW_WAITING = 3;
+
 	private static final long FAULTS_END_MILLIS = 14_000;
 
 	private static final long SHORT_FAULTS_END_MILLIS = 3000;
@@ -123,6 +125,31 @@
 				FreshnessModelTests::hasNoFalseConfirmationBeforeListing);
 	}
 
+	@ParameterizedTest
+	@EnumSource(Fault.class)
+	void changesArriveInTimeWhereFewGatewaysWaitForThem(Fault fault) {
+		for (int gateways : new int[] { 7, 37 }) {
+			FreshnessModel.Result result = new FreshnessModel(
+					FreshnessModel.Scenario.disrupted(gateways, 4000, EnumSet.of(fault), FAULTS_END_MILLIS)
+						.withWaiting(FEW_WAITING),
+					1)
+				.run();
+			hasNoFalseConfirmation(result, 4000, fault + " at " + gateways);
+			changesArriveInTime(result, 4000, fault + " at " + gateways);
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "30", "66" })
+	void quietFleetInWhichFewGatewaysWaitMakesFewCalls(int gateways) {
+		FreshnessModel.Result result = new FreshnessModel(
+				FreshnessModel.Scenario.quiet(gateways, 4000, 0, 5000, 65_000).withWaiting(FEW_WAITING), 1)
+			.run();
+		// One each 0.58 of the bound and three that wait 15 s, for each of two copies,
+		// and as many again for calls that overlap.
+		assertThat(result.totalCalls()).isLessThanOrEqualTo(2 * 2 * (60_000 / 2320 + 3 * 4));
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "7, 2000, 0", "7, 3000, 4000", "32, 2000, 0", "32, 4000, 4000", "49, 2000, 0", "49, 3000, 4000" })
 	void quietFleetMakesFewCalls(int gateways, long boundMillis, long startWithinMillis) {
--- a/http/src/main/java/org/snowwind/http/admin/AdminServer.java
+++ b/http/src/main/java/org/snowwind/http/admin/AdminServer.java
@@ -1,6 +1,7 @@
 package org.snowwind.http.admin;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.function.Supplier;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -26,13 +27,17 @@
 
 	private final Supplier<Readiness> readiness;
 
+	private final Map<String, Supplier<String>> pages;
+
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param loop the thread that carries it; an answer also shows that the loop turns
 	 * @param readiness asked for each {@code /readyz}
+	 * @param pages the text of further pages, by their paths
 	 */
-	public AdminServer(DataLoop loop, Supplier<Readiness> readiness) {
+	public AdminServer(DataLoop loop, Supplier<Readiness> readiness, Map<String, Supplier<String>> pages) {
 		this.readiness = readiness;
+		this.pages = Map.copyOf(pages);
 		this.server = new HttpServer(loop, HttpLimits.DEFAULT, this::handle);
 	}
 
@@ -60,6 +65,11 @@
 	}
 
 	private void handle(HttpExchange exchange) {
+		Supplier<String> page = this.pages.get(exchange.path());
+		if (page != null) {
+			Responses.text(exchange, OK, page.get());
+			return;
+		}
 		switch (exchange.path()) {
 			case "/metrics" -> Responses.text(exchange, OK, this.registry.scrape());
 			case "/livez" -> Responses.text(exchange, OK, "ok\n");
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -70,6 +70,21 @@
 	/** The store was restored from an older copy. */
 	STORE_ERA_CHANGED(2106, Level.WARNING, "store restored from an older copy"),
 
+	/** A data centre is evacuated. */
+	EVACUATION_BEGAN(2201, Level.WARNING, "evacuation began"),
+
+	/** A data centre is no longer evacuated. */
+	EVACUATION_ENDED(2202, Level.INFO, "evacuation ended"),
+
+	/** An evacuation has unknown fields or cannot be read. */
+	EVACUATION_UNREADABLE(2203, Level.WARNING, "evacuation not understood"),
+
+	/** The servers of a data centre get no new requests, or get them again. */
+	EVACUATION_APPLIED(2204, Level.INFO, "evacuated servers changed"),
+
+	/** Evacuations were listed from a restored store. */
+	EVACUATIONS_RESTORED(2205, Level.INFO, "evacuations listed from a restored store"),
+
 	/** A server is no longer offered work. */
 	SERVER_SUSPECTED(3001, Level.WARNING, "server suspected"),
 
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -168,7 +168,8 @@
 	}
 
 	private boolean isWatchDue(long nowMillis) {
-		return this.listed && !this.calls.isWaiting() && nowMillis >= this.nextWatchMillis;
+		return this.listed && !this.calls.isWaiting() && nowMillis >= this.nextWatchMillis
+				&& this.pace.waits().getAsBoolean();
 	}
 
 	private boolean isInquiryDue(long nowMillis) {
