--- a/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
@@ -50,8 +50,7 @@
 
 	/**
 	 * Decides what happens to a request. If no server has room, the request waits as long
-	 * as its answer could still begin on time. In the load model, over nine loads, this
-	 * raises the mean utility of a request by 0.01 compared with not waiting at all.
+	 * as its answer could still begin on time.
 	 * @param arrival the request
 	 * @return the decision
 	 */
--- a/gateway/src/main/java/org/snowwind/gateway/backend/MeanPassLimit.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/MeanPassLimit.java
@@ -14,16 +14,13 @@
 	 * The maximum mean time of a pass, as a fraction of the maximum pause that is on
 	 * time. The longest of about two dozen passes decides whether a stream is late, and
 	 * reading prompts makes some passes longer. On the other hand, a rejected request is
-	 * late as well. In the load model, over nine loads, the mean utility of a request is
-	 * 0.937 with this value, 0.927 at 0.76 and 0.917 at 0.84. It is 0.898 if every slot
-	 * is used and 0.885 if 0.6 of the slots are.
+	 * late as well.
 	 */
 	private static final double MAX_PASS_SHARE = 0.65;
 
 	/**
 	 * The minimum share of the slots that may always be used. A lower minimum would leave
-	 * engines idle after a pass that was slow for another reason. In the load model the
-	 * mean utility of a request falls to 0.925 at 0.4 and to 0.914 at 0.7.
+	 * engines idle after a pass that was slow for another reason.
 	 */
 	private static final double MIN_SLOT_SHARE = 0.55;
 
--- a/gateway/src/main/java/org/snowwind/gateway/backend/WeightedRandomPick.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/WeightedRandomPick.java
@@ -15,9 +15,8 @@
 final class WeightedRandomPick implements ServerPick {
 
 	/**
-	 * The exponent of the free share in a server's weight. Of 1, 2 and 4 this value sent
-	 * the fewest requests to full servers, with 64 servers, 39 gateways and reports that
-	 * are 300 ms old; see docs/design/platform.md.
+	 * The exponent of the free share in a server's weight. A higher one concentrates
+	 * requests on servers that only seem empty, a lower one sends more to full ones.
 	 */
 	private static final double FREE_SHARE_EXPONENT = 2;
 
--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
@@ -53,8 +53,8 @@
 	/**
 	 * The minimum delay of a check of the peers that counts as a stall of this process,
 	 * in milliseconds. The silence of peers during a stall does not show that they are
-	 * dead. Without this check, a gateway that had been frozen for 3.7 s considered the
-	 * planner dead, and the two dropped 24 of each other's maps in the following 13 s.
+	 * dead. Otherwise a gateway that was frozen considers the planner dead, and the two
+	 * drop each other's maps.
 	 */
 	private static final long MIN_OWN_STALL_MILLIS = 400;
 
--- a/http/src/main/java/org/snowwind/http/client/ReadGate.java
+++ b/http/src/main/java/org/snowwind/http/client/ReadGate.java
@@ -9,9 +9,8 @@
  *
  * <p>
  * The library asks for the next read itself after each one, whether or not reading is
- * automatic. Without the gate all of an answer that a slow caller does not take lies in
- * this process's memory: 64 MiB of 64 arrived at a call that had stopped reading, by a
- * test over a socket.
+ * automatic. Without the gate all of an answer that a slow caller does not take would be
+ * held in this process's memory.
  */
 final class ReadGate extends ChannelOutboundHandlerAdapter {
 
