Do not take a server for silent that the gateway itself does not read

Cause: reading from a server stops while its caller takes no bytes, and with it the timer of the server's silence. What was read before arrives in pieces; each started the timer again, and a last piece without a whole event left it running. The attempt was then ended as 'silent', and its caller lost the stream.

Change: the attempt remembers whether it reads, and the timer runs only then.

Shown by RelayStreamTests.serverThatIsNotReadDoesNotCountAsSilent: red with the timer as before (the answer ended after 2.8 of 16 MB), green with the change. Independent of optional features.

--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -57,6 +57,8 @@
 
 	private boolean streaming;
 
+	private boolean reading = true;
+
 	private long idleTimeoutMillis;
 
 	/**
@@ -152,8 +154,9 @@
 	 */
 	void setReading(boolean reading) {
 		if (!this.ended && this.call != null) {
+			this.reading = reading;
 			this.call.reading(reading);
-			restartIdleTimer(reading);
+			restartIdleTimer();
 		}
 	}
 
@@ -201,7 +204,7 @@
 			this.streaming = true;
 			this.backend.onStreamStart(this.context.clock().nowMillis());
 		}
-		restartIdleTimer(true);
+		restartIdleTimer();
 		this.response = bufferFor(answerStatus, headers);
 		this.listener.onResponseStart(this.response);
 	}
@@ -228,7 +231,7 @@
 		if (this.ended) {
 			return;
 		}
-		restartIdleTimer(true);
+		restartIdleTimer();
 		this.context.suspects().heard(this.backend.entry().incarnation());
 		this.receivedBytes += bytes.length;
 		List<StreamEvent> events = this.response.append(bytes);
@@ -268,12 +271,14 @@
 		}
 	}
 
-	private void restartIdleTimer(boolean reading) {
+	// A server that is not read cannot send, so its silence says nothing. Bytes that were
+	// read before may still arrive one by one.
+	private void restartIdleTimer() {
 		if (this.ended || this.idleTimeoutMillis <= 0) {
 			return;
 		}
 		this.timeoutTimer.cancel(false);
-		if (reading) {
+		if (this.reading) {
 			this.timeoutTimer = this.context.loop().later(() -> abort("silent"), this.idleTimeoutMillis);
 		}
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -278,7 +278,18 @@
 	}
 
 	Socket send(String path, String... headers) throws IOException {
-		Socket socket = new Socket(this.address.getAddress(), this.address.getPort());
+		return send(new Socket(), path, headers);
+	}
+
+	/** Sends a request on a connection that takes few bytes without being read. */
+	Socket sendWithSmallBuffer(String path) throws IOException {
+		Socket socket = new Socket();
+		socket.setReceiveBufferSize(4096);
+		return send(socket, path);
+	}
+
+	private Socket send(Socket socket, String path, String... headers) throws IOException {
+		socket.connect(this.address);
 		socket.setSoTimeout(10_000);
 		StringBuilder text = new StringBuilder("POST " + path + " HTTP/1.1\r\nHost: gateway.test\r\nt-id: r1\r\n");
 		text.append("Connection: close\r\nContent-Length: 4\r\n");
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -1,6 +1,8 @@
 package org.snowwind.gateway.request;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -346,6 +348,28 @@
 		assertTruncated(this.gateway.call("/frail/a"), event(1));
 	}
 
+	/**
+	 * What was read before reading stopped still arrives in pieces, and the last piece
+	 * may hold no whole event.
+	 */
+	@Test
+	void serverThatIsNotReadDoesNotCountAsSilent() throws IOException, InterruptedException {
+		String event = "data: " + "x".repeat(2000) + "\n\n";
+		this.gateway.addServer((request, answer) -> {
+			answer.write(chunked(""));
+			for (int i = 0; i < 8000; i++) {
+				answer.writeChunk(event);
+			}
+			answer.write(LAST_CHUNK);
+		});
+		try (Socket slow = this.gateway.sendWithSmallBuffer("/patient/a")) {
+			Thread.sleep(2500);
+			String answer = new String(slow.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			assertThat(answer).endsWith(LAST_CHUNK);
+			assertComplete(answer, event.repeat(8000));
+		}
+	}
+
 	// ---- measurements of servers
 
 	/**
