Bound what is held for slow callers, and keep requests from servers without memory for them

Cause: each connection to a caller had a bound of its own, all together had none, and the process may be killed. A stream's server was no longer read once its caller was 64 KiB behind, so it could cut the response off although the bytes would have fit. Nobody counted the tokens that a server holds; a server whose requests exceed its memory crashes.

Change, only where the memory of the VM is configured: - HeldBytes bounds the bytes held for all callers by a quarter of the smallest of VM, heap and direct memory, and names the slowest reader with the most bytes, whose connection is reset. - A server is read on while its caller holds less than a quarter of the bound and all together less than three quarters. - BackendTable leaves out servers into which a request does not fit (MemoryNeed, RequestSizes); one that is larger than a whole server is rejected at once, 413 too-many-tokens, not run. - Events 1301, 1302, 3041, 3042, four metrics, an operations page.

Shown by HeldBytesTests, MemoryNeedTests and RequestSizesTests without a network, CallerMemoryTests and RelayMemoryTests over sockets.

--- a/app/src/main/java/org/snowwind/app/explain/LossCause.java
+++ b/app/src/main/java/org/snowwind/app/explain/LossCause.java
@@ -44,6 +44,9 @@
 	/** It ends the servers that run it. */
 	ENDS_SERVERS("refused: it ends servers"),
 
+	/** It needs more memory than a server has. */
+	TOO_MANY_TOKENS("refused: larger than a server's memory"),
+
 	/** A server failed after it may have run. */
 	SERVER_FAILED("a server failed"),
 
--- a/app/src/main/java/org/snowwind/app/explain/PeriodStory.java
+++ b/app/src/main/java/org/snowwind/app/explain/PeriodStory.java
@@ -86,6 +86,7 @@
 			case "overloaded" -> request.rejection();
 			case "no-server" -> LossCause.NO_SERVER;
 			case "ends-servers" -> LossCause.ENDS_SERVERS;
+			case "too-many-tokens" -> LossCause.TOO_MANY_TOKENS;
 			case "backend-failed", "500", "503" -> LossCause.SERVER_FAILED;
 			case "deadline", "deadline-not-run" -> LossCause.DEADLINE;
 			case "caller-gone" -> LossCause.CALLER_LEFT;
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -115,6 +115,8 @@
 
 	private final BackendTable backends;
 
+	private final GatewayMemory memory;
+
 	private final GatewayReadiness readiness;
 
 	private final AdminServer admin;
@@ -171,6 +173,7 @@
 		this.graceMillis = settings.graceMillis();
 		this.adapters = adapters;
 		this.backends = new BackendTable(this.clock, this.random, settings.dataCentre(), this::fleetSize);
+		this.memory = new GatewayMemory(settings.features().memoryMegabytes());
 		ConfirmationRank rank = new ConfirmationRank(settings.name(), this::confirmingPeers);
 		this.copies = new StoreCopies(settings, adapters, rank, this.clock, this.random);
 		this.tables = this.copies.tables();
@@ -182,7 +185,7 @@
 		this.handler = new GatewayHandler(newContext(), this.tables, this.copies.tableFreshness());
 		HttpLimits limits = new HttpLimits(MAX_URI_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
 				HttpLimits.DEFAULT.readTimeoutMillis());
-		this.callerServer = new HttpServer(this.loop, limits, this.handler);
+		this.callerServer = new HttpServer(this.loop, limits, this.handler, this.memory.heldBytes());
 		this.readinessServer = new HttpServer(this.loop, HttpLimits.DEFAULT, this.readiness::answer);
 		this.documents = new PeerDocuments(this.tables, this.copies.tableWatcher(), this.registries,
 				this.copies.registryPrefix());
@@ -241,7 +244,7 @@
 				this.settings.retryExtra(), this.settings.retryWindowMillis());
 		RetryBudgets budgets = new RetryBudgets(bound, this::fleetSize, this.clock, this.clock.nowMillis());
 		return new RequestContext(this.loop, this.client, this.adapters.dialect(), this.backends,
-				new Admission(this.backends, this.clock), budgets, newSuspects(),
+				new Admission(this.backends, this.clock), budgets, this.memory.sizes(), newSuspects(),
 				new GatewayMeters(this.admin.registry()), this.clock, this.random);
 	}
 
@@ -253,6 +256,7 @@
 		Gauge.builder("snowwind.gateway.open.requests", this.handler, GatewayHandler::openRequestCount)
 			.register(registry);
 		this.copies.registerMeters(registry);
+		this.memory.registerMeters(registry, this.backends.memoryShortage());
 		Gauge.builder("snowwind.gateway.requests.suspected", () -> this.suspects.view().suspects().size())
 			.register(registry);
 		Gauge.builder("snowwind.gateway.requests.blamed", () -> this.suspects.view().blamed().size())
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -51,6 +51,8 @@
 
 	private int peersInFlight;
 
+	private long heldTokens;
+
 	private double answerMillis;
 
 	private double failureRate;
@@ -163,6 +165,26 @@
 		return this.inFlight;
 	}
 
+	int peersInFlight() {
+		return this.peersInFlight;
+	}
+
+	/**
+	 * Returns the sizes of the requests of this process at the server.
+	 * @return the sum, in tokens
+	 */
+	public long heldTokens() {
+		return this.heldTokens;
+	}
+
+	/**
+	 * Records that a request of this process is sent to the server or has ended there.
+	 * @param tokens the size of the request, in tokens; negative if it has ended
+	 */
+	public void addHeldTokens(long tokens) {
+		this.heldTokens += tokens;
+	}
+
 	void peersInFlight(int requests) {
 		this.peersInFlight = requests;
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -48,6 +48,8 @@
 
 	private final SharedLimits limits;
 
+	private final MemoryShortage memoryShortage = new MemoryShortage();
+
 	private EraRevision revision = EraRevision.NONE;
 
 	private double unreportedFactor = 1;
@@ -82,6 +84,14 @@
 		return this.limits;
 	}
 
+	/**
+	 * Returns how often servers were left out for their memory.
+	 * @return the count
+	 */
+	public MemoryShortage memoryShortage() {
+		return this.memoryShortage;
+	}
+
 	/**
 	 * Applies a new version of the registry.
 	 * @param registry the registry
@@ -264,13 +274,22 @@
 	private void addIfRoom(List<Candidate> candidates, Backend backend, ServerRequirements requirements,
 			double groupRoom, long nowMillis) {
 		BackendView view = backend.view(nowMillis);
-		if (groupRoom > 0 && backend.admits(nowMillis) && view.room(requirements.maxQueuedAtServer()) > 0) {
+		if (groupRoom > 0 && backend.admits(nowMillis) && view.room(requirements.maxQueuedAtServer()) > 0
+				&& hasMemory(backend, requirements, nowMillis)) {
 			candidates.add(new Candidate(backend, view.utilization(),
 					groupRoom * view.freeShare(requirements.maxQueuedAtServer()),
 					backend.entry().dataCentre().equals(this.dataCentre)));
 		}
 	}
 
+	private boolean hasMemory(Backend backend, ServerRequirements requirements, long nowMillis) {
+		boolean fits = requirements.memory().fits(backend.heldTokens(), backend.peersInFlight());
+		if (!fits) {
+			this.memoryShortage.record(backend, requirements.memory(), nowMillis);
+		}
+		return fits;
+	}
+
 	/**
 	 * Returns whether all servers of a service are known to reject requests now.
 	 * @param service the service's name
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -27,6 +27,8 @@
 
 	private final Backend backend;
 
+	private final long tokens;
+
 	private final String afterId;
 
 	private final AttemptListener listener;
@@ -66,14 +68,17 @@
 	 * @param context the components that requests share
 	 * @param request the request
 	 * @param backend the backend server
+	 * @param tokens the memory that the request needs at the server, in tokens
 	 * @param afterId id of the event after which the stream continues; {@code null} to
 	 * start at the beginning
 	 * @param listener notified of the response and of the end of the attempt
 	 */
-	Attempt(RequestContext context, CallerRequest request, Backend backend, String afterId, AttemptListener listener) {
+	Attempt(RequestContext context, CallerRequest request, Backend backend, long tokens, String afterId,
+			AttemptListener listener) {
 		this.context = context;
 		this.request = request;
 		this.backend = backend;
+		this.tokens = tokens;
 		this.afterId = afterId;
 		this.listener = listener;
 		this.sentMillis = context.clock().nowMillis();
@@ -87,6 +92,7 @@
 	 */
 	void send(long remainingMillis, Timeouts timeouts) {
 		this.backend.onSent(this.sentMillis);
+		this.backend.addHeldTokens(this.tokens);
 		this.idleTimeoutMillis = timeouts.idleMillis();
 		this.timeoutTimer = this.context.loop()
 			.later(() -> abort("no response head within the timeout"), timeouts.firstByteMillis());
@@ -235,6 +241,7 @@
 		this.context.suspects().heard(this.backend.entry().incarnation());
 		this.receivedBytes += bytes.length;
 		List<StreamEvent> events = this.response.append(bytes);
+		this.listener.onBuffered(this.response.bufferedBytes());
 		if (!events.isEmpty()) {
 			this.listener.onEvents(events);
 		}
@@ -294,6 +301,7 @@
 
 	private void close(AttemptEnd end) {
 		this.ended = true;
+		this.backend.addHeldTokens(-this.tokens);
 		this.timeoutTimer.cancel(false);
 		if (this.streaming) {
 			this.backend.onStreamEnd();
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import io.netty.util.concurrent.Future;
+import org.snowwind.decide.choice.MemoryNeed;
 import org.snowwind.decide.outcome.AttemptEnd;
 import org.snowwind.decide.outcome.NextStep;
 import org.snowwind.decide.outcome.NextStepRules;
@@ -73,6 +74,8 @@
 
 	private final StreamPosition position;
 
+	private final MemoryNeed memory;
+
 	/** The media type of the stream; {@code null} before the stream starts. */
 	private String mediaType;
 
@@ -123,6 +126,9 @@
 				- ANSWER_MARGIN_MILLIS;
 		this.eventTimes = new EventTimes(request.arrivedMillis());
 		this.suspicion = new RequestSuspicion(context.suspects(), request);
+		this.memory = context.sizes()
+			.recordArrival(request.service(), request.destination().engine(), request.metadata().promptTokens(),
+					request.metadata().maxOutputTokens());
 		this.position = new StreamPosition(request.metadata().lastEventId());
 	}
 
@@ -173,6 +179,12 @@
 			finishUnsent(ProblemKind.DEADLINE_NOT_RUN);
 			return;
 		}
+		if (this.memory.exceedsServer()) {
+			EventLog.log(Event.REQUEST_OVER_MEMORY, "request", this.request.id(), "tokens", this.memory.tokens(),
+					"memoryTokens", this.memory.memoryTokens());
+			finishUnsent(ProblemKind.TOO_MANY_TOKENS);
+			return;
+		}
 		Admission.Verdict verdict = this.context.admission().decide(arrival());
 		setWaiting(verdict instanceof Admission.Verdict.Wait);
 		if (verdict instanceof Admission.Verdict.Send send) {
@@ -211,7 +223,7 @@
 	private Arrival arrival() {
 		return new Arrival(this.request.service(), this.triedServers, this.timing.maxWaitingAtServer(),
 				this.request.destination().engine(), this.request.route().targetMillis(),
-				this.request.route().pauseTargetMillis(), this.needsServerSinceMillis, this.waiting);
+				this.request.route().pauseTargetMillis(), this.needsServerSinceMillis, this.waiting, this.memory);
 	}
 
 	private void sendTo(Backend backend) {
@@ -231,7 +243,8 @@
 				"load", backend.load(), "group", groupOf(backend), "groupLoad", groupLoadOf(backend), "passMillis",
 				passMillisOf(backend), "slots", backend.entry().slots(), "registry", this.context.backends().revision(),
 				"remainingMillis", remainingMillis);
-		this.attempt = new Attempt(this.context, this.request, backend, this.position.lastId(), this);
+		this.attempt = new Attempt(this.context, this.request, backend, this.memory.tokens(), this.position.lastId(),
+				this);
 		this.attempt.send(remainingMillis, timeouts(remainingMillis));
 	}
 
@@ -309,7 +322,7 @@
 				? "several servers ended while they ran this request, digest " + this.suspicion.digest()
 				: kind.remedy();
 		Problem problem = new Problem(kind, detail, disclosure, 0);
-		if (disclosure != Disclosure.NOT_RUN) {
+		if (disclosure != Disclosure.NOT_RUN || kind == ProblemKind.TOO_MANY_TOKENS) {
 			return problem;
 		}
 		ServiceOutage outage = this.context.backends().outage(this.request.service());
@@ -354,6 +367,11 @@
 		}
 	}
 
+	@Override
+	public void onBuffered(long bytes) {
+		this.exchange.buffered(bytes);
+	}
+
 	@Override
 	public void onEvents(List<StreamEvent> events) {
 		recordEvents();
--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestContext.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestContext.java
@@ -4,6 +4,7 @@
 
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
+import org.snowwind.gateway.backend.RequestSizes;
 import org.snowwind.gateway.suspect.Suspects;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.client.UpstreamClient;
@@ -18,13 +19,14 @@
  * @param backends the backend servers
  * @param admission decides whether a request is sent, waits or is rejected
  * @param budgets limit the retries of each service
+ * @param sizes the sizes of requests, from which the memory that they need follows
  * @param suspects tracks requests that are suspected of crashing servers
  * @param meters record metrics
  * @param clock the monotonic clock
  * @param random spreads the times after which callers retry
  */
 public record RequestContext(DataLoop loop, UpstreamClient client, BackendDialect dialect, BackendTable backends,
-		Admission admission, RetryBudgets budgets, Suspects suspects, GatewayMeters meters, MonotonicClock clock,
-		RandomGenerator random) {
+		Admission admission, RetryBudgets budgets, RequestSizes sizes, Suspects suspects, GatewayMeters meters,
+		MonotonicClock clock, RandomGenerator random) {
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/request/ResponseBuffer.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/ResponseBuffer.java
@@ -127,6 +127,14 @@
 		return isStream() ? this.parser.heldBytes() : 0;
 	}
 
+	/**
+	 * Returns how many bytes of the body are held.
+	 * @return the number of bytes
+	 */
+	long bufferedBytes() {
+		return isStream() ? this.parser.heldBytes() : this.body.size();
+	}
+
 	void markComplete() {
 		this.complete = true;
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -20,6 +20,7 @@
 import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
+import org.snowwind.gateway.backend.RequestSizes;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendIncarnation;
 import org.snowwind.gateway.registry.Registry;
@@ -40,6 +41,7 @@
 import org.snowwind.gateway.table.TableHolder;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.client.UpstreamClient;
+import org.snowwind.http.server.HeldBytes;
 import org.snowwind.http.server.HttpLimits;
 import org.snowwind.http.server.HttpServer;
 import org.snowwind.model.EraRevision;
@@ -91,16 +93,23 @@
 
 	private final InetSocketAddress address;
 
+	private final HeldBytes heldBytes;
+
 	GatewayFixture() {
+		this(HeldBytes.unbounded(), new RequestSizes(false));
+	}
+
+	GatewayFixture(HeldBytes heldBytes, RequestSizes sizes) {
+		this.heldBytes = heldBytes;
 		RetryBudgets budgets = new RetryBudgets(new RetryBudgets.RetryLimit(0, 100, 10_000), () -> 1, this.clock,
 				this.clock.nowMillis() - 10_000);
 		RequestContext context = new RequestContext(this.loop, this.client, new TestDialect(), this.backends,
-				new Admission(this.backends, this.clock), budgets, suspects(),
+				new Admission(this.backends, this.clock), budgets, sizes, suspects(),
 				new GatewayMeters(new SimpleMeterRegistry()), this.clock, new Random(1));
 		this.confirmations.answered(this.clock.nowMillis(), EraRevision.ofLong(1), EraRevision.ofLong(1),
 				EraRevision.ofLong(1));
 		this.handler = new GatewayHandler(context, this.tables, this.freshness);
-		this.server = new HttpServer(this.loop, HttpLimits.DEFAULT, this.handler);
+		this.server = new HttpServer(this.loop, HttpLimits.DEFAULT, this.handler, heldBytes);
 		this.address = this.server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
 	}
 
@@ -263,6 +272,16 @@
 		return this.loop.ask(this.handler::openRequestCount, -1);
 	}
 
+	/** Returns the bytes that are held for all callers, as seen between two events. */
+	int heldBytes() {
+		return this.loop.ask(() -> (int) this.heldBytes.sumBytes(), -1);
+	}
+
+	/** Returns the sizes of this gateway's requests at a server, in tokens. */
+	int heldTokens(String id) {
+		return this.loop.ask(() -> (int) this.backends.find(id).orElseThrow().heldTokens(), -1);
+	}
+
 	private void onLoop(Runnable task) {
 		CompletableFuture.runAsync(task, this.loop::run).join();
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/TestDialect.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/TestDialect.java
@@ -14,8 +14,9 @@
 	@Override
 	public RequestMetadata readRequest(Map<String, String> headers) {
 		long timeoutMillis = Long.parseLong(headers.getOrDefault("t-patience", "-1"));
-		return new RequestMetadata(headers.get("t-id"), timeoutMillis, headers.get("t-key"), headers.get("t-last"), 0,
-				0);
+		String[] tokens = headers.getOrDefault("t-tokens", "0,0").split(",", 2);
+		return new RequestMetadata(headers.get("t-id"), timeoutMillis, headers.get("t-key"), headers.get("t-last"),
+				Integer.parseInt(tokens[0]), Integer.parseInt(tokens[1]));
 	}
 
 	@Override
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/server/ConnectionBytes.java
@@ -0,0 +1,160 @@
+package org.snowwind.http.server;
+
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.snowwind.model.MonotonicClock;
+import org.snowwind.model.event.Event;
+import org.snowwind.model.event.EventLog;
+
+/**
+ * Writes to a caller's connection and counts what is held for it. Confined to the loop.
+ */
+final class ConnectionBytes {
+
+	/**
+	 * What the transport holds for a write beside its content, in bytes: for each of the
+	 * frame's three parts an entry and a buffer.
+	 */
+	private static final long WRITE_OVERHEAD_BYTES = 512;
+
+	/** Whole answers are written in pieces of this size, in bytes, to see them taken. */
+	private static final int PIECE_BYTES = 32 * 1024;
+
+	private final Channel channel;
+
+	private final HeldBytes all;
+
+	private final HeldBytes.Holder holder;
+
+	private final MonotonicClock clock;
+
+	private boolean readOnRefused;
+
+	private Runnable whenReadOn = () -> {
+	};
+
+	ConnectionBytes(Channel channel, HeldBytes all, MonotonicClock clock) {
+		this.channel = channel;
+		this.all = all;
+		this.clock = clock;
+		this.holder = all.open(this::reset);
+	}
+
+	/**
+	 * Asks to be told when more may be read for the caller again.
+	 * @param told called on the loop
+	 */
+	void onReadOn(Runnable told) {
+		this.whenReadOn = told;
+	}
+
+	/**
+	 * Writes and flushes a part of an answer.
+	 * @param context the handler that writes
+	 * @param part the part
+	 * @return completed when the connection has taken it
+	 */
+	ChannelFuture send(ChannelHandlerContext context, HttpObject part) {
+		if (!this.all.isBounded()) {
+			return context.writeAndFlush(part);
+		}
+		ChannelFuture written;
+		if (part instanceof FullHttpResponse whole && whole.content().readableBytes() > PIECE_BYTES) {
+			written = sendInPieces(context, whole);
+		}
+		else {
+			int bytes = (part instanceof HttpContent content) ? content.content().readableBytes() : 0;
+			written = context.writeAndFlush(part);
+			count(written, bytes);
+		}
+		closeExcess();
+		return written;
+	}
+
+	private ChannelFuture sendInPieces(ChannelHandlerContext context, FullHttpResponse whole) {
+		count(context.write(new DefaultHttpResponse(whole.protocolVersion(), whole.status(), whole.headers())), 0);
+		ByteBuf content = whole.content();
+		while (content.isReadable()) {
+			int bytes = Math.min(PIECE_BYTES, content.readableBytes());
+			count(context.write(new DefaultHttpContent(content.readRetainedSlice(bytes))), bytes);
+		}
+		whole.release();
+		return context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+	}
+
+	private void count(ChannelFuture written, int contentBytes) {
+		if (written.isDone()) {
+			return;
+		}
+		long bytes = WRITE_OVERHEAD_BYTES + contentBytes;
+		this.all.written(this.holder, bytes, this.clock.nowMillis());
+		written.addListener((done) -> onTaken(bytes));
+	}
+
+	private void onTaken(long bytes) {
+		this.all.taken(this.holder, bytes, this.clock.nowMillis());
+		if (this.readOnRefused && this.all.mayResume(this.holder)) {
+			this.readOnRefused = false;
+			this.whenReadOn.run();
+		}
+	}
+
+	/**
+	 * Sets what is held for the current request apart from what was written.
+	 * @param bytes the number of bytes
+	 */
+	void buffered(long bytes) {
+		if (this.all.isBounded()) {
+			this.all.buffered(this.holder, bytes);
+			closeExcess();
+		}
+	}
+
+	/**
+	 * Returns whether more may be read for the caller although it is behind.
+	 * @return false without a bound
+	 */
+	boolean mayReadOn() {
+		this.readOnRefused = !this.all.mayReadOn(this.holder);
+		return !this.readOnRefused;
+	}
+
+	/**
+	 * Ends the count, since the connection is closed.
+	 */
+	void gone() {
+		this.all.remove(this.holder);
+	}
+
+	private void closeExcess() {
+		long nowMillis = this.clock.nowMillis();
+		Optional<HeldBytes.Holder> excess = this.all.removeExcess(nowMillis);
+		while (excess.isPresent()) {
+			HeldBytes.Holder named = excess.get();
+			EventLog.log(Event.CALLER_CLOSED_FOR_MEMORY, "bytes", named.bytes(), "untakenBytes", named.untakenBytes(),
+					"stalledMillis", named.stalledMillis(nowMillis), "sumBytes", this.all.sumBytes(), "boundBytes",
+					this.all.boundBytes());
+			named.close();
+			excess = this.all.removeExcess(nowMillis);
+		}
+	}
+
+	// A reset drops what the kernel buffers, which a caller that does not read would
+	// keep.
+	private void reset() {
+		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		this.channel.close();
+	}
+
+}
--- a/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
+++ b/http/src/main/java/org/snowwind/http/server/ConnectionHandler.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -36,10 +37,15 @@
 	/** The event that ends a connection as soon as no request is on it. */
 	static final Object CLOSE_WHEN_IDLE = new Object();
 
+	/** How long the rest of a refused body may take before the connection is closed. */
+	private static final long LINGER_MILLIS = 1000;
+
 	private final HttpHandler handler;
 
 	private final MonotonicClock clock;
 
+	private final ConnectionBytes bytes;
+
 	/** What one read brought beyond the request that is being answered. */
 	private final Deque<Object> held = new ArrayDeque<>();
 
@@ -53,10 +59,12 @@
 
 	private int requests;
 
-	ConnectionHandler(HttpHandler handler, MonotonicClock clock) {
+	ConnectionHandler(HttpHandler handler, MonotonicClock clock, ConnectionBytes bytes) {
 		this.handler = handler;
 		this.clock = clock;
+		this.bytes = bytes;
 		this.openedMillis = clock.nowMillis();
+		bytes.onReadOn(this::tellWritable);
 	}
 
 	@Override
@@ -113,7 +121,7 @@
 	private void onHead(ChannelHandlerContext context, HttpRequest request) {
 		ConnectionUse use = new ConnectionUse(this.clock.nowMillis() - this.openedMillis, this.requests);
 		this.requests++;
-		this.current = new NettyExchange(context, request, use, () -> nextRequest(context));
+		this.current = new NettyExchange(context, request, use, this.bytes, () -> nextRequest(context));
 		DecoderResult decoded = request.decoderResult();
 		if (decoded.isFailure()) {
 			this.current.closeAfterAnswer();
@@ -144,6 +152,10 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		tellWritable();
+	}
+
+	private void tellWritable() {
 		if (this.current != null) {
 			this.current.writableChanged();
 		}
@@ -153,6 +165,7 @@
 	public void channelInactive(ChannelHandlerContext context) {
 		this.held.forEach(ReferenceCountUtil::release);
 		this.held.clear();
+		this.bytes.gone();
 		if (this.current != null) {
 			this.current.gone();
 		}
@@ -199,6 +212,15 @@
 		context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
 	}
 
+	/**
+	 * Closes a connection when the rest of a refused body may have come: closing on
+	 * unread bytes would reset the connection and lose the answer.
+	 * @param context the connection
+	 */
+	static void closeOnceRead(ChannelHandlerContext context) {
+		context.executor().schedule((Runnable) context::close, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	private static Problem problemOf(Throwable cause) {
 		if (cause instanceof TooLongHttpLineException) {
 			return Problem.notRun(ProblemKind.URI_TOO_LONG, "the request line is too long");
--- a/http/src/main/java/org/snowwind/http/server/HttpExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/HttpExchange.java
@@ -107,7 +107,15 @@
 	boolean begun();
 
 	/**
-	 * Tells whether the caller takes more bytes now.
+	 * Records what is held of a response that is not written yet, for the bound on the
+	 * bytes that are held for all callers.
+	 * @param responseBytes the number of bytes
+	 */
+	default void buffered(long responseBytes) {
+	}
+
+	/**
+	 * Tells whether more may be read for the caller now.
 	 * @return false while too much waits to be sent
 	 */
 	boolean writable();
--- a/http/src/main/java/org/snowwind/http/server/HttpServer.java
+++ b/http/src/main/java/org/snowwind/http/server/HttpServer.java
@@ -36,6 +36,8 @@
 
 	private final HttpHandler handler;
 
+	private final HeldBytes heldBytes;
+
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
 	private Channel listener;
@@ -47,9 +49,22 @@
 	 * @param handler takes the requests
 	 */
 	public HttpServer(DataLoop loop, HttpLimits limits, HttpHandler handler) {
+		this(loop, limits, handler, HeldBytes.unbounded());
+	}
+
+	/**
+	 * Creates a server that does not listen yet and that bounds what is held for all its
+	 * callers.
+	 * @param loop the thread that carries it
+	 * @param limits its bounds
+	 * @param handler takes the requests
+	 * @param heldBytes counts what is held for callers
+	 */
+	public HttpServer(DataLoop loop, HttpLimits limits, HttpHandler handler, HeldBytes heldBytes) {
 		this.loop = loop;
 		this.limits = limits;
 		this.handler = handler;
+		this.heldBytes = heldBytes;
 	}
 
 	/**
@@ -118,7 +133,8 @@
 		channel.pipeline()
 			.addLast(new IdleStateHandler(this.limits.readTimeoutMillis(), 0, 0, TimeUnit.MILLISECONDS))
 			.addLast(new HttpServerCodec(decoder))
-			.addLast(new ConnectionHandler(this.handler, MonotonicClock.system()));
+			.addLast(new ConnectionHandler(this.handler, MonotonicClock.system(),
+					new ConnectionBytes(channel, this.heldBytes, MonotonicClock.system())));
 	}
 
 }
--- a/http/src/main/java/org/snowwind/http/server/NettyExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/NettyExchange.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -17,6 +16,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -38,9 +38,6 @@
 	/** How much of an unwanted body is read away before the connection is closed. */
 	private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
-	/** How long the rest of a refused body may take before the connection is closed. */
-	private static final long LINGER_MILLIS = 1000;
-
 	private final ChannelHandlerContext context;
 
 	private final String method;
@@ -55,6 +52,8 @@
 
 	private final ConnectionUse connection;
 
+	private final ConnectionBytes bytes;
+
 	private boolean keepAlive;
 
 	private final boolean headOnly;
@@ -79,9 +78,11 @@
 
 	private Runnable whenWritableChanges = NOTHING;
 
-	NettyExchange(ChannelHandlerContext context, HttpRequest request, ConnectionUse connection, Runnable whenFinished) {
+	NettyExchange(ChannelHandlerContext context, HttpRequest request, ConnectionUse connection, ConnectionBytes bytes,
+			Runnable whenFinished) {
 		this.context = context;
 		this.connection = connection;
+		this.bytes = bytes;
 		this.whenFinished = whenFinished;
 		this.method = request.method().name();
 		this.target = request.uri();
@@ -170,6 +171,7 @@
 		byte[] bytes = new byte[part.readableBytes()];
 		part.readBytes(bytes);
 		this.body.writeBytes(bytes);
+		this.bytes.buffered(this.receivedBytes);
 		if (last) {
 			bodyComplete();
 		}
@@ -242,23 +244,28 @@
 		}
 		HttpUtil.setKeepAlive(response, this.keepAlive);
 		this.begun = true;
-		this.context.writeAndFlush(response);
+		this.bytes.send(this.context, response);
 	}
 
 	@Override
-	public void write(byte[] bytes) {
+	public void write(byte[] part) {
 		if (!this.headOnly) {
-			this.context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+			this.bytes.send(this.context, new DefaultHttpContent(Unpooled.wrappedBuffer(part)));
 		}
 	}
 
+	@Override
+	public void buffered(long responseBytes) {
+		this.bytes.buffered(this.receivedBytes + responseBytes);
+	}
+
 	@Override
 	public void end() {
-		finish(this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+		finish(LastHttpContent.EMPTY_LAST_CONTENT);
 	}
 
 	@Override
-	public void respond(int status, Map<String, String> extraHeaders, byte[] bytes) {
+	public void respond(int status, Map<String, String> extraHeaders, byte[] whole) {
 		if (this.begun) {
 			abort();
 			return;
@@ -266,17 +273,19 @@
 		if (!this.bodyEnded && this.bodyReader != null) {
 			closeAfterAnswer();
 		}
-		ByteBuf content = this.headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(bytes);
+		ByteBuf content = this.headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(whole);
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(status), content);
 		extraHeaders.forEach(response.headers()::set);
-		HttpUtil.setContentLength(response, bytes.length);
+		HttpUtil.setContentLength(response, whole.length);
 		HttpUtil.setKeepAlive(response, this.keepAlive);
 		this.begun = true;
-		finish(this.context.writeAndFlush(response));
+		finish(response);
 	}
 
-	private void finish(ChannelFuture written) {
+	private void finish(HttpObject last) {
+		this.bytes.buffered(0);
+		ChannelFuture written = this.bytes.send(this.context, last);
 		this.ended = true;
 		this.whenGone = NOTHING;
 		this.whenWritableChanges = NOTHING;
@@ -284,18 +293,13 @@
 			written.addListener(ChannelFutureListener.CLOSE);
 		}
 		else if (!this.keepAlive) {
-			closeOnceRead();
+			ConnectionHandler.closeOnceRead(this.context);
 		}
 		else if (this.bodyEnded) {
 			this.whenFinished.run();
 		}
 	}
 
-	// Closing on unread bytes would reset the connection and lose the answer.
-	private void closeOnceRead() {
-		this.context.executor().schedule((Runnable) this.context::close, LINGER_MILLIS, TimeUnit.MILLISECONDS);
-	}
-
 	@Override
 	public void abort() {
 		this.ended = true;
@@ -309,7 +313,7 @@
 
 	@Override
 	public boolean writable() {
-		return this.context.channel().isWritable();
+		return this.context.channel().isWritable() || this.bytes.mayReadOn();
 	}
 
 	@Override
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -274,6 +274,18 @@
 	/** Requests choose other experts than before. */
 	DEMAND_MOVED(6205, Level.INFO, "demand for experts moved"),
 
+	/** A caller's connection was closed, since more was held for callers than allowed. */
+	CALLER_CLOSED_FOR_MEMORY(1301, Level.WARNING, "connection of a slow caller closed for memory"),
+
+	/** How much may be held for all callers together. */
+	HELD_BYTES_BOUNDED(1302, Level.INFO, "bytes held for callers bounded"),
+
+	/** A request was not sent to a server, since it does not fit into its memory. */
+	SERVER_MEMORY_SHORT(3041, Level.INFO, "server left out for memory"),
+
+	/** A request is larger than the memory of a server. */
+	REQUEST_OVER_MEMORY(3042, Level.INFO, "request larger than a server's memory refused"),
+
 	/** A bounded ring was full. */
 	RING_FULL(5001, Level.WARNING, "ring full"),
 
--- a/model/src/main/java/org/snowwind/model/outcome/ProblemKind.java
+++ b/model/src/main/java/org/snowwind/model/outcome/ProblemKind.java
@@ -17,6 +17,9 @@
 	/** The body is larger than the organisation may send. */
 	BODY_TOO_LARGE(413, "Send a smaller body, or ask an operator to raise maxBodyBytes of the organisation."),
 
+	/** The request needs more memory than a whole server has. */
+	TOO_MANY_TOKENS(413, "Send a shorter prompt or allow fewer output tokens."),
+
 	/** No key, or a key that no organisation holds. */
 	UNKNOWN_ORGANISATION(401, "Send 'Authorization: Bearer KEY' with a key of a declared organisation."),
 
