Send the priority of a request to servers

Route.priority and KeyHolder.priority were decoded and used by no decision.

RequestPriorities decides the priority of a request: the organisation's before the route's, 5 if neither names one, 9 for larger values. A route without a priority is no longer taken for priority 0.

--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -89,7 +89,7 @@
 		this.timeoutTimer = this.context.loop()
 			.later(() -> abort("no response head within the timeout"), timeouts.firstByteMillis());
 		AttemptMetadata attemptMetadata = new AttemptMetadata(this.backend.id(), remainingMillis,
-				this.request.organisation(), this.afterId, this.request.host());
+				this.request.organisation(), this.afterId, this.request.host(), this.request.priority());
 		Map<String, String> headers = this.context.dialect()
 			.backendRequestHeaders(this.request.headers(), attemptMetadata);
 		String url = "http://" + this.backend.entry().address() + this.request.target();
--- a/gateway/src/main/java/org/snowwind/gateway/request/AttemptMetadata.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/AttemptMetadata.java
@@ -10,8 +10,10 @@
  * @param lastEventId id of the last event that was delivered to the caller; {@code null}
  * to start at the beginning
  * @param host the host of the caller's request
+ * @param priority the priority of the request from 0, the most urgent, to 9; negative if
+ * the server is told none
  */
 public record AttemptMetadata(String serverId, long remainingMillis, String organisation, String lastEventId,
-		String host) {
+		String host, int priority) {
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/request/CallerRequest.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/CallerRequest.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 
 import org.snowwind.gateway.suspect.RequestDigest;
+import org.snowwind.gateway.table.RequestPriorities;
 import org.snowwind.gateway.table.Route;
 import org.snowwind.gateway.table.ServiceEntry;
 
@@ -20,11 +21,13 @@
  * route
  * @param organisation the organisation that sent the request; {@code null} if it is not
  * known
+ * @param priority the priority, 0 is the most urgent; {@link RequestPriorities#NONE} if
+ * all requests have the same
  * @param tableVersion the version of the route table that was used
  * @param arrivedMillis when the request head arrived, in milliseconds
  */
 record CallerRequest(RequestMetadata metadata, String method, String target, String host, Map<String, String> headers,
-		byte[] body, Route route, ServiceEntry destination, String organisation, long tableVersion,
+		byte[] body, Route route, ServiceEntry destination, String organisation, int priority, long tableVersion,
 		long arrivedMillis) {
 
 	String service() {
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -1,5 +1,7 @@
 package org.snowwind.gateway.request;
 
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +10,7 @@
 
 import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.gateway.table.KeyHolder;
+import org.snowwind.gateway.table.RequestPriorities;
 import org.snowwind.gateway.table.Route;
 import org.snowwind.gateway.table.RouteTable;
 import org.snowwind.gateway.table.TableFreshness;
@@ -153,7 +156,7 @@
 			CallerRequest request = new CallerRequest(metadata, exchange.method(), exchange.target(),
 					exchange.header("Host"), headers, body, routing.route(),
 					table.chooseService(routing.route(), this.context.random()), routing.organisation(),
-					table.version(), arrivedMillis);
+					table.priorities().of(routing.route(), routing.holder()), table.version(), arrivedMillis);
 			logRouted(request);
 			if (this.stop != null) {
 				logDuringStop(Event.TAKEN_IN_STOP, exchange, metadata, deadlineMillis);
@@ -191,7 +194,7 @@
 		if (keyRequired && holder.isEmpty()) {
 			return rejectByTable(ProblemKind.UNKNOWN_ORGANISATION, "no organisation has this key");
 		}
-		return new RoutingResult(route.get(), holder.map(KeyHolder::organisation).orElse(null), null);
+		return new RoutingResult(route.get(), holder.orElse(null), null);
 	}
 
 	private RoutingResult rejectByTable(ProblemKind kind, String detail) {
@@ -224,23 +227,31 @@
 	}
 
 	private void logRouted(CallerRequest request) {
-		EventLog.log(Event.REQUEST_ROUTED, "request", request.id(), "route", request.route().name(), "service",
-				request.service(), "organisation", request.organisation(), "table", request.tableVersion(),
+		List<Object> fields = new ArrayList<>(Arrays.asList("request", request.id(), "route", request.route().name(),
+				"service", request.service(), "organisation", request.organisation(), "table", request.tableVersion(),
 				"patienceMillis", request.metadata().timeoutMillis(), "promptTokens", request.metadata().promptTokens(),
 				"bodyBytes", request.body().length, "targetMillis", request.route().targetMillis(), "pauseTargetMillis",
-				request.route().pauseTargetMillis());
+				request.route().pauseTargetMillis()));
+		if (request.priority() != RequestPriorities.NONE) {
+			fields.addAll(List.of("priority", request.priority()));
+		}
+		EventLog.log(Event.REQUEST_ROUTED, fields.toArray());
 	}
 
 	/**
 	 * The route of a request, or the reason for its rejection.
 	 *
 	 * @param route the route; {@code null} if the request is rejected
-	 * @param organisation the organisation that sent the request; {@code null} if it is
-	 * not known
+	 * @param holder the organisation that sent the request; {@code null} if it is not
+	 * known
 	 * @param problem the reason for the rejection; {@code null} if the request is
 	 * accepted
 	 */
-	private record RoutingResult(Route route, String organisation, Problem problem) {
+	private record RoutingResult(Route route, KeyHolder holder, Problem problem) {
+
+		private String organisation() {
+			return (this.holder != null) ? this.holder.organisation() : null;
+		}
 
 		private static RoutingResult rejected(Problem problem) {
 			return new RoutingResult(null, null, problem);
--- a/gateway/src/main/java/org/snowwind/gateway/table/Route.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/Route.java
@@ -16,7 +16,9 @@
  * milliseconds
  * @param pauseTargetMillis the target for the maximum pause between events of a stream,
  * in milliseconds; 0 if there is none
- * @param priority the priority of its requests; 0 is the highest
+ * @param priority the priority of its requests; 0 is the most urgent,
+ * {@link RequestPriorities#NONE} if none is configured, {@link RequestPriorities#INVALID}
+ * if the configured one is invalid
  * @param maxAttempts the maximum number of servers that may run one request
  * @param open whether requests need no key
  * @param resumable whether a stream may be resumed at another server
--- a/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
@@ -29,6 +29,8 @@
 
 	private final Map<String, KeyHolder> keys;
 
+	private final RequestPriorities priorities;
+
 	private final RequestLimits limits;
 
 	private final byte[] document;
@@ -50,6 +52,7 @@
 			.collect(Collectors.groupingBy(Route::host, Collectors.toUnmodifiableList()));
 		this.services = Map.copyOf(services);
 		this.keys = Map.copyOf(keys);
+		this.priorities = RequestPriorities.of(routes, keys.values());
 		this.limits = limits;
 		this.document = document.clone();
 	}
@@ -100,6 +103,14 @@
 		return Optional.ofNullable(this.keys.get(key));
 	}
 
+	/**
+	 * Returns the priorities of requests.
+	 * @return the priorities
+	 */
+	public RequestPriorities priorities() {
+		return this.priorities;
+	}
+
 	/**
 	 * Finds a service.
 	 * @param name the name of the service
--- a/gateway/src/main/java/org/snowwind/gateway/table/TableHolder.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/TableHolder.java
@@ -46,6 +46,11 @@
 		this.current = table;
 		EventLog.log(Event.TABLE_APPLIED, "version", table.version(), "before", before, "routes", table.routes(),
 				"source", source);
+		List<String> outOfRange = table.priorities().outOfRange();
+		if (!outOfRange.isEmpty()) {
+			EventLog.log(Event.PRIORITIES_OUT_OF_RANGE, "version", table.version(), "count", outOfRange.size(), "first",
+					outOfRange.get(0));
+		}
 		this.listeners.forEach((listener) -> listener.accept(table));
 		return true;
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -123,23 +123,32 @@
 	 * {@code /frail/}, {@code /single/} and {@code /patient/}, which has a long timeout.
 	 */
 	GatewayFixture withRoutes() {
-		return withRoutes(Map.of());
+		return withRoutes(Map.of(), Map.of("secret", new KeyHolder("org", 1)));
 	}
 
 	/** Installs the same routes to a service whose servers are ranks of one group. */
 	GatewayFixture withRoutesToRanks() {
 		EngineProfile engine = new EngineProfile(8, 300_000, 6, 5, 0.5, 0.01, 70_000, 6, 64, 11, 4, 1700, 92_000, 0.85);
-		return withRoutes(Map.of("service", new ServiceEntry("service", engine, 0)));
+		return withRoutes(Map.of("service", new ServiceEntry("service", engine, 0)),
+				Map.of("secret", new KeyHolder("org", 1)));
 	}
 
-	private GatewayFixture withRoutes(Map<String, ServiceEntry> services) {
+	/**
+	 * Installs the same routes for two organisations of different priority, with the keys
+	 * {@code urgent} and {@code digest}.
+	 */
+	GatewayFixture withPriorities() {
+		return withRoutes(Map.of(), Map.of("urgent", new KeyHolder("urgent", 0), "digest", new KeyHolder("digest", 2)));
+	}
+
+	private GatewayFixture withRoutes(Map<String, ServiceEntry> services, Map<String, KeyHolder> keys) {
 		List<Route> routes = List.of(route("once", RepeatPolicy.AT_MOST_ONCE, 1, false),
 				route("many", RepeatPolicy.IDEMPOTENT, 2, false), route("stream", RepeatPolicy.STREAM, 2, true),
 				route("frail", RepeatPolicy.STREAM, 1, false),
 				route("single", RepeatPolicy.STREAM, 10_000, 400, 1, true),
 				route("patient", RepeatPolicy.STREAM, 60_000, 60_000, 2, true));
-		this.tables.offer(new RouteTable(1, routes, services, Map.of("secret", new KeyHolder("org", 1)),
-				new RequestLimits(100_000, 15_000), new byte[0]), "test");
+		this.tables.offer(new RouteTable(1, routes, services, keys, new RequestLimits(100_000, 15_000), new byte[0]),
+				"test");
 		return this;
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/request/TestDialect.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/TestDialect.java
@@ -22,7 +22,8 @@
 	public Map<String, String> backendRequestHeaders(Map<String, String> callerHeaders, AttemptMetadata attempt) {
 		Map<String, String> headers = new HashMap<>(callerHeaders);
 		headers.keySet()
-			.removeAll(java.util.Set.of("t-key", "t-organisation", "t-last", "t-patience", "content-length"));
+			.removeAll(java.util.Set.of("t-key", "t-organisation", "t-last", "t-patience", "t-priority",
+					"content-length"));
 		headers.put("t-patience", Long.toString(attempt.remainingMillis()));
 		headers.put("t-server", attempt.serverId());
 		if (attempt.organisation() != null) {
@@ -31,6 +32,9 @@
 		if (attempt.lastEventId() != null) {
 			headers.put("t-last", attempt.lastEventId());
 		}
+		if (attempt.priority() >= 0) {
+			headers.put("t-priority", Integer.toString(attempt.priority()));
+		}
 		headers.put("host", attempt.host());
 		return headers;
 	}
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/table/RequestPrioritiesTests.java
@@ -0,0 +1,73 @@
+package org.snowwind.gateway.table;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RequestPriorities}.
+ */
+class RequestPrioritiesTests {
+
+	private static Route route(int priority, boolean open) {
+		return new Route("route" + priority, "h", "/", RepeatPolicy.STREAM, 1000, 400, 100, priority, 1, open, false,
+				List.of());
+	}
+
+	private static RequestPriorities ofRoutes(int... priorities) {
+		return RequestPriorities.of(IntStream.of(priorities).mapToObj((priority) -> route(priority, false)).toList(),
+				List.of());
+	}
+
+	private static KeyHolder holder(int priority) {
+		return new KeyHolder("org" + priority, priority);
+	}
+
+	@Test
+	void organisationOverridesRoute() {
+		RequestPriorities priorities = ofRoutes(0, 2);
+		assertThat(priorities.of(route(2, false), holder(1))).isEqualTo(1);
+		assertThat(priorities.of(route(2, false), holder(0))).isZero();
+		assertThat(priorities.of(route(2, false), holder(RequestPriorities.NONE))).isEqualTo(2);
+		assertThat(priorities.of(route(2, false), null)).isEqualTo(2);
+	}
+
+	@Test
+	void requestsHaveNoPriorityIfAllHaveTheSame() {
+		for (RequestPriorities same : List.of(ofRoutes(), ofRoutes(2, 2), ofRoutes(-1, -1), ofRoutes(-1, 5),
+				ofRoutes(9, 12))) {
+			assertThat(same.distinct()).isFalse();
+			assertThat(same.of(route(2, false), holder(1))).isEqualTo(RequestPriorities.NONE);
+		}
+	}
+
+	@Test
+	void routesThatEveryOrganisationOverridesMakeNoDifference() {
+		List<Route> routes = List.of(route(0, false), route(2, false));
+		assertThat(RequestPriorities.of(routes, List.of(holder(1))).distinct()).isFalse();
+		assertThat(RequestPriorities.of(routes, List.of(holder(1), holder(-1))).distinct()).isTrue();
+		assertThat(RequestPriorities.of(routes, List.of(holder(1), holder(3))).distinct()).isTrue();
+		assertThat(RequestPriorities.of(List.of(route(0, true)), List.of(holder(1))).distinct()).isTrue();
+	}
+
+	@Test
+	void requestWithoutPriorityIsBetweenOthers() {
+		RequestPriorities priorities = ofRoutes(0, RequestPriorities.NONE);
+		assertThat(priorities.distinct()).isTrue();
+		assertThat(priorities.of(route(RequestPriorities.NONE, false), null)).isEqualTo(RequestPriorities.DEFAULT);
+	}
+
+	@Test
+	void valuesOutOfRangeAreBoundedAndReported() {
+		RequestPriorities priorities = RequestPriorities.of(
+				List.of(route(RequestPriorities.INVALID, false), route(70, false), route(0, false)),
+				List.of(holder(RequestPriorities.INVALID)));
+		assertThat(priorities.outOfRange()).containsExactly("org-2", "route-2", "route70");
+		assertThat(priorities.of(route(70, false), holder(RequestPriorities.INVALID))).isEqualTo(9);
+		assertThat(priorities.of(route(RequestPriorities.INVALID, false), null)).isEqualTo(RequestPriorities.DEFAULT);
+	}
+
+}
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -190,6 +190,9 @@
 	/** A server announces something that cannot be read. */
 	SERVER_NOTICE_UNREADABLE(3020, Level.WARNING, "server notice unreadable"),
 
+	/** A configuration names values that are no priorities. */
+	PRIORITIES_OUT_OF_RANGE(4121, Level.WARNING, "priorities out of range"),
+
 	/** A request was refused before anything was sent. */
 	REQUEST_REFUSED(4105, Level.INFO, "request refused"),
 
