Let requests wait in one queue per service, the most urgent first

Each waiting request asked Admission again every 10 ms, so chance chose the next, and a new arrival took the place that an urgent request waited for.

ServiceQueue holds the waiting requests of a service in the order of UrgencyQueue: priority, latest moment, turns between organisations. Every request that needs a server passes it if the configuration names distinct priorities; else requests poll as before. It is bounded, woken when room may have come, and has one timer a service. Relay's wait moves to ServerWait.

Existing tests are unchanged but for the construction in GatewayFixture. Shown by UrgencyQueueTests, ServiceQueueTests, RelayPriorityTests, UrgencyLoadTests.

--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -167,6 +167,7 @@
 			close(null);
 			this.backend.onInconclusiveEnd();
 			cancelCall();
+			wakeWaiting();
 		}
 	}
 
@@ -200,6 +201,7 @@
 		if (this.request.route().repeatPolicy() == RepeatPolicy.STREAM) {
 			this.streaming = true;
 			this.backend.onStreamStart(this.context.clock().nowMillis());
+			wakeWaiting();
 		}
 		restartIdleTimer(true);
 		this.response = bufferFor(answerStatus, headers);
@@ -285,6 +287,12 @@
 		close(end);
 		recordResult(end);
 		this.listener.onAttemptEnd(end);
+		wakeWaiting();
+	}
+
+	// Room that this attempt has left, unless its own request needed it.
+	private void wakeWaiting() {
+		this.context.waiting().wake(this.request.service());
 	}
 
 	private void close(AttemptEnd end) {
