--- a/gateway/src/main/java/org/snowwind/gateway/backend/Arrival.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Arrival.java
@@ -52,6 +52,23 @@
 				MemoryNeed.UNCHECKED);
 	}
 
+	/**
+	 * Returns whether the request may lack a server that others of its kind have.
+	 * @return true if it has tried servers or needs memory
+	 */
+	boolean hasOwnNeeds() {
+		return !this.tried.isEmpty() || this.memory.memoryTokens() > 0;
+	}
+
+	/**
+	 * Returns the requirements that the request shares with others of its kind.
+	 * @return the same arrival that has tried no server and whose memory is not checked
+	 */
+	Arrival withoutOwnNeeds() {
+		return new Arrival(this.service, Set.of(), this.maxQueuedAtServer, this.engine, this.targetMillis,
+				this.pauseTargetMillis, this.arrivedMillis, this.alreadyWaiting);
+	}
+
 	ServerRequirements requirements() {
 		return new ServerRequirements(this.service, this.tried, this.maxQueuedAtServer, this.engine,
 				this.pauseTargetMillis, this.memory);
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -97,7 +97,7 @@
 		this.timeoutTimer = this.context.loop()
 			.later(() -> abort("no response head within the timeout"), timeouts.firstByteMillis());
 		AttemptMetadata attemptMetadata = new AttemptMetadata(this.backend.id(), remainingMillis,
-				this.request.organisation(), this.afterId, this.request.host());
+				this.request.organisation(), this.afterId, this.request.host(), this.request.priority());
 		Map<String, String> headers = this.context.dialect()
 			.backendRequestHeaders(this.request.headers(), attemptMetadata);
 		String url = "http://" + this.backend.entry().address() + this.request.target();
@@ -176,6 +176,7 @@
 			close(null);
 			this.backend.onInconclusiveEnd();
 			cancelCall();
+			wakeWaiting();
 		}
 	}
 
@@ -209,6 +210,7 @@
 		if (this.request.route().repeatPolicy() == RepeatPolicy.STREAM) {
 			this.streaming = true;
 			this.backend.onStreamStart(this.context.clock().nowMillis());
+			wakeWaiting();
 		}
 		restartIdleTimer();
 		this.response = bufferFor(answerStatus, headers);
@@ -297,6 +299,12 @@
 		close(end);
 		recordResult(end);
 		this.listener.onAttemptEnd(end);
+		wakeWaiting();
+	}
+
+	// Called after the listener, so that a retry of this request is in the queue already.
+	private void wakeWaiting() {
+		this.context.waiting().wake(this.request.service());
 	}
 
 	private void close(AttemptEnd end) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -30,7 +30,7 @@
  * {@link NextStepRules} decides the next step after each attempt; this class only carries
  * it out.
  */
-final class Relay implements AttemptListener, NextStep.Visitor {
+final class Relay implements AttemptListener, NextStep.Visitor, ServerWait.Listener {
 
 	private static final int SERVER_ERROR = 500;
 
@@ -49,9 +49,6 @@
 	 */
 	private static final int MAX_SENDS = 5;
 
-	/** How often a waiting request asks for admission, in milliseconds. */
-	private static final long WAIT_POLL_MILLIS = 10;
-
 	/** With less time left than this, in milliseconds, no attempt is sent. */
 	private static final long MIN_REMAINING_MILLIS = 30;
 
@@ -81,8 +78,6 @@
 
 	private Future<?> deadlineTimer;
 
-	private Future<?> waitTimer;
-
 	private Attempt attempt;
 
 	private int sends;
@@ -105,8 +100,7 @@
 	 */
 	private long queueMillis;
 
-	/** Whether the request waits for a server that accepts it. */
-	private boolean waiting;
+	private final ServerWait serverWait;
 
 	/**
 	 * Creates the relay of a request.
@@ -129,6 +123,7 @@
 		this.memory = context.sizes()
 			.recordArrival(request.service(), request.destination().engine(), request.metadata().promptTokens(),
 					request.metadata().maxOutputTokens());
+		this.serverWait = new ServerWait(context, request, this::arrival, this);
 		this.position = new StreamPosition(request.metadata().lastEventId());
 	}
 
@@ -138,6 +133,7 @@
 		this.deadlineTimer = this.context.loop().later(this::endNow, remainingMillis());
 		this.context.budgets().recordRequest(this.request.service());
 		this.context.backends().limits().onRequestArrival(this.request.service());
+		this.serverWait.recordArrival();
 		dispatch();
 	}
 
@@ -165,48 +161,54 @@
 	}
 
 	private void dispatch() {
+		if (!endIfNotSendable()) {
+			this.serverWait.seek();
+		}
+	}
+
+	private boolean endIfNotSendable() {
 		if (this.finished) {
-			return;
+			return true;
 		}
 		// A blamed request is rejected for every caller and every server: each server
 		// that it crashes is lost to all callers.
 		if (this.suspicion.isBlamed()) {
 			logBlamed();
 			finish(Disclosure.FAILED, ProblemKind.ENDS_SERVERS);
-			return;
+			return true;
 		}
 		if (remainingMillis() < MIN_REMAINING_MILLIS) {
 			finishUnsent(ProblemKind.DEADLINE_NOT_RUN);
-			return;
+			return true;
 		}
 		if (this.memory.exceedsServer()) {
 			EventLog.log(Event.REQUEST_OVER_MEMORY, "request", this.request.id(), "tokens", this.memory.tokens(),
 					"memoryTokens", this.memory.memoryTokens());
 			finishUnsent(ProblemKind.TOO_MANY_TOKENS);
-			return;
-		}
-		Admission.Verdict verdict = this.context.admission().decide(arrival());
-		setWaiting(verdict instanceof Admission.Verdict.Wait);
-		if (verdict instanceof Admission.Verdict.Send send) {
-			sendTo(send.backend());
-		}
-		else if (verdict instanceof Admission.Verdict.Wait) {
-			this.waitTimer = this.context.loop().later(this::dispatch, WAIT_POLL_MILLIS);
-		}
-		else if (verdict instanceof Admission.Verdict.Reject reject) {
-			logRejection(reject);
-			this.queueMillis = reject.queueMillis();
-			finishUnsent(ProblemKind.OVERLOADED);
+			return true;
 		}
+		return false;
+	}
+
+	@Override
+	public void onPoll() {
+		dispatch();
 	}
 
-	private void setWaiting(boolean nowWaiting) {
-		if (nowWaiting != this.waiting) {
-			this.waiting = nowWaiting;
-			this.context.backends().limits().changeWaiting(this.request.service(), nowWaiting ? 1 : -1);
+	@Override
+	public void onServer(Backend backend) {
+		if (!endIfNotSendable()) {
+			sendTo(backend);
 		}
 	}
 
+	@Override
+	public void onRejected(Admission.Verdict.Reject reject) {
+		logRejection(reject);
+		this.queueMillis = reject.queueMillis();
+		finishUnsent(ProblemKind.OVERLOADED);
+	}
+
 	private void logBlamed() {
 		EventLog.log(Event.BLAMED_REQUEST_REFUSED, "request", this.request.id(), "digest", this.suspicion.digest(),
 				"organisation", this.request.organisation(), "sends", this.sends);
@@ -223,7 +225,8 @@
 	private Arrival arrival() {
 		return new Arrival(this.request.service(), this.triedServers, this.timing.maxWaitingAtServer(),
 				this.request.destination().engine(), this.request.route().targetMillis(),
-				this.request.route().pauseTargetMillis(), this.needsServerSinceMillis, this.waiting, this.memory);
+				this.request.route().pauseTargetMillis(), this.needsServerSinceMillis, this.serverWait.isWaiting(),
+				this.memory);
 	}
 
 	private void sendTo(Backend backend) {
@@ -337,11 +340,8 @@
 
 	private void close(Disclosure disclosure, String outcome) {
 		this.finished = true;
-		setWaiting(false);
+		this.serverWait.cancel();
 		this.deadlineTimer.cancel(false);
-		if (this.waitTimer != null) {
-			this.waitTimer.cancel(false);
-		}
 		if (this.attempt != null) {
 			this.attempt.abandon();
 		}
