Let requests wait in one queue per service, the most urgent first

Each waiting request asked Admission again every 10 ms, so chance chose the next, and a new arrival took the place that an urgent request waited for.

ServiceQueue holds the waiting requests of a service in the order of UrgencyQueue: priority, latest moment, turns between organisations. Every request that needs a server passes it if the configuration names distinct priorities; else requests poll as before. It is bounded, woken when room may have come, and has one timer a service. Relay's wait moves to ServerWait.

Existing tests are unchanged but for the construction in GatewayFixture. Shown by UrgencyQueueTests, ServiceQueueTests, RelayPriorityTests, UrgencyLoadTests.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -36,6 +36,7 @@
 import org.snowwind.gateway.request.GatewayMeters;
 import org.snowwind.gateway.request.RequestContext;
 import org.snowwind.gateway.request.RetryBudgets;
+import org.snowwind.gateway.request.WaitingRequests;
 import org.snowwind.gateway.stop.GracefulStop;
 import org.snowwind.gateway.stop.OpenRequests;
 import org.snowwind.gateway.suspect.ConnectProbe;
@@ -199,7 +200,7 @@
 		GroupDirectory groups = new GroupDirectory(this.rankClient, adapters.ranks(), this.limits.calls(),
 				adapters.store(),
 				new GroupDirectory.Sources(() -> this.ungrouped, this::registeredRuns, this::plansExperts),
-				(run, group) -> this.loop.run(() -> this.backends.recordGroup(run, group)), this.clock);
+				(run, group) -> changeServers(() -> this.backends.recordGroup(run, group)), this.clock);
 		this.groupThread = new DutyThread("groups", SMALL_RING, GROUPS_MILLIS, groups::round);
 		this.experts = new ExpertDuty(adapters.store(), this.rankClient, adapters.ranks(), this.limits.calls(),
 				this.tables, this.registries, new ExpertDuty.Local(settings.name(), this::shouldPlanExperts,
@@ -208,6 +209,13 @@
 		registerMeters(this.admin.registry());
 	}
 
+	private void changeServers(Runnable change) {
+		this.loop.run(() -> {
+			change.run();
+			this.handler.onServersChanged();
+		});
+	}
+
 	private Map<String, Freshness> storeFreshness() {
 		Map<String, Freshness> freshness = new HashMap<>(this.copies.freshness());
 		freshness.put(SuspectBook.PREFIX, this.suspects.freshness());
@@ -240,8 +248,9 @@
 		RetryBudgets.RetryLimit bound = new RetryBudgets.RetryLimit(this.settings.retryFraction(),
 				this.settings.retryExtra(), this.settings.retryWindowMillis());
 		RetryBudgets budgets = new RetryBudgets(bound, this::fleetSize, this.clock, this.clock.nowMillis());
-		return new RequestContext(this.loop, this.client, this.adapters.dialect(), this.backends,
-				new Admission(this.backends, this.clock), budgets, newSuspects(),
+		Admission admission = new Admission(this.backends, this.clock);
+		return new RequestContext(this.loop, this.client, this.adapters.dialect(), this.backends, admission,
+				new WaitingRequests(this.loop, admission), budgets, newSuspects(),
 				new GatewayMeters(this.admin.registry()), this.clock, this.random);
 	}
 
@@ -266,7 +275,7 @@
 	 * @throws TTransportException if the address for peers cannot be had
 	 */
 	public void start() throws TTransportException {
-		this.registries.onChange((registry) -> this.loop.run(() -> this.backends.update(registry)));
+		this.registries.onChange((registry) -> changeServers(() -> this.backends.update(registry)));
 		this.copies.start();
 		this.control = new ThriftServer(this.settings.peers(),
 				new GatewayControl.Processor<>(
@@ -435,8 +444,7 @@
 
 		@Override
 		public void peersChanged(Map<String, Integer> peersInFlight, double unheardFactor) {
-			GatewayDaemon.this.loop
-				.run(() -> GatewayDaemon.this.backends.updatePeersInFlight(peersInFlight, unheardFactor));
+			changeServers(() -> GatewayDaemon.this.backends.updatePeersInFlight(peersInFlight, unheardFactor));
 		}
 
 		@Override
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
@@ -60,28 +60,54 @@
 		if (chosen.isPresent()) {
 			return new Verdict.Send(chosen.get());
 		}
+		return decideWait(arrival, this.backends.limits().waiting(arrival.service()));
+	}
+
+	/**
+	 * Decides whether a request waits for which no server has room.
+	 * @param arrival the request
+	 * @param queued the number of waiting requests that are sent before it if it does not
+	 * wait already
+	 * @return {@link Verdict.Wait} or {@link Verdict.Reject}
+	 */
+	Verdict decideWait(Arrival arrival, int queued) {
+		int queuedAhead = arrival.alreadyWaiting() ? 0 : queued;
 		long startMillis = startTime(arrival.service()).upperBoundMillis();
 		long latestSendMillis = arrival.arrivedMillis() + arrival.targetMillis() - startMillis;
 		ServiceOutage outage = this.backends.outage(arrival.service());
 		if (outage.total()) {
-			return decideInOutage(arrival, outage, latestSendMillis, startMillis);
+			return decideInOutage(queuedAhead, outage, latestSendMillis, startMillis);
 		}
 		long leftMillis = latestSendMillis - this.clock.nowMillis();
 		// Queued requests keep their position; new arrivals queue behind them.
-		long queueMillis = arrival.alreadyWaiting() ? 0 : this.backends.limits().queueMillis(arrival.service());
+		long queueMillis = this.backends.limits().queueMillis(arrival.service(), queuedAhead);
 		boolean inTime = leftMillis > queueMillis;
 		return inTime ? new Verdict.Wait() : new Verdict.Reject(false, startMillis, queueMillis, 0);
 	}
 
-	private Verdict decideInOutage(Arrival arrival, ServiceOutage outage, long latestSendMillis, long startMillis) {
-		int queuedAhead = arrival.alreadyWaiting() ? 0 : this.backends.limits().waiting(arrival.service());
+	private Verdict decideInOutage(int queuedAhead, ServiceOutage outage, long latestSendMillis, long startMillis) {
 		if (queuedAhead < outage.returningBy(latestSendMillis)) {
 			return new Verdict.Wait();
 		}
 		return new Verdict.Reject(true, startMillis, 0, outage.millisToReturn(this.clock.nowMillis()));
 	}
 
-	private Optional<Backend> choose(Arrival arrival) {
+	/**
+	 * Returns the rejection of a request because too many requests wait.
+	 * @param service the service's name
+	 * @return the rejection
+	 */
+	Verdict.Reject overflow(String service) {
+		return new Verdict.Reject(false, startTime(service).upperBoundMillis(), 0, 0);
+	}
+
+	/**
+	 * Chooses a server that has room for a request, if possible one that it has not
+	 * tried.
+	 * @param arrival the request
+	 * @return the server, empty if none has room
+	 */
+	Optional<Backend> choose(Arrival arrival) {
 		ServerRequirements requirements = arrival.requirements();
 		Optional<Backend> untried = this.backends.choose(requirements);
 		boolean allTried = !this.backends.anyUntriedAvailable(arrival.service(), arrival.tried());
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Arrival.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Arrival.java
@@ -29,6 +29,11 @@
 		tried = Set.copyOf(tried);
 	}
 
+	Arrival withoutTried() {
+		return new Arrival(this.service, Set.of(), this.maxQueuedAtServer, this.engine, this.targetMillis,
+				this.pauseTargetMillis, this.arrivedMillis, this.alreadyWaiting);
+	}
+
 	ServerRequirements requirements() {
 		return new ServerRequirements(this.service, this.tried, this.maxQueuedAtServer, this.engine,
 				this.pauseTargetMillis);
--- a/gateway/src/main/java/org/snowwind/gateway/backend/SharedLimits.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/SharedLimits.java
@@ -84,12 +84,12 @@
 	 * Returns the expected queueing delay of a further request if all servers of its
 	 * service have a limit.
 	 * @param service the service's name
+	 * @param queuedAhead the number of waiting requests that are sent before it
 	 * @return the delay, in milliseconds; 0 if no request waits or if a server that
 	 * accepts requests now has no limit, {@link Long#MAX_VALUE} if requests wait and none
 	 * is expected to be sent
 	 */
-	long queueMillis(String service) {
-		int queuedAhead = waiting(service);
+	long queueMillis(String service, int queuedAhead) {
 		if (queuedAhead == 0) {
 			return 0;
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -167,6 +167,7 @@
 			close(null);
 			this.backend.onInconclusiveEnd();
 			cancelCall();
+			wakeWaiting();
 		}
 	}
 
@@ -200,6 +201,7 @@
 		if (this.request.route().repeatPolicy() == RepeatPolicy.STREAM) {
 			this.streaming = true;
 			this.backend.onStreamStart(this.context.clock().nowMillis());
+			wakeWaiting();
 		}
 		restartIdleTimer(true);
 		this.response = bufferFor(answerStatus, headers);
@@ -285,6 +287,12 @@
 		close(end);
 		recordResult(end);
 		this.listener.onAttemptEnd(end);
+		wakeWaiting();
+	}
+
+	// Called after the listener, so that a retry of this request is in the queue already.
+	private void wakeWaiting() {
+		this.context.waiting().wake(this.request.service());
 	}
 
 	private void close(AttemptEnd end) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayHandler.java
@@ -126,6 +126,13 @@
 			.forEach((request) -> request.relay.resetDeadline());
 	}
 
+	/**
+	 * Sends waiting requests after what is known about servers has changed.
+	 */
+	public void onServersChanged() {
+		this.context.waiting().wakeAll();
+	}
+
 	@Override
 	public void handle(HttpExchange exchange) {
 		long arrivedMillis = this.context.clock().nowMillis();
--- a/gateway/src/main/java/org/snowwind/gateway/request/GatewayMeters.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/GatewayMeters.java
@@ -49,6 +49,13 @@
 			.increment();
 	}
 
+	void countPriority(String service, int priority, String step) {
+		this.registry
+			.counter("snowwind.gateway.priority.requests", "service", service, "priority", Integer.toString(priority),
+					"step", step)
+			.increment();
+	}
+
 	private Timer timer(String name, String service) {
 		return Timer.builder(name).tag("service", service).serviceLevelObjectives(BUCKETS).register(this.registry);
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -29,7 +29,7 @@
  * {@link NextStepRules} decides the next step after each attempt; this class only carries
  * it out.
  */
-final class Relay implements AttemptListener, NextStep.Visitor {
+final class Relay implements AttemptListener, NextStep.Visitor, ServerWait.Listener {
 
 	private static final int SERVER_ERROR = 500;
 
@@ -48,9 +48,6 @@
 	 */
 	private static final int MAX_SENDS = 5;
 
-	/** How often a waiting request asks for admission, in milliseconds. */
-	private static final long WAIT_POLL_MILLIS = 10;
-
 	/** With less time left than this, in milliseconds, no attempt is sent. */
 	private static final long MIN_REMAINING_MILLIS = 30;
 
@@ -78,8 +75,6 @@
 
 	private Future<?> deadlineTimer;
 
-	private Future<?> waitTimer;
-
 	private Attempt attempt;
 
 	private int sends;
@@ -102,8 +97,7 @@
 	 */
 	private long queueMillis;
 
-	/** Whether the request waits for a server that accepts it. */
-	private boolean waiting;
+	private final ServerWait serverWait;
 
 	/**
 	 * Creates the relay of a request.
@@ -123,6 +117,7 @@
 				- ANSWER_MARGIN_MILLIS;
 		this.eventTimes = new EventTimes(request.arrivedMillis());
 		this.suspicion = new RequestSuspicion(context.suspects(), request);
+		this.serverWait = new ServerWait(context, request, this::arrival, this);
 		this.position = new StreamPosition(request.metadata().lastEventId());
 	}
 
@@ -132,6 +127,7 @@
 		this.deadlineTimer = this.context.loop().later(this::endNow, remainingMillis());
 		this.context.budgets().recordRequest(this.request.service());
 		this.context.backends().limits().onRequestArrival(this.request.service());
+		this.serverWait.recordArrival();
 		dispatch();
 	}
 
@@ -159,42 +155,48 @@
 	}
 
 	private void dispatch() {
+		if (!endIfNotSendable()) {
+			this.serverWait.seek();
+		}
+	}
+
+	private boolean endIfNotSendable() {
 		if (this.finished) {
-			return;
+			return true;
 		}
 		// A blamed request is rejected for every caller and every server: each server
 		// that it crashes is lost to all callers.
 		if (this.suspicion.isBlamed()) {
 			logBlamed();
 			finish(Disclosure.FAILED, ProblemKind.ENDS_SERVERS);
-			return;
+			return true;
 		}
 		if (remainingMillis() < MIN_REMAINING_MILLIS) {
 			finishUnsent(ProblemKind.DEADLINE_NOT_RUN);
-			return;
-		}
-		Admission.Verdict verdict = this.context.admission().decide(arrival());
-		setWaiting(verdict instanceof Admission.Verdict.Wait);
-		if (verdict instanceof Admission.Verdict.Send send) {
-			sendTo(send.backend());
-		}
-		else if (verdict instanceof Admission.Verdict.Wait) {
-			this.waitTimer = this.context.loop().later(this::dispatch, WAIT_POLL_MILLIS);
-		}
-		else if (verdict instanceof Admission.Verdict.Reject reject) {
-			logRejection(reject);
-			this.queueMillis = reject.queueMillis();
-			finishUnsent(ProblemKind.OVERLOADED);
+			return true;
 		}
+		return false;
+	}
+
+	@Override
+	public void onPoll() {
+		dispatch();
 	}
 
-	private void setWaiting(boolean nowWaiting) {
-		if (nowWaiting != this.waiting) {
-			this.waiting = nowWaiting;
-			this.context.backends().limits().changeWaiting(this.request.service(), nowWaiting ? 1 : -1);
+	@Override
+	public void onServer(Backend backend) {
+		if (!endIfNotSendable()) {
+			sendTo(backend);
 		}
 	}
 
+	@Override
+	public void onRejected(Admission.Verdict.Reject reject) {
+		logRejection(reject);
+		this.queueMillis = reject.queueMillis();
+		finishUnsent(ProblemKind.OVERLOADED);
+	}
+
 	private void logBlamed() {
 		EventLog.log(Event.BLAMED_REQUEST_REFUSED, "request", this.request.id(), "digest", this.suspicion.digest(),
 				"organisation", this.request.organisation(), "sends", this.sends);
@@ -211,7 +213,7 @@
 	private Arrival arrival() {
 		return new Arrival(this.request.service(), this.triedServers, this.timing.maxWaitingAtServer(),
 				this.request.destination().engine(), this.request.route().targetMillis(),
-				this.request.route().pauseTargetMillis(), this.needsServerSinceMillis, this.waiting);
+				this.request.route().pauseTargetMillis(), this.needsServerSinceMillis, this.serverWait.isWaiting());
 	}
 
 	private void sendTo(Backend backend) {
@@ -324,11 +326,8 @@
 
 	private void close(Disclosure disclosure, String outcome) {
 		this.finished = true;
-		setWaiting(false);
+		this.serverWait.cancel();
 		this.deadlineTimer.cancel(false);
-		if (this.waitTimer != null) {
-			this.waitTimer.cancel(false);
-		}
 		if (this.attempt != null) {
 			this.attempt.abandon();
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestContext.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestContext.java
@@ -17,6 +17,7 @@
  * @param dialect translates between metadata and headers
  * @param backends the backend servers
  * @param admission decides whether a request is sent, waits or is rejected
+ * @param waiting the requests with a priority that wait for a server
  * @param budgets limit the retries of each service
  * @param suspects tracks requests that are suspected of crashing servers
  * @param meters record metrics
@@ -24,7 +25,7 @@
  * @param random spreads the times after which callers retry
  */
 public record RequestContext(DataLoop loop, UpstreamClient client, BackendDialect dialect, BackendTable backends,
-		Admission admission, RetryBudgets budgets, Suspects suspects, GatewayMeters meters, MonotonicClock clock,
-		RandomGenerator random) {
+		Admission admission, WaitingRequests waiting, RetryBudgets budgets, Suspects suspects, GatewayMeters meters,
+		MonotonicClock clock, RandomGenerator random) {
 
 }
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -94,8 +94,9 @@
 	GatewayFixture() {
 		RetryBudgets budgets = new RetryBudgets(new RetryBudgets.RetryLimit(0, 100, 10_000), () -> 1, this.clock,
 				this.clock.nowMillis() - 10_000);
-		RequestContext context = new RequestContext(this.loop, this.client, new TestDialect(), this.backends,
-				new Admission(this.backends, this.clock), budgets, suspects(),
+		Admission admission = new Admission(this.backends, this.clock);
+		RequestContext context = new RequestContext(this.loop, this.client, new TestDialect(), this.backends, admission,
+				new WaitingRequests(this.loop, admission), budgets, suspects(),
 				new GatewayMeters(new SimpleMeterRegistry()), this.clock, new Random(1));
 		this.confirmations.answered(this.clock.nowMillis(), EraRevision.ofLong(1), EraRevision.ofLong(1),
 				EraRevision.ofLong(1));
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -193,6 +193,9 @@
 	/** A configuration names values that are no priorities. */
 	PRIORITIES_OUT_OF_RANGE(4121, Level.WARNING, "priorities out of range"),
 
+	/** A waiting request was sent before one that has waited for longer. */
+	REQUEST_OVERTAKES(4122, Level.INFO, "request overtakes"),
+
 	/** A request was refused before anything was sent. */
 	REQUEST_REFUSED(4105, Level.INFO, "request refused"),
 
