Bound what all gateways together send to a cold server

Cause: nothing read the cold times of servers. When a data centre returns, each gateway draws the same empty ranks, and nothing bounds the sum of their requests. Change: registry entries and response heads name cold times. Each gateway may send its part of the bound, which follows from the number of gateways and rendezvous hashing without messages (ColdShare, ColdFleet, SendWindow). It sends nothing after a start, a freeze or the loss of the majority. All sends pass Backend.admits. Off unless settings and configuration name the feature. An unreadable cold time leaves its entry valid and is logged and counted.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -14,9 +14,12 @@
 import org.apache.thrift.transport.TTransportException;
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.config.settings.GatewaySettings;
+import org.snowwind.config.settings.OptionalFeatures;
+import org.snowwind.decide.limit.ColdShare;
 import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
+import org.snowwind.gateway.backend.ColdServers;
 import org.snowwind.gateway.backend.SharedLimits;
 import org.snowwind.gateway.expert.ExpertDuty;
 import org.snowwind.gateway.expert.GroupDirectory;
@@ -42,6 +45,7 @@
 import org.snowwind.gateway.suspect.SuspectBook;
 import org.snowwind.gateway.suspect.SuspectDuty;
 import org.snowwind.gateway.suspect.Suspects;
+import org.snowwind.gateway.table.ServiceEntry;
 import org.snowwind.gateway.table.TableHolder;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.admin.AdminServer;
@@ -153,6 +157,8 @@
 
 	private volatile boolean draining;
 
+	private volatile boolean fleetListed;
+
 	/** Guarded by this object. */
 	private boolean listening;
 
@@ -170,7 +176,8 @@
 		this.settings = settings;
 		this.graceMillis = settings.graceMillis();
 		this.adapters = adapters;
-		this.backends = new BackendTable(this.clock, this.random, settings.dataCentre(), this::fleetSize);
+		this.backends = new BackendTable(this.clock, this.random, settings.dataCentre(), this::fleetSize,
+				newColdServers());
 		ConfirmationRank rank = new ConfirmationRank(settings.name(), this::confirmingPeers);
 		this.copies = new StoreCopies(settings, adapters, rank, this.clock, this.random);
 		this.tables = this.copies.tables();
@@ -194,7 +201,7 @@
 				new GatewayLimits.Parts(() -> this.mesh.view().liveByName(), () -> this.draining, this.calls,
 						this.admin.registry(), this.clock));
 		GatewayDirectory directory = new GatewayDirectory(adapters.store(), settings.name(), ownAddress,
-				this.mesh::acceptPlatformList, () -> this.mesh.view().liveAddresses());
+				this::acceptPlatformList, () -> this.mesh.view().liveAddresses());
 		this.directoryThread = new DutyThread("directory", SMALL_RING, DIRECTORY_MILLIS, directory::refresh);
 		GroupDirectory groups = new GroupDirectory(this.rankClient, adapters.ranks(), this.limits.calls(),
 				adapters.store(),
@@ -236,6 +243,30 @@
 		return this.mesh.view().fleetSize();
 	}
 
+	private ColdServers newColdServers() {
+		OptionalFeatures features = this.settings.features();
+		return new ColdServers(new ColdServers.Bound(features.coldOver(), features.coldSlackRequests()),
+				this::coldPerSecond, this::coldFleet, this.clock.nowMillis());
+	}
+
+	private double coldPerSecond(String service) {
+		return this.tables.current().service(service).map(ServiceEntry::coldPerSecond).orElse(0.0);
+	}
+
+	// Peers tell only of gateways that they reach, so a gateway that started while cut
+	// off
+	// learns the size of the fleet from the platform alone.
+	private ColdShare.Fleet coldFleet() {
+		PeerView peers = this.mesh.view();
+		return new ColdShare.Fleet(this.settings.name(), this.fleetListed ? peers.fleetSize() : 0,
+				peers.liveByName().keySet());
+	}
+
+	private void acceptPlatformList(List<String> addresses) {
+		this.mesh.acceptPlatformList(addresses);
+		this.fleetListed = true;
+	}
+
 	private RequestContext newContext() {
 		RetryBudgets.RetryLimit bound = new RetryBudgets.RetryLimit(this.settings.retryFraction(),
 				this.settings.retryExtra(), this.settings.retryWindowMillis());
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayLimits.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayLimits.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import org.snowwind.decide.notice.ServerNotice;
@@ -41,6 +42,8 @@
 
 	private volatile Map<String, Long> backoffs = Map.of();
 
+	private volatile int coldServers;
+
 	/**
 	 * Creates limits that ask nobody yet.
 	 * @param name the name of this gateway
@@ -60,6 +63,9 @@
 				new ServerCalls.Restrictions(() -> this.told.activeLimits(), () -> this.backoffs), this::onNotice,
 				parts.clock());
 		Gauge.builder("snowwind.gateway.servers.backing.off", () -> this.backoffs.size()).register(parts.registry());
+		Gauge.builder("snowwind.gateway.servers.cold", () -> this.coldServers).register(parts.registry());
+		FunctionCounter.builder("snowwind.gateway.servers.cold.withheld", backends, BackendTable::coldWithheldCount)
+			.register(parts.registry());
 		Gauge.builder("snowwind.gateway.servers.limited", () -> this.told.activeLimits().size())
 			.register(parts.registry());
 		Gauge.builder("snowwind.gateway.limits.granted.per.second", () -> this.told.grantedPerSecond())
@@ -84,6 +90,7 @@
 	void tell() {
 		this.told = this.limits.snapshot();
 		this.backoffs = this.backends.backoffs();
+		this.coldServers = this.backends.refreshCold();
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
+++ b/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
@@ -228,6 +228,10 @@
 					Freshness::unconfirmedMillis)
 			.register(registry);
 		Gauge.builder("snowwind.gateway.store.era", this.registryFreshness, Freshness::era).register(registry);
+		Gauge
+			.builder("snowwind.gateway.servers.cold.unreadable", this.registryWatcher,
+					RegistryWatcher::unreadableColdTimeCount)
+			.register(registry);
 		Gauge.builder("snowwind.gateway.servers.unreadable", this.registryWatcher, RegistryWatcher::unreadableCount)
 			.register(registry);
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendNotices.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendNotices.java
@@ -8,8 +8,8 @@
 import org.snowwind.model.event.EventLog;
 
 /**
- * The announcements of one incarnation of a server: its rate limit, its backoffs and its
- * departure. Confined to the event loop.
+ * The announcements of one incarnation of a server: its rate limit, its backoffs, its
+ * cold time and its departure. Confined to the event loop.
  */
 public final class BackendNotices {
 
@@ -23,6 +23,8 @@
 
 	private final BackendLimit limit;
 
+	private final BackendCold cold;
+
 	private final ServerBackoff backoff = new ServerBackoff();
 
 	private boolean leaving;
@@ -38,8 +40,18 @@
 	 * @param run the server's incarnation
 	 */
 	BackendNotices(BackendIncarnation run) {
+		this(run, ColdServers.unprotected());
+	}
+
+	/**
+	 * Creates the state of a server that has announced nothing.
+	 * @param run the server's incarnation
+	 * @param coldServers what cold servers have in common
+	 */
+	BackendNotices(BackendIncarnation run, ColdServers coldServers) {
 		this.run = run;
 		this.limit = new BackendLimit(run);
+		this.cold = new BackendCold(run, coldServers);
 	}
 
 	/**
@@ -51,6 +63,7 @@
 	 */
 	void onResponseHead(ServerNotice notice, Source source, RampUp pace, long nowMillis) {
 		this.limit.onResponseHead(notice.limit(), source.signed(), source.sentMillis(), nowMillis);
+		this.cold.onColdTime(notice.coldMillis(), nowMillis);
 		if (notice.retryAfterMillis() > 0) {
 			onRetryAfter(notice.retryAfterMillis(), source, pace, nowMillis);
 		}
@@ -94,6 +107,7 @@
 	 */
 	void sent(long nowMillis) {
 		this.limit.sent(nowMillis);
+		this.cold.sent(nowMillis);
 		this.backoff.recordSent(nowMillis);
 		if (this.backoffLogged) {
 			this.backoffLogged = false;
@@ -104,13 +118,14 @@
 	}
 
 	/**
-	 * Returns whether the rate limit and the backoff of the server allow a request.
+	 * Returns whether the rate limit, the backoff and the cold time of the server allow a
+	 * request.
 	 * @param nowMillis the time, in milliseconds
-	 * @return false while the server backs off, or while its limit is active and the
-	 * share of this process allows no request
+	 * @return false while the server backs off, or while its limit is active or it is
+	 * cold and the share of this process allows no request
 	 */
 	boolean admits(long nowMillis) {
-		return this.backoff.admits(nowMillis) && this.limit.allows(nowMillis);
+		return this.backoff.admits(nowMillis) && this.limit.allows(nowMillis) && this.cold.admits(nowMillis);
 	}
 
 	/**
@@ -121,6 +136,14 @@
 		return this.limit;
 	}
 
+	/**
+	 * Returns the cold time of the server.
+	 * @return the cold time as known to this process
+	 */
+	BackendCold cold() {
+		return this.cold;
+	}
+
 	/**
 	 * Returns the backoff that the server requested from this gateway.
 	 * @return the backoff
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -44,7 +44,9 @@
 
 	private final Map<String, GroupLoad> groups = new HashMap<>();
 
-	private final RemovedNotices removedNotices = new RemovedNotices();
+	private final ColdServers coldServers;
+
+	private final RemovedNotices removedNotices;
 
 	private final SharedLimits limits;
 
@@ -61,16 +63,37 @@
 	 * servers
 	 */
 	public BackendTable(MonotonicClock clock, RandomGenerator random, String dataCentre, IntSupplier gateways) {
-		this(clock, random, dataCentre, gateways, GroupLimit.meanPass());
+		this(clock, random, dataCentre, gateways, ColdServers.unprotected());
+	}
+
+	/**
+	 * Creates a table without servers.
+	 * @param clock the clock
+	 * @param random breaks ties
+	 * @param dataCentre the data centre of this gateway
+	 * @param gateways supplies the number of gateways that may send requests to the
+	 * servers
+	 * @param coldServers what cold servers have in common
+	 */
+	public BackendTable(MonotonicClock clock, RandomGenerator random, String dataCentre, IntSupplier gateways,
+			ColdServers coldServers) {
+		this(clock, random, dataCentre, gateways, GroupLimit.meanPass(), coldServers);
 	}
 
 	BackendTable(MonotonicClock clock, RandomGenerator random, String dataCentre, IntSupplier gateways,
 			GroupLimit groupLimit) {
+		this(clock, random, dataCentre, gateways, groupLimit, ColdServers.unprotected());
+	}
+
+	BackendTable(MonotonicClock clock, RandomGenerator random, String dataCentre, IntSupplier gateways,
+			GroupLimit groupLimit, ColdServers coldServers) {
 		this.clock = clock;
 		this.random = random;
 		this.dataCentre = dataCentre;
 		this.gateways = gateways;
 		this.groupLimit = groupLimit;
+		this.coldServers = coldServers;
+		this.removedNotices = new RemovedNotices(coldServers);
 		this.limits = new SharedLimits(() -> this.byId.values().stream(), this::find, clock);
 	}
 
@@ -111,7 +134,9 @@
 			existing = null;
 		}
 		if (existing == null) {
-			this.byId.put(entry.id(), new Backend(entry, this.removedNotices.take(entry.incarnation())));
+			BackendNotices notices = this.removedNotices.take(entry.incarnation());
+			notices.cold().onEntry(entry, this.clock.nowMillis());
+			this.byId.put(entry.id(), new Backend(entry, notices));
 			EventLog.log(Event.SERVER_ADDED, "server", entry.id(), "service", entry.service(), "address",
 					entry.address(), "dataCentre", entry.dataCentre(), "draining", entry.draining(), "registry",
 					this.revision);
@@ -120,6 +145,7 @@
 		if (entry.draining() && !existing.entry().draining()) {
 			EventLog.log(Event.SERVER_DRAINING, "server", entry.id(), "source", "registry", "registry", this.revision);
 		}
+		existing.notices().cold().onEntry(entry, this.clock.nowMillis());
 		existing.entry(entry);
 	}
 
@@ -182,6 +208,28 @@
 			.collect(Collectors.toUnmodifiableMap(Backend::id, (backend) -> backend.notices().backoff().untilMillis()));
 	}
 
+	/**
+	 * Updates and counts the servers that are protected while they are cold. This must be
+	 * called several times a second.
+	 * @return a number of servers
+	 */
+	public int refreshCold() {
+		long nowMillis = this.clock.nowMillis();
+		this.coldServers.refresh(nowMillis);
+		return (int) this.byId.values()
+			.stream()
+			.filter((backend) -> backend.notices().cold().refresh(nowMillis))
+			.count();
+	}
+
+	/**
+	 * Returns how often a cold server was left out of a choice.
+	 * @return a number that only grows; any thread may call this
+	 */
+	public long coldWithheldCount() {
+		return this.coldServers.withheldCount();
+	}
+
 	/**
 	 * Lists the servers of a service.
 	 * @param service the service's name
--- a/gateway/src/main/java/org/snowwind/gateway/backend/RemovedNotices.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/RemovedNotices.java
@@ -17,6 +17,8 @@
 	/** The maximum number of servers whose notices are kept; the oldest are dropped. */
 	private static final int MAX_ENTRIES = 1024;
 
+	private final ColdServers coldServers;
+
 	private final Map<String, Removed> byId = new LinkedHashMap<>() {
 
 		@Override
@@ -26,6 +28,14 @@
 
 	};
 
+	/**
+	 * Creates an empty instance.
+	 * @param coldServers what cold servers have in common
+	 */
+	RemovedNotices(ColdServers coldServers) {
+		this.coldServers = coldServers;
+	}
+
 	/**
 	 * Keeps the notices of a server whose entry was removed.
 	 * @param run the incarnation in its last entry
@@ -43,7 +53,8 @@
 	 */
 	BackendNotices take(BackendIncarnation run) {
 		Removed removed = this.byId.remove(run.id());
-		return (removed != null && removed.run().mayEqual(run)) ? removed.notices() : new BackendNotices(run);
+		return (removed != null && removed.run().mayEqual(run)) ? removed.notices()
+				: new BackendNotices(run, this.coldServers);
 	}
 
 	private record Removed(BackendIncarnation run, BackendNotices notices) {
--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryDecoder.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryDecoder.java
@@ -1,5 +1,7 @@
 package org.snowwind.gateway.registry;
 
+import java.util.Optional;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.gateway.table.DocumentException;
 
@@ -23,4 +25,14 @@
 	 */
 	BackendEntry decode(String id, JsonNode document) throws DocumentException;
 
+	/**
+	 * Checks the cold time of a server. A cold time that cannot be read counts as none
+	 * and leaves the entry valid.
+	 * @param document the object's value, which is a valid server
+	 * @return why the cold time cannot be read, empty if it can or is absent
+	 */
+	default Optional<String> coldTimeFault(JsonNode document) {
+		return Optional.empty();
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
@@ -28,7 +28,9 @@
 
 	private final MonotonicClock clock;
 
-	private final UnreadableEntries unreadableEntries = new UnreadableEntries();
+	private final UnreadableEntries unreadableEntries = new UnreadableEntries(Event.SERVER_UNREADABLE);
+
+	private final UnreadableEntries unreadableColdTimes = new UnreadableEntries(Event.SERVER_COLD_TIME_UNREADABLE);
 
 	/**
 	 * Creates the watcher.
@@ -47,7 +49,9 @@
 	@Override
 	public void listed(ListResult.Listed listing) {
 		List<BackendEntry> servers = new ArrayList<>();
-		this.unreadableEntries.retainOnly(listing.objects().stream().map(this::idOf).toList());
+		List<String> ids = listing.objects().stream().map(this::idOf).toList();
+		this.unreadableEntries.retainOnly(ids);
+		this.unreadableColdTimes.retainOnly(ids);
 		listing.objects().forEach((object) -> decode(object).ifPresent(servers::add));
 		this.view.replaceAll(listing.revision(), servers, this.clock.nowMillis());
 		publish();
@@ -60,6 +64,7 @@
 			Optional<BackendEntry> server = object.deleted() ? Optional.empty() : decode(object);
 			if (object.deleted()) {
 				this.unreadableEntries.clear(idOf(object));
+				this.unreadableColdTimes.clear(idOf(object));
 			}
 			server.ifPresentOrElse(this.view::put, () -> this.view.remove(idOf(object), nowMillis));
 		}
@@ -121,6 +126,9 @@
 		try {
 			BackendEntry server = this.decoder.decode(idOf(object), object.value());
 			this.unreadableEntries.clear(idOf(object));
+			this.decoder.coldTimeFault(object.value())
+				.ifPresentOrElse((fault) -> this.unreadableColdTimes.recordUnreadable(idOf(object), fault),
+						() -> this.unreadableColdTimes.clear(idOf(object)));
 			return Optional.of(server);
 		}
 		catch (DocumentException ex) {
@@ -129,6 +137,14 @@
 		}
 	}
 
+	/**
+	 * Returns the number of valid entries whose cold time cannot be read.
+	 * @return the number of entries, bounded by the limit on remembered entries
+	 */
+	public int unreadableColdTimeCount() {
+		return this.unreadableColdTimes.count();
+	}
+
 	/**
 	 * Returns the number of entries whose current value cannot be decoded.
 	 * @return the number of entries, bounded by the limit on remembered entries
--- a/gateway/src/main/java/org/snowwind/gateway/registry/UnreadableEntries.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/UnreadableEntries.java
@@ -28,8 +28,18 @@
 	 */
 	private static final int MAX_LOGGED_CHARS = 120;
 
+	private final Event event;
+
 	private final Map<String, String> reasonsByEntry = new ConcurrentHashMap<>();
 
+	/**
+	 * Creates an instance that remembers no entries.
+	 * @param event logged for each entry and reason
+	 */
+	UnreadableEntries(Event event) {
+		this.event = event;
+	}
+
 	/**
 	 * Records an entry that cannot be decoded, and logs it if the reason is new.
 	 * @param name the name of the entry
@@ -40,7 +50,7 @@
 		String loggedReason = truncate(reason);
 		boolean hasCapacity = this.reasonsByEntry.containsKey(key) || this.reasonsByEntry.size() < MAX_ENTRIES;
 		if (hasCapacity && !loggedReason.equals(this.reasonsByEntry.put(key, loggedReason))) {
-			EventLog.log(Event.SERVER_UNREADABLE, "server", key, "reason", loggedReason);
+			EventLog.log(this.event, "server", key, "reason", loggedReason);
 		}
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/registry/RegistryWatcherTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/registry/RegistryWatcherTests.java
@@ -1,6 +1,7 @@
 package org.snowwind.gateway.registry;
 
 import java.util.List;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Test;
@@ -58,6 +59,15 @@
 		assertThat(this.watcher.unreadableCount()).isZero();
 	}
 
+	@Test
+	void unreadableColdTimeIsCountedAndHidesNoServer() {
+		this.watcher.listed(new ListResult.Listed(EraRevision.ofLong(5), List.of(entry("a", "-1"), entry("b", "2"))));
+		assertThat(servers()).containsExactlyInAnyOrder("a", "b");
+		assertThat(this.watcher.unreadableColdTimeCount()).isEqualTo(1);
+		this.watcher.changed(new WatchResult.Changes(List.of(entry("a", "1")), EraRevision.ofLong(7)));
+		assertThat(this.watcher.unreadableColdTimeCount()).isZero();
+	}
+
 	/**
 	 * Decodes every number as a server and rejects everything else.
 	 */
@@ -76,6 +86,11 @@
 			return new BackendEntry(id, BackendIncarnation.UNKNOWN, "s", "10.0.0.1", 80, "dc", 1, false);
 		}
 
+		@Override
+		public Optional<String> coldTimeFault(JsonNode document) {
+			return (document.intValue() < 0) ? Optional.of("negative") : Optional.empty();
+		}
+
 	}
 
 }
--- a/gateway/src/test/java/org/snowwind/gateway/registry/UnreadableEntriesTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/registry/UnreadableEntriesTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.snowwind.model.event.Event;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,7 +12,7 @@
  */
 class UnreadableEntriesTests {
 
-	private final UnreadableEntries entries = new UnreadableEntries();
+	private final UnreadableEntries entries = new UnreadableEntries(Event.SERVER_UNREADABLE);
 
 	@Test
 	void entryIsCountedUntilItCanBeRead() {
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -187,6 +187,15 @@
 	/** A server gets requests from this gateway again. */
 	SERVER_BACKOFF_ENDED(3019, Level.INFO, "server backoff ended"),
 
+	/** A server is cold and gets few requests. */
+	SERVER_COLD(3031, Level.INFO, "server is cold"),
+
+	/** A server that was cold gets any number of requests again. */
+	SERVER_WARM(3032, Level.INFO, "server is warm"),
+
+	/** The platform's entry of a server names a cold time that cannot be read. */
+	SERVER_COLD_TIME_UNREADABLE(3033, Level.WARNING, "cold time of a server unreadable"),
+
 	/** A server announces something that cannot be read. */
 	SERVER_NOTICE_UNREADABLE(3020, Level.WARNING, "server notice unreadable"),
 
