--- a/decide/src/main/java/org/snowwind/decide/choice/SlowStart.java
+++ b/decide/src/main/java/org/snowwind/decide/choice/SlowStart.java
@@ -5,15 +5,16 @@
  *
  * <p>
  * Handles servers that many processes learn of at the same moment. They are empty, so all
- * processes would choose them until reports show the load. The share rises from a tenth,
- * so that the first requests of all processes together fit, to the full one.
+ * processes would choose them until reports show the load. The share rises from a half to
+ * the full one: a lower start keeps requests on the servers that are full, and their
+ * callers wait for longer.
  */
 public final class SlowStart {
 
 	/** A server that is not returning. */
 	public static final SlowStart NONE = new SlowStart(0, 0);
 
-	private static final double FIRST_SHARE = 0.1;
+	private static final double FIRST_SHARE = 0.5;
 
 	private final long startMillis;
 
@@ -33,7 +34,7 @@
 	/**
 	 * Returns the current share of the normal load.
 	 * @param nowMillis the time, in milliseconds
-	 * @return a fraction from 0.1 to 1
+	 * @return a fraction from 0.5 to 1
 	 */
 	public double factor(long nowMillis) {
 		long elapsedMillis = nowMillis - this.startMillis;
--- a/gateway/src/main/java/org/snowwind/gateway/backend/EvacuatedServers.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/EvacuatedServers.java
@@ -23,7 +23,7 @@
 	 * is several times the age of reports, which show where requests go, and shorter than
 	 * callers keep retrying.
 	 */
-	private static final long RETURN_MILLIS = 3000;
+	private static final long RETURN_MILLIS = 1500;
 
 	private Set<String> dataCentres = Set.of();
 
