Test evacuations of data centres with processes, and let the soak request them

Cause: an operator asks in the store that servers of a data centre get nothing more. No test with processes showed whether gateways follow, also while the store is away, restored or cut short, and after a start. Gateways of soaks have the feature 'places' with a bound of 2 s. Servers of the soak run in three data centres, none of them that of the gateways, so that no server is nearer than before. Existing tests: SoakRulesTests, SoakTests and SoakRun take one more list or flag; no check of them changed.

--- a/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
@@ -18,6 +18,9 @@
 	/** How long it may take to stop, in seconds; as on the users' platform. */
 	static final int GRACE_SECONDS = 8;
 
+	/** Within which an evacuation must be in force, in milliseconds. */
+	static final int EVACUATION_MILLIS = 2000;
+
 	private final String name;
 
 	private final Path folder;
@@ -64,6 +67,10 @@
 		return "127.0.0.1:" + this.peersPort;
 	}
 
+	String admin() {
+		return "127.0.0.1:" + this.adminPort;
+	}
+
 	SnowwindProcess process() {
 		return this.process;
 	}
@@ -73,6 +80,7 @@
 		Files.writeString(settings(), """
 				name = "%s"
 				data_centre = "dc"
+				features = ["places"]
 				[listen]
 				callers = "%s"
 				readiness = "%s"
@@ -88,8 +96,10 @@
 				fraction = 0.2
 				extra = 90
 				window_seconds = 10
+				[evacuation]
+				in_force_millis = %d
 				""".formatted(this.name, callers(), readiness(), peers(), this.adminPort, listed,
-				this.toStore.address(), this.grace));
+				this.toStore.address(), this.grace, EVACUATION_MILLIS));
 	}
 
 	private Path settings() {
--- a/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
@@ -41,13 +41,15 @@
 
 	private final List<WrittenConfiguration> configurations = new ArrayList<>();
 
+	private final List<WrittenEvacuation> evacuations = new ArrayList<>();
+
 	private Map<String, Long> drains = Map.of();
 
 	private List<String> broken() {
 		return SoakRules.broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains,
 				Map.of(CallKind.ONCE, Set.of("desk"), CallKind.AGAIN, Set.of("desk"), CallKind.STREAM, Set.of("desk"),
 						CallKind.LONG, Set.of("desk"), CallKind.FATAL, Set.of("desk"), CallKind.MOVING, Set.of("desk")),
-				this.arrivals, this.limits, this.backoffs, this.departures, this.configurations));
+				this.arrivals, this.limits, this.backoffs, this.departures, this.configurations, this.evacuations));
 	}
 
 	private void call(CallKind kind, int status, String answer, boolean whole, long tookMillis) {
@@ -251,8 +253,9 @@
 	}
 
 	private List<String> limitBroken() {
-		return new LimitsAreKept().broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains,
-				Map.of(), this.arrivals, this.limits, this.backoffs, this.departures, this.configurations));
+		return new LimitsAreKept()
+			.broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains, Map.of(), this.arrivals,
+					this.limits, this.backoffs, this.departures, this.configurations, this.evacuations));
 	}
 
 	private void limitedArrivals(int count) {
@@ -270,7 +273,7 @@
 		long atNanos = START + TimeUnit.MILLISECONDS.toNanos(afterMillis);
 		this.calls.add(new Call(request, request, CallKind.AGAIN, "", SoakWorld.KEY, 0, "g0", atNanos, atNanos + 1, 200,
 				Answers.signature(SERVER, request), Answers.plain(request), true));
-		this.arrivals.add(new ServerArrival(SERVER, request, atNanos));
+		this.arrivals.add(new ServerArrival(SERVER, "dc-0", request, atNanos));
 	}
 
 	@Test
@@ -293,7 +296,7 @@
 		this.calls.add(new Call(id, id, CallKind.AGAIN, "", SoakWorld.KEY, 0, "g0", sentNanos, sentNanos + 1, status,
 				(status == 200) ? Answers.signature(SERVER, id) : null, (status == 200) ? Answers.plain(id) : "",
 				true));
-		this.arrivals.add(new ServerArrival(SERVER, id, sentNanos));
+		this.arrivals.add(new ServerArrival(SERVER, "dc-0", id, sentNanos));
 		if (status == 200) {
 			this.runs.add(new Run(id, "desk", SERVER, "GET", CallKind.AGAIN.target(id), "", SoakWorld.ORGANISATION,
 					false, sentNanos));
@@ -375,6 +378,34 @@
 		}
 	}
 
+	@Test
+	void requestToAnEvacuatedDataCentreBreaksTheRuleUnlessTheStoreWasDisturbedAsItBegan() {
+		this.evacuations.add(new WrittenEvacuation("dc-1", START, START + TimeUnit.SECONDS.toNanos(20)));
+		this.evacuations.add(evacuated(10_000, 20_000));
+		answeredBy("c1", 13_990, 200);
+		answeredBy("c2", 20_000, 200);
+		assertThat(broken()).as("before the bound and after the end").isEmpty();
+		answeredBy("c3", 14_010, 200);
+		assertThat(broken()).singleElement().asString().startsWith("EvacuatedServersGetNothing");
+		disturbedAt(Disturbance.STORE, 14_005);
+		disturbedAt("g0", 10_000);
+		assertThat(broken()).as("the gateway was away as it began").isEmpty();
+		answeredBy("c4", 19_000, 200);
+		assertThat(broken()).as("it is in touch again").hasSize(1);
+		disturbedAt(Disturbance.STORE, 10_000);
+		assertThat(broken()).isEmpty();
+	}
+
+	private static WrittenEvacuation evacuated(long fromMillis, long untilMillis) {
+		return new WrittenEvacuation("dc-0", START + TimeUnit.MILLISECONDS.toNanos(fromMillis),
+				START + TimeUnit.MILLISECONDS.toNanos(untilMillis));
+	}
+
+	private void disturbedAt(String where, long afterMillis) {
+		long nanos = START + TimeUnit.MILLISECONDS.toNanos(afterMillis);
+		this.disturbances.add(new Disturbance("kill", where, nanos, nanos));
+	}
+
 	private void written(long version, String movingTo, long afterMillis) {
 		this.configurations.add(new WrittenConfiguration(version, "key-" + version, movingTo,
 				START + TimeUnit.MILLISECONDS.toNanos(afterMillis)));
--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -74,6 +74,9 @@
 	/** How often the store is restored from an older copy; some come close together. */
 	private static final long DRILL_EVERY_MILLIS = 3500;
 
+	/** How often a data centre is evacuated; most evacuations last longer. */
+	private static final long EVACUATE_EVERY_MILLIS = 2500;
+
 	private static final long CALL_WITH_KEY_EVERY_MILLIS = 40;
 
 	/** How often a caller sends the request again that ends servers. */
@@ -108,6 +111,8 @@
 
 	private final Random drills;
 
+	private final Random evacuations;
+
 	private final SoakExtras extras;
 
 	private final SoakWorld world;
@@ -139,6 +144,7 @@
 		this.silences = new Random(seed + 6);
 		this.keys = new Random(seed + 7);
 		this.drills = new Random(seed + 8);
+		this.evacuations = new Random(seed + 9);
 		this.extras = extras;
 		this.streams = new Random(seed + 2);
 		this.world = new SoakWorld(folder, GATEWAYS, new Random(seed + 1));
@@ -168,6 +174,8 @@
 				TimeUnit.MILLISECONDS);
 		var drilling = this.later.scheduleWithFixedDelay(this::drill, DRILL_EVERY_MILLIS, DRILL_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
+		var evacuating = this.later.scheduleWithFixedDelay(this::evacuate, EVACUATE_EVERY_MILLIS, EVACUATE_EVERY_MILLIS,
+				TimeUnit.MILLISECONDS);
 		var callingWithKeys = this.later.scheduleAtFixedRate(this::callWithKey, 0, CALL_WITH_KEY_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faultMillis);
@@ -182,8 +190,12 @@
 		limiting.cancel(false);
 		noticing.cancel(false);
 		drilling.cancel(false);
+		evacuating.cancel(false);
 		this.world.servers().forEach((server) -> server.server().limit(LimitChange.NONE));
 		awaitPending();
+		if (this.extras.evacuations()) {
+			SoakEvacuations.endAll(this.world);
+		}
 		stopTogether();
 		TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
 		calling.cancel(false);
@@ -300,6 +312,12 @@
 		}
 	}
 
+	private void evacuate() {
+		if (this.extras.evacuations()) {
+			SoakEvacuations.begin(this.world, this.evacuations, this::after);
+		}
+	}
+
 	// With the newest key, or with the one that it has replaced.
 	private void callWithKey() {
 		if (this.extras.silentStore()) {
--- a/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -18,6 +18,7 @@
 
 import org.snowwind.app.harness.Link;
 import org.snowwind.http.DataLoop;
+import org.snowwind.model.Json;
 import org.snowwind.platform.standin.BackendBehaviour;
 import org.snowwind.platform.standin.BackendStandIn;
 import org.snowwind.platform.standin.BackoffRequest;
@@ -42,6 +43,11 @@
 	/** The service that answers with streams. */
 	static final String STREAMING = "model";
 
+	/** The data centres of the servers. */
+	static final List<String> DATA_CENTRES = List.of("dc-0", "dc-1", "dc-2");
+
+	private static final String EVACUATIONS = "evacuations";
+
 	private static final Map<String, Integer> SERVERS = Map.of("desk", 3, "desk-new", 2, STREAMING, 3);
 
 	private final DataLoop loop = new DataLoop("soak-platform");
@@ -68,6 +74,10 @@
 
 	private final List<WrittenConfiguration> configurations = new CopyOnWriteArrayList<>();
 
+	private final Map<String, Long> evacuatedSince = new ConcurrentHashMap<>();
+
+	private final Queue<WrittenEvacuation> pastEvacuations = new ConcurrentLinkedQueue<>();
+
 	private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
 
 	private final Map<CallKind, Set<String>> services = new EnumMap<>(CallKind.class);
@@ -171,8 +181,9 @@
 	}
 
 	synchronized SoakServer addServer(String service) throws IOException {
+		String dataCentre = DATA_CENTRES.get(this.serverRuns % DATA_CENTRES.size());
 		String id = service + "-run-" + this.serverRuns++;
-		BackendStandIn server = new BackendStandIn(this.loop, this.store, service, id);
+		BackendStandIn server = new BackendStandIn(this.loop, this.store, service, id, dataCentre);
 		SoakServer reached = new SoakServer(server, new Link(server.start()));
 		server.fatal((run) -> endsServer(run, reached));
 		server.register(reached.link().address());
@@ -223,6 +234,36 @@
 		this.drains.put(server.server().id(), System.nanoTime());
 	}
 
+	/**
+	 * Requests the evacuation of a data centre.
+	 * @param dataCentre the data centre
+	 */
+	void evacuate(String dataCentre) {
+		this.store.put(EVACUATIONS, dataCentre, Json.MAPPER.createObjectNode());
+		this.evacuatedSince.putIfAbsent(dataCentre, System.nanoTime());
+	}
+
+	/**
+	 * Ends the evacuation of a data centre.
+	 * @param dataCentre the data centre
+	 */
+	void endEvacuation(String dataCentre) {
+		Long sinceNanos = this.evacuatedSince.remove(dataCentre);
+		this.pastEvacuations.add(new WrittenEvacuation(dataCentre, sinceNanos, System.nanoTime()));
+		this.store.remove(EVACUATIONS, dataCentre);
+	}
+
+	boolean isEvacuated(String dataCentre) {
+		return this.evacuatedSince.containsKey(dataCentre);
+	}
+
+	private List<WrittenEvacuation> evacuations() {
+		List<WrittenEvacuation> all = new ArrayList<>(this.pastEvacuations);
+		this.evacuatedSince
+			.forEach((dataCentre, nanos) -> all.add(new WrittenEvacuation(dataCentre, nanos, System.nanoTime())));
+		return all;
+	}
+
 	void disturbed(Disturbance disturbance) {
 		this.disturbances.add(disturbance);
 	}
@@ -241,7 +282,8 @@
 			departures.addAll(server.server().departures());
 		});
 		return new SoakHistory(calls, runs, List.copyOf(this.disturbances), Map.copyOf(this.drains),
-				Map.copyOf(this.services), arrivals, limits, backoffs, departures, List.copyOf(this.configurations));
+				Map.copyOf(this.services), arrivals, limits, backoffs, departures, List.copyOf(this.configurations),
+				evacuations());
 	}
 
 	@Override
