--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/evacuation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Evacuation of data centres, whose servers get no new requests.
+ */
+package org.snowwind.gateway.evacuation;
