--- a/app/src/main/java/org/snowwind/app/command/EvacuationsCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/EvacuationsCommand.java
@@ -59,7 +59,7 @@
 					inForce = inForce(client, gateway);
 				}
 				catch (IOException ex) {
-					System.err.println("the gateway did not answer: " + ex.getMessage());
+					System.err.println("the gateway did not list its evacuations: " + ex.getMessage());
 					return ExitCodes.UNREACHABLE;
 				}
 			}
