--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -27,6 +27,8 @@
 
 	private final Backend backend;
 
+	private final long tokens;
+
 	private final String afterId;
 
 	private final AttemptListener listener;
@@ -57,6 +59,8 @@
 
 	private boolean streaming;
 
+	private boolean reading = true;
+
 	private long idleTimeoutMillis;
 
 	/**
@@ -64,14 +68,17 @@
 	 * @param context the components that requests share
 	 * @param request the request
 	 * @param backend the backend server
+	 * @param tokens the memory that the request needs at the server, in tokens
 	 * @param afterId id of the event after which the stream continues; {@code null} to
 	 * start at the beginning
 	 * @param listener notified of the response and of the end of the attempt
 	 */
-	Attempt(RequestContext context, CallerRequest request, Backend backend, String afterId, AttemptListener listener) {
+	Attempt(RequestContext context, CallerRequest request, Backend backend, long tokens, String afterId,
+			AttemptListener listener) {
 		this.context = context;
 		this.request = request;
 		this.backend = backend;
+		this.tokens = tokens;
 		this.afterId = afterId;
 		this.listener = listener;
 		this.sentMillis = context.clock().nowMillis();
@@ -85,6 +92,7 @@
 	 */
 	void send(long remainingMillis, Timeouts timeouts) {
 		this.backend.onSent(this.sentMillis);
+		this.backend.addHeldTokens(this.tokens);
 		this.idleTimeoutMillis = timeouts.idleMillis();
 		this.timeoutTimer = this.context.loop()
 			.later(() -> abort("no response head within the timeout"), timeouts.firstByteMillis());
@@ -152,8 +160,9 @@
 	 */
 	void setReading(boolean reading) {
 		if (!this.ended && this.call != null) {
+			this.reading = reading;
 			this.call.reading(reading);
-			restartIdleTimer(reading);
+			restartIdleTimer();
 		}
 	}
 
@@ -201,7 +210,7 @@
 			this.streaming = true;
 			this.backend.onStreamStart(this.context.clock().nowMillis());
 		}
-		restartIdleTimer(true);
+		restartIdleTimer();
 		this.response = bufferFor(answerStatus, headers);
 		this.listener.onResponseStart(this.response);
 	}
@@ -228,10 +237,11 @@
 		if (this.ended) {
 			return;
 		}
-		restartIdleTimer(true);
+		restartIdleTimer();
 		this.context.suspects().heard(this.backend.entry().incarnation());
 		this.receivedBytes += bytes.length;
 		List<StreamEvent> events = this.response.append(bytes);
+		this.listener.onBuffered(this.response.bufferedBytes());
 		if (!events.isEmpty()) {
 			this.listener.onEvents(events);
 		}
@@ -268,12 +278,14 @@
 		}
 	}
 
-	private void restartIdleTimer(boolean reading) {
+	// A server that is not read cannot send, so its silence says nothing. Bytes that were
+	// read before may still arrive one by one.
+	private void restartIdleTimer() {
 		if (this.ended || this.idleTimeoutMillis <= 0) {
 			return;
 		}
 		this.timeoutTimer.cancel(false);
-		if (reading) {
+		if (this.reading) {
 			this.timeoutTimer = this.context.loop().later(() -> abort("silent"), this.idleTimeoutMillis);
 		}
 	}
@@ -289,6 +301,7 @@
 
 	private void close(AttemptEnd end) {
 		this.ended = true;
+		this.backend.addHeldTokens(-this.tokens);
 		this.timeoutTimer.cancel(false);
 		if (this.streaming) {
 			this.backend.onStreamEnd();
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -70,6 +70,21 @@
 	/** The store was restored from an older copy. */
 	STORE_ERA_CHANGED(2106, Level.WARNING, "store restored from an older copy"),
 
+	/** A data centre is evacuated. */
+	EVACUATION_BEGAN(2201, Level.WARNING, "evacuation began"),
+
+	/** A data centre is no longer evacuated. */
+	EVACUATION_ENDED(2202, Level.INFO, "evacuation ended"),
+
+	/** An evacuation has unknown fields or cannot be read. */
+	EVACUATION_UNREADABLE(2203, Level.WARNING, "evacuation not understood"),
+
+	/** The servers of a data centre get no new requests, or get them again. */
+	EVACUATION_APPLIED(2204, Level.INFO, "evacuated servers changed"),
+
+	/** Evacuations were listed from a restored store. */
+	EVACUATIONS_RESTORED(2205, Level.INFO, "evacuations listed from a restored store"),
+
 	/** A server is no longer offered work. */
 	SERVER_SUSPECTED(3001, Level.WARNING, "server suspected"),
 
@@ -274,6 +289,18 @@
 	/** Requests choose other experts than before. */
 	DEMAND_MOVED(6205, Level.INFO, "demand for experts moved"),
 
+	/** A caller's connection was closed, since more was held for callers than allowed. */
+	CALLER_CLOSED_FOR_MEMORY(1301, Level.WARNING, "connection of a slow caller closed for memory"),
+
+	/** How much may be held for all callers together. */
+	HELD_BYTES_BOUNDED(1302, Level.INFO, "bytes held for callers bounded"),
+
+	/** A request was not sent to a server, since it does not fit into its memory. */
+	SERVER_MEMORY_SHORT(3041, Level.INFO, "server left out for memory"),
+
+	/** A request is larger than the memory of a server. */
+	REQUEST_OVER_MEMORY(3042, Level.INFO, "request larger than a server's memory refused"),
+
 	/** A bounded ring was full. */
 	RING_FULL(5001, Level.WARNING, "ring full"),
 
