--- a/app/src/main/java/org/snowwind/app/command/EvacuationsCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/EvacuationsCommand.java
@@ -140,7 +140,8 @@
 		}
 		try (JsonClient client = new JsonClient(Map.of(), CONNECT_MILLIS)) {
 			GatewayAdapters adapters = PlatformAdapters.of(client, address.get());
-			return use.of(new EvacuationArchive(adapters.store(), adapters.servers(), "evacuations/"), client);
+			return use.of(new EvacuationArchive(adapters.store(), adapters.servers(), adapters.evacuations().prefix()),
+					client);
 		}
 	}
 
--- a/app/src/test/java/org/snowwind/app/soak/EvacuatedServersGetNothing.java
+++ b/app/src/test/java/org/snowwind/app/soak/EvacuatedServersGetNothing.java
@@ -16,7 +16,8 @@
 	/** The bound of the gateways' settings and as much again for a busy machine. */
 	static final long SOAK_MILLIS = 2L * SoakGateway.EVACUATION_MILLIS;
 
-	private static final long CALM_NANOS = TimeUnit.SECONDS.toNanos(3);
+	/** Beside the time that each disturbance itself allows for its aftermath. */
+	private static final long CALM_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	@Override
 	public List<String> broken(SoakHistory history) {
@@ -44,10 +45,14 @@
 		boolean sentInTime = call.sentNanos() < dueNanos
 				&& history.disturbed(Disturbance.SERVERS, call.sentNanos(), arrival.atNanos());
 		// What no gateway has seen can be lost with the store.
-		boolean written = !history.disturbed(Disturbance.STORE, evacuation.writtenNanos() - CALM_NANOS, dueNanos);
-		boolean inTouch = !history.disturbed(call.gateway(), evacuation.writtenNanos() - CALM_NANOS, dueNanos)
-				|| !history.disturbed(call.gateway(), arrival.atNanos() - inForceNanos - CALM_NANOS, arrival.atNanos());
-		return !sentInTime && written && inTouch;
+		boolean taken = isCalm(history, Disturbance.STORE, evacuation.writtenNanos(), dueNanos);
+		boolean inTouch = isCalm(history, call.gateway(), evacuation.writtenNanos(), dueNanos)
+				|| isCalm(history, call.gateway(), arrival.atNanos() - inForceNanos, arrival.atNanos());
+		return !sentInTime && taken && inTouch;
+	}
+
+	private static boolean isCalm(SoakHistory history, String where, long fromNanos, long untilNanos) {
+		return !history.disturbed(where, fromNanos - CALM_NANOS, untilNanos);
 	}
 
 }
--- a/app/src/test/java/org/snowwind/app/soak/SoakEvacuations.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakEvacuations.java
@@ -8,13 +8,16 @@
  */
 final class SoakEvacuations {
 
-	private static final long LEAST_MILLIS = 1000;
+	private static final long LEAST_MILLIS = 3000;
 
-	private static final long MOST_MILLIS = 6000;
+	private static final long MOST_MILLIS = 8000;
 
 	/** The time until what is written again is seen by gateways, in milliseconds. */
 	private static final long SEEN_MILLIS = 1500;
 
+	/** The time after the last fault until bounds apply, in milliseconds. */
+	private static final long CALM_MILLIS = 3000;
+
 	private SoakEvacuations() {
 	}
 
@@ -39,7 +42,20 @@
 	}
 
 	/**
-	 * Ends evacuations that the store has lost or shows again since it was restored.
+	 * Evacuates a data centre after all faults and waits until it must be in force.
+	 * @param world holds the data centres
+	 * @throws InterruptedException if the waiting thread is interrupted
+	 */
+	static void beginLast(SoakWorld world) throws InterruptedException {
+		endAll(world);
+		TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
+		world.evacuate(SoakWorld.DATA_CENTRES.get(0));
+		TimeUnit.MILLISECONDS.sleep(EvacuatedServersGetNothing.SOAK_MILLIS);
+	}
+
+	/**
+	 * Ends all evacuations, also those that the store has lost or shows again since it
+	 * was restored.
 	 * @param world holds the data centres
 	 * @throws InterruptedException if the waiting thread is interrupted
 	 */
--- a/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
@@ -388,7 +388,7 @@
 		answeredBy("c3", 14_010, 200);
 		assertThat(broken()).singleElement().asString().startsWith("EvacuatedServersGetNothing");
 		disturbedAt(Disturbance.STORE, 14_005);
-		disturbedAt("g0", 10_000);
+		disturbedAt("g0", 11_000);
 		assertThat(broken()).as("the gateway was away as it began").isEmpty();
 		answeredBy("c4", 19_000, 200);
 		assertThat(broken()).as("it is in touch again").hasSize(1);
--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -194,7 +194,7 @@
 		this.world.servers().forEach((server) -> server.server().limit(LimitChange.NONE));
 		awaitPending();
 		if (this.extras.evacuations()) {
-			SoakEvacuations.endAll(this.world);
+			SoakEvacuations.beginLast(this.world);
 		}
 		stopTogether();
 		TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
