--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -189,11 +189,12 @@
 		this.copies = new StoreCopies(settings, adapters, rank, this.clock, this.random);
 		this.tables = this.copies.tables();
 		this.registries = this.copies.registries();
-		this.readiness = new GatewayReadiness(this.tables, this.registries, this.backends, () -> this.draining);
-		this.admin = new AdminServer(this.loop, this.readiness::admin, Map.of("/evacuations", this::evacuationsPage));
+		this.evacuations = newEvacuations(rank);
+		this.readiness = new GatewayReadiness(this.tables, this.registries, this.backends, this.evacuations::isKnown,
+				() -> this.draining);
+		this.admin = new AdminServer(this.loop, this.readiness::admin, this.evacuations.pages(this::livePeerNames));
 		this.suspects = new SuspectDuty(adapters.store(), adapters.reads(), settings.name(), rank,
 				StoreCopies.watchMillis(settings, this.random), this.clock, this.random);
-		this.evacuations = newEvacuations(rank);
 		this.handler = new GatewayHandler(newContext(), this.tables, this.copies.tableFreshness());
 		HttpLimits limits = new HttpLimits(MAX_URI_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
 				HttpLimits.DEFAULT.readTimeoutMillis());
@@ -249,10 +250,6 @@
 		return this.registries.current().list().stream().map(BackendEntry::incarnation).collect(Collectors.toSet());
 	}
 
-	private String evacuationsPage() {
-		return this.evacuations.describe(this.mesh.view().liveByName().keySet());
-	}
-
 	private Set<String> dataCentres() {
 		return this.registries.current()
 			.servers()
@@ -272,6 +269,10 @@
 				&& this.experts.claim().stands(peers.plannerFence(), peers.recentNames(), this.settings.name());
 	}
 
+	private Set<String> livePeerNames() {
+		return this.mesh.view().liveByName().keySet();
+	}
+
 	private Set<String> confirmingPeers() {
 		return this.mesh.view().confirmingNames();
 	}
@@ -338,6 +339,7 @@
 	 */
 	public void start() throws TTransportException {
 		this.registries.onChange((registry) -> changeServers(() -> this.backends.update(registry)));
+		this.evacuations.start();
 		this.copies.start();
 		this.control = new ThriftServer(this.settings.peers(),
 				new GatewayControl.Processor<>(
@@ -350,7 +352,6 @@
 		this.mesh.start(this.settings.seeds());
 		this.directoryThread.start();
 		this.suspects.start();
-		this.evacuations.start();
 		this.limits.start();
 		this.experts.start();
 		this.groupThread.start();
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayReadiness.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayReadiness.java
@@ -27,6 +27,8 @@
 
 	private final BackendTable backends;
 
+	private final BooleanSupplier evacuationsKnown;
+
 	private final BooleanSupplier draining;
 
 	private boolean ready;
@@ -36,17 +38,21 @@
 	 * @param tables the route table in force
 	 * @param registries the registered servers
 	 * @param backends the servers and their state
+	 * @param evacuationsKnown whether it is known which data centres are evacuated
 	 * @param draining whether the gateway accepts no new connections
 	 */
-	GatewayReadiness(TableHolder tables, RegistryHolder registries, BackendTable backends, BooleanSupplier draining) {
+	GatewayReadiness(TableHolder tables, RegistryHolder registries, BackendTable backends,
+			BooleanSupplier evacuationsKnown, BooleanSupplier draining) {
 		this.tables = tables;
 		this.registries = registries;
 		this.backends = backends;
+		this.evacuationsKnown = evacuationsKnown;
 		this.draining = draining;
 	}
 
 	private boolean isReady() {
 		boolean nowReady = !this.draining.getAsBoolean() && this.tables.current().version() > 0
+				&& this.evacuationsKnown.getAsBoolean()
 				&& this.backends.anyInService(this.tables.current().services().keySet());
 		if (nowReady != this.ready) {
 			this.ready = nowReady;
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
@@ -44,6 +44,10 @@
 		startTime(service).observe(tookMillis);
 	}
 
+	long nowMillis() {
+		return this.clock.nowMillis();
+	}
+
 	private StartTime startTime(String service) {
 		return this.startTimes.computeIfAbsent(service, (name) -> new StartTime());
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -131,7 +131,7 @@
 	 * Returns whether the server is in service, also if it must get no new work now.
 	 * @return false if it is leaving or its entry was removed
 	 */
-	boolean isInService() {
+	public boolean isInService() {
 		return !this.removed && !this.notices.isLeaving() && !this.entry.draining();
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/backend/EvacuatedServers.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/EvacuatedServers.java
@@ -39,7 +39,10 @@
 		changed.removeIf((dataCentre) -> next.contains(dataCentre) && this.dataCentres.contains(dataCentre));
 		this.dataCentres = Set.copyOf(next);
 		servers.forEach((server) -> apply(server, nowMillis));
-		changed.forEach((dataCentre) -> log(dataCentre, servers));
+		// Before the first registry nothing is known of any data centre.
+		if (!servers.isEmpty()) {
+			changed.forEach((dataCentre) -> log(dataCentre, servers));
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -74,8 +74,8 @@
 	}
 
 	void updateCounts(Counts nowCounts, double unreportedFactor) {
-		this.counts = nowCounts;
-		this.load = (int) Math.round(unreportedFactor * nowCounts.load());
+		this.counts = nowCounts.times(unreportedFactor);
+		this.load = this.counts.load();
 	}
 
 	void sent() {
@@ -263,6 +263,11 @@
 			return rank.isEvacuated() ? new Counts(0, rank.load(), rank.load()) : new Counts(1, rank.load(), 0);
 		}
 
+		private Counts times(double factor) {
+			return new Counts(this.usableRanks, (int) Math.round(factor * this.load),
+					(int) Math.round(factor * this.evacuatedLoad));
+		}
+
 		Counts plus(Counts other) {
 			return new Counts(this.usableRanks + other.usableRanks, this.load + other.load,
 					this.evacuatedLoad + other.evacuatedLoad);
--- a/gateway/src/main/java/org/snowwind/gateway/backend/ServiceQueue.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/ServiceQueue.java
@@ -40,6 +40,9 @@
 	 */
 	static final int MAX_SKIPPED = 16;
 
+	/** The minimum time between two log lines, in milliseconds. */
+	private static final long LOG_PERIOD_MILLIS = 1000;
+
 	private final String service;
 
 	private final Admission admission;
@@ -50,6 +53,10 @@
 
 	private final List<UrgencyQueue.Entry<Lane, Waiter>> undecided = new ArrayList<>();
 
+	private long nextLogMillis = Long.MIN_VALUE;
+
+	private int overtakes;
+
 	private boolean running;
 
 	private boolean runAgain;
@@ -65,14 +72,13 @@
 	}
 
 	/**
-	 * Decides what happens to a request and tells it now or later. Requests that wait
-	 * already get free servers first.
+	 * Decides what happens to a request and tells it now or later. It gets its position
+	 * among the requests that wait.
 	 * @param waiter the request
 	 * @param priority its priority, 0 is the most urgent
 	 * @param organisation the organisation that sent it; {@code null} if it is not known
 	 */
 	public void submit(Waiter waiter, int priority, String organisation) {
-		wake();
 		Arrival arrival = waiter.arrival();
 		Lane lane = new Lane(arrival.engine(), arrival.pauseTargetMillis(), arrival.maxQueuedAtServer());
 		UrgencyQueue.Entry<Lane, Waiter> entry = this.queue.add(waiter, lane, priority, organisation,
@@ -151,7 +157,6 @@
 
 	private void sendInOrder() {
 		UrgencyQueue<Lane, Waiter>.Scan scan = this.queue.scan();
-		boolean logged = false;
 		Optional<UrgencyQueue.Entry<Lane, Waiter>> next = scan.next();
 		while (next.isPresent()) {
 			UrgencyQueue.Entry<Lane, Waiter> entry = next.get();
@@ -159,7 +164,7 @@
 			Optional<Backend> chosen = this.admission.choose(arrival);
 			if (chosen.isPresent()) {
 				remove(entry);
-				logged = logged || logOvertaking(entry);
+				recordOvertaking(entry);
 				entry.work().onServer(chosen.get());
 			}
 			else if (!arrival.hasOwnNeeds() || this.admission.choose(arrival.withoutOwnNeeds()).isEmpty()) {
@@ -172,12 +177,20 @@
 		}
 	}
 
-	private boolean logOvertaking(UrgencyQueue.Entry<Lane, Waiter> sent) {
+	private void recordOvertaking(UrgencyQueue.Entry<Lane, Waiter> sent) {
 		Optional<UrgencyQueue.Entry<Lane, Waiter>> overtaken = this.queue.longestWaitingBefore(sent);
-		overtaken.ifPresent((entry) -> EventLog.log(Event.REQUEST_OVERTAKES, "request", sent.work().id(), "priority",
-				sent.priority(), "overtaken", entry.work().id(), "overtakenPriority", entry.priority(), "service",
-				this.service, "waiting", this.queue.size()));
-		return overtaken.isPresent();
+		if (overtaken.isEmpty()) {
+			return;
+		}
+		this.overtakes++;
+		long nowMillis = this.admission.nowMillis();
+		if (nowMillis >= this.nextLogMillis) {
+			EventLog.log(Event.REQUEST_OVERTAKES, "request", sent.work().id(), "priority", sent.priority(), "overtaken",
+					overtaken.get().work().id(), "overtakenPriority", overtaken.get().priority(), "service",
+					this.service, "waiting", this.queue.size(), "times", this.overtakes);
+			this.nextLogMillis = nowMillis + LOG_PERIOD_MILLIS;
+			this.overtakes = 0;
+		}
 	}
 
 	private void decideWaits() {
--- a/gateway/src/main/java/org/snowwind/gateway/backend/SharedLimits.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/SharedLimits.java
@@ -150,6 +150,7 @@
 	private List<Wish> wishes(List<Backend> limited) {
 		long nowMillis = this.clock.nowMillis();
 		Map<String, Double> rates = limited.stream()
+			.filter((backend) -> !backend.isEvacuated())
 			.collect(Collectors.groupingBy((backend) -> backend.entry().service(),
 					Collectors.summingDouble(SharedLimits::usableRate)));
 		return limited.stream().filter(Backend::takesNewWork).map((backend) -> {
--- a/gateway/src/main/java/org/snowwind/gateway/evacuation/Evacuation.java
+++ b/gateway/src/main/java/org/snowwind/gateway/evacuation/Evacuation.java
@@ -12,4 +12,16 @@
  */
 public record Evacuation(String dataCentre, EraRevision revision, boolean ended) {
 
+	/** The maximum length of the name of a data centre, in characters. */
+	public static final int MAX_NAME_CHARS = 120;
+
+	/**
+	 * Returns whether a text can be the name of a data centre.
+	 * @param text the text, may be {@code null}
+	 * @return false if it is blank or too long
+	 */
+	public static boolean isName(String text) {
+		return text != null && !text.isBlank() && text.length() <= MAX_NAME_CHARS;
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationBoard.java
+++ b/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationBoard.java
@@ -16,6 +16,9 @@
 
 	private static final Comparator<Line> ORDER = Comparator.comparing(Line::dataCentre).thenComparing(Line::gateway);
 
+	/** The maximum number of gateways; further ones are not shown. */
+	private static final int MAX_GATEWAYS = 2000;
+
 	private final MonotonicClock clock;
 
 	/** Since when each data centre is evacuated, by the gateway's name. */
@@ -39,6 +42,9 @@
 			this.sinceMillis.remove(gateway);
 			return;
 		}
+		if (this.sinceMillis.size() >= MAX_GATEWAYS && !this.sinceMillis.containsKey(gateway)) {
+			return;
+		}
 		Map<String, Long> ofGateway = this.sinceMillis.computeIfAbsent(gateway, (name) -> new HashMap<>());
 		ofGateway.keySet().retainAll(dataCentres);
 		dataCentres.forEach((dataCentre) -> ofGateway.putIfAbsent(dataCentre, this.clock.nowMillis()));
--- a/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationBook.java
@@ -22,7 +22,8 @@
  * Handles servers that must get no more requests although the store may be unavailable or
  * restored from an older copy. For each data centre the news from the newest position in
  * the store is in force, whoever reports it and in whatever order. An evacuation ends
- * only if its end was seen: a store of a later era that lacks it has lost it.
+ * only if its end was seen: a store of a later era that lacks it has lost it. A listener
+ * that failed is told again with the next news.
  */
 public final class EvacuationBook {
 
@@ -36,6 +37,9 @@
 	/** The position of the last listing or change from the store. */
 	private EraRevision known = EraRevision.NONE;
 
+	/** What the listener was told last. */
+	private Set<String> told = Set.of();
+
 	private volatile List<Evacuation> snapshot = List.of();
 
 	/**
@@ -121,24 +125,19 @@
 	}
 
 	private void apply(Collection<Evacuation> changes, String source) {
-		Set<String> before = inForce(this.newest.values());
-		boolean changed = false;
 		for (Evacuation change : changes) {
 			Evacuation previous = this.newest.get(change.dataCentre());
 			if (previous == null || change.revision().isNewerThan(previous.revision())) {
 				this.newest.put(change.dataCentre(), change);
-				changed = true;
 			}
 		}
-		if (!changed) {
-			return;
-		}
 		dropOldest();
 		this.snapshot = List.copyOf(this.newest.values());
 		Set<String> after = inForce(this.snapshot);
-		if (!after.equals(before)) {
-			logDifference(before, after, source);
+		if (!after.equals(this.told)) {
+			logDifference(this.told, after, source);
 			this.listener.accept(after);
+			this.told = after;
 		}
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationDuty.java
@@ -60,8 +60,14 @@
 
 	private final Freshness freshness;
 
+	private final MonotonicClock clock;
+
+	private final long knownByMillis;
+
 	private final DutyThread thread;
 
+	private volatile boolean heard;
+
 	/**
 	 * Creates a duty that makes no call yet.
 	 * @param name the name of this gateway
@@ -77,6 +83,8 @@
 		this.name = name;
 		this.prefix = store.decoder().prefix();
 		this.enabled = timing.boundMillis() > 0;
+		this.clock = clock;
+		this.knownByMillis = clock.nowMillis() + timing.boundMillis();
 		this.board = new EvacuationBoard(clock);
 		this.book = new EvacuationBook((inForce) -> {
 			this.board.record(name, inForce);
@@ -111,6 +119,18 @@
 		}
 	}
 
+	/**
+	 * Returns whether this process knows which data centres are evacuated. After the
+	 * bound on the age of the copy it no longer matters that neither the store nor a peer
+	 * was heard.
+	 * @return true if data centres are not evacuated in this deployment, or from the
+	 * first listing or report on
+	 */
+	public boolean isKnown() {
+		return !this.enabled || this.heard || this.freshness.claim().isPresent()
+				|| this.clock.nowMillis() >= this.knownByMillis;
+	}
+
 	/**
 	 * Adds what this process knows of evacuations to a report.
 	 * @param report the report
@@ -130,18 +150,32 @@
 			return;
 		}
 		List<Evacuation> news = EvacuationMessages.fromMessages(report.getEvacuations());
+		// A peer that has just started knows as little.
+		boolean peerKnows = report.isSetClaims()
+				&& report.getClaims().stream().anyMatch((claim) -> claim.getPrefix().equals(this.prefix));
+		this.heard = this.heard || peerKnows;
 		Set<String> inForce = new HashSet<>();
 		news.stream().filter((evacuation) -> !evacuation.ended()).map(Evacuation::dataCentre).forEach(inForce::add);
 		this.board.record(report.getName(), inForce);
 		this.book.applyNews(news, report.getName());
 	}
 
+	/**
+	 * Returns the pages for operators.
+	 * @param livePeers provides the names of the peers that live
+	 * @return the text of each page by its path, empty if data centres are not evacuated
+	 * in this deployment
+	 */
+	public Map<String, Supplier<String>> pages(Supplier<Set<String>> livePeers) {
+		return this.enabled ? Map.of("/evacuations", () -> describe(livePeers.get())) : Map.of();
+	}
+
 	/**
 	 * Returns the evacuations in force at this gateway and its peers as JSON.
 	 * @param livePeers the names of the peers that live
 	 * @return a JSON object
 	 */
-	public String describe(Set<String> livePeers) {
+	String describe(Set<String> livePeers) {
 		Set<String> gateways = new HashSet<>(livePeers);
 		gateways.add(this.name);
 		try {
--- a/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationMessages.java
+++ b/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationMessages.java
@@ -27,16 +27,15 @@
 	}
 
 	/**
-	 * Converts messages to evacuations. A message without a position in the store says
-	 * nothing.
+	 * Converts messages to evacuations. A message without a position in the store or
+	 * without a valid name is ignored.
 	 * @param messages the messages
 	 * @return the evacuations, at most as many as a gateway keeps
 	 */
 	public static List<Evacuation> fromMessages(List<EvacuationNews> messages) {
 		List<Evacuation> news = new ArrayList<>();
 		for (EvacuationNews message : messages) {
-			boolean valid = message.getRevision() > 0 && message.getDataCentre() != null
-					&& !message.getDataCentre().isEmpty();
+			boolean valid = message.getRevision() > 0 && Evacuation.isName(message.getDataCentre());
 			if (valid && news.size() < EvacuationBook.MAX_ENTRIES) {
 				news.add(new Evacuation(message.getDataCentre(), EraRevision.ofLong(message.getRevision()),
 						message.isEnded()));
--- a/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/evacuation/EvacuationWatcher.java
@@ -70,6 +70,9 @@
 			if (object.deleted()) {
 				this.faults.remove(truncate(dataCentre));
 			}
+			if (!Evacuation.isName(dataCentre)) {
+				continue;
+			}
 			// A deleted object has the revision of its previous change.
 			last.put(dataCentre,
 					new Evacuation(dataCentre, requested ? object.revision() : changes.revision(), !requested));
--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
@@ -79,7 +79,7 @@
 				attempt.cause(), "others", backend.inFlight(), "ageMillis", ageMillis);
 		// A server that shuts down as planned cuts off its requests; none of them is the
 		// cause.
-		if (backend.takesNewWork()) {
+		if (backend.isInService()) {
 			String organisation = Objects.requireNonNullElse(this.request.organisation(), "");
 			this.suspects.broke(backend.entry(), new Suspect(digest(), organisation, ageMillis),
 					attempt.lostConnection());
--- a/gateway/src/main/java/org/snowwind/gateway/table/RequestPriorities.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/RequestPriorities.java
@@ -54,9 +54,10 @@
 	 * @return the priorities
 	 */
 	static RequestPriorities of(Collection<Route> routes, Collection<KeyHolder> holders) {
+		Set<Integer> ofHolders = holders.stream().map(KeyHolder::priority).collect(Collectors.toSet());
 		Map<String, Set<Integer>> possible = new HashMap<>();
 		for (Route route : routes) {
-			Set<Integer> ofRoute = possible(route, holders);
+			Set<Integer> ofRoute = possible(route, ofHolders);
 			route.shares()
 				.forEach((share) -> possible.computeIfAbsent(share.service(), (name) -> new HashSet<>())
 					.addAll(ofRoute));
@@ -75,12 +76,12 @@
 		return new RequestPriorities(services, outOfRange);
 	}
 
-	private static Set<Integer> possible(Route route, Collection<KeyHolder> holders) {
+	private static Set<Integer> possible(Route route, Set<Integer> ofHolders) {
 		Set<Integer> priorities = new HashSet<>();
-		if (holders.isEmpty() || route.open()) {
+		if (ofHolders.isEmpty() || route.open()) {
 			priorities.add(effective(route.priority(), NONE));
 		}
-		holders.forEach((holder) -> priorities.add(effective(route.priority(), holder.priority())));
+		ofHolders.forEach((ofHolder) -> priorities.add(effective(route.priority(), ofHolder)));
 		return priorities;
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/backend/EvacuatedServersTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/EvacuatedServersTests.java
@@ -136,4 +136,15 @@
 		assertThat(this.table.find("r1").orElseThrow().takesNewWork()).isFalse();
 	}
 
+	@Test
+	void requestsAtServersOfUnheardPeersDoNotCloseAGroupThatIsEvacuatedInPart() {
+		Backend evacuated = this.table.find("r1").orElseThrow();
+		evacuated.onSent(this.clock.nowMillis());
+		this.table.evacuate(Set.of("dc1"));
+		this.table.updatePeersInFlight(Map.of(), 4);
+		GroupLoad group = evacuated.group();
+		assertThat(group.load()).isEqualTo(4);
+		assertThat(group.limit(120, ENGINE, this.clock.nowMillis())).isEqualTo(2 * ENGINE.slots() + 4);
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/evacuation/EvacuationBookTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/evacuation/EvacuationBookTests.java
@@ -9,8 +9,10 @@
 
 import org.junit.jupiter.api.Test;
 import org.snowwind.model.EraRevision;
+import org.snowwind.wire.generated.EvacuationNews;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Tests for {@link EvacuationBook}.
@@ -119,4 +121,27 @@
 		assertThat(this.book.inForce()).containsExactly("kept");
 	}
 
+	@Test
+	void listenerThatFailedIsToldAgain() {
+		List<Set<String>> heard = new ArrayList<>();
+		EvacuationBook other = new EvacuationBook((inForce) -> {
+			heard.add(inForce);
+			if (heard.size() == 1) {
+				throw new IllegalStateException("ring full");
+			}
+		});
+		assertThatThrownBy(() -> other.applyListing(at(5), Map.of("a", at(4))))
+			.isInstanceOf(IllegalStateException.class);
+		other.applyListing(at(6), Map.of("a", at(4)));
+		assertThat(heard).containsExactly(Set.of("a"), Set.of("a"));
+	}
+
+	@Test
+	void messagesWithoutPositionOrNameAreIgnored() {
+		List<EvacuationNews> messages = List.of(new EvacuationNews("a", 0, false), new EvacuationNews("b", -7, false),
+				new EvacuationNews("", 3, false), new EvacuationNews("x".repeat(121), 3, false),
+				new EvacuationNews("c", 3, true));
+		assertThat(EvacuationMessages.fromMessages(messages)).containsExactly(ended("c", 3));
+	}
+
 }
--- a/store/src/main/java/org/snowwind/store/StoreWatch.java
+++ b/store/src/main/java/org/snowwind/store/StoreWatch.java
@@ -63,6 +63,8 @@
 
 	private boolean everListed;
 
+	private long listedMillis;
+
 	/** Whether a watch was interrupted and no inquiry was answered since. */
 	private boolean inquiryNeeded;
 
@@ -223,6 +225,7 @@
 		if (tell(() -> this.listener.listed(listing))) {
 			this.listed = true;
 			this.everListed = true;
+			this.listedMillis = this.clock.nowMillis();
 			this.revision = listing.revision();
 			// A listing does not contain deleted objects.
 			this.freshness.answered(call.sentMillis(), this.revision, lastChange(listing.objects()), this.revision);
@@ -277,6 +280,10 @@
 		// A call made before the last listing does not prove a later gap.
 		if (this.listed && call.afterRevision().equals(this.revision)) {
 			this.listed = false;
+			// Gaps delay listings only if they follow each other closely.
+			if (this.clock.nowMillis() - this.listedMillis > this.pace.schedule().retryMillis()) {
+				this.gaps.succeeded();
+			}
 			boolean again = this.gaps.hasFailed();
 			long pauseMillis = this.gaps.failed();
 			this.nextInquiryMillis = this.clock.nowMillis() + (again ? pauseMillis : 0);
