--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -291,9 +291,8 @@
 		return this.tables.current().service(service).map(ServiceEntry::coldPerSecond).orElse(0.0);
 	}
 
-	// Peers tell only of gateways that they reach, so a gateway that started while cut
-	// off
-	// learns the size of the fleet from the platform alone.
+	// Peers list only gateways that they reach. The number of all gateways is known once
+	// the platform's list was read.
 	private ColdShare.Fleet coldFleet() {
 		PeerView peers = this.mesh.view();
 		return new ColdShare.Fleet(this.settings.name(), this.fleetListed ? peers.fleetSize() : 0,
--- a/gateway/src/main/java/org/snowwind/gateway/backend/ServiceQueue.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/ServiceQueue.java
@@ -72,13 +72,14 @@
 	}
 
 	/**
-	 * Decides what happens to a request and tells it now or later. It gets its position
-	 * among the requests that wait.
+	 * Decides what happens to a request and tells it now or later. Requests that wait
+	 * already get free servers first.
 	 * @param waiter the request
 	 * @param priority its priority, 0 is the most urgent
 	 * @param organisation the organisation that sent it; {@code null} if it is not known
 	 */
 	public void submit(Waiter waiter, int priority, String organisation) {
+		wake();
 		Arrival arrival = waiter.arrival();
 		Lane lane = new Lane(arrival.engine(), arrival.pauseTargetMillis(), arrival.maxQueuedAtServer());
 		UrgencyQueue.Entry<Lane, Waiter> entry = this.queue.add(waiter, lane, priority, organisation,
