Check again what the bound of cold servers costs callers; reword comments

Cause: while the part was built, a check that the bound makes at most 0.01 of the callers late was replaced by a weaker one after it had failed. Change: the check is back as a test of its own, with its bound, beside the others. HeldBytes: allowsReading and allowsResuming in place of mayReadOn and mayResume.

--- a/decide/src/main/java/org/snowwind/decide/admission/UrgencyQueue.java
+++ b/decide/src/main/java/org/snowwind/decide/admission/UrgencyQueue.java
@@ -13,7 +13,7 @@
  * Orders work that waits for room by its urgency.
  *
  * <p>
- * Answers load of unequal urgency that exceeds the room for less than the time that work
+ * Handles load of unequal urgency that exceeds the room for less than the time that work
  * can wait. The order is by priority, then by the time until which work has to begin,
  * then by turns between organisations: within a priority and a step of
  * {@value #STEP_MILLIS} ms of that time, the first work of each organisation is before
--- a/decide/src/main/java/org/snowwind/decide/limit/ColdFleet.java
+++ b/decide/src/main/java/org/snowwind/decide/limit/ColdFleet.java
@@ -8,7 +8,7 @@
  * cold servers.
  *
  * <p>
- * Answers restarts, freezes and partitions: the sum over all processes must hold also for
+ * Handles restarts, freezes and partitions: the sum over all processes must hold also for
  * those that know least. Not thread-safe.
  */
 public final class ColdFleet {
--- a/decide/src/main/java/org/snowwind/decide/limit/ColdShare.java
+++ b/decide/src/main/java/org/snowwind/decide/limit/ColdShare.java
@@ -9,7 +9,7 @@
  * without messages between them.
  *
  * <p>
- * Answers the return of servers that are cold and empty, to which every process would
+ * Handles the return of servers that are cold and empty, to which every process would
  * send at once. A coordinator that grants shares is not used: it grants nothing until the
  * leases of an earlier one have expired, and servers are cold for a shorter time.
  */
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendCold.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendCold.java
@@ -14,7 +14,7 @@
  * meanwhile. Confined to the event loop.
  *
  * <p>
- * Answers servers that return empty and cold under full load. The bound on their requests
+ * Handles servers that return empty and cold under full load. The bound on their requests
  * comes from {@link ColdShare}.
  */
 final class BackendCold {
--- a/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
+++ b/gateway/src/main/java/org/snowwind/gateway/stop/GracefulStop.java
@@ -77,9 +77,7 @@
 		waitUntil(this.schedule.knownToSendersMillis());
 		closeIdleConnections();
 		// Callers may still be sent here if too few others are in rotation. They fare
-		// better with an answer than with a connection that fails: 96.8 in 100 were
-		// served where it listens to the end, 95.8 where it stops when the balancer must
-		// have noticed; four plays of 24 planned stops each.
+		// better with an answer than with a connection that fails.
 		waitUntilIdle(this.schedule.finalAnswersMillis());
 		this.callerServer.stopListening();
 		closeIdleConnections();
--- a/gateway/src/test/java/org/snowwind/gateway/backend/ColdReturnLoadTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/ColdReturnLoadTests.java
@@ -44,6 +44,9 @@
 
 	private static final double BOUND = 44;
 
+	/** The share of callers that the bound may make late. */
+	private static final double MAX_COST = 0.01;
+
 	private static final long COLD_MILLIS = 3000;
 
 	private static final long RETURN_MILLIS = 8000;
@@ -63,6 +66,17 @@
 			.isGreaterThanOrEqualTo(before.onTimeShare());
 	}
 
+	@ParameterizedTest
+	@ValueSource(longs = { 100, 200, 300 })
+	void boundMakesFewCallersLate(long reportMillis) {
+		Simulation bounded = new Simulation(reportMillis, 1.5);
+		bounded.runUntilReturn();
+		Simulation unbounded = new Simulation(reportMillis, 0);
+		unbounded.runUntilReturn();
+		assertThat(bounded.runWhileCold().onTimeShare())
+			.isGreaterThanOrEqualTo(unbounded.runWhileCold().onTimeShare() - MAX_COST);
+	}
+
 	@Test
 	void returningRanksGetTooMuchWithoutTheirBound() {
 		Simulation simulation = new Simulation(300, 0);
--- a/http/src/main/java/org/snowwind/http/server/ConnectionBytes.java
+++ b/http/src/main/java/org/snowwind/http/server/ConnectionBytes.java
@@ -39,7 +39,7 @@
 
 	private final MonotonicClock clock;
 
-	private boolean readOnRefused;
+	private boolean readingRefused;
 
 	private Runnable whenReadOn = () -> {
 	};
@@ -104,8 +104,8 @@
 
 	private void onTaken(long bytes) {
 		this.all.taken(this.holder, bytes, this.clock.nowMillis());
-		if (this.readOnRefused && this.all.mayResume(this.holder)) {
-			this.readOnRefused = false;
+		if (this.readingRefused && this.all.allowsResuming(this.holder)) {
+			this.readingRefused = false;
 			this.whenReadOn.run();
 		}
 	}
@@ -125,9 +125,9 @@
 	 * Returns whether more may be read for the caller although it is behind.
 	 * @return false without a bound
 	 */
-	boolean mayReadOn() {
-		this.readOnRefused = !this.all.mayReadOn(this.holder);
-		return !this.readOnRefused;
+	boolean allowsReading() {
+		this.readingRefused = !this.all.allowsReading(this.holder);
+		return !this.readingRefused;
 	}
 
 	/**
--- a/http/src/main/java/org/snowwind/http/server/HeldBytes.java
+++ b/http/src/main/java/org/snowwind/http/server/HeldBytes.java
@@ -184,8 +184,8 @@
 	 * @param holder the caller's connection
 	 * @return false if it holds its part of the bound, or all hold theirs
 	 */
-	boolean mayReadOn(Holder holder) {
-		return mayReadOn(holder, OWN_SHARE);
+	boolean allowsReading(Holder holder) {
+		return allowsReading(holder, OWN_SHARE);
 	}
 
 	/**
@@ -194,11 +194,11 @@
 	 * @param holder the caller's connection
 	 * @return true if it is well below its part of the bound
 	 */
-	boolean mayResume(Holder holder) {
-		return mayReadOn(holder, OWN_SHARE / 2);
+	boolean allowsResuming(Holder holder) {
+		return allowsReading(holder, OWN_SHARE / 2);
 	}
 
-	private boolean mayReadOn(Holder holder, double share) {
+	private boolean allowsReading(Holder holder, double share) {
 		return isBounded() && !holder.removed && holder.bytes() < share * this.boundBytes
 				&& sumBytes() < READ_ON_SHARE * this.boundBytes;
 	}
--- a/http/src/main/java/org/snowwind/http/server/NettyExchange.java
+++ b/http/src/main/java/org/snowwind/http/server/NettyExchange.java
@@ -313,7 +313,7 @@
 
 	@Override
 	public boolean writable() {
-		return this.context.channel().isWritable() || this.bytes.mayReadOn();
+		return this.context.channel().isWritable() || this.bytes.allowsReading();
 	}
 
 	@Override
--- a/http/src/test/java/org/snowwind/http/server/HeldBytesTests.java
+++ b/http/src/test/java/org/snowwind/http/server/HeldBytesTests.java
@@ -81,26 +81,26 @@
 		this.held.buffered(named, 50);
 		this.held.remove(named);
 		assertThat(this.held.sumBytes()).isZero();
-		assertThat(this.held.mayReadOn(named)).isFalse();
+		assertThat(this.held.allowsReading(named)).isFalse();
 	}
 
 	@Test
 	void callerThatReadsNothingGetsNoMoreThanItsPart() {
 		HeldBytes.Holder stuck = waiting(249, 0);
-		assertThat(this.held.mayReadOn(stuck)).isTrue();
+		assertThat(this.held.allowsReading(stuck)).isTrue();
 		this.held.written(stuck, 1, 0);
-		assertThat(this.held.mayReadOn(stuck)).isFalse();
+		assertThat(this.held.allowsReading(stuck)).isFalse();
 		this.held.taken(stuck, 125, 0);
-		assertThat(this.held.mayResume(stuck)).isFalse();
+		assertThat(this.held.allowsResuming(stuck)).isFalse();
 		this.held.taken(stuck, 1, 0);
-		assertThat(this.held.mayResume(stuck)).isTrue();
+		assertThat(this.held.allowsResuming(stuck)).isTrue();
 	}
 
 	@Test
 	void readingOnLeavesRoomForWholeResponses() {
 		HeldBytes.Holder behind = waiting(10, 0);
 		this.held.buffered(open(), 740);
-		assertThat(this.held.mayReadOn(behind)).isFalse();
+		assertThat(this.held.allowsReading(behind)).isFalse();
 	}
 
 	/**
@@ -122,7 +122,7 @@
 		});
 		for (long nowMillis = 0; nowMillis < 20_000; nowMillis += 100) {
 			long eventMillis = nowMillis;
-			stuck.stream().filter(loaded::mayReadOn).forEach((holder) -> loaded.written(holder, 700, eventMillis));
+			stuck.stream().filter(loaded::allowsReading).forEach((holder) -> loaded.written(holder, 700, eventMillis));
 			readers.forEach((holder) -> {
 				loaded.taken(holder, holder.untakenBytes(), eventMillis);
 				loaded.written(holder, 200 + random.nextInt(1000), eventMillis);
--- a/model/src/main/java/org/snowwind/model/resource/ServiceLevel.java
+++ b/model/src/main/java/org/snowwind/model/resource/ServiceLevel.java
@@ -9,7 +9,7 @@
  */
 public record ServiceLevel(double targetShare, long firstByteMillis, long wholeAnswerMillis) {
 
-	/** The users' own figures: the first token in 0.33 s for 95 in 100. */
+	/** The level of an organisation that configures none. */
 	public static final ServiceLevel DEFAULT = new ServiceLevel(0.95, 330, 30_000);
 
 }
