Log the shared parts of prompts with broken attempts and crashed servers

Callers saw requests fail while servers crashed one after the other; no log line tells what the requests at the crashes have in common, so that neither hypothesis of the incident can be confirmed from the logs.

No decision uses them yet.

--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestMetadata.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestMetadata.java
@@ -1,5 +1,7 @@
 package org.snowwind.gateway.request;
 
+import java.util.List;
+
 import org.snowwind.gateway.table.Route;
 
 /**
@@ -14,9 +16,11 @@
  * @param promptTokens the number of tokens of the prompt; 0 if it is not known
  * @param maxOutputTokens the maximum number of tokens to generate; 0 if the caller sent
  * no maximum
+ * @param sharedParts ids of the parts of the prompt that other requests may share, in the
+ * order of the prompt; empty if the caller named none
  */
 public record RequestMetadata(String requestId, long timeoutMillis, String apiKey, String lastEventId, int promptTokens,
-		int maxOutputTokens) {
+		int maxOutputTokens, List<String> sharedParts) {
 
 	/**
 	 * Returns how long the request may take.
--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
@@ -75,13 +75,15 @@
 	void recordBrokenAttempt(Attempt attempt, long ageMillis) {
 		Backend backend = attempt.backend();
 		EventLog.log(Event.ATTEMPT_BROKE, "request", this.request.id(), "digest", digest(), "organisation",
-				this.request.organisation(), "server", backend.id(), "address", backend.entry().address(), "cause",
-				attempt.cause(), "others", backend.inFlight(), "ageMillis", ageMillis);
+				this.request.organisation(), "parts", this.request.metadata().sharedParts(), "server", backend.id(),
+				"address", backend.entry().address(), "cause", attempt.cause(), "others", backend.inFlight(),
+				"ageMillis", ageMillis);
 		// A server that shuts down as planned cuts off its requests; none of them is the
 		// cause.
 		if (backend.isInService()) {
 			String organisation = Objects.requireNonNullElse(this.request.organisation(), "");
-			this.suspects.broke(backend.entry(), new Suspect(digest(), organisation, ageMillis),
+			this.suspects.broke(backend.entry(),
+					new Suspect(digest(), organisation, this.request.metadata().sharedParts(), ageMillis),
 					attempt.lostConnection());
 		}
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
@@ -132,8 +132,8 @@
 		@Override
 		public void ended(BackendEntry server, Suspect request) {
 			EventLog.log(Event.SERVER_ENDED, "server", server.id(), "service", server.service(), "address",
-					server.address(), "digest", request.digest(), "organisation", request.organisation(), "ageMillis",
-					request.ageMillis());
+					server.address(), "digest", request.digest(), "organisation", request.organisation(), "parts",
+					request.parts(), "ageMillis", request.ageMillis());
 			Suspects.this.sightings.ended(new SeenEnd(new ServerEnd(request.digest(), nameOf(server.incarnation())),
 					request.organisation(), request.ageMillis()));
 		}
--- a/gateway/src/test/java/org/snowwind/gateway/request/TestDialect.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/TestDialect.java
@@ -1,6 +1,7 @@
 package org.snowwind.gateway.request;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.snowwind.decide.limit.AnnouncedLimit;
@@ -16,7 +17,8 @@
 		long timeoutMillis = Long.parseLong(headers.getOrDefault("t-patience", "-1"));
 		String[] tokens = headers.getOrDefault("t-tokens", "0,0").split(",", 2);
 		return new RequestMetadata(headers.get("t-id"), timeoutMillis, headers.get("t-key"), headers.get("t-last"),
-				Integer.parseInt(tokens[0]), Integer.parseInt(tokens[1]));
+				Integer.parseInt(tokens[0]), Integer.parseInt(tokens[1]),
+				headers.containsKey("t-parts") ? List.of(headers.get("t-parts").split(",")) : List.of());
 	}
 
 	@Override
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/EndWatchTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/EndWatchTests.java
@@ -51,7 +51,7 @@
 	}
 
 	private static Suspect request(String digest) {
-		return new Suspect(digest, "org", 100);
+		return new Suspect(digest, "org", List.of(), 100);
 	}
 
 	private void looks(boolean... answers) {
