Reproduce crashes by requests that share a part of their prompts (fails)

Callers saw server after server crash under requests that are not alike but share one part of their prompts. The case of servers that crash on their own passes and must go on passing.

The stand-in's servers receive the parts of prompts, begin a stream under a part that crashes them and end; the soak has the promise as a rule, tested by itself.

--- a/app/src/test/java/org/snowwind/app/soak/SoakCaller.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakCaller.java
@@ -58,7 +58,7 @@
 	 * @return the request once it has ended
 	 */
 	CompletableFuture<Call> send(SoakGateway gateway, CallKind kind, String key, int after) {
-		return send(gateway, kind, key, after, "");
+		return send(gateway, kind, key, after, "", List.of());
 	}
 
 	/**
@@ -70,10 +70,23 @@
 	 * @return the request once it has ended
 	 */
 	CompletableFuture<Call> sendAgain(SoakGateway gateway, CallKind kind, String key, String work) {
-		return send(gateway, kind, key, 0, work);
+		return send(gateway, kind, key, 0, work, List.of());
 	}
 
-	private CompletableFuture<Call> send(SoakGateway gateway, CallKind kind, String key, int after, String givenWork) {
+	/**
+	 * Sends a request whose prompt has parts that other requests may have, too.
+	 * @param gateway where to
+	 * @param kind what kind of request
+	 * @param key the caller's key
+	 * @param sharedParts the ids of these parts, in order
+	 * @return the request once it has ended
+	 */
+	CompletableFuture<Call> sendPrompt(SoakGateway gateway, CallKind kind, String key, List<String> sharedParts) {
+		return send(gateway, kind, key, 0, "", sharedParts);
+	}
+
+	private CompletableFuture<Call> send(SoakGateway gateway, CallKind kind, String key, int after, String givenWork,
+			List<String> sharedParts) {
 		String id = "c" + this.sent.incrementAndGet();
 		String work = givenWork.isEmpty() ? id : givenWork;
 		String body = kind.method().equals("POST") ? "body of " + work : "";
@@ -81,6 +94,7 @@
 		if (after > 0) {
 			headers.putAll(CallerHeaders.continuing(after));
 		}
+		headers.putAll(CallerHeaders.prompt(sharedParts, Integer.toHexString(id.hashCode())));
 		headers.put("Host", SoakWorld.HOST);
 		UpstreamRequest request = new UpstreamRequest(kind.method(), "http://" + gateway.callers() + kind.target(work),
 				headers, body.getBytes(StandardCharsets.UTF_8));
--- a/app/src/test/java/org/snowwind/app/soak/SoakHistory.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakHistory.java
@@ -26,11 +26,13 @@
  * @param departures the announcements of servers that they are leaving
  * @param configurations what the soak has written, in order
  * @param evacuations the evacuations that the soak has requested
+ * @param crashingPartUntil when each part of prompts that crashed servers stopped doing
+ * so
  */
 record SoakHistory(List<Call> calls, List<Run> runs, List<Disturbance> disturbances, Map<String, Long> drains,
 		Map<CallKind, Set<String>> services, List<ServerArrival> arrivals, List<LimitChange> limits,
 		List<BackoffRequest> backoffs, List<Departure> departures, List<WrittenConfiguration> configurations,
-		List<WrittenEvacuation> evacuations) {
+		List<WrittenEvacuation> evacuations, Map<String, Long> crashingPartUntil) {
 
 	Map<String, List<Run>> runsByRequest() {
 		Map<String, List<Run>> byRequest = new HashMap<>();
--- a/app/src/test/java/org/snowwind/app/soak/SoakRules.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRules.java
@@ -8,10 +8,10 @@
 final class SoakRules {
 
 	private static final List<SoakRule> ALL = List.of(new AnswersAreWholeAndOwn(), new RunsOnceAtMost(),
-			new RefusalsAreTrue(), new RunsWereAskedFor(), new AnswersComeInTime(), new LeavingServersGetNothing(),
-			new StopsCutNothingOff(), new FatalRequestsAreKeptBack(), new LimitsAreKept(), new RetryAfterIsKept(),
-			new AnnouncedLeavingIsKept(), new ConfigurationsComeInForce(), new SeenLeavingIsKept(),
-			new EvacuatedServersGetNothing(EvacuatedServersGetNothing.SOAK_MILLIS));
+			new CrashingPartsAreKeptBack(), new RefusalsAreTrue(), new RunsWereAskedFor(), new AnswersComeInTime(),
+			new LeavingServersGetNothing(), new StopsCutNothingOff(), new FatalRequestsAreKeptBack(),
+			new LimitsAreKept(), new RetryAfterIsKept(), new AnnouncedLeavingIsKept(), new ConfigurationsComeInForce(),
+			new SeenLeavingIsKept(), new EvacuatedServersGetNothing(EvacuatedServersGetNothing.SOAK_MILLIS));
 
 	private SoakRules() {
 	}
--- a/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
@@ -1,6 +1,7 @@
 package org.snowwind.app.soak;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -43,13 +44,16 @@
 
 	private final List<WrittenEvacuation> evacuations = new ArrayList<>();
 
+	private final Map<String, Long> crashingPartUntil = new HashMap<>();
+
 	private Map<String, Long> drains = Map.of();
 
 	private List<String> broken() {
 		return SoakRules.broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains,
 				Map.of(CallKind.ONCE, Set.of("desk"), CallKind.AGAIN, Set.of("desk"), CallKind.STREAM, Set.of("desk"),
 						CallKind.LONG, Set.of("desk"), CallKind.FATAL, Set.of("desk"), CallKind.MOVING, Set.of("desk")),
-				this.arrivals, this.limits, this.backoffs, this.departures, this.configurations, this.evacuations));
+				this.arrivals, this.limits, this.backoffs, this.departures, this.configurations, this.evacuations,
+				Map.copyOf(this.crashingPartUntil)));
 	}
 
 	private void call(CallKind kind, int status, String answer, boolean whole, long tookMillis) {
@@ -60,7 +64,7 @@
 
 	private void run(CallKind kind, String service, String organisation, boolean keyPassedOn, long afterMillis) {
 		this.runs.add(new Run("c1", service, SERVER, kind.method(), kind.target("c1"), "b", organisation, keyPassedOn,
-				START + TimeUnit.MILLISECONDS.toNanos(afterMillis)));
+				List.of(), START + TimeUnit.MILLISECONDS.toNanos(afterMillis)));
 	}
 
 	private void ran(CallKind kind) {
@@ -226,10 +230,21 @@
 			this.calls.add(new Call("c" + i, "fatal", CallKind.FATAL, "b", SoakWorld.KEY, 0, "g0", atNanos, atNanos + 1,
 					502, null, "", true));
 			this.runs.add(new Run("c" + i, "desk", "desk-run-" + i, CallKind.FATAL.method(),
-					CallKind.FATAL.target("fatal"), "b", SoakWorld.ORGANISATION, false, atNanos));
+					CallKind.FATAL.target("fatal"), "b", SoakWorld.ORGANISATION, false, List.of("bad"), atNanos));
 		}
 	}
 
+	@Test
+	void aCrashingPartThatRunsOnIsFound() {
+		this.crashingPartUntil.put("bad", Long.MAX_VALUE);
+		fatalRuns(8);
+		assertThat(broken()).noneMatch((line) -> line.contains("part bad"));
+		fatalRuns(9);
+		assertThat(broken()).anyMatch((line) -> line.contains("part bad ran 4 times"));
+		this.crashingPartUntil.put("bad", START + TimeUnit.SECONDS.toNanos(20));
+		assertThat(broken()).noneMatch((line) -> line.contains("part bad"));
+	}
+
 	@Test
 	void aLimitedServerThatGetsMoreIsFound() {
 		limitedArrivals(11);
@@ -253,9 +268,9 @@
 	}
 
 	private List<String> limitBroken() {
-		return new LimitsAreKept()
-			.broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains, Map.of(), this.arrivals,
-					this.limits, this.backoffs, this.departures, this.configurations, this.evacuations));
+		return new LimitsAreKept().broken(new SoakHistory(this.calls, this.runs, this.disturbances, this.drains,
+				Map.of(), this.arrivals, this.limits, this.backoffs, this.departures, this.configurations,
+				this.evacuations, Map.copyOf(this.crashingPartUntil)));
 	}
 
 	private void limitedArrivals(int count) {
@@ -299,7 +314,7 @@
 		this.arrivals.add(new ServerArrival(SERVER, "dc-0", id, sentNanos));
 		if (status == 200) {
 			this.runs.add(new Run(id, "desk", SERVER, "GET", CallKind.AGAIN.target(id), "", SoakWorld.ORGANISATION,
-					false, sentNanos));
+					false, List.of(), sentNanos));
 		}
 	}
 
--- a/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -78,6 +78,11 @@
 
 	private final Queue<WrittenEvacuation> pastEvacuations = new ConcurrentLinkedQueue<>();
 
+	/**
+	 * When each part that crashes servers stopped doing so; in the future if it has not.
+	 */
+	private final Map<String, Long> crashingPartUntil = new ConcurrentHashMap<>();
+
 	private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
 
 	private final Map<CallKind, Set<String>> services = new EnumMap<>(CallKind.class);
@@ -192,13 +197,31 @@
 	}
 
 	private boolean endsServer(Run run, SoakServer server) {
-		boolean fatal = run.target().startsWith(CallKind.FATAL.prefix());
+		boolean fatal = run.target().startsWith(CallKind.FATAL.prefix()) || run.sharedParts()
+			.stream()
+			.anyMatch((part) -> this.crashingPartUntil.getOrDefault(part, 0L) == Long.MAX_VALUE);
 		if (fatal) {
 			this.fatalRun.accept(server);
 		}
 		return fatal;
 	}
 
+	/**
+	 * Makes a part of prompts crash each server that begins to answer it.
+	 * @param part its id
+	 */
+	void crashOn(String part) {
+		this.crashingPartUntil.put(part, Long.MAX_VALUE);
+	}
+
+	/**
+	 * Makes a part of prompts harmless again.
+	 * @param part its id
+	 */
+	void stopCrashingOn(String part) {
+		this.crashingPartUntil.put(part, System.nanoTime());
+	}
+
 	/**
 	 * Sets what happens when a server runs a request that it does not survive.
 	 * @param next is told of the server, on the servers' loop
@@ -283,7 +306,7 @@
 		});
 		return new SoakHistory(calls, runs, List.copyOf(this.disturbances), Map.copyOf(this.drains),
 				Map.copyOf(this.services), arrivals, limits, backoffs, departures, List.copyOf(this.configurations),
-				evacuations());
+				evacuations(), Map.copyOf(this.crashingPartUntil));
 	}
 
 	@Override
