--- a/app/src/main/java/org/snowwind/app/command/SuspectsCommand.java
+++ b/app/src/main/java/org/snowwind/app/command/SuspectsCommand.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import org.snowwind.config.settings.Addresses;
+import org.snowwind.gateway.suspect.PartView;
 import org.snowwind.gateway.suspect.SuspectArchive;
 import org.snowwind.http.client.JsonClient;
 import org.snowwind.platform.PlatformAdapters;
@@ -18,10 +19,12 @@
 /**
  * Lists and releases requests under which servers ended.
  */
-@Command(name = "suspects", description = "List requests under which servers ended, or release one.",
+@Command(name = "suspects",
+		description = "List requests and parts of prompts under which servers ended, or release one.",
 		mixinStandardHelpOptions = true,
 		footer = { "", "Examples:", "  snowwind suspects list --platform 10.200.1.7:8223",
-				"  snowwind suspects release --platform 10.200.1.7:8223 421-0f3c..." })
+				"  snowwind suspects release --platform 10.200.1.7:8223 421-0f3c...",
+				"  snowwind suspects release --platform 10.200.1.7:8223 chat/5c1e07a2" })
 public final class SuspectsCommand {
 
 	private static final long CONNECT_MILLIS = 500;
@@ -30,7 +33,8 @@
 			description = "Where the platform's store listens.")
 	private String platform;
 
-	@Command(name = "list", description = "One line for each request and each server that ended under it.")
+	@Command(name = "list",
+			description = "One line for each request or part of prompts and each server that ended under it.")
 	int list() {
 		return withArchive((archive) -> {
 			Optional<SuspectArchive.Listing> listed = archive.list();
@@ -38,22 +42,32 @@
 				return away();
 			}
 			List<List<String>> rows = new ArrayList<>();
-			rows.add(List.of("DIGEST", "BLAMED", "ORGANISATION", "SERVER", "AGE MS", "SEEN BY"));
+			rows.add(List.of("DIGEST OR PART", "BLAMED", "ORGANISATION", "SERVER", "AGE MS", "SEEN BY"));
 			listed.get()
 				.ends()
 				.forEach((end,
 						seen) -> rows.add(List.of(end.request(),
 								listed.get().view().blames(end.request()) ? "yes" : "no", seen.get(0).organisation(),
 								end.server(), Long.toString(seen.get(0).ageMillis()), seen.size() + " gateways")));
+			rows.addAll(partRows(listed.get().view().parts()));
 			Tables.print(rows);
 			return ExitCodes.OK;
 		});
 	}
 
-	@Command(name = "release", description = "Let a request be sent to servers again.")
-	int release(@Parameters(paramLabel = "DIGEST", description = "As the log and 'list' name it.") String digest) {
+	private static List<List<String>> partRows(PartView parts) {
+		return parts.standing()
+			.stream()
+			.map((end) -> List.of(end.part(), parts.isBlamed(end.part()) ? "yes" : "no", end.organisation(),
+					end.server(), "", "round " + end.round()))
+			.toList();
+	}
+
+	@Command(name = "release", description = "Let a request, or requests with a part of prompts, reach servers again.")
+	int release(@Parameters(paramLabel = "DIGEST|PART",
+			description = "A request or a part, as the log and 'list' name it.") String name) {
 		return withArchive((archive) -> {
-			Optional<Integer> released = archive.release(digest);
+			Optional<Integer> released = archive.release(name);
 			if (released.isEmpty()) {
 				return away();
 			}
--- a/app/src/main/java/org/snowwind/app/explain/RequestStory.java
+++ b/app/src/main/java/org/snowwind/app/explain/RequestStory.java
@@ -131,8 +131,8 @@
 				"no server of its service takes work; " + lastAttempt, "caller-gone",
 				"the caller left after " + ended.text("tookMillis") + " ms");
 		if (outcome.equals("ends-servers")) {
-			return "servers ended while they ran this request, so that it is sent to none (SW-4110 of its digest); "
-					+ lastAttempt;
+			return "servers ended while they ran this request, or others with a part of its prompt, so that it is sent to "
+					+ "none (SW-4110 of its digest or SW-4114 of the part in SW-4109); " + lastAttempt;
 		}
 		String timing = "first byte after " + ended.text("firstMillis") + " ms, longest pause "
 				+ ended.text("pauseMillis") + " ms";
--- a/app/src/test/java/org/snowwind/app/command/SuspectsCommandTests.java
+++ b/app/src/test/java/org/snowwind/app/command/SuspectsCommandTests.java
@@ -1,6 +1,7 @@
 package org.snowwind.app.command;
 
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -10,7 +11,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.snowwind.decide.blame.PartEnd;
 import org.snowwind.decide.blame.ServerEnd;
+import org.snowwind.gateway.suspect.PartEvidence;
 import org.snowwind.gateway.suspect.SuspectArchive;
 import org.snowwind.gateway.suspect.SuspectDocument;
 import org.snowwind.gateway.suspect.SuspectView;
@@ -40,7 +43,8 @@
 	void start() {
 		this.address = this.store.start();
 		List<SuspectDocument.SeenEnd> ends = List.of(end("s1"), end("s2"), end("s3"));
-		this.store.put("suspects", "g1", (ObjectNode) new SuspectDocument(ends, Set.of(), Set.of()).toJson());
+		this.store.put("suspects", "g1",
+				(ObjectNode) new SuspectDocument(ends, Set.of(), Set.of(), PartEvidence.EMPTY).toJson());
 	}
 
 	@AfterEach
@@ -79,11 +83,33 @@
 		assertThat(execute("suspects", "release", platform(), FATAL)).as("nothing left to release")
 			.isEqualTo(ExitCodes.MISSED);
 		List<SuspectDocument.SeenEnd> later = List.of(end("s1"), end("s4"), end("s5"), end("s6"));
-		this.store.put("suspects", "g1", (ObjectNode) new SuspectDocument(later, Set.of(), Set.of()).toJson());
+		this.store.put("suspects", "g1",
+				(ObjectNode) new SuspectDocument(later, Set.of(), Set.of(), PartEvidence.EMPTY).toJson());
 		assertThat(view().serversOf(FATAL)).containsExactlyInAnyOrder("s4", "s5", "s6");
 		assertThat(view().blames(FATAL)).isTrue();
 	}
 
+	@Test
+	void releasedPartIsBlamedForLaterEndsOnly() {
+		writePartEnds(1, 2, 3);
+		assertThat(view().parts().isBlamed("desk/bad")).isTrue();
+		assertThat(execute("suspects", "list", platform())).isEqualTo(ExitCodes.OK);
+		assertThat(execute("suspects", "release", platform(), "desk/bad")).isEqualTo(ExitCodes.OK);
+		assertThat(view().parts().isBlamed("desk/bad")).isFalse();
+		assertThat(execute("suspects", "release", platform(), "desk/bad")).isEqualTo(ExitCodes.MISSED);
+		writePartEnds(4, 5, 6, 7, 8);
+		assertThat(view().parts().isBlamed("desk/bad")).isTrue();
+	}
+
+	private void writePartEnds(int... rounds) {
+		List<PartEnd> ends = Arrays.stream(rounds)
+			.mapToObj((round) -> new PartEnd("desk/bad", "org", "s" + round, round, 1))
+			.toList();
+		this.store.put("suspects", "g1",
+				(ObjectNode) new SuspectDocument(List.of(), Set.of(), Set.of(), new PartEvidence(ends, Map.of()))
+					.toJson());
+	}
+
 	@Test
 	void aPlatformThatDoesNotAnswerAndABadAddressAreSaidSo() {
 		this.store.close();
--- /dev/null
+++ b/decide/src/main/java/org/snowwind/decide/blame/BlamedPart.java
@@ -0,0 +1,24 @@
+package org.snowwind.decide.blame;
+
+import java.util.Set;
+
+/**
+ * A part of prompts that ends the servers that answer requests with it.
+ *
+ * @param part the service and the id of the part
+ * @param organisations the organisations whose requests had it when servers ended
+ * @param servers the incarnations of these servers
+ */
+public record BlamedPart(String part, Set<String> organisations, Set<String> servers) {
+
+	/**
+	 * Returns whether the requests of an organisation with the part must not be sent.
+	 * What a single organisation sends does not count against others.
+	 * @param organisation the organisation; empty if it is not known
+	 * @return true if its requests with the part must not reach a server
+	 */
+	public boolean appliesTo(String organisation) {
+		return this.organisations.size() > 1 || this.organisations.contains(organisation);
+	}
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -147,6 +147,8 @@
 
 	private final DutyThread directoryThread;
 
+	private final ConfirmationRank rank;
+
 	private final SuspectDuty suspects;
 
 	private final EvacuationDuty evacuations;
@@ -185,15 +187,15 @@
 		this.backends = new BackendTable(this.clock, this.random, settings.dataCentre(), this::fleetSize,
 				newColdServers());
 		this.memory = new GatewayMemory(settings.features().memoryMegabytes());
-		ConfirmationRank rank = new ConfirmationRank(settings.name(), this::confirmingPeers);
-		this.copies = new StoreCopies(settings, adapters, rank, this.clock, this.random);
+		this.rank = new ConfirmationRank(settings.name(), this::confirmingPeers);
+		this.copies = new StoreCopies(settings, adapters, this.rank, this.clock, this.random);
 		this.tables = this.copies.tables();
 		this.registries = this.copies.registries();
-		this.evacuations = newEvacuations(rank);
+		this.evacuations = newEvacuations(this.rank);
 		this.readiness = new GatewayReadiness(this.tables, this.registries, this.backends, this.evacuations::isKnown,
 				() -> this.draining);
 		this.admin = new AdminServer(this.loop, this.readiness::admin, this.evacuations.pages(this::livePeerNames));
-		this.suspects = new SuspectDuty(adapters.store(), adapters.reads(), settings.name(), rank,
+		this.suspects = new SuspectDuty(adapters.store(), adapters.reads(), settings.name(), this.rank,
 				StoreCopies.watchMillis(settings, this.random), this.clock, this.random);
 		this.handler = new GatewayHandler(newContext(), this.tables, this.copies.tableFreshness());
 		HttpLimits limits = new HttpLimits(MAX_URI_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
@@ -315,7 +317,8 @@
 	}
 
 	private Suspects newSuspects() {
-		return new Suspects(this.suspects::view, this.suspects, new ConnectProbe(this.loop), this.loop, this.clock);
+		return new Suspects(this.suspects::view, this.suspects, new ConnectProbe(this.loop),
+				(text) -> this.rank.of(text) == 0, this.loop, this.clock);
 	}
 
 	private void registerMeters(MeterRegistry registry) {
@@ -328,6 +331,10 @@
 			.register(registry);
 		Gauge.builder("snowwind.gateway.requests.blamed", () -> this.suspects.view().blamed().size())
 			.register(registry);
+		Gauge.builder("snowwind.gateway.prompt.parts.suspected", () -> this.suspects.view().parts().atEnds().size())
+			.register(registry);
+		Gauge.builder("snowwind.gateway.prompt.parts.blamed", () -> this.suspects.view().parts().blamed().size())
+			.register(registry);
 		Gauge.builder("snowwind.gateway.connections", () -> this.callerServer.connections()).register(registry);
 		Gauge.builder("snowwind.gateway.peers.live", () -> this.mesh.view().liveByName().size()).register(registry);
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -210,8 +210,10 @@
 	}
 
 	private void logBlamed() {
-		EventLog.log(Event.BLAMED_REQUEST_REFUSED, "request", this.request.id(), "digest", this.suspicion.digest(),
-				"organisation", this.request.organisation(), "sends", this.sends);
+		String part = this.suspicion.blamedPart();
+		EventLog.log(Event.BLAMED_REQUEST_REFUSED, "request", this.request.id(), (part != null) ? "part" : "digest",
+				(part != null) ? part : this.suspicion.digest(), "organisation", this.request.organisation(), "sends",
+				this.sends);
 	}
 
 	private void logRejection(Admission.Verdict.Reject reject) {
@@ -231,7 +233,7 @@
 
 	private void sendTo(Backend backend) {
 		// While the request waited, other requests may have used up the retry budget.
-		if (!retryAllowed()) {
+		if (!retryAllowed() || !this.suspicion.acquireTrial()) {
 			finishUnsent(ProblemKind.OVERLOADED);
 			return;
 		}
@@ -241,6 +243,7 @@
 		}
 		this.sends++;
 		this.possibleArrivals++;
+		this.suspicion.recordSend();
 		this.triedServers.add(backend.id());
 		EventLog.log(Event.REQUEST_SENT, "request", this.request.id(), "server", backend.id(), "attempt", this.sends,
 				"load", backend.load(), "group", groupOf(backend), "groupLoad", groupLoadOf(backend), "passMillis",
@@ -288,7 +291,7 @@
 	public void finish(Disclosure disclosure, ProblemKind kind) {
 		ResponseBuffer response = response();
 		if (kind == null) {
-			this.suspicion.recordAnswered();
+			this.suspicion.recordAnswered(response.status() == ResponseBuffer.OK);
 		}
 		if (kind != null && !this.exchange.begun() && response != null && response.isDeliverable()) {
 			close(Disclosure.ANSWERED, Integer.toString(response.status()));
@@ -321,9 +324,7 @@
 	}
 
 	private Problem problemOf(Disclosure disclosure, ProblemKind kind) {
-		String detail = (kind == ProblemKind.ENDS_SERVERS)
-				? "several servers ended while they ran this request, digest " + this.suspicion.digest()
-				: kind.remedy();
+		String detail = (kind == ProblemKind.ENDS_SERVERS) ? endsServersDetail() : kind.remedy();
 		Problem problem = new Problem(kind, detail, disclosure, 0);
 		if (disclosure != Disclosure.NOT_RUN || kind == ProblemKind.TOO_MANY_TOKENS) {
 			return problem;
@@ -338,6 +339,12 @@
 				this.context.random()));
 	}
 
+	private String endsServersDetail() {
+		String part = this.suspicion.blamedPart();
+		return (part != null) ? "several servers ended while they ran requests with this part of the prompt: " + part
+				: "several servers ended while they ran this request, digest " + this.suspicion.digest();
+	}
+
 	private void close(Disclosure disclosure, String outcome) {
 		this.finished = true;
 		this.serverWait.cancel();
--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
@@ -1,9 +1,11 @@
 package org.snowwind.gateway.request;
 
+import java.util.List;
 import java.util.Objects;
 
 import org.snowwind.gateway.backend.Backend;
 import org.snowwind.gateway.suspect.Suspect;
+import org.snowwind.gateway.suspect.SuspectPart;
 import org.snowwind.gateway.suspect.Suspects;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -19,9 +21,17 @@
 
 	private final CallerRequest request;
 
+	private final String organisation;
+
+	/** The shared parts of the prompt, which have a meaning within one service only. */
+	private final List<String> parts;
+
 	/** Computed on first use; {@code null} before. */
 	private String digest;
 
+	/** The parts as they were known when the last attempt was sent. */
+	private List<SuspectPart> partsAtSend = List.of();
+
 	/**
 	 * Creates the suspicion of a request that was just accepted.
 	 * @param suspects tracks requests that are suspected of crashing servers
@@ -30,6 +40,8 @@
 	RequestSuspicion(Suspects suspects, CallerRequest request) {
 		this.suspects = suspects;
 		this.request = request;
+		this.organisation = Objects.requireNonNullElse(request.organisation(), "");
+		this.parts = request.metadata().sharedParts().stream().map((id) -> request.service() + "/" + id).toList();
 	}
 
 	/**
@@ -48,7 +60,15 @@
 	 * @return true if it must not be sent to any server
 	 */
 	boolean isBlamed() {
-		return this.suspects.blames(this.request.body().length, this::digest);
+		return blamedPart() != null || this.suspects.blames(this.request.body().length, this::digest);
+	}
+
+	/**
+	 * Returns the part of the prompt that is blamed for crashing servers.
+	 * @return the service and the id of the part; {@code null} if no part is blamed
+	 */
+	String blamedPart() {
+		return this.suspects.blamedPart(this.parts, this.organisation);
 	}
 
 	/**
@@ -57,14 +77,35 @@
 	 * @return true if it must not be sent again after an attempt that reached a server
 	 */
 	boolean isStronglySuspected() {
-		return this.suspects.grave(this.request.body().length, this::digest);
+		return (blamedPart() == null && this.suspects.hasStronglySuspectedPart(this.parts))
+				|| this.suspects.grave(this.request.body().length, this::digest);
+	}
+
+	/**
+	 * Returns whether an attempt may be sent now. True uses up what is allowed.
+	 * @return false if only few requests with a part of the prompt may be sent
+	 */
+	boolean acquireTrial() {
+		return this.suspects.acquireTrial(this.request.id(), this.parts);
+	}
+
+	/**
+	 * Records that an attempt is sent.
+	 */
+	void recordSend() {
+		this.partsAtSend = this.suspects.partsAtSend(this.parts);
 	}
 
 	/**
 	 * Records that the request was answered completely.
+	 * @param success whether the server succeeded, which it does only after it has read
+	 * the whole prompt
 	 */
-	void recordAnswered() {
+	void recordAnswered(boolean success) {
 		this.suspects.answered(this.request.body().length, this::digest);
+		if (success && !this.parts.isEmpty()) {
+			this.suspects.answeredParts(this.partsAtSend);
+		}
 	}
 
 	/**
@@ -75,15 +116,13 @@
 	void recordBrokenAttempt(Attempt attempt, long ageMillis) {
 		Backend backend = attempt.backend();
 		EventLog.log(Event.ATTEMPT_BROKE, "request", this.request.id(), "digest", digest(), "organisation",
-				this.request.organisation(), "parts", this.request.metadata().sharedParts(), "server", backend.id(),
-				"address", backend.entry().address(), "cause", attempt.cause(), "others", backend.inFlight(),
-				"ageMillis", ageMillis);
+				this.request.organisation(), "parts", this.partsAtSend, "server", backend.id(), "address",
+				backend.entry().address(), "cause", attempt.cause(), "others", backend.inFlight(), "ageMillis",
+				ageMillis);
 		// A server that shuts down as planned cuts off its requests; none of them is the
 		// cause.
 		if (backend.isInService()) {
-			String organisation = Objects.requireNonNullElse(this.request.organisation(), "");
-			this.suspects.broke(backend.entry(),
-					new Suspect(digest(), organisation, this.request.metadata().sharedParts(), ageMillis),
+			this.suspects.broke(backend.entry(), new Suspect(digest(), this.organisation, this.partsAtSend, ageMillis),
 					attempt.lostConnection());
 		}
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/OwnSuspects.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/OwnSuspects.java
@@ -37,6 +37,16 @@
 
 	private final Map<String, Long> alive = new LinkedHashMap<>();
 
+	private final OwnParts parts;
+
+	/**
+	 * Creates an empty collection.
+	 * @param answeredParts the parts of prompts that this gateway has seen answered
+	 */
+	OwnSuspects(AnsweredParts answeredParts) {
+		this.parts = new OwnParts(answeredParts);
+	}
+
 	/**
 	 * Adds what an earlier life of this gateway has written, or this one.
 	 * @param document what stands in the platform
@@ -46,6 +56,11 @@
 		document.ends().forEach((seen) -> add(seen, nowMillis));
 		document.cleared().forEach((end) -> clear(end, nowMillis));
 		document.alive().forEach((server) -> this.alive.putIfAbsent(server, nowMillis));
+		this.parts.adopt(document.parts(), nowMillis);
+	}
+
+	OwnParts parts() {
+		return this.parts;
 	}
 
 	boolean add(SeenEnd seen, long nowMillis) {
@@ -82,19 +97,19 @@
 
 	/**
 	 * Forgets what is old.
-	 * @param blamed the requests that are blamed
+	 * @param view what is blamed
 	 * @param nowMillis the time, in milliseconds
 	 * @return whether anything was forgotten
 	 */
-	boolean forget(Set<String> blamed, long nowMillis) {
+	boolean forget(SuspectView view, long nowMillis) {
 		boolean forgotten = this.ends.values().removeIf((kept) -> {
-			long keepMillis = blamed.contains(kept.seen.end().request()) ? KEEP_BLAMED_MILLIS : KEEP_MILLIS;
+			long keepMillis = view.blames(kept.seen.end().request()) ? KEEP_BLAMED_MILLIS : KEEP_MILLIS;
 			return nowMillis - kept.sinceMillis > keepMillis;
 		});
 		// What is cleared must outlast the ends that it clears, whoever keeps them.
 		forgotten |= this.cleared.values().removeIf((since) -> nowMillis - since > KEEP_BLAMED_MILLIS);
 		forgotten |= this.alive.values().removeIf((since) -> nowMillis - since > KEEP_BLAMED_MILLIS);
-		return forgotten;
+		return this.parts.forget(view.parts()::isBlamed, nowMillis) || forgotten;
 	}
 
 	SuspectDocument document() {
@@ -103,7 +118,8 @@
 			.map(Kept::seen)
 			.filter((seen) -> !this.cleared.containsKey(seen.end()) && !this.alive.containsKey(seen.end().server()))
 			.toList();
-		return new SuspectDocument(standing, Set.copyOf(this.cleared.keySet()), Set.copyOf(this.alive.keySet()));
+		return new SuspectDocument(standing, Set.copyOf(this.cleared.keySet()), Set.copyOf(this.alive.keySet()),
+				this.parts.evidence());
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/Suspect.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/Suspect.java
@@ -10,6 +10,6 @@
  * @param parts the shared parts of its prompt, in the order of the prompt
  * @param ageMillis how long it was there, in milliseconds
  */
-public record Suspect(String digest, String organisation, List<String> parts, long ageMillis) {
+public record Suspect(String digest, String organisation, List<SuspectPart> parts, long ageMillis) {
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectArchive.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectArchive.java
@@ -1,12 +1,15 @@
 package org.snowwind.gateway.suspect;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
+import org.snowwind.decide.blame.PartBlame;
+import org.snowwind.decide.blame.PartEnd;
 import org.snowwind.decide.blame.ServerEnd;
 import org.snowwind.gateway.suspect.SuspectDocument.SeenEnd;
 import org.snowwind.model.EraRevision;
@@ -42,7 +45,8 @@
 			.map((objects) -> objects.stream().map((object) -> SuspectDocument.read(object.value())).toList())
 			.map((documents) -> {
 				Map<ServerEnd, List<SeenEnd>> ends = SuspectDocument.standing(documents);
-				return new Listing(ends, SuspectView.of(ends.keySet(), SuspectDocument.cleared(documents)));
+				return new Listing(ends, SuspectView.of(ends.keySet(), SuspectDocument.cleared(documents),
+						SuspectDocument.parts(documents)));
 			});
 	}
 
@@ -52,12 +56,12 @@
 	}
 
 	/**
-	 * Releases a request: the ends so far speak no longer against it. Ends that come
-	 * later do.
-	 * @param digest its digest
+	 * Releases a request or a part of prompts: the ends so far speak no longer against
+	 * it. Ends that come later do.
+	 * @param name the digest of the request or the key of the part
 	 * @return how many ends it was released from, empty if the platform did not take it
 	 */
-	public Optional<Integer> release(String digest) {
+	public Optional<Integer> release(String name) {
 		Optional<List<StoredObject>> objects = objects();
 		if (objects.isEmpty()) {
 			return Optional.empty();
@@ -75,13 +79,23 @@
 		List<ServerEnd> released = SuspectDocument.standing(documents)
 			.keySet()
 			.stream()
-			.filter((end) -> end.request().equals(digest))
+			.filter((end) -> end.request().equals(name))
 			.toList();
 		Set<ServerEnd> cleared = new LinkedHashSet<>(own.cleared());
 		cleared.addAll(released);
-		WriteResult result = this.store.put(OPERATOR_KEY, revision,
-				new SuspectDocument(own.ends(), cleared, own.alive()).toJson());
-		return (result instanceof WriteResult.Written) ? Optional.of(released.size()) : Optional.empty();
+		List<PartEnd> ofPart = SuspectDocument.parts(documents)
+			.ends()
+			.stream()
+			.filter((end) -> end.part().equals(name))
+			.toList();
+		List<PartEnd> releasedOfPart = PartBlame.standing(ofPart, SuspectDocument.parts(documents).answeredRounds());
+		Map<String, Integer> answered = new HashMap<>(own.parts().answeredRounds());
+		releasedOfPart.forEach((end) -> answered.merge(name, end.round(), Math::max));
+		WriteResult result = this.store.put(OPERATOR_KEY, revision, new SuspectDocument(own.ends(), cleared,
+				own.alive(), new PartEvidence(own.parts().ends(), Map.copyOf(answered)))
+			.toJson());
+		return (result instanceof WriteResult.Written) ? Optional.of(released.size() + releasedOfPart.size())
+				: Optional.empty();
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
@@ -1,13 +1,17 @@
 package org.snowwind.gateway.suspect;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 import org.snowwind.decide.blame.Blame;
+import org.snowwind.decide.blame.BlamedPart;
+import org.snowwind.decide.blame.PartEnd;
 import org.snowwind.decide.blame.ServerEnd;
 import org.snowwind.gateway.suspect.SuspectDocument.SeenEnd;
 import org.snowwind.model.EraRevision;
@@ -53,10 +57,17 @@
 
 	private final String key;
 
+	private final AnsweredParts answeredParts;
+
+	private final LongSupplier answerDelayMillis;
+
 	private final MonotonicClock clock;
 
+	/** When an answer that clears a part is written if no other gateway does. */
+	private final Map<String, Long> answerDueMillis = new HashMap<>();
+
 	/** Guarded by this object, as all that changes. */
-	private final OwnSuspects own = new OwnSuspects();
+	private final OwnSuspects own;
 
 	private final Map<String, Standing> others = new LinkedHashMap<>();
 
@@ -67,15 +78,25 @@
 
 	private long nextWriteMillis = Long.MIN_VALUE;
 
+	/** The evidence on parts of prompts in all documents, the own one included. */
+	private PartEvidence written = PartEvidence.EMPTY;
+
 	private volatile SuspectView view = SuspectView.EMPTY;
 
 	/**
 	 * Creates a book that knows nothing.
 	 * @param store the platform
 	 * @param name the name of this gateway
+	 * @param answeredParts the parts of prompts that this gateway has seen answered
+	 * @param answerDelayMillis how long this gateway leaves it to others to write an
+	 * answer, in milliseconds
 	 * @param clock tells the time
 	 */
-	public SuspectBook(ObjectStore store, String name, MonotonicClock clock) {
+	SuspectBook(ObjectStore store, String name, AnsweredParts answeredParts, LongSupplier answerDelayMillis,
+			MonotonicClock clock) {
+		this.answeredParts = answeredParts;
+		this.own = new OwnSuspects(answeredParts);
+		this.answerDelayMillis = answerDelayMillis;
 		this.store = store;
 		this.key = PREFIX + name;
 		this.clock = clock;
@@ -100,6 +121,43 @@
 		rebuild();
 	}
 
+	/**
+	 * Records the end of a server under a request with parts in its prompt.
+	 * @param ends the end for each part
+	 */
+	synchronized void endedWithParts(List<PartEnd> ends) {
+		for (PartEnd end : ends) {
+			this.unwritten |= this.own.parts().add(end, this.clock.nowMillis());
+		}
+		rebuild();
+	}
+
+	/**
+	 * Applies answers to requests with parts that were repeatedly at ends, and writes
+	 * them for others.
+	 */
+	synchronized void recordAnswers() {
+		long nowMillis = this.clock.nowMillis();
+		PartView parts = this.view.parts();
+		this.answerDueMillis.keySet().retainAll(parts.atEnds());
+		boolean changed = false;
+		for (String part : parts.atEnds()) {
+			int round = this.answeredParts.roundOf(part);
+			changed |= round > parts.answeredRound(part);
+			if (round > this.written.answeredRounds().getOrDefault(part, -1) && nowMillis >= this.answerDueMillis
+				.computeIfAbsent(part, (key) -> nowMillis + this.answerDelayMillis.getAsLong())) {
+				EventLog.log(Event.PART_ANSWERED, "part", part, "clearedRounds", round);
+				this.own.parts().answered(part, round, nowMillis);
+				this.answerDueMillis.remove(part);
+				this.unwritten = true;
+				changed = true;
+			}
+		}
+		if (changed) {
+			rebuild();
+		}
+	}
+
 	/**
 	 * Takes note that a suspect was answered, which clears it of all ends so far.
 	 * @param digest the request's digest
@@ -176,14 +234,39 @@
 		}
 	}
 
-	private void rebuild() {
+	private List<SuspectDocument> documents() {
 		List<SuspectDocument> documents = new ArrayList<>();
 		documents.add(this.own.document());
 		this.others.values().forEach((standing) -> documents.add(standing.document));
+		return documents;
+	}
+
+	private void rebuild() {
+		List<SuspectDocument> documents = documents();
 		Map<ServerEnd, List<SeenEnd>> seen = SuspectDocument.standing(documents);
+		this.written = SuspectDocument.parts(documents);
+		Set<String> atEnds = new HashSet<>();
+		this.written.ends().forEach((end) -> atEnds.add(end.part()));
 		SuspectView before = this.view;
-		this.view = SuspectView.of(seen.keySet(), SuspectDocument.cleared(documents));
+		this.view = SuspectView.of(seen.keySet(), SuspectDocument.cleared(documents),
+				this.written.with(atEnds, this.answeredParts));
 		logChanges(before, this.view, seen);
+		logChanges(before.parts(), this.view.parts());
+	}
+
+	private static void logChanges(PartView before, PartView now) {
+		for (BlamedPart part : now.blamed()) {
+			if (!before.isBlamed(part.part())) {
+				EventLog.log(Event.PART_BLAMED, "part", part.part(), "organisations", part.organisations(), "servers",
+						part.servers(), "answeredRound", now.answeredRound(part.part()), "suspectedParts",
+						now.atEnds().size());
+			}
+		}
+		for (BlamedPart part : before.blamed()) {
+			if (!now.isBlamed(part.part())) {
+				EventLog.log(Event.PART_RELEASED, "part", part.part(), "answeredRound", now.answeredRound(part.part()));
+			}
+		}
 	}
 
 	private static void logChanges(SuspectView before, SuspectView now, Map<ServerEnd, List<SeenEnd>> seen) {
@@ -222,7 +305,8 @@
 		}
 		WriteResult result = this.store.put(this.key, revision, document.toJson());
 		EventLog.log(Event.SUSPECTS_WRITTEN, "ends", document.ends().size(), "cleared", document.cleared().size(),
-				"alive", document.alive().size(), "result", result);
+				"alive", document.alive().size(), "partEnds", document.parts().ends().size(), "partAnswers",
+				document.parts().answeredRounds().size(), "result", result);
 		result.match(new WriteResult.Cases<>((written) -> wrote(written, false), (conflict) -> wrote(null, true),
 				(refused) -> wrote(revision, true), (uncertain) -> wrote(null, true)));
 	}
@@ -263,7 +347,7 @@
 	 * Forgets what is too old to speak against anybody.
 	 */
 	public synchronized void forget() {
-		if (this.own.forget(this.view.blamed(), this.clock.nowMillis())) {
+		if (this.own.forget(this.view, this.clock.nowMillis())) {
 			this.unwritten = true;
 			rebuild();
 		}
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDocument.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDocument.java
@@ -22,11 +22,12 @@
  * @param cleared ends that speak no longer against their request, whoever saw them, since
  * it was answered later or an operator released it
  * @param alive lives of servers that were told to have ended and have not
+ * @param parts the evidence on parts of prompts
  */
-public record SuspectDocument(List<SeenEnd> ends, Set<ServerEnd> cleared, Set<String> alive) {
+public record SuspectDocument(List<SeenEnd> ends, Set<ServerEnd> cleared, Set<String> alive, PartEvidence parts) {
 
 	/** Says nothing. */
-	public static final SuspectDocument EMPTY = new SuspectDocument(List.of(), Set.of(), Set.of());
+	public static final SuspectDocument EMPTY = new SuspectDocument(List.of(), Set.of(), Set.of(), PartEvidence.EMPTY);
 
 	private static final String REQUEST = "request";
 
@@ -63,7 +64,8 @@
 				alive.add(server.asText());
 			}
 		}
-		return new SuspectDocument(List.copyOf(ends), Set.copyOf(cleared), Set.copyOf(alive));
+		return new SuspectDocument(List.copyOf(ends), Set.copyOf(cleared), Set.copyOf(alive),
+				PartEvidence.read(value.path("parts")));
 	}
 
 	/**
@@ -84,6 +86,17 @@
 		return standing;
 	}
 
+	/**
+	 * Joins the evidence of several writers on parts of prompts.
+	 * @param documents their documents
+	 * @return the evidence
+	 */
+	static PartEvidence parts(Collection<SuspectDocument> documents) {
+		Set<String> alive = new HashSet<>();
+		documents.forEach((document) -> alive.addAll(document.alive()));
+		return PartEvidence.join(documents.stream().map(SuspectDocument::parts).toList(), alive);
+	}
+
 	/**
 	 * Joins what several writers have cleared.
 	 * @param documents their documents
@@ -119,6 +132,7 @@
 		this.cleared.forEach((end) -> write(listedCleared.addObject(), end));
 		ArrayNode listedAlive = value.putArray("alive");
 		this.alive.forEach(listedAlive::add);
+		value.set("parts", this.parts.toJson());
 		return value;
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDuty.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectDuty.java
@@ -1,7 +1,9 @@
 package org.snowwind.gateway.suspect;
 
+import java.util.List;
 import java.util.random.RandomGenerator;
 
+import org.snowwind.decide.blame.PartEnd;
 import org.snowwind.gateway.peer.ConfirmationRank;
 import org.snowwind.gateway.suspect.SuspectDocument.SeenEnd;
 import org.snowwind.model.MonotonicClock;
@@ -31,10 +33,18 @@
 	/** How often what is not written yet is looked for, in milliseconds. */
 	private static final long TICK_MILLIS = 50;
 
+	/**
+	 * The time between gateways of successive rank, in milliseconds, when all of them
+	 * know an answer that clears the same part; the others need not write it then.
+	 */
+	private static final long MILLIS_PER_RANK = 3;
+
 	private static final int RING_SIZE = 1024;
 
 	private static final int SMALL_RING = 16;
 
+	private final AnsweredParts answeredParts = new AnsweredParts();
+
 	private final SuspectBook book;
 
 	private final Freshness freshness;
@@ -57,12 +67,13 @@
 	 */
 	public SuspectDuty(ObjectStore store, AsyncObjectStore reads, String name, ConfirmationRank rank, long watchMillis,
 			MonotonicClock clock, RandomGenerator random) {
-		this.book = new SuspectBook(store, name, clock);
+		this.book = new SuspectBook(store, name, this.answeredParts,
+				() -> MILLIS_PER_RANK * rank.of(SuspectBook.PREFIX), clock);
 		this.freshness = new Freshness(clock);
 		ConfirmationSchedule schedule = new ConfirmationSchedule(BOUND_MILLIS, () -> rank.of(SuspectBook.PREFIX));
 		StoreWatch watch = new StoreWatch(reads, SuspectBook.PREFIX,
 				new WatchPace(watchMillis, GATHER_MILLIS, schedule), this.book, this.freshness, clock, random);
-		this.thread = new DutyThread("suspects", RING_SIZE, TICK_MILLIS, this.book::forget);
+		this.thread = new DutyThread("suspects", RING_SIZE, TICK_MILLIS, this::tick);
 		this.writeThread = new DutyThread("suspect-writes", SMALL_RING, TICK_MILLIS, this.book::round);
 		this.watchThread = new DutyThread("suspect-watch", SMALL_RING, WATCH_TICK_MILLIS, watch::round);
 		watch.onAnswer(() -> this.watchThread.offer(watch::round));
@@ -93,6 +104,21 @@
 		return this.book.view();
 	}
 
+	private void tick() {
+		this.book.forget();
+		this.book.recordAnswers();
+	}
+
+	@Override
+	public void endedWithParts(List<PartEnd> ends) {
+		this.thread.offer(() -> this.book.endedWithParts(ends));
+	}
+
+	@Override
+	public void answeredParts(List<SuspectPart> parts) {
+		parts.forEach(this.answeredParts::record);
+	}
+
 	@Override
 	public void ended(SeenEnd seen) {
 		this.thread.offer(() -> this.book.ended(seen));
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectView.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectView.java
@@ -24,7 +24,10 @@
 
 	private final Set<Integer> bodyLengths;
 
-	private SuspectView(Map<String, Set<String>> serversByRequest, Set<String> blamed) {
+	private final PartView parts;
+
+	private SuspectView(Map<String, Set<String>> serversByRequest, Set<String> blamed, PartView parts) {
+		this.parts = parts;
 		this.serversByRequest = serversByRequest;
 		this.blamed = blamed;
 		this.bodyLengths = new HashSet<>();
@@ -32,15 +35,41 @@
 	}
 
 	/**
-	 * Creates a view.
+	 * Creates a view without evidence on parts of prompts.
 	 * @param ends what all gateways have seen
 	 * @param cleared what they saw and speaks against no request any more
 	 * @return the view
 	 */
 	public static SuspectView of(Collection<ServerEnd> ends, Collection<ServerEnd> cleared) {
+		return of(ends, cleared, PartEvidence.EMPTY);
+	}
+
+	/**
+	 * Creates a view.
+	 * @param ends what all gateways have seen
+	 * @param cleared what they saw and speaks against no request any more
+	 * @param evidence their evidence on parts of prompts
+	 * @return the view
+	 */
+	public static SuspectView of(Collection<ServerEnd> ends, Collection<ServerEnd> cleared, PartEvidence evidence) {
+		PartView parts = PartView.of(evidence, ends);
+		Set<String> explained = parts.explainedServers();
 		Map<String, Set<String>> servers = new LinkedHashMap<>();
 		ends.forEach((end) -> servers.computeIfAbsent(end.request(), (key) -> new LinkedHashSet<>()).add(end.server()));
-		return new SuspectView(servers, Blame.blamedRequests(ends, cleared));
+		return new SuspectView(servers,
+				Blame.blamedRequests(unexplained(ends, explained), unexplained(cleared, explained)), parts);
+	}
+
+	private static Collection<ServerEnd> unexplained(Collection<ServerEnd> ends, Set<String> explained) {
+		return explained.isEmpty() ? ends : ends.stream().filter((end) -> !explained.contains(end.server())).toList();
+	}
+
+	/**
+	 * Returns what is known of parts of prompts.
+	 * @return the view of parts
+	 */
+	public PartView parts() {
+		return this.parts;
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
@@ -1,8 +1,11 @@
 package org.snowwind.gateway.suspect;
 
+import java.util.List;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.snowwind.decide.blame.Blame;
+import org.snowwind.decide.blame.PartEnd;
 import org.snowwind.decide.blame.ServerEnd;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendIncarnation;
@@ -27,18 +30,22 @@
 
 	private final EndWatch ends;
 
+	private final PartTrials trials;
+
 	/**
 	 * Creates the part of suspects that requests see.
 	 * @param view gives what is known
 	 * @param sightings takes what this gateway sees
 	 * @param probe asks whether a server's process is there
+	 * @param isFirst whether this gateway ranks first among all for a text
 	 * @param loop the thread that owns all requests
 	 * @param clock tells the time
 	 */
-	public Suspects(Supplier<SuspectView> view, Sightings sightings, ProcessProbe probe, DataLoop loop,
-			MonotonicClock clock) {
+	public Suspects(Supplier<SuspectView> view, Sightings sightings, ProcessProbe probe, Predicate<String> isFirst,
+			DataLoop loop, MonotonicClock clock) {
 		this.view = view;
 		this.sightings = sightings;
+		this.trials = new PartTrials(isFirst, clock);
 		this.ends = new EndWatch(probe, (millis, work) -> loop.later(work, millis), clock, new Recorder());
 	}
 
@@ -67,6 +74,54 @@
 				&& known.serversOf(digest.get()).size() >= Blame.MIN_ENDS;
 	}
 
+	/**
+	 * Returns the part of a prompt for which a request must not be sent.
+	 * @param parts the keys of its shared parts
+	 * @param organisation whose request it is; empty if nobody's
+	 * @return the key of the part; {@code null} if none is blamed
+	 */
+	public String blamedPart(List<String> parts, String organisation) {
+		return this.view.get().parts().blamedOf(parts, organisation);
+	}
+
+	/**
+	 * Tells whether a part of a prompt comes close to being blamed.
+	 * @param parts the keys of the shared parts of a request
+	 * @return whether it must not be sent again after an attempt that reached a server
+	 */
+	public boolean hasStronglySuspectedPart(List<String> parts) {
+		PartView known = this.view.get().parts();
+		return parts.stream().anyMatch(known::isStronglySuspected);
+	}
+
+	/**
+	 * Returns whether a request may be sent although a part of its prompt may end
+	 * servers.
+	 * @param request the id of the request
+	 * @param parts the keys of its shared parts
+	 * @return false if only few requests with a part may be sent and this is none of them
+	 */
+	public boolean acquireTrial(String request, List<String> parts) {
+		return parts.isEmpty() || this.trials.acquire(request, parts, this.view.get().parts());
+	}
+
+	/**
+	 * Returns what is known of the parts of a prompt as its request is sent.
+	 * @param parts the keys of its shared parts
+	 * @return one for each part, in order
+	 */
+	public List<SuspectPart> partsAtSend(List<String> parts) {
+		return this.view.get().parts().atSend(parts);
+	}
+
+	/**
+	 * Records that a request was answered completely and with success.
+	 * @param parts its shared parts as it was sent
+	 */
+	public void answeredParts(List<SuspectPart> parts) {
+		this.sightings.answeredParts(parts);
+	}
+
 	/**
 	 * Takes note that a request was answered in full.
 	 * @param bodyBytes the length of its body
@@ -113,6 +168,18 @@
 		 */
 		void ended(SeenEnd seen);
 
+		/**
+		 * A server ended while a request with parts in its prompt was there.
+		 * @param ends the end for each part
+		 */
+		void endedWithParts(List<PartEnd> ends);
+
+		/**
+		 * A request with parts in its prompt was answered completely and with success.
+		 * @param parts the parts as it was sent
+		 */
+		void answeredParts(List<SuspectPart> parts);
+
 		/**
 		 * A suspect was answered.
 		 * @param digest its digest
@@ -136,6 +203,13 @@
 					request.parts(), "ageMillis", request.ageMillis());
 			Suspects.this.sightings.ended(new SeenEnd(new ServerEnd(request.digest(), nameOf(server.incarnation())),
 					request.organisation(), request.ageMillis()));
+			if (!request.parts().isEmpty()) {
+				Suspects.this.sightings.endedWithParts(request.parts()
+					.stream()
+					.map((part) -> new PartEnd(part.key(), request.organisation(), nameOf(server.incarnation()),
+							part.knownRounds() + 1, part.depth()))
+					.toList());
+			}
 		}
 
 		@Override
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import org.snowwind.decide.blame.PartEnd;
 import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
@@ -28,6 +29,7 @@
 import org.snowwind.gateway.stop.OpenRequests;
 import org.snowwind.gateway.suspect.ConnectProbe;
 import org.snowwind.gateway.suspect.SuspectDocument;
+import org.snowwind.gateway.suspect.SuspectPart;
 import org.snowwind.gateway.suspect.SuspectView;
 import org.snowwind.gateway.suspect.Suspects;
 import org.snowwind.gateway.table.EngineProfile;
@@ -115,7 +117,8 @@
 	}
 
 	private Suspects suspects() {
-		return new Suspects(() -> this.suspectView, this.sightings, new ConnectProbe(this.loop), this.loop, this.clock);
+		return new Suspects(() -> this.suspectView, this.sightings, new ConnectProbe(this.loop), (text) -> true,
+				this.loop, this.clock);
 	}
 
 	/** Sets which requests gateways suspect of crashing servers. */
@@ -379,6 +382,17 @@
 			this.lines.add(end.end().server() + " ended under " + end.end().request());
 		}
 
+		@Override
+		public void endedWithParts(List<PartEnd> ends) {
+			ends.forEach(
+					(end) -> this.lines.add(end.server() + " ended under " + end.part() + " in round " + end.round()));
+		}
+
+		@Override
+		public void answeredParts(List<SuspectPart> parts) {
+			parts.forEach((part) -> this.lines.add("answered " + part + " in round " + part.knownRounds()));
+		}
+
 		@Override
 		public void answered(String digest) {
 			this.lines.add("answered " + digest);
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayBlameTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayBlameTests.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -12,7 +14,9 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.snowwind.decide.blame.PartEnd;
 import org.snowwind.decide.blame.ServerEnd;
+import org.snowwind.gateway.suspect.PartEvidence;
 import org.snowwind.gateway.suspect.RequestDigest;
 import org.snowwind.gateway.suspect.SuspectView;
 
@@ -149,4 +153,89 @@
 		assertThat(awaitSightings()).containsExactly("answered " + DIGEST);
 	}
 
+	private String callWithParts(String parts) throws IOException {
+		return this.gateway.call("/many/a", "t-parts: " + parts);
+	}
+
+	private static SuspectView endsUnderPart(String organisation, int... rounds) {
+		List<PartEnd> ends = new ArrayList<>();
+		for (int round : rounds) {
+			ends.add(new PartEnd("service/bad", organisation, "life-" + ends.size(), round, 1));
+		}
+		return SuspectView.of(Set.of(), Set.of(), new PartEvidence(ends, Map.of()));
+	}
+
+	@Test
+	void requestWithABlamedPartIsRejectedAtOnce() throws IOException {
+		ScriptedServer server = this.gateway.addServer(ok());
+		this.gateway.setSuspectView(endsUnderPart("org", 1, 2, 3));
+		assertThat(callWithParts("c0,bad")).startsWith("HTTP/1.1 400")
+			.contains("ends-servers", "service/bad")
+			.doesNotContainIgnoringCase("retry-after");
+		assertThat(server.received()).isEmpty();
+		assertThat(callWithParts("c0,good")).startsWith("HTTP/1.1 200");
+	}
+
+	@Test
+	void partThatOnlyAnotherOrganisationSentIsNotRejected() throws IOException {
+		this.gateway.addServer(ok());
+		this.gateway.setSuspectView(endsUnderPart("another", 1, 2, 3));
+		assertThat(callWithParts("c0,bad")).startsWith("HTTP/1.1 200");
+	}
+
+	@Test
+	void requestWithAPartThatCrashedAServerTwiceIsNotRetried() throws IOException {
+		this.gateway.addServer((request, answer) -> answer.reset());
+		ScriptedServer second = this.gateway.addServer(ok());
+		this.gateway.setSuspectView(endsUnderPart("org", 1, 2));
+		assertThat(callWithParts("bad")).startsWith("HTTP/1.1 502");
+		assertThat(second.received()).isEmpty();
+	}
+
+	@Test
+	void onlyOneRequestAtATimeWithAPartAtManyEndsReachesAServer() throws IOException {
+		ScriptedServer server = this.gateway.addServer(ok());
+		this.gateway.setSuspectView(endsUnderPart("org", 1, 1, 1, 1, 1));
+		assertThat(callWithParts("bad")).startsWith("HTTP/1.1 200");
+		assertThat(callWithParts("bad")).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after");
+		assertThat(server.received()).hasSize(1);
+	}
+
+	@Test
+	void requestBlamedByItsPartDuringItsAttemptIsNotRetried() throws IOException {
+		this.gateway.addServer((request, answer) -> {
+			this.gateway.setSuspectView(endsUnderPart("org", 1, 2, 3));
+			answer.reset();
+		});
+		ScriptedServer second = this.gateway.addServer(ok());
+		assertThat(callWithParts("bad")).startsWith("HTTP/1.1 400");
+		assertThat(second.received()).isEmpty();
+	}
+
+	@Test
+	void answerIsReportedForTheRoundsKnownAtItsSend() throws Exception {
+		this.gateway.addServer(ok());
+		this.gateway.setSuspectView(endsUnderPart("org", 1, 2));
+		assertThat(callWithParts("c0,bad")).startsWith("HTTP/1.1 200");
+		assertThat(awaitSightings()).containsExactly("answered service/c0 in round 0",
+				"answered service/bad in round 2");
+	}
+
+	@Test
+	void serverErrorIsNoAnswerForAPart() throws Exception {
+		this.gateway.addServer((request, answer) -> answer.respond(404, SIGNED, "none"));
+		assertThat(callWithParts("bad")).startsWith("HTTP/1.1 404");
+		assertThat(this.gateway.sightings()).isEmpty();
+	}
+
+	@Test
+	void endOfAServerIsReportedForEachPart() throws Exception {
+		addCrashingServer();
+		this.gateway.addServer(ok());
+		assertThat(callWithParts("c0,bad")).startsWith("HTTP/1.1 200");
+		TimeUnit.MILLISECONDS.sleep(PROBED_MILLIS);
+		assertThat(this.gateway.sightings()).contains("server-0 ended under service/c0 in round 1",
+				"server-0 ended under service/bad in round 1");
+	}
+
 }
--- /dev/null
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleetTests.java
@@ -0,0 +1,134 @@
+package org.snowwind.gateway.suspect;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Measures with a model how soon parts of prompts that end servers are kept from them,
+ * and how often others are blamed.
+ */
+class PartFleetTests {
+
+	private static final long CALM_MILLIS = 10_000;
+
+	/** The users' bound from the fifth crash until all gateways know. */
+	private static final long KNOWN_MILLIS = 3000;
+
+	private static final long HARM_MILLIS = 50_000;
+
+	private static final int CRASHES = 5;
+
+	private static final long MAX_LATE_SENDS = 3;
+
+	private static final double MIN_BEGUN_AGAINST_BEFORE = 0.5;
+
+	private static final long NEVER = 1L << 40;
+
+	private static void assertKeptBack(PartFleet fleet, int harmfulParts, String description) {
+		long settledMillis = CALM_MILLIS;
+		for (int part = 0; part < harmfulParts; part++) {
+			long knownMillis = fleet.crashMillis(part, CRASHES) + KNOWN_MILLIS;
+			assertThat(fleet.harmfulSendsAfter(part, knownMillis)).as("%s, %d crashes", description, fleet.crashes())
+				.isLessThanOrEqualTo(MAX_LATE_SENDS);
+			settledMillis = Math.max(settledMillis, Math.min(knownMillis, CALM_MILLIS + HARM_MILLIS / 2));
+		}
+		assertThat(fleet.soundBegunShare(settledMillis + KNOWN_MILLIS, NEVER)).as("%s, share begun", description)
+			.isGreaterThanOrEqualTo(MIN_BEGUN_AGAINST_BEFORE * fleet.soundBegunShare(0, CALM_MILLIS));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "2,16,8,40,1,3.3,1,10", "7,16,8,50,1,3.3,1,10", "7,16,8,50,1,3.3,0,10", "7,16,8,50,1,0.6,2,10",
+			"7,16,1,50,1,33,1,10", "7,16,1,50,2,3,3,10", "7,16,8,50,2,2,2,10", "37,200,8,400,1,5,2,2",
+			"370,600,8,800,1,5,1,1" })
+	void harmfulPartIsKeptFromServersAfterFiveCrashes(int gateways, int servers, int groupSize,
+			double requestsPerSecond, int harmfulParts, double harmfulPerSecond, int depth, int seeds) {
+		PartFleet.Load load = new PartFleet.Load(gateways, servers, 8, groupSize, requestsPerSecond, harmfulParts,
+				harmfulPerSecond, depth, NEVER);
+		Rates rates = new Rates();
+		for (int seed = 0; seed < seeds; seed++) {
+			PartFleet fleet = new PartFleet(seed, load);
+			fleet.run(CALM_MILLIS);
+			fleet.beginHarm();
+			fleet.run(HARM_MILLIS);
+			rates.add(fleet);
+			assertKeptBack(fleet, harmfulParts, "seed " + seed);
+		}
+		rates.assertHardlyAnyBlamedFalsely(load.toString());
+	}
+
+	@Test
+	void harmfulPartIsKeptFromServersAfterAllGatewaysRestarted() {
+		PartFleet.Load load = new PartFleet.Load(7, 16, 8, 8, 50, 1, 3.3, 1, NEVER);
+		Rates rates = new Rates();
+		for (int seed = 0; seed < 10; seed++) {
+			PartFleet fleet = new PartFleet(seed, load);
+			fleet.run(CALM_MILLIS);
+			fleet.beginHarm();
+			fleet.run(400L * seed);
+			fleet.restartGateways();
+			fleet.run(HARM_MILLIS);
+			rates.add(fleet);
+			assertKeptBack(fleet, 1, "seed " + seed);
+		}
+		rates.assertHardlyAnyBlamedFalsely("restarts");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "7,16,1,50,20000,10", "7,16,8,50,60000,10", "7,16,8,50,20000,10", "37,200,8,400,600000,2" })
+	void serversThatEndOnTheirOwnBlameHardlyAnyPart(int gateways, int servers, int groupSize, double requestsPerSecond,
+			long endEveryMillis, int seeds) {
+		PartFleet.Load load = new PartFleet.Load(gateways, servers, 8, groupSize, requestsPerSecond, 0, 0, 0,
+				endEveryMillis);
+		Rates rates = new Rates();
+		for (int seed = 0; seed < seeds; seed++) {
+			PartFleet fleet = new PartFleet(seed, load);
+			fleet.run(HARM_MILLIS);
+			rates.add(fleet);
+		}
+		rates.assertHardlyAnyBlamedFalsely(load.toString());
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "8,0", "14,0", "14,100", "14,400", "14,1000" })
+	void lossOfADataCentreBlamesHardlyAnyPart(int lost, long betweenMillis) {
+		Rates rates = new Rates();
+		for (int seed = 0; seed < 10; seed++) {
+			PartFleet fleet = new PartFleet(seed, new PartFleet.Load(7, 16, 8, 1, 50, 0, 0, 0, NEVER));
+			fleet.run(CALM_MILLIS);
+			fleet.endServers(lost, betweenMillis);
+			fleet.run(HARM_MILLIS);
+			rates.add(fleet);
+		}
+		rates.assertHardlyAnyBlamedFalsely(lost + " servers, one each " + betweenMillis + " ms");
+	}
+
+	/** Counts over several seeds. */
+	private static final class Rates {
+
+		private long atAnEnd;
+
+		private final List<String> blamed = new ArrayList<>();
+
+		private int mostCrashes;
+
+		private void add(PartFleet fleet) {
+			this.atAnEnd += fleet.soundPartsAtAnEnd();
+			this.blamed.addAll(fleet.falselyBlamed());
+			this.mostCrashes = Math.max(this.mostCrashes, fleet.crashes());
+		}
+
+		private void assertHardlyAnyBlamedFalsely(String load) {
+			assertThat(this.blamed)
+				.as("%s: of %d parts at ends, %d servers crashed at most", load, this.atAnEnd, this.mostCrashes)
+				.hasSizeLessThanOrEqualTo((int) (this.atAnEnd / 1000));
+		}
+
+	}
+
+}
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/SuspectBookTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/SuspectBookTests.java
@@ -1,24 +1,16 @@
 package org.snowwind.gateway.suspect;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Test;
 import org.snowwind.decide.blame.ServerEnd;
 import org.snowwind.gateway.suspect.SuspectDocument.SeenEnd;
 import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
 import org.snowwind.model.ManualClock;
-import org.snowwind.store.GetResult;
 import org.snowwind.store.ListResult;
-import org.snowwind.store.ObjectStore;
-import org.snowwind.store.StoredObject;
-import org.snowwind.store.WatchResult;
-import org.snowwind.store.WriteResult;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -32,14 +24,14 @@
 
 	private final ManualClock clock = new ManualClock(5000);
 
-	private final MapStore store = new MapStore();
+	private final MemoryObjectStore store = new MemoryObjectStore();
 
 	private final SuspectBook first = book("g1");
 
 	private final SuspectBook second = book("g2");
 
 	private SuspectBook book(String name) {
-		return new SuspectBook(this.store, name, this.clock);
+		return new SuspectBook(this.store, name, new AnsweredParts(), () -> 0, this.clock);
 	}
 
 	private static SeenEnd end(String request, String server) {
@@ -53,7 +45,7 @@
 	}
 
 	private void read(SuspectBook book) {
-		book.listed(new ListResult.Listed(EraRevision.ofLong(this.store.revision), this.store.all()));
+		book.listed(new ListResult.Listed(this.store.revision(), this.store.all()));
 	}
 
 	private void share(SuspectBook... books) {
@@ -105,7 +97,7 @@
 		this.first.ended(end(FATAL, "s1"));
 		write(this.first);
 		this.store.overwrite("suspects/g1",
-				new SuspectDocument(List.of(end(FATAL, "s2")), Set.of(), Set.of()).toJson());
+				new SuspectDocument(List.of(end(FATAL, "s2")), Set.of(), Set.of(), PartEvidence.EMPTY).toJson());
 		this.first.ended(end(FATAL, "s3"));
 		write(this.first);
 		write(this.first);
@@ -223,67 +215,4 @@
 		assertThat(this.second.view().suspects()).containsExactly(FATAL);
 	}
 
-	/**
-	 * A store in memory.
-	 */
-	private static final class MapStore implements ObjectStore {
-
-		private final Map<String, StoredObject> objects = new HashMap<>();
-
-		private long revision;
-
-		private int writes;
-
-		private boolean away;
-
-		private List<StoredObject> all() {
-			return new ArrayList<>(this.objects.values());
-		}
-
-		@Override
-		public ListResult list(String prefix) {
-			throw new UnsupportedOperationException("listings are handed over");
-		}
-
-		@Override
-		public WriteResult put(String key, EraRevision expectedRevision, JsonNode value) {
-			if (this.away) {
-				return new WriteResult.Uncertain("away");
-			}
-			StoredObject standing = this.objects.get(key);
-			EraRevision actual = (standing != null) ? standing.revision() : EraRevision.NONE;
-			if (!expectedRevision.equals(actual)) {
-				return new WriteResult.Conflict(actual);
-			}
-			this.writes++;
-			overwrite(key, value);
-			return new WriteResult.Written(EraRevision.ofLong(this.revision));
-		}
-
-		private void overwrite(String key, JsonNode value) {
-			this.objects.put(key, new StoredObject(key, EraRevision.ofLong(++this.revision), value));
-		}
-
-		@Override
-		public WriteResult delete(String key, EraRevision expectedRevision) {
-			this.objects.remove(key);
-			return new WriteResult.Written(EraRevision.ofLong(++this.revision));
-		}
-
-		@Override
-		public GetResult get(String key) {
-			if (this.away) {
-				return new GetResult.Away("away");
-			}
-			StoredObject found = this.objects.get(key);
-			return (found != null) ? new GetResult.Found(found) : new GetResult.Absent();
-		}
-
-		@Override
-		public WatchResult watch(String prefix, EraRevision afterRevision, long waitMillis) {
-			throw new UnsupportedOperationException("changes are handed over");
-		}
-
-	}
-
 }
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -175,6 +175,18 @@
 	/** A request under which servers had ended was answered. */
 	SUSPECT_CLEARED(4112, Level.INFO, "suspected request answered"),
 
+	/** Requests with a part in their prompts end servers and are refused from now on. */
+	PART_BLAMED(4114, Level.WARNING, "prompt part ends servers"),
+
+	/** A part of prompts is no longer to blame for ends of servers. */
+	PART_RELEASED(4115, Level.WARNING, "prompt part no longer blamed"),
+
+	/** An answer to a request with a suspected part was written down for all. */
+	PART_ANSWERED(4116, Level.INFO, "suspected prompt part answered"),
+
+	/** A request was rejected while another one shows whether a part ends servers. */
+	PART_HELD_BACK(4117, Level.INFO, "request with suspected prompt part held back"),
+
 	/** What this gateway knows of suspected requests was written down for all. */
 	SUSPECTS_WRITTEN(4113, Level.INFO, "suspected requests written down"),
 
