Do not take an answer that ends with its connection as proof for a suspect

A server that crashes under a request closes its connections. If its answer had neither a length nor chunks, that looked like the end of a complete answer, which cleared the request and the parts of its prompt of earlier crashes, so that further servers would have crashed.

Such an answer no longer clears a request, and clears parts only if the server still listens afterwards; it is asked only if a part is suspected. The answer itself is delivered as before.

answerThatEndsWithItsConnectionClearsAPartOnlyIfItsServerStillListens failed before ("answered service/bad in round 2") and passes now.

--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -59,6 +59,11 @@
 
 	private boolean streaming;
 
+	/**
+	 * Whether the response states where it ends, other than by closing its connection.
+	 */
+	private boolean framed;
+
 	private boolean reading = true;
 
 	private long idleTimeoutMillis;
@@ -133,6 +138,15 @@
 		return this.cause;
 	}
 
+	/**
+	 * Returns whether a complete response is certain to be the whole one. One that ends
+	 * with its connection is not: the server may have crashed.
+	 * @return true if the response has a length or chunks
+	 */
+	boolean isFramed() {
+		return this.framed;
+	}
+
 	long sentMillis() {
 		return this.sentMillis;
 	}
@@ -192,6 +206,7 @@
 			return;
 		}
 		this.status = answerStatus;
+		this.framed = headers.containsKey("content-length") || headers.containsKey("transfer-encoding");
 		this.context.suspects().heard(this.backend.entry().incarnation());
 		ResponseMetadata metadata = this.context.dialect().readResponse(answerStatus, headers);
 		recordNotice(metadata);
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -291,7 +291,7 @@
 	public void finish(Disclosure disclosure, ProblemKind kind) {
 		ResponseBuffer response = response();
 		if (kind == null) {
-			this.suspicion.recordAnswered(response.status() == ResponseBuffer.OK);
+			this.suspicion.recordAnswered(response.status() == ResponseBuffer.OK, this.attempt);
 		}
 		if (kind != null && !this.exchange.begun() && response != null && response.isDeliverable()) {
 			close(Disclosure.ANSWERED, Integer.toString(response.status()));
--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
@@ -100,12 +100,21 @@
 	 * Records that the request was answered completely.
 	 * @param success whether the server succeeded, which it does only after it has read
 	 * the whole prompt
+	 * @param attempt the attempt that was answered
 	 */
-	void recordAnswered(boolean success) {
-		this.suspects.answered(this.request.body().length, this::digest);
-		if (success && !this.parts.isEmpty()) {
+	void recordAnswered(boolean success, Attempt attempt) {
+		if (attempt.isFramed()) {
+			this.suspects.answered(this.request.body().length, this::digest);
+		}
+		if (!success || this.parts.isEmpty()) {
+			return;
+		}
+		if (attempt.isFramed()) {
 			this.suspects.answeredParts(this.partsAtSend);
 		}
+		else {
+			this.suspects.answeredPartsByClosing(attempt.backend().entry(), this.partsAtSend);
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
@@ -1,6 +1,7 @@
 package org.snowwind.gateway.suspect;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -28,6 +29,8 @@
 
 	private final Sightings sightings;
 
+	private final ProcessProbe probe;
+
 	private final EndWatch ends;
 
 	private final PartTrials trials;
@@ -45,6 +48,7 @@
 			DataLoop loop, MonotonicClock clock) {
 		this.view = view;
 		this.sightings = sightings;
+		this.probe = probe;
 		this.trials = new PartTrials(isFirst, clock);
 		this.ends = new EndWatch(probe, (millis, work) -> loop.later(work, millis), clock, new Recorder());
 	}
@@ -122,6 +126,23 @@
 		this.sightings.answeredParts(parts);
 	}
 
+	/**
+	 * Records a successful answer that ended with its connection. It speaks for its parts
+	 * only if the server still listens, since a crash ends connections, too.
+	 * @param server the server as it was registered
+	 * @param parts the shared parts of the request as it was sent
+	 */
+	public void answeredPartsByClosing(BackendEntry server, List<SuspectPart> parts) {
+		Set<String> atEnds = this.view.get().parts().atEnds();
+		if (parts.stream().anyMatch((part) -> atEnds.contains(part.key()))) {
+			this.probe.ask(server.host(), server.port(), (gone) -> {
+				if (!gone) {
+					this.sightings.answeredParts(parts);
+				}
+			});
+		}
+	}
+
 	/**
 	 * Takes note that a request was answered in full.
 	 * @param bodyBytes the length of its body
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayBlameTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayBlameTests.java
@@ -221,6 +221,23 @@
 				"answered service/bad in round 2");
 	}
 
+	@Test
+	void answerThatEndsWithItsConnectionClearsAPartOnlyIfItsServerStillListens() throws Exception {
+		String unframed = "HTTP/1.1 200 OK\r\n" + SIGNED + "\r\nfine";
+		this.gateway.setSuspectView(endsUnderPart("org", 1, 2));
+		CompletableFuture<ScriptedServer> self = new CompletableFuture<>();
+		self.complete(this.gateway.addServer((request, answer) -> {
+			self.join().close();
+			answer.write(unframed);
+		}));
+		assertThat(callWithParts("bad")).startsWith("HTTP/1.1 200");
+		TimeUnit.MILLISECONDS.sleep(PROBED_MILLIS);
+		assertThat(this.gateway.sightings()).isEmpty();
+		this.gateway.addServer((request, answer) -> answer.write(unframed));
+		assertThat(callWithParts("bad")).startsWith("HTTP/1.1 200");
+		assertThat(awaitSightings()).containsExactly("answered service/bad in round 2");
+	}
+
 	@Test
 	void serverErrorIsNoAnswerForAPart() throws Exception {
 		this.gateway.addServer((request, answer) -> answer.respond(404, SIGNED, "none"));
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayStreamTests.java
@@ -348,6 +348,16 @@
 		assertTruncated(this.gateway.call("/frail/a"), event(1));
 	}
 
+	@Test
+	void unframedStreamClosedWithinAnEventIsContinuedByAnotherServer() throws IOException {
+		this.gateway.addServer((request, answer) -> answer.write(UNFRAMED + event(1) + "id: 2\ndata: t"));
+		this.gateway.addServer((request, answer) -> {
+			assertThat(request.headers()).containsEntry("t-last", "1");
+			answer.write(UNFRAMED + event(2));
+		});
+		assertComplete(this.gateway.call("/stream/a"), event(1) + event(2));
+	}
+
 	/**
 	 * What was read before reading stopped still arrives in pieces, and the last piece
 	 * may hold no whole event.
