--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -82,6 +82,20 @@
 	/** How often a caller sends the request again that ends servers. */
 	private static final long FATAL_EVERY_MILLIS = 700;
 
+	/** How often a request comes with a part in its prompt that crashes servers. */
+	private static final long CRASHING_EVERY_MILLIS = 600;
+
+	/** Parts of prompts that crash servers; the last one stops doing so midway. */
+	private static final List<String> CRASHING = List.of("bad0", "bad1");
+
+	/** The first part of all prompts, harmless ones, too. */
+	private static final String COMMON_PART = "c0";
+
+	private static final int SESSIONS = 10;
+
+	/** The status of a request that is rejected because it is blamed for crashes. */
+	private static final int BLAMED = 400;
+
 	/** How long a server runs that request until it ends. */
 	private static final long FATAL_MILLIS = 20;
 
@@ -113,6 +127,8 @@
 
 	private final Random evacuations;
 
+	private final Random prompts;
+
 	private final SoakExtras extras;
 
 	private final SoakWorld world;
@@ -145,6 +161,7 @@
 		this.keys = new Random(seed + 7);
 		this.drills = new Random(seed + 8);
 		this.evacuations = new Random(seed + 9);
+		this.prompts = new Random(seed + 10);
 		this.extras = extras;
 		this.streams = new Random(seed + 2);
 		this.world = new SoakWorld(folder, GATEWAYS, new Random(seed + 1));
@@ -166,6 +183,9 @@
 		this.world.onFatalRun((server) -> after(FATAL_MILLIS, () -> SoakFaults.crash(this.world, server, this::after)));
 		var ending = this.later.scheduleAtFixedRate(this::callFatal, FATAL_EVERY_MILLIS, FATAL_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
+		var crashing = this.later.scheduleAtFixedRate(this::callCrashing, 0, CRASHING_EVERY_MILLIS,
+				TimeUnit.MILLISECONDS);
+		beginCrashing(faultMillis / 2);
 		var limiting = this.later.scheduleWithFixedDelay(this::changeLimit, LIMIT_EVERY_MILLIS, LIMIT_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
 		var noticing = this.later.scheduleWithFixedDelay(this::announce, NOTICE_EVERY_MILLIS, NOTICE_EVERY_MILLIS,
@@ -200,6 +220,7 @@
 		TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
 		calling.cancel(false);
 		ending.cancel(false);
+		crashing.cancel(false);
 		silencing.cancel(false);
 		callingWithKeys.cancel(false);
 		awaitAnswers();
@@ -288,6 +309,25 @@
 		}
 	}
 
+	private void beginCrashing(long oneStopsMillis) {
+		if (this.extras.crashingParts()) {
+			CRASHING.forEach(this.world::crashOn);
+			after(oneStopsMillis, () -> this.world.stopCrashingOn(CRASHING.get(CRASHING.size() - 1)));
+		}
+	}
+
+	private void callCrashing() {
+		if (this.extras.crashingParts()) {
+			send(List.of(COMMON_PART, CRASHING.get(this.prompts.nextInt(CRASHING.size()))));
+			send(List.of(COMMON_PART, "5e55" + this.prompts.nextInt(SESSIONS)));
+		}
+	}
+
+	private CompletableFuture<Call> send(List<String> sharedParts) {
+		SoakGateway gateway = this.world.gateways().get(this.prompts.nextInt(GATEWAYS));
+		return this.caller.sendPrompt(gateway, CallKind.STREAM, SoakWorld.KEY, sharedParts);
+	}
+
 	private void changeLimit() {
 		if (this.extras.limits()) {
 			SoakFaults.changeLimit(this.world, this.limits);
@@ -336,6 +376,24 @@
 				expect(gateway, kind, SoakWorld.KEY, 200, "after all faults");
 			}
 		}
+		if (this.extras.crashingParts()) {
+			checkHarmlessPrompts();
+		}
+	}
+
+	private void checkHarmlessPrompts() throws Exception {
+		List<CompletableFuture<Call>> calls = new ArrayList<>();
+		for (int i = 0; i < FINAL_CALLS; i++) {
+			calls.add(send(List.of(COMMON_PART, "5e55" + this.prompts.nextInt(SESSIONS))));
+			TimeUnit.MILLISECONDS.sleep(CALL_EVERY_MILLIS);
+		}
+		int rejected = 0;
+		for (CompletableFuture<Call> call : calls) {
+			rejected += (call.get(START_MILLIS, TimeUnit.MILLISECONDS).status() == BLAMED) ? 1 : 0;
+		}
+		if (rejected > 0) {
+			this.problems.add(rejected + " of " + FINAL_CALLS + " requests were rejected for harmless parts");
+		}
 	}
 
 	private void checkInForce() throws Exception {
