Blame a shared part later than deeper ones, and try blamed parts once

Cause: two harmful parts share the ends of servers between them, while the first part is at all of them and so reaches the bound first. Once it is blamed none of its requests is sent, so that no answer can clear it. Change: a part needs five rounds if a deeper one without an answer shares half of its ends; and a blamed part is tried once, 10 s after its last end, by one request of one gateway whose other parts are not suspected. Its answer clears the part, another end settles it.

--- a/decide/src/main/java/org/snowwind/decide/blame/PartBlame.java
+++ b/decide/src/main/java/org/snowwind/decide/blame/PartBlame.java
@@ -42,10 +42,13 @@
 	private static final int FEWER_ENDS_PER_ROUND = 2;
 
 	/**
-	 * The number of rounds from which on a part is blamed that was answered before. It
-	 * may have become harmful, for instance with new weights.
+	 * The number of rounds from which on a part may be blamed that was answered before,
+	 * for it may have become harmful with new weights, or that a deeper part may excuse.
 	 */
-	public static final int MIN_ROUNDS_AFTER_ANSWER = 5;
+	public static final int MIN_ROUNDS_IF_UNCERTAIN = 5;
+
+	/** The number of ends that a deeper part shares with one that it may excuse. */
+	private static final int MIN_SHARED_ENDS = 2;
 
 	/** The number of ends that no blamed part explains and that blame another one. */
 	private static final int MIN_ENDS_BESIDE_ANOTHER = 2;
@@ -120,28 +123,44 @@
 	}
 
 	private boolean isEligible(String part) {
-		Set<String> servers = serversOf(this.unexplained.get(part));
-		return (isSuspicious(part, servers) || isSuspiciousBesideAnother(part, servers))
-				&& !isExplainedByOneRequest(servers);
+		return isEligible(part, this.unexplained.get(part), this.all.get(part));
+	}
+
+	private boolean isEligible(String part, List<PartEnd> unexplainedEnds, List<PartEnd> allEnds) {
+		return (isSuspicious(part, unexplainedEnds) || isSuspiciousBesideAnother(part, unexplainedEnds, allEnds))
+				&& !isExplainedByOneRequest(serversOf(unexplainedEnds));
 	}
 
-	private boolean isSuspicious(String part, Set<String> servers) {
-		int rounds = roundsOf(this.unexplained.get(part));
+	private boolean isSuspicious(String part, List<PartEnd> ends) {
+		int rounds = roundsOf(ends);
 		if (rounds < MIN_ROUNDS) {
 			return false;
 		}
-		int extraRounds = rounds - extraRoundsForNoise(servers)
-				- (this.answeredRounds.containsKey(part) ? MIN_ROUNDS_AFTER_ANSWER : MIN_ROUNDS);
+		Set<String> servers = serversOf(ends);
+		boolean uncertain = this.answeredRounds.containsKey(part) || isContested(ends);
+		int extraRounds = rounds - extraRoundsForNoise(servers) - (uncertain ? MIN_ROUNDS_IF_UNCERTAIN : MIN_ROUNDS);
 		return extraRounds >= 0 && servers.size() + FEWER_ENDS_PER_ROUND * extraRounds >= MIN_ENDS;
 	}
 
 	// Two parts that end servers are often at the same ends, which the one that is blamed
 	// first explains.
-	private boolean isSuspiciousBesideAnother(String part, Set<String> servers) {
-		List<PartEnd> ends = this.all.get(part);
-		return !this.answeredRounds.containsKey(part) && servers.size() >= MIN_ENDS_BESIDE_ANOTHER
-				&& roundsOf(ends) > MIN_ROUNDS && serversOf(ends).size() >= MIN_ENDS
-				&& extraRoundsForNoise(serversOf(ends)) == 0;
+	private boolean isSuspiciousBesideAnother(String part, List<PartEnd> ends, List<PartEnd> allEnds) {
+		return !this.answeredRounds.containsKey(part) && serversOf(ends).size() >= MIN_ENDS_BESIDE_ANOTHER
+				&& roundsOf(allEnds) > MIN_ROUNDS && serversOf(allEnds).size() >= MIN_ENDS
+				&& extraRoundsForNoise(serversOf(allEnds)) == 0 && !isContested(ends);
+	}
+
+	// A part that many requests share is at the ends under all deeper ones. If several of
+	// these end servers, each has fewer ends than the shared part.
+	private boolean isContested(List<PartEnd> ends) {
+		Set<String> servers = serversOf(ends);
+		int depth = ends.get(0).depth();
+		return this.unexplained.entrySet()
+			.stream()
+			.filter((other) -> other.getValue().get(0).depth() > depth
+					&& !this.answeredRounds.containsKey(other.getKey()))
+			.map((other) -> serversOf(other.getValue()).stream().filter(servers::contains).count())
+			.anyMatch((shared) -> shared >= MIN_SHARED_ENDS && 2 * shared >= servers.size());
 	}
 
 	private static int roundsOf(List<PartEnd> ends) {
@@ -186,11 +205,23 @@
 
 	private BlamedPart accuse(String part) {
 		Set<String> servers = serversOf(part);
+		boolean mayBeTried = !isEligibleBeforeLastRound(part);
 		Set<String> organisations = new HashSet<>();
 		this.unexplained.get(part).forEach((end) -> organisations.add(end.organisation()));
 		this.unexplained.values().forEach((ends) -> ends.removeIf((end) -> servers.contains(end.server())));
 		this.unexplained.values().removeIf(List::isEmpty);
-		return new BlamedPart(part, Set.copyOf(organisations), Set.copyOf(servers));
+		return new BlamedPart(part, Set.copyOf(organisations), Set.copyOf(servers), mayBeTried);
+	}
+
+	private boolean isEligibleBeforeLastRound(String part) {
+		int lastRound = this.unexplained.get(part).stream().mapToInt(PartEnd::round).max().orElse(0);
+		List<PartEnd> unexplainedBefore = before(lastRound, this.unexplained.get(part));
+		return !unexplainedBefore.isEmpty()
+				&& isEligible(part, unexplainedBefore, before(lastRound, this.all.get(part)));
+	}
+
+	private static List<PartEnd> before(int round, List<PartEnd> ends) {
+		return ends.stream().filter((end) -> end.round() < round).toList();
 	}
 
 }
--- a/decide/src/test/java/org/snowwind/decide/blame/PartBlameTests.java
+++ b/decide/src/test/java/org/snowwind/decide/blame/PartBlameTests.java
@@ -149,4 +149,25 @@
 		assertThat(part.appliesTo("other")).as("two organisations were at ends").isTrue();
 	}
 
+	@Test
+	void sharedPartIsNotBlamedBeforeDeeperOnesThatEndServersInTurn() {
+		ended("s1", 1, "common", "bad");
+		ended("s2", 2, "common", "worse");
+		ended("s3", 3, "common", "bad");
+		assertThat(blamed()).isEmpty();
+		ended("s4", 4, "common", "worse");
+		ended("s5", 4, "common", "bad");
+		assertThat(blamed()).containsExactly("bad");
+	}
+
+	@Test
+	void partMayBeTriedOnlyIfItsLastRoundDecided() {
+		threeEnds("bad");
+		assertThat(PartBlame.blamedParts(this.ends, this.answeredRounds, this.requestEnds)).singleElement()
+			.matches(BlamedPart::mayBeTried);
+		ended("s4", 4, "bad");
+		assertThat(PartBlame.blamedParts(this.ends, this.answeredRounds, this.requestEnds)).singleElement()
+			.matches((part) -> !part.mayBeTried());
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
@@ -60,7 +60,8 @@
 	 * @return true if it must not be sent to any server
 	 */
 	boolean isBlamed() {
-		return blamedPart() != null || this.suspects.blames(this.request.body().length, this::digest);
+		return this.suspects.blocksPart(this.parts, this.organisation)
+				|| this.suspects.blames(this.request.body().length, this::digest);
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/PartTrials.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/PartTrials.java
@@ -10,10 +10,13 @@
 import org.snowwind.model.event.EventLog;
 
 /**
- * Limits requests with a part in their prompts that was at many ends of servers at once
- * and was never answered. Either many servers ended for another reason, or the part ended
- * them all before any gateway knew. One request of one gateway at a time finds out: its
- * answer clears the part, another end blames it. Confined to the event loop.
+ * Lets one request of one gateway at a time find out whether a part of prompts is
+ * harmless: its answer clears the part, another end counts against it. This limits
+ * requests with a part that was at many ends of servers at once and was never answered:
+ * either the servers ended for another reason, or the part ended them all before any
+ * gateway knew. And it admits one request with a blamed part whose other parts are not
+ * suspected, since nothing else would show that the blame is false. Confined to the event
+ * loop.
  */
 final class PartTrials {
 
@@ -23,6 +26,9 @@
 	/** The time after the last end until requests are no longer limited. */
 	static final long HOLD_MILLIS = 30_000;
 
+	/** The time after the last end until a blamed part is tried, in milliseconds. */
+	static final long BLAMED_PAUSE_MILLIS = 10_000;
+
 	private static final int NO_TURN = -1;
 
 	private final Predicate<String> isFirst;
@@ -50,24 +56,43 @@
 	 * @return false if another request is the trial
 	 */
 	boolean acquire(String request, List<String> keys, PartView view) {
-		this.trials.keySet().removeIf((key) -> !view.isOnTrial(key));
-		List<String> onTrial = keys.stream().filter(view::isOnTrial).toList();
-		if (!onTrial.stream().allMatch((key) -> hasTurn(key, view.endsOf(key)))) {
+		this.trials.keySet().removeIf((key) -> view.endsOf(key) == 0);
+		List<String> onTrial = keys.stream().filter((key) -> view.isOnTrial(key) || view.isBlamed(key)).toList();
+		if (!onTrial.stream().filter(view::isOnTrial).allMatch((key) -> hasTurn(key, trialOf(key, view)))) {
 			EventLog.log(Event.PART_HELD_BACK, "request", request, "parts", onTrial);
 			return false;
 		}
-		onTrial.forEach(this::takeTurn);
+		onTrial.forEach((key) -> takeTurn(key, view));
 		return true;
 	}
 
-	private boolean hasTurn(String key, int ends) {
-		Trial trial = this.trials.get(key);
-		if (trial == null || trial.ends != ends) {
-			trial = new Trial(ends, this.clock.nowMillis(), NO_TURN);
-			this.trials.put(key, trial);
+	/**
+	 * Returns whether a request may try a blamed part now.
+	 * @param blamed the part
+	 * @param keys the parts of the prompt of the request
+	 * @param view what is known of parts
+	 * @return true if it may be sent
+	 */
+	boolean mayTry(String blamed, List<String> keys, PartView view) {
+		if (!view.mayBeTried(blamed) || !keys.stream().allMatch((key) -> key.equals(blamed) || view.endsOf(key) == 0)) {
+			return false;
 		}
-		return isOver(trial)
-				|| (trial.lastTurn != turnOf(trial) && this.isFirst.test(key + " " + ends + " " + turnOf(trial)));
+		Trial trial = trialOf(blamed, view);
+		return this.clock.nowMillis() - trial.sinceMillis >= BLAMED_PAUSE_MILLIS && ownsTurn(blamed, trial);
+	}
+
+	private Trial trialOf(String key, PartView view) {
+		int ends = view.endsOf(key);
+		return this.trials.compute(key, (same, trial) -> (trial != null && trial.ends == ends) ? trial
+				: new Trial(ends, this.clock.nowMillis(), NO_TURN));
+	}
+
+	private boolean hasTurn(String key, Trial trial) {
+		return isOver(trial) || ownsTurn(key, trial);
+	}
+
+	private boolean ownsTurn(String key, Trial trial) {
+		return trial.lastTurn != turnOf(trial) && this.isFirst.test(key + " " + trial.ends + " " + turnOf(trial));
 	}
 
 	private boolean isOver(Trial trial) {
@@ -78,8 +103,9 @@
 		return (this.clock.nowMillis() - trial.sinceMillis) / TURN_MILLIS;
 	}
 
-	private void takeTurn(String key) {
-		this.trials.computeIfPresent(key, (same, trial) -> new Trial(trial.ends, trial.sinceMillis, turnOf(trial)));
+	private void takeTurn(String key, PartView view) {
+		Trial trial = trialOf(key, view);
+		this.trials.put(key, new Trial(trial.ends, trial.sinceMillis, turnOf(trial)));
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/PartView.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/PartView.java
@@ -113,6 +113,15 @@
 		return endsOf(key) >= PartBlame.MIN_ENDS && !this.evidence.answeredRounds().containsKey(key) && !isBlamed(key);
 	}
 
+	/**
+	 * Returns whether one request may find out whether a blamed part is harmless.
+	 * @param key the part
+	 * @return true if it is blamed and was not tried since
+	 */
+	boolean mayBeTried(String key) {
+		return this.blamed.containsKey(key) && this.blamed.get(key).mayBeTried();
+	}
+
 	/**
 	 * Returns the number of ends that count against a part.
 	 * @param key the part
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
@@ -88,6 +88,17 @@
 		return this.view.get().parts().blamedOf(parts, organisation);
 	}
 
+	/**
+	 * Returns whether a request must not be sent because of a part of its prompt.
+	 * @param parts the keys of its shared parts
+	 * @param organisation whose request it is; empty if nobody's
+	 * @return false also if the request may find out whether a blamed part is harmless
+	 */
+	public boolean blocksPart(List<String> parts, String organisation) {
+		String blamed = blamedPart(parts, organisation);
+		return blamed != null && !this.trials.mayTry(blamed, parts, this.view.get().parts());
+	}
+
 	/**
 	 * Tells whether a part of a prompt comes close to being blamed.
 	 * @param parts the keys of the shared parts of a request
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleetTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleetTests.java
@@ -108,6 +108,21 @@
 		rates.assertHardlyAnyBlamedFalsely(lost + " servers, one each " + betweenMillis + " ms");
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "4,3,1,2,2,0.8,1", "7,16,8,50,1,3.3,1", "7,16,8,50,2,2,1", "7,16,8,10,1,3.3,0" })
+	void falseBlameAfterAColdStartEndsByItself(int gateways, int servers, int groupSize, double requestsPerSecond,
+			int harmfulParts, double harmfulPerSecond, int depth) {
+		PartFleet.Load load = new PartFleet.Load(gateways, servers, 8, groupSize, requestsPerSecond, harmfulParts,
+				harmfulPerSecond, depth, NEVER);
+		for (int seed = 0; seed < 10; seed++) {
+			PartFleet fleet = new PartFleet(seed, load);
+			fleet.beginHarm();
+			fleet.run(HARM_MILLIS + CALM_MILLIS);
+			assertThat(fleet.soundBegunShare(HARM_MILLIS, NEVER)).as("%s, seed %d, share begun", load, seed)
+				.isGreaterThanOrEqualTo(MIN_BEGUN_AGAINST_BEFORE);
+		}
+	}
+
 	/** Counts over several seeds. */
 	private static final class Rates {
 
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/PartTrialsTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/PartTrialsTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.snowwind.decide.blame.PartEnd;
@@ -67,4 +68,40 @@
 		assertThat(acquire(view)).isTrue();
 	}
 
+	private static PartView blamed(int rounds) {
+		return PartView.of(new PartEvidence(IntStream.rangeClosed(1, rounds)
+			.mapToObj((round) -> new PartEnd("chat/bad", "org", "s" + round, round, 1))
+			.toList(), Map.of()), List.of());
+	}
+
+	@Test
+	void blamedPartIsTriedOnceAfterAPause() {
+		PartView view = blamed(3);
+		assertThat(view.isBlamed("chat/bad")).isTrue();
+		assertThat(this.trials.mayTry("chat/bad", PARTS, view)).isFalse();
+		this.clock.advance(PartTrials.BLAMED_PAUSE_MILLIS);
+		assertThat(this.trials.mayTry("chat/bad", PARTS, view)).isTrue();
+		assertThat(acquire(view)).isTrue();
+		assertThat(this.trials.mayTry("chat/bad", PARTS, view)).as("a second request in the same turn").isFalse();
+	}
+
+	@Test
+	void blamedPartIsNotTriedAgainAfterATrialEndedAServer() {
+		assertThat(this.trials.mayTry("chat/bad", PARTS, blamed(4))).isFalse();
+		this.clock.advance(10 * PartTrials.BLAMED_PAUSE_MILLIS);
+		assertThat(this.trials.mayTry("chat/bad", PARTS, blamed(4))).isFalse();
+	}
+
+	@Test
+	void blamedPartIsNotTriedByARequestWithAnotherSuspectedPart() {
+		PartView view = blamed(3);
+		this.trials.mayTry("chat/bad", PARTS, view);
+		this.clock.advance(PartTrials.BLAMED_PAUSE_MILLIS);
+		PartView two = PartView.of(new PartEvidence(
+				Stream.concat(view.standing().stream(), Stream.of(new PartEnd("chat/c0", "org", "s9", 1, 0))).toList(),
+				Map.of()), List.of());
+		assertThat(two.isBlamed("chat/bad")).isTrue();
+		assertThat(this.trials.mayTry("chat/bad", PARTS, two)).isFalse();
+	}
+
 }
