Send the trial of a blamed part once only

A request that tried a blamed part could be sent to a second server if its first one crashed as the gateway's next turn began, at the price of one more server. Found by reading the change again; not seen by callers. Once a request has been sent, a blamed part of its prompt keeps it from being sent again. trialOfABlamedPartIsASingleSend failed before (200 from the second server). Comments reworded.

--- a/decide/src/main/java/org/snowwind/decide/blame/PartBlame.java
+++ b/decide/src/main/java/org/snowwind/decide/blame/PartBlame.java
@@ -13,12 +13,12 @@
  * Identifies the parts of prompts that end the servers that answer requests with them.
  *
  * <p>
- * Many requests share their first parts, so these are at most ends of servers, whatever
- * the cause. Two observations tell them apart. A complete answer to a request with a part
- * shows that the part alone ends no server; ends from before that answer no longer count
- * against the part. Ends count by round: a round contains the ends of requests that were
- * sent before the ends of earlier rounds were known, so that the loss of many servers at
- * once is a single round.
+ * Many requests share their first parts, so these are at nearly all ends of servers,
+ * whatever the cause. Two observations tell them apart. A complete answer to a request
+ * with a part shows that the part alone ends no server; ends from before that answer no
+ * longer count against the part. Ends count by round: a round contains the ends of
+ * requests that were sent before the ends of earlier rounds were known, so that the loss
+ * of many servers at once is a single round.
  *
  * <p>
  * Parts are blamed in descending order of their number of ends, and an end that a blamed
@@ -187,10 +187,8 @@
 	}
 
 	// If many other parts without an answer were at several ends elsewhere, servers end
-	// for
-	// other reasons, and a part can be at several ends by chance. Each fourfold increase
-	// in
-	// the number of such parts requires one more round.
+	// for other reasons, and a part can be at several ends by chance. Each fourfold
+	// increase in the number of such parts requires one more round.
 	private int extraRoundsForNoise(Set<String> servers) {
 		long others = this.unexplained.keySet()
 			.stream()
--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestSuspicion.java
@@ -60,8 +60,10 @@
 	 * @return true if it must not be sent to any server
 	 */
 	boolean isBlamed() {
-		return this.suspects.blocksPart(this.parts, this.organisation)
-				|| this.suspects.blames(this.request.body().length, this::digest);
+		// A trial of a blamed part is a single send.
+		boolean sentBefore = !this.partsAtSend.isEmpty();
+		boolean blocked = sentBefore ? blamedPart() != null : this.suspects.blocksPart(this.parts, this.organisation);
+		return blocked || this.suspects.blames(this.request.body().length, this::digest);
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/SuspectBook.java
@@ -133,8 +133,8 @@
 	}
 
 	/**
-	 * Applies answers to requests with parts that were repeatedly at ends, and writes
-	 * them for others.
+	 * Applies answers to requests with parts that were at ends, and writes them for
+	 * others.
 	 */
 	synchronized void recordAnswers() {
 		long nowMillis = this.clock.nowMillis();
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayBlameTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayBlameTests.java
@@ -35,6 +35,11 @@
 	/** Longer than the two probes after which a server counts as ended. */
 	private static final long PROBED_MILLIS = 1000;
 
+	/** Until shortly before a turn ends in which a blamed part may be tried. */
+	private static final long PAUSE_OF_TRIALS_MILLIS = 13_600;
+
+	private static final long REST_OF_TURN_MILLIS = 600;
+
 	private final GatewayFixture gateway = new GatewayFixture().withRoutes();
 
 	@AfterEach
@@ -212,6 +217,20 @@
 		assertThat(second.received()).isEmpty();
 	}
 
+	@Test
+	void trialOfABlamedPartIsASingleSend() throws IOException {
+		this.gateway.addServer((request, answer) -> {
+			this.gateway.advanceClock(REST_OF_TURN_MILLIS);
+			answer.reset();
+		});
+		ScriptedServer second = this.gateway.addServer(ok());
+		this.gateway.setSuspectView(endsUnderPart("org", 1, 2, 3));
+		assertThat(callWithParts("bad")).startsWith("HTTP/1.1 400");
+		this.gateway.advanceClock(PAUSE_OF_TRIALS_MILLIS);
+		assertThat(callWithParts("bad")).startsWith("HTTP/1.1 400").contains("failed");
+		assertThat(second.received()).isEmpty();
+	}
+
 	@Test
 	void answerIsReportedForTheRoundsKnownAtItsSend() throws Exception {
 		this.gateway.addServer(ok());
