Count the first end of a part whose earlier ends were cleared and forgotten

A part that crashes servers after it was cleared once would have crashed one more before it was blamed. Found by reading the change again; not seen by callers. Cause: ends are forgotten after an hour, the answers that cleared them later. The next end began again at the first round, which the old answer clears. Change: the rounds that answers have cleared stay known. The test failed before (0 ends counted, 1 expected) and passes now, with SuspectBookTests, PartTrialsTests and RelayBlameTests. Beside it, tests for parts of what was tested for requests only: ends of several gateways and a restart, the store away, the store restored from a copy, news that come twice or late, an answer that one gateway saw. They pass without a change.

--- a/gateway/src/main/java/org/snowwind/gateway/suspect/PartView.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/PartView.java
@@ -37,8 +37,8 @@
 	private PartView(PartEvidence evidence, List<BlamedPart> blamed) {
 		this.evidence = evidence;
 		evidence.ends().forEach((end) -> this.knownRounds.merge(end.part(), end.round(), Math::max));
-		evidence.answeredRounds()
-			.forEach((part, round) -> this.knownRounds.computeIfPresent(part, (key, known) -> Math.max(known, round)));
+		// Ends may be forgotten before the answers that cleared them.
+		evidence.answeredRounds().forEach((part, round) -> this.knownRounds.merge(part, round, Math::max));
 		blamed.forEach((part) -> this.blamed.put(part.part(), part));
 		Map<String, Set<Integer>> rounds = new HashMap<>();
 		Map<String, Set<String>> servers = new HashMap<>();
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/SuspectBookTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/SuspectBookTests.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.snowwind.decide.blame.PartEnd;
 import org.snowwind.decide.blame.ServerEnd;
 import org.snowwind.gateway.suspect.SuspectDocument.SeenEnd;
 import org.snowwind.model.EraRevision;
@@ -22,13 +23,17 @@
 
 	private static final String FATAL = "421-aa";
 
+	private static final String BAD = "chat/bad";
+
 	private final ManualClock clock = new ManualClock(5000);
 
 	private final MemoryObjectStore store = new MemoryObjectStore();
 
 	private final SuspectBook first = book("g1");
 
-	private final SuspectBook second = book("g2");
+	private final AnsweredParts answeredAtSecond = new AnsweredParts();
+
+	private final SuspectBook second = new SuspectBook(this.store, "g2", this.answeredAtSecond, () -> 0, this.clock);
 
 	private SuspectBook book(String name) {
 		return new SuspectBook(this.store, name, new AnsweredParts(), () -> 0, this.clock);
@@ -215,4 +220,91 @@
 		assertThat(this.second.view().suspects()).containsExactly(FATAL);
 	}
 
+	private static List<PartEnd> partEnd(String server, int round) {
+		return List.of(new PartEnd(BAD, "org", server, round, 1));
+	}
+
+	private int knownRounds(SuspectBook book) {
+		return book.view().parts().atSend(List.of(BAD)).get(0).knownRounds();
+	}
+
+	@Test
+	void partEndsThatSeveralGatewaysSawBlameTogetherAlsoAfterARestart() {
+		this.first.endedWithParts(partEnd("s1", 1));
+		this.second.endedWithParts(partEnd("s2", 2));
+		share(this.first, this.second);
+		this.second.endedWithParts(partEnd("s3", 3));
+		share(this.first, this.second);
+		SuspectBook restarted = book("g1");
+		read(restarted);
+		assertThat(List.of(this.first, this.second, restarted)).allMatch((book) -> book.view().parts().isBlamed(BAD));
+		assertThat(knownRounds(restarted)).isEqualTo(3);
+	}
+
+	@Test
+	void partIsBlamedWhileTheStoreIsAwayAndByOthersOnceItIsBack() {
+		this.store.away = true;
+		for (int round = 1; round <= 3; round++) {
+			this.first.endedWithParts(partEnd("s" + round, round));
+		}
+		write(this.first);
+		assertThat(this.first.view().parts().isBlamed(BAD)).isTrue();
+		this.store.away = false;
+		write(this.first);
+		read(this.second);
+		assertThat(this.second.view().parts().isBlamed(BAD)).isTrue();
+	}
+
+	@Test
+	void partStaysBlamedAfterTheStoreWasRestoredFromACopyWithoutIt() {
+		for (int round = 1; round <= 3; round++) {
+			this.first.endedWithParts(partEnd("s" + round, round));
+		}
+		share(this.first, this.second);
+		this.store.objects.clear();
+		this.first.restored(this.store.revision(), this.store.revision());
+		read(this.second);
+		assertThat(this.second.view().parts().isBlamed(BAD)).as("lost with the copy").isFalse();
+		write(this.first);
+		read(this.second);
+		assertThat(this.second.view().parts().isBlamed(BAD)).isTrue();
+	}
+
+	@Test
+	void endReportedTwiceOrLateAddsNoRound() {
+		this.first.endedWithParts(partEnd("s1", 1));
+		this.second.endedWithParts(partEnd("s1", 2));
+		this.first.endedWithParts(partEnd("s2", 2));
+		share(this.first, this.second);
+		this.second.endedWithParts(partEnd("s2", 3));
+		share(this.first, this.second);
+		assertThat(knownRounds(this.first)).isEqualTo(2);
+		assertThat(this.first.view().parts().isBlamed(BAD)).isFalse();
+	}
+
+	@Test
+	void answerThatOneGatewaySawClearsAPartAtAll() {
+		this.first.endedWithParts(partEnd("s1", 1));
+		share(this.first, this.second);
+		this.answeredAtSecond.record(new SuspectPart(BAD, 1, 1));
+		this.second.recordAnswers();
+		this.first.endedWithParts(partEnd("s2", 2));
+		this.first.endedWithParts(partEnd("s3", 3));
+		share(this.second, this.first);
+		assertThat(this.first.view().parts().isBlamed(BAD)).isFalse();
+		assertThat(this.first.view().parts().endsOf(BAD)).isEqualTo(2);
+	}
+
+	@Test
+	void endAfterEarlierOnesWereForgottenCountsAlthoughTheyWereCleared() {
+		this.second.endedWithParts(partEnd("s1", 1));
+		this.answeredAtSecond.record(new SuspectPart(BAD, 1, 1));
+		this.second.recordAnswers();
+		write(this.second);
+		this.clock.advance(OwnSuspects.KEEP_MILLIS + 1);
+		write(this.second);
+		this.second.endedWithParts(partEnd("s2", knownRounds(this.second) + 1));
+		assertThat(this.second.view().parts().endsOf(BAD)).isEqualTo(1);
+	}
+
 }
