--- a/decide/src/main/java/org/snowwind/decide/blame/BlamedPart.java
+++ b/decide/src/main/java/org/snowwind/decide/blame/BlamedPart.java
@@ -8,10 +8,10 @@
  * @param part the service and the id of the part
  * @param organisations the organisations whose requests had it when servers ended
  * @param servers the incarnations of these servers
- * @param mayBeTried whether its last round of ends alone decided, so that one more
+ * @param allowsTrial whether its last round of ends alone decided, so that one more
  * request may find out whether it is harmless; if not, that request adds a round
  */
-public record BlamedPart(String part, Set<String> organisations, Set<String> servers, boolean mayBeTried) {
+public record BlamedPart(String part, Set<String> organisations, Set<String> servers, boolean allowsTrial) {
 
 	/**
 	 * Returns whether the requests of an organisation with the part must not be sent.
--- a/decide/src/main/java/org/snowwind/decide/blame/PartBlame.java
+++ b/decide/src/main/java/org/snowwind/decide/blame/PartBlame.java
@@ -203,12 +203,12 @@
 
 	private BlamedPart accuse(String part) {
 		Set<String> servers = serversOf(part);
-		boolean mayBeTried = !isEligibleBeforeLastRound(part);
+		boolean allowsTrial = !isEligibleBeforeLastRound(part);
 		Set<String> organisations = new HashSet<>();
 		this.unexplained.get(part).forEach((end) -> organisations.add(end.organisation()));
 		this.unexplained.values().forEach((ends) -> ends.removeIf((end) -> servers.contains(end.server())));
 		this.unexplained.values().removeIf(List::isEmpty);
-		return new BlamedPart(part, Set.copyOf(organisations), Set.copyOf(servers), mayBeTried);
+		return new BlamedPart(part, Set.copyOf(organisations), Set.copyOf(servers), allowsTrial);
 	}
 
 	private boolean isEligibleBeforeLastRound(String part) {
--- a/decide/src/test/java/org/snowwind/decide/blame/PartBlameTests.java
+++ b/decide/src/test/java/org/snowwind/decide/blame/PartBlameTests.java
@@ -164,10 +164,10 @@
 	void partMayBeTriedOnlyIfItsLastRoundDecided() {
 		threeEnds("bad");
 		assertThat(PartBlame.blamedParts(this.ends, this.answeredRounds, this.requestEnds)).singleElement()
-			.matches(BlamedPart::mayBeTried);
+			.matches(BlamedPart::allowsTrial);
 		ended("s4", 4, "bad");
 		assertThat(PartBlame.blamedParts(this.ends, this.answeredRounds, this.requestEnds)).singleElement()
-			.matches((part) -> !part.mayBeTried());
+			.matches((part) -> !part.allowsTrial());
 	}
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/PartTrials.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/PartTrials.java
@@ -73,8 +73,9 @@
 	 * @param view what is known of parts
 	 * @return true if it may be sent
 	 */
-	boolean mayTry(String blamed, List<String> keys, PartView view) {
-		if (!view.mayBeTried(blamed) || !keys.stream().allMatch((key) -> key.equals(blamed) || view.endsOf(key) == 0)) {
+	boolean allowsTrial(String blamed, List<String> keys, PartView view) {
+		if (!view.allowsTrial(blamed)
+				|| !keys.stream().allMatch((key) -> key.equals(blamed) || view.endsOf(key) == 0)) {
 			return false;
 		}
 		Trial trial = trialOf(blamed, view);
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/PartView.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/PartView.java
@@ -118,8 +118,8 @@
 	 * @param key the part
 	 * @return true if it is blamed and was not tried since
 	 */
-	boolean mayBeTried(String key) {
-		return this.blamed.containsKey(key) && this.blamed.get(key).mayBeTried();
+	boolean allowsTrial(String key) {
+		return this.blamed.containsKey(key) && this.blamed.get(key).allowsTrial();
 	}
 
 	/**
--- a/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
+++ b/gateway/src/main/java/org/snowwind/gateway/suspect/Suspects.java
@@ -96,7 +96,7 @@
 	 */
 	public boolean blocksPart(List<String> parts, String organisation) {
 		String blamed = blamedPart(parts, organisation);
-		return blamed != null && !this.trials.mayTry(blamed, parts, this.view.get().parts());
+		return blamed != null && !this.trials.allowsTrial(blamed, parts, this.view.get().parts());
 	}
 
 	/**
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/PartEvidenceTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/PartEvidenceTests.java
@@ -37,7 +37,7 @@
 	}
 
 	@Test
-	void endCountsInItsEarliestRoundWhoeverSawIt() {
+	void endCountsInTheEarliestRoundReported() {
 		PartEvidence one = new PartEvidence(List.of(end("p", "a", "s1", 3)), Map.of("q", 1));
 		PartEvidence other = new PartEvidence(List.of(end("p", "b", "s1", 1), end("p", "b", "s2", 2)), Map.of("q", 4));
 		PartEvidence joined = PartEvidence.join(List.of(one, other), Set.of("s2"));
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleet.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleet.java
@@ -154,7 +154,7 @@
 		Gateway gateway = this.gateways.get(work.gateway);
 		PartView view = gateway.book.view().parts();
 		String blamedPart = view.blamedOf(work.parts, "org");
-		boolean blamed = blamedPart != null && !gateway.trials.mayTry(blamedPart, work.parts, view);
+		boolean blamed = blamedPart != null && !gateway.trials.allowsTrial(blamedPart, work.parts, view);
 		boolean retryRefused = work.sends > 0 && work.parts.stream().anyMatch(view::isStronglySuspected);
 		long nowMillis = this.clock.nowMillis();
 		if (blamed || retryRefused || work.sends >= MAX_SENDS || nowMillis - work.bornMillis > WAIT_MILLIS) {
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/PartTrialsTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/PartTrialsTests.java
@@ -78,30 +78,30 @@
 	void blamedPartIsTriedOnceAfterAPause() {
 		PartView view = blamed(3);
 		assertThat(view.isBlamed("chat/bad")).isTrue();
-		assertThat(this.trials.mayTry("chat/bad", PARTS, view)).isFalse();
+		assertThat(this.trials.allowsTrial("chat/bad", PARTS, view)).isFalse();
 		this.clock.advance(PartTrials.BLAMED_PAUSE_MILLIS);
-		assertThat(this.trials.mayTry("chat/bad", PARTS, view)).isTrue();
+		assertThat(this.trials.allowsTrial("chat/bad", PARTS, view)).isTrue();
 		assertThat(acquire(view)).isTrue();
-		assertThat(this.trials.mayTry("chat/bad", PARTS, view)).as("a second request in the same turn").isFalse();
+		assertThat(this.trials.allowsTrial("chat/bad", PARTS, view)).as("a second request in the same turn").isFalse();
 	}
 
 	@Test
 	void blamedPartIsNotTriedAgainAfterATrialEndedAServer() {
-		assertThat(this.trials.mayTry("chat/bad", PARTS, blamed(4))).isFalse();
+		assertThat(this.trials.allowsTrial("chat/bad", PARTS, blamed(4))).isFalse();
 		this.clock.advance(10 * PartTrials.BLAMED_PAUSE_MILLIS);
-		assertThat(this.trials.mayTry("chat/bad", PARTS, blamed(4))).isFalse();
+		assertThat(this.trials.allowsTrial("chat/bad", PARTS, blamed(4))).isFalse();
 	}
 
 	@Test
 	void blamedPartIsNotTriedByARequestWithAnotherSuspectedPart() {
 		PartView view = blamed(3);
-		this.trials.mayTry("chat/bad", PARTS, view);
+		this.trials.allowsTrial("chat/bad", PARTS, view);
 		this.clock.advance(PartTrials.BLAMED_PAUSE_MILLIS);
 		PartView two = PartView.of(new PartEvidence(
 				Stream.concat(view.standing().stream(), Stream.of(new PartEnd("chat/c0", "org", "s9", 1, 0))).toList(),
 				Map.of()), List.of());
 		assertThat(two.isBlamed("chat/bad")).isTrue();
-		assertThat(this.trials.mayTry("chat/bad", PARTS, two)).isFalse();
+		assertThat(this.trials.allowsTrial("chat/bad", PARTS, two)).isFalse();
 	}
 
 }
