--- a/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleetTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleetTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -108,6 +109,54 @@
 		rates.assertHardlyAnyBlamedFalsely(lost + " servers, one each " + betweenMillis + " ms");
 	}
 
+	private static void play(String description, Consumer<PartFleet> disturbance) {
+		PartFleet.Load load = new PartFleet.Load(7, 16, 8, 1, 50, 1, 3.3, 1, NEVER);
+		Rates rates = new Rates();
+		for (int seed = 0; seed < 10; seed++) {
+			PartFleet fleet = new PartFleet(seed, load);
+			fleet.run(CALM_MILLIS);
+			fleet.beginHarm();
+			disturbance.accept(fleet);
+			fleet.run(HARM_MILLIS);
+			rates.add(fleet);
+			assertKeptBack(fleet, 1, description + ", seed " + seed);
+		}
+		rates.assertHardlyAnyBlamedFalsely(description);
+	}
+
+	@Test
+	void gatewaysThatAreKilledInTurnLoseNoMoreThanTheirUnwrittenEnds() {
+		play("one gateway restarted each 400 ms", (fleet) -> {
+			for (int restart = 0; restart < 20; restart++) {
+				fleet.run(400);
+				fleet.restartGateway(restart % 7);
+			}
+		});
+	}
+
+	@Test
+	void gatewayThatIsCutOffCatchesUp() {
+		play("two of seven cut off for 10 s", (fleet) -> {
+			fleet.cutOff(0, 10_000);
+			fleet.cutOff(3, 10_000);
+		});
+	}
+
+	@Test
+	void partIsKeptFromServersOnceTheStoreIsBack() {
+		play("store away for 8 s", (fleet) -> fleet.takeStoreAway(8000));
+	}
+
+	@Test
+	void partIsKeptFromServersAlthoughNewsAreLate() {
+		play("news 600 ms late", (fleet) -> fleet.delayNews(600));
+	}
+
+	@Test
+	void partsThatACallerMakesUpDoNotHideTheOneThatEndsServers() {
+		play("11 made-up parts a request", (fleet) -> fleet.addMadeUpParts(11));
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "4,3,1,2,2,0.8,1", "7,16,8,50,1,3.3,1", "7,16,8,50,2,2,1", "7,16,8,10,1,3.3,0" })
 	void falseBlameAfterAColdStartEndsByItself(int gateways, int servers, int groupSize, double requestsPerSecond,
