Tell a harmful part from a fatal request in the model

Cause: the model had no request that ends servers by itself, whose parts are at every one of its crashes. Change: the same fatal request comes each second, alone and beside a harmful part. Alone it crashes six servers at most and hardly any part is blamed for it; beside it the part is kept from servers as before.

--- a/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleet.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleet.java
@@ -49,6 +49,9 @@
 
 	private static final int NONE = -1;
 
+	/** Stands for a request that ends servers whatever parts it has. */
+	static final int FATAL_REQUEST = -2;
+
 	private final Random random;
 
 	private final Load load;
@@ -83,6 +86,8 @@
 
 	private int madeUpParts;
 
+	private int fatalRequestEveryMillis;
+
 	private long watchMillis = WATCH_MILLIS;
 
 	PartFleet(long seed, Load load) {
@@ -104,6 +109,7 @@
 				this.due.poll().work.run();
 			}
 			addRequests();
+			addFatalRequest();
 			for (int i = this.waiting.size(); i > 0; i--) {
 				begin(this.waiting.poll());
 			}
@@ -164,6 +170,11 @@
 		this.watchMillis = millis;
 	}
 
+	/** Lets the same fatal request, whose parts are harmless, come again and again. */
+	void addFatalRequest(int everyMillis) {
+		this.fatalRequestEveryMillis = everyMillis;
+	}
+
 	/** Adds parts to each harmful request that no other one has. */
 	void addMadeUpParts(int count) {
 		this.madeUpParts = count;
@@ -186,6 +197,13 @@
 		}
 	}
 
+	private void addFatalRequest() {
+		if (this.fatalRequestEveryMillis > 0 && this.clock.nowMillis() % this.fatalRequestEveryMillis == 0) {
+			this.waiting
+				.add(new Work("1-fatal", List.of("common", "route-0", "caller-0", "session-0-0"), FATAL_REQUEST));
+		}
+	}
+
 	private List<String> soundParts() {
 		int caller = this.random.nextInt(CALLERS);
 		return List.of("common", "route-" + caller % 2, "caller-" + caller,
@@ -199,7 +217,8 @@
 		boolean blamed = blamedPart != null && !gateway.trials.allowsTrial(blamedPart, work.parts, view);
 		boolean retryRefused = work.sends > 0 && work.parts.stream().anyMatch(view::isStronglySuspected);
 		long nowMillis = this.clock.nowMillis();
-		if (blamed || retryRefused || work.sends >= MAX_SENDS || nowMillis - work.bornMillis > WAIT_MILLIS) {
+		if (blamed || gateway.book.view().blames(work.name) || retryRefused || work.sends >= MAX_SENDS
+				|| nowMillis - work.bornMillis > WAIT_MILLIS) {
 			recordBegin(work, false);
 			return;
 		}
@@ -427,7 +446,7 @@
 
 	private final class Work {
 
-		private final String name = "1-" + PartFleet.this.sequence++;
+		private final String name;
 
 		private final List<String> parts;
 
@@ -444,6 +463,11 @@
 		private int remainingMillis;
 
 		private Work(List<String> parts, int harmfulPart) {
+			this("1-" + PartFleet.this.sequence++, parts, harmfulPart);
+		}
+
+		private Work(String name, List<String> parts, int harmfulPart) {
+			this.name = name;
 			this.parts = parts;
 			this.harmfulPart = harmfulPart;
 		}
--- a/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleetTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/suspect/PartFleetTests.java
@@ -27,6 +27,9 @@
 
 	private static final long MAX_LATE_SENDS = 3;
 
+	/** Three crashes name a request, and it may reach three servers more. */
+	private static final int MAX_CRASHES_OF_A_REQUEST = 6;
+
 	private static final double MIN_BEGUN_AGAINST_BEFORE = 0.5;
 
 	private static final long NEVER = 1L << 40;
@@ -152,6 +155,25 @@
 		play("news 600 ms late", (fleet) -> fleet.delayNews(600));
 	}
 
+	@Test
+	void partAndRequestThatEndServersAreToldApart() {
+		play("a harmful part beside a fatal request", (fleet) -> fleet.addFatalRequest(1000));
+	}
+
+	@Test
+	void partsOfAFatalRequestAreNotBlamedForIt() {
+		Rates rates = new Rates();
+		for (int seed = 0; seed < 10; seed++) {
+			PartFleet fleet = new PartFleet(seed, new PartFleet.Load(7, 16, 8, 1, 50, 0, 0, 0, NEVER));
+			fleet.run(CALM_MILLIS);
+			fleet.addFatalRequest(1000);
+			fleet.run(HARM_MILLIS);
+			rates.add(fleet);
+			assertThat(fleet.crashes()).as("seed %d, crashes", seed).isLessThanOrEqualTo(MAX_CRASHES_OF_A_REQUEST);
+		}
+		rates.assertHardlyAnyBlamedFalsely("a fatal request");
+	}
+
 	@Test
 	void partsThatACallerMakesUpDoNotHideTheOneThatEndsServers() {
 		play("11 made-up parts a request", (fleet) -> fleet.addMadeUpParts(11));
