--- a/review/stand-ins/CrashCase.java
+++ b/review/stand-ins/CrashCase.java
@@ -57,7 +57,7 @@
 				Store store = new Store()) {
 			result = new CrashCase(out, store).run(Path.of(arguments[1]), trouble);
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			ex.printStackTrace();
 		}
 		System.exit(result);
--- a/review/stand-ins/PathCase.java
+++ b/review/stand-ins/PathCase.java
@@ -35,7 +35,7 @@
 		try (PrintWriter out = new PrintWriter(Files.newBufferedWriter(record)); Store store = new Store()) {
 			result = run(out, store, temporary, trouble);
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			ex.printStackTrace();
 		}
 		System.exit(result);
