--- a/review/stand-ins/CrashCase.java
+++ b/review/stand-ins/CrashCase.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -20,7 +21,7 @@
 
 	private static final int SERVERS = 7;
 
-	private static final int CALLERS = 21;
+	private static final int CALLERS = 35;
 
 	private static final int CRASHES = 3;
 
@@ -129,15 +130,17 @@
 			synchronized (this) {
 				this.statuses.merge(status, 1, Integer::sum);
 				this.out.println(millis() + " " + attempt + " GET /desk/board answered " + status
-						+ (own ? " by the gateway" : "") + ((status == 400) ? " " + new String(answer.body) : ""));
+						+ (own ? " by the gateway" : "")
+						+ ((status == 400 && this.statuses.get(400) <= 3) ? " " + new String(answer.body) : ""));
 			}
 			pause();
 		}
 	}
 
+	// Callers whose pauses were equal would pause at the same moments.
 	private static void pause() {
 		try {
-			Thread.sleep(50);
+			Thread.sleep(ThreadLocalRandom.current().nextLong(10, 90));
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
