Tick the attentive time on the gateway's event loop

BackendTable#attentive() returns the time in which the event loop could read what servers sent, for all that measures their silence. Until the first tick it equals elapsed time, so that tests without a loop see no change. Nothing uses it yet.

Netty reads ready connections before scheduled tasks of the same turn. After SIGSTOP and SIGCONT the interrupted wait may return nothing and tasks run first, by reading the code of the JDK's selector; a timer that asks for attentive time sees one step at most then.

No process was run.

--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -16,6 +16,7 @@
 import org.snowwind.config.settings.GatewaySettings;
 import org.snowwind.config.settings.OptionalFeatures;
 import org.snowwind.decide.limit.ColdShare;
+import org.snowwind.decide.silence.AttentiveTime;
 import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.BackendTable;
@@ -376,6 +377,9 @@
 		this.readinessServer.start(this.settings.readiness());
 		listenForCallers();
 		this.admin.start(this.settings.admin());
+		// Netty reads ready connections before it runs scheduled tasks, except in the
+		// turn after a stop signal, which the longest step covers.
+		this.loop.every(() -> this.backends.attentive().tick(this.clock.nowMillis()), AttentiveTime.TICK_MILLIS);
 		this.loop.every(this::tell, REPORT_MILLIS);
 		this.mesh.start(this.settings.seeds());
 		this.directoryThread.start();
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -13,6 +13,7 @@
 
 import org.snowwind.decide.notice.RampUp;
 import org.snowwind.decide.notice.ServerNotice;
+import org.snowwind.decide.silence.AttentiveTime;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendIncarnation;
 import org.snowwind.gateway.registry.Registry;
@@ -54,6 +55,8 @@
 
 	private final MemoryShortage memoryShortage = new MemoryShortage();
 
+	private final AttentiveTime attentive;
+
 	private EraRevision revision = EraRevision.NONE;
 
 	private double unreportedFactor = 1;
@@ -99,6 +102,7 @@
 		this.coldServers = coldServers;
 		this.removedNotices = new RemovedNotices(coldServers);
 		this.limits = new SharedLimits(() -> this.byId.values().stream(), this::find, clock);
+		this.attentive = new AttentiveTime(clock.nowMillis(), AttentiveTime.LONGEST_STEP_MILLIS);
 	}
 
 	/**
@@ -117,6 +121,15 @@
 		return this.memoryShortage;
 	}
 
+	/**
+	 * Returns the time in which the event loop was able to read what servers sent. The
+	 * silence of servers and groups is measured in this time.
+	 * @return the time, which the event loop ticks
+	 */
+	public AttentiveTime attentive() {
+		return this.attentive;
+	}
+
 	/**
 	 * Applies a new version of the registry.
 	 * @param registry the registry
