--- a/app/src/test/java/org/snowwind/app/harness/SnowwindProcess.java
+++ b/app/src/test/java/org/snowwind/app/harness/SnowwindProcess.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -36,12 +37,14 @@
 	 * @throws IOException if it cannot be started
 	 */
 	public SnowwindProcess(Path log, String... arguments) throws IOException {
-		this(log, packaged(arguments));
+		this(log, packaged(arguments), Map.of());
 	}
 
-	private SnowwindProcess(Path log, List<String> command) throws IOException {
+	private SnowwindProcess(Path log, List<String> command, Map<String, String> environment) throws IOException {
 		this.log = log;
-		this.process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
+		builder.environment().putAll(environment);
+		this.process = builder.start();
 		RUNNING.add(this.process);
 		var unused = this.process.onExit().thenAccept(RUNNING::remove);
 	}
@@ -55,7 +58,20 @@
 	 * @throws IOException if it cannot be started
 	 */
 	public static SnowwindProcess deployedGateway(Path log, Path settings) throws IOException {
-		return new SnowwindProcess(log, DeployCommand.of(settings));
+		return deployedGateway(log, settings, Map.of());
+	}
+
+	/**
+	 * Starts a gateway as it is deployed, with additional environment variables.
+	 * @param log where its output goes
+	 * @param settings its settings file
+	 * @param environment the variables by name
+	 * @return the process
+	 * @throws IOException if it cannot be started
+	 */
+	public static SnowwindProcess deployedGateway(Path log, Path settings, Map<String, String> environment)
+			throws IOException {
+		return new SnowwindProcess(log, DeployCommand.of(settings), environment);
 	}
 
 	private static List<String> packaged(String... arguments) {
--- a/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 
 import org.snowwind.app.harness.Link;
 import org.snowwind.app.harness.Ports;
@@ -115,9 +116,13 @@
 	}
 
 	void start() throws IOException {
+		start(Map.of());
+	}
+
+	void start(Map<String, String> environment) throws IOException {
 		this.starts++;
 		this.process = SnowwindProcess.deployedGateway(this.folder.resolve(this.name + "-" + this.starts + ".log"),
-				settings());
+				settings(), environment);
 	}
 
 	void hangUp(List<String> seeds) throws IOException, InterruptedException {
