Keep a silent attempt until another one has answered in its place

What callers saw: when all servers were silent for a second, streams that would have gone on were cut, and requests that had not begun were answered with 502, at every gateway.

Cause: after 1000 ms without a byte (plain requests: four tenths of their time) an attempt was ended first. Only then the retry budget, attempts, position, suspicion and room of other servers decided whether the request could go on. Where one of them said no, the caller lost an answer that was still alive.

Change: silence never ends an attempt. SilenceRules (decide, no I/O) decide whether a replacement is sent beside it; it goes only to a trusted server with room that is heard of itself. The first attempt that delivers an event, or a whole plain answer, is kept and ends the others; a replacement that is rejected, fails or is silent changes nothing. At most maxAttempts run, replacements are charged to the retry budget as before, work that may run once is never doubled. Silence is measured in time in which this process could read. New requests prefer servers that are not silent. An attempt that was silent when it was ended counts against its server only if another server of the service is heard.

Why it works: what is given up is given up after its replacement has answered, so nothing that the replacement may lack can lose the request. A common silence moves no stream between silent servers.

RelayStreamTests#bytesOfAnAbortedAttemptAreNotPartOfTheStream required that the late bytes of a silent attempt are dropped although its replacement had not answered. They are the caller's answer now; the test that replaces it requires that they are dropped once the replacement has answered, and RelaySilenceTests that an event is delivered once if the silent attempt answers first.

--- a/decide/src/main/java/org/snowwind/decide/silence/package-info.java
+++ b/decide/src/main/java/org/snowwind/decide/silence/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Tells the silence of others from pauses of this process.
+ * Decides what silence means: whether a silent attempt gets a replacement beside it, and
+ * how much of the time this process could observe others.
  */
 package org.snowwind.decide.silence;
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Admission.java
@@ -120,6 +120,16 @@
 		return this.backends.choose(requirements.withoutExclusions());
 	}
 
+	/**
+	 * Chooses a server that can take a replacement for a silent attempt: one that has
+	 * room, is trusted, is not silent itself and has not been tried.
+	 * @param arrival the request
+	 * @return the server, empty if there is none
+	 */
+	public Optional<Backend> chooseReplacement(Arrival arrival) {
+		return this.backends.chooseHeard(arrival.requirements());
+	}
+
 	/**
 	 * The decision about a request.
 	 */
--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -4,6 +4,7 @@
 import org.snowwind.decide.choice.SlowStart;
 import org.snowwind.decide.notice.RampUp;
 import org.snowwind.decide.notice.ServerNotice;
+import org.snowwind.decide.silence.ServerSilence;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.model.event.Event;
@@ -34,6 +35,15 @@
 	private static final CircuitBreaker.BreakerSettings EJECTION = new CircuitBreaker.BreakerSettings(2, 500, 1000,
 			0.3);
 
+	/**
+	 * The silence after which a server with requests counts as silent, in milliseconds:
+	 * several times the longest pause between events that is on time.
+	 */
+	private static final long SILENT_MILLIS = 500;
+
+	/** A server that does not stream is silent while it works. */
+	private static final double SILENT_ANSWER_TIMES = 2;
+
 	private final CircuitBreaker breaker = new CircuitBreaker(EJECTION);
 
 	private final BackendNotices notices;
@@ -64,6 +74,8 @@
 
 	private long failureMillis;
 
+	private final ServerSilence silence = new ServerSilence();
+
 	Backend(BackendEntry entry, BackendNotices notices) {
 		this.entry = entry;
 		this.notices = notices;
@@ -241,6 +253,52 @@
 		next.addStreams(this.streams, nowMillis);
 	}
 
+	/**
+	 * Records that the server has sent something.
+	 * @param attentiveMillis the time during which this process could observe servers, in
+	 * milliseconds
+	 */
+	public void onHeard(long attentiveMillis) {
+		this.silence.onHeard(attentiveMillis);
+	}
+
+	/**
+	 * Records that a request is about to be sent, from when on silence is measured.
+	 * @param attentiveMillis the time during which this process could observe servers, in
+	 * milliseconds
+	 */
+	public void onSending(long attentiveMillis) {
+		if (this.inFlight == 0) {
+			this.silence.onBusy(attentiveMillis);
+		}
+	}
+
+	/**
+	 * Returns whether the server has requests of this process and has sent nothing for
+	 * longer than a server that works normally.
+	 * @param attentiveMillis the time during which this process could observe servers, in
+	 * milliseconds
+	 * @return false if it has no requests of this process
+	 */
+	boolean isSilent(long attentiveMillis) {
+		return this.inFlight > 0 && this.silence.exceeds(attentiveMillis, longestSilenceMillis());
+	}
+
+	/**
+	 * Returns whether the server has sent something lately.
+	 * @param attentiveMillis the time during which this process could observe servers, in
+	 * milliseconds
+	 * @return false if it has not within the time after which it would count as silent
+	 */
+	boolean isHeard(long attentiveMillis) {
+		return this.silence.wasHeard(attentiveMillis, SILENT_MILLIS);
+	}
+
+	private long longestSilenceMillis() {
+		return (this.streams > 0) ? SILENT_MILLIS
+				: Math.max(SILENT_MILLIS, Math.round(SILENT_ANSWER_TIMES * this.answerMillis));
+	}
+
 	/**
 	 * Records a request that is sent to the server.
 	 * @param nowMillis the time, in milliseconds
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -314,17 +314,58 @@
 	}
 
 	/**
-	 * Chooses a server that has room.
+	 * Returns the time during which this process could observe servers.
+	 * @return the time since the start of this process, in milliseconds
+	 */
+	public long attentiveMillis() {
+		return this.attentive.millis(this.clock.nowMillis());
+	}
+
+	/**
+	 * Returns whether another server of the same service is heard of now, so that silence
+	 * is not common to all of them.
+	 * @param backend the server that is not counted
+	 * @return true if another one has requests and is not silent, or was heard of shortly
+	 * before
+	 */
+	public boolean hearsAnother(Backend backend) {
+		long attentiveMillis = attentiveMillis();
+		return serversOf(backend.entry().service()).stream()
+			.anyMatch((other) -> other != backend && other.isHeard(attentiveMillis));
+	}
+
+	/**
+	 * Chooses a server that has room. One that is not silent is preferred.
 	 * @param requirements the requirements
 	 * @return a server with room, empty if none has room
 	 */
 	public Optional<Backend> choose(ServerRequirements requirements) {
-		long nowMillis = this.clock.nowMillis();
-		Optional<Backend> trusted = choose(requirements, nowMillis, true);
-		return trusted.isPresent() ? trusted : choose(requirements, nowMillis, false);
+		List<Candidate> trusted = candidates(requirements, true);
+		List<Candidate> candidates = trusted.isEmpty() ? candidates(requirements, false) : trusted;
+		List<Candidate> notSilent = notSilent(candidates);
+		return pick(requirements, notSilent.isEmpty() ? candidates : notSilent);
 	}
 
-	private Optional<Backend> choose(ServerRequirements requirements, long nowMillis, boolean trustedOnly) {
+	/**
+	 * Chooses a trusted server that has room and is not silent.
+	 * @param requirements the requirements
+	 * @return the server, empty if there is none
+	 */
+	Optional<Backend> chooseHeard(ServerRequirements requirements) {
+		return pick(requirements, notSilent(candidates(requirements, true)));
+	}
+
+	private Optional<Backend> pick(ServerRequirements requirements, List<Candidate> candidates) {
+		return strategyFor(requirements).pick(candidates, this.random);
+	}
+
+	private List<Candidate> notSilent(List<Candidate> candidates) {
+		long attentiveMillis = attentiveMillis();
+		return candidates.stream().filter((candidate) -> !candidate.backend().isSilent(attentiveMillis)).toList();
+	}
+
+	private List<Candidate> candidates(ServerRequirements requirements, boolean trustedOnly) {
+		long nowMillis = this.clock.nowMillis();
 		List<Candidate> candidates = new ArrayList<>();
 		Map<GroupLoad, Double> groupRooms = new HashMap<>();
 		for (Backend backend : this.byId.values()) {
@@ -336,7 +377,7 @@
 				addIfRoom(candidates, backend, requirements, groupRoom, nowMillis);
 			}
 		}
-		return strategyFor(requirements).pick(candidates, this.random);
+		return candidates;
 	}
 
 	private static GroupLoad groupOf(Backend backend, ServerRequirements requirements) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Attempt.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 
-import io.netty.util.concurrent.Future;
 import org.snowwind.decide.outcome.AttemptEnd;
 import org.snowwind.gateway.backend.Backend;
 import org.snowwind.gateway.backend.BackendNotices;
@@ -50,8 +49,6 @@
 
 	private UpstreamCall call;
 
-	private Future<?> timeoutTimer;
-
 	private int status;
 
 	private long receivedBytes;
@@ -80,9 +77,9 @@
 
 	private ResponseFraming framing = ResponseFraming.CONNECTION_END;
 
-	private boolean reading = true;
+	private final SilenceTimer silence;
 
-	private long idleTimeoutMillis;
+	private long idleLimitMillis;
 
 	/**
 	 * Creates an attempt that is not sent yet.
@@ -104,19 +101,21 @@
 		this.listener = listener;
 		this.sentMillis = context.clock().nowMillis();
 		this.eventTimes = new EventTimes(this.sentMillis);
+		this.silence = new SilenceTimer(context.loop(), context.backends()::attentiveMillis,
+				() -> listener.onSilent(this));
 	}
 
 	/**
 	 * Sends the attempt.
 	 * @param remainingMillis the time until the request's deadline, in milliseconds
-	 * @param timeouts how long the server may send nothing
+	 * @param limits how long the server may send nothing until the listener is notified
 	 */
-	void send(long remainingMillis, Timeouts timeouts) {
+	void send(long remainingMillis, SilenceLimits limits) {
+		this.backend.onSending(this.context.backends().attentiveMillis());
 		this.backend.onSent(this.sentMillis);
 		this.backend.addHeldTokens(this.tokens);
-		this.idleTimeoutMillis = timeouts.idleMillis();
-		this.timeoutTimer = this.context.loop()
-			.later(() -> abort("no response head within the timeout"), timeouts.firstByteMillis());
+		this.idleLimitMillis = limits.idleMillis();
+		this.silence.start(limits.firstByteMillis());
 		AttemptMetadata attemptMetadata = new AttemptMetadata(this.backend.id(), remainingMillis,
 				this.request.organisation(), this.afterId, this.request.host(), this.request.priority());
 		Map<String, String> headers = this.context.dialect()
@@ -193,22 +192,41 @@
 	 */
 	void setReading(boolean reading) {
 		if (!this.ended && this.call != null) {
-			this.reading = reading;
 			this.call.reading(reading);
-			restartIdleTimer();
+			this.silence.setReading(reading);
 		}
 	}
 
+	/**
+	 * Returns whether the server has sent nothing for longer than its limit.
+	 * @return false also if there is no limit
+	 */
+	boolean isSilent() {
+		return !this.ended && this.silence.isSilent();
+	}
+
+	long silentMillis() {
+		return this.silence.silentMillis();
+	}
+
 	/**
 	 * Ends the attempt without notifying its listener. Cancelling the call makes the
 	 * server stop its work.
+	 * @param reason the reason, for the log
 	 */
-	void abandon() {
+	void abandon(String reason) {
 		if (!this.ended) {
-			this.cause = "abandoned";
+			boolean silentAlone = isSilent() && this.context.backends().hearsAnother(this.backend);
+			this.cause = reason;
+			this.abortedByGateway = true;
 			close();
 			release();
-			this.backend.onInconclusiveEnd();
+			if (silentAlone) {
+				this.backend.onFailure(this.context.clock().nowMillis());
+			}
+			else {
+				this.backend.onInconclusiveEnd();
+			}
 			cancelCall();
 			recordEnd("ABANDONED");
 			wakeWaiting();
@@ -232,7 +250,7 @@
 			return;
 		}
 		this.status = answerStatus;
-		this.context.suspects().heard(this.backend.entry().incarnation());
+		recordHeard();
 		ResponseMetadata metadata = this.context.dialect().readResponse(answerStatus, headers);
 		recordNotice(metadata);
 		if (metadata.rejected()) {
@@ -252,11 +270,16 @@
 			this.backend.onStreamStart(this.context.clock().nowMillis());
 			wakeWaiting();
 		}
-		restartIdleTimer();
+		this.silence.start(this.idleLimitMillis);
 		this.response = bufferFor(answerStatus, headers);
 		this.held = this.context.answerMemory()
 			.open(this.backend.id(), this.response.isStream(), this::onMemoryExceeded);
-		this.listener.onResponseStart(this.response);
+		this.listener.onResponseStart(this, this.response);
+	}
+
+	private void recordHeard() {
+		this.context.suspects().heard(this.backend.entry().incarnation());
+		this.backend.onHeard(this.context.backends().attentiveMillis());
 	}
 
 	// Another server at the address, or a response to another request, says nothing about
@@ -288,14 +311,14 @@
 		if (this.ended || !this.held.holds((long) this.response.heldBytes() + bytes.length)) {
 			return;
 		}
-		restartIdleTimer();
-		this.context.suspects().heard(this.backend.entry().incarnation());
+		this.silence.heard();
+		recordHeard();
 		this.receivedBytes += bytes.length;
 		List<StreamEvent> events = this.response.append(bytes);
 		this.held.holds(this.response.heldBytes());
 		this.call.dropped(Math.max(0, this.response.droppedBytes() - this.replayBytes));
 		if (!events.isEmpty()) {
-			this.listener.onEvents(events);
+			this.listener.onEvents(this, events);
 		}
 		if (this.response.hasSecondResponse()) {
 			abort("the head of a second response was found within the stream");
@@ -352,18 +375,6 @@
 		}
 	}
 
-	// A server that is not read cannot send, so its silence says nothing. Bytes that were
-	// read before may still arrive one by one.
-	private void restartIdleTimer() {
-		if (this.ended || this.idleTimeoutMillis <= 0) {
-			return;
-		}
-		this.timeoutTimer.cancel(false);
-		if (this.reading) {
-			this.timeoutTimer = this.context.loop().later(() -> abort("silent"), this.idleTimeoutMillis);
-		}
-	}
-
 	private void finish(AttemptEnd end) {
 		if (this.ended) {
 			return;
@@ -375,7 +386,7 @@
 			recordEnd(end.name());
 		}
 		finally {
-			this.listener.onAttemptEnd(end);
+			this.listener.onAttemptEnd(this, end);
 			// The listener reads how much of the response is held.
 			if (end != AttemptEnd.ANSWERED) {
 				release();
@@ -392,7 +403,7 @@
 	private void close() {
 		this.ended = true;
 		this.backend.addHeldTokens(-this.tokens);
-		this.timeoutTimer.cancel(false);
+		this.silence.stop();
 		if (this.streaming) {
 			this.backend.onStreamEnd();
 		}
@@ -402,7 +413,7 @@
 		this.context.meters().countAttempt(this.request.service(), name);
 		EventLog.log(Event.ATTEMPT_ENDED, "request", this.request.id(), "server", this.backend.id(), "end", name,
 				"status", this.status, "cause", this.cause, "receivedBytes", this.receivedBytes, "tookMillis",
-				this.context.clock().nowMillis() - this.sentMillis);
+				this.context.clock().nowMillis() - this.sentMillis, "silentMillis", silentMillis());
 	}
 
 	private void recordResult(AttemptEnd end) {
@@ -426,13 +437,17 @@
 	}
 
 	/**
-	 * How long a server may send nothing before the attempt is aborted.
+	 * How long a server may send nothing until another one is looked for.
 	 *
-	 * @param firstByteMillis the longest time until the response starts, in milliseconds
+	 * @param firstByteMillis the longest time until the response starts, in milliseconds;
+	 * 0 for no limit
 	 * @param idleMillis the longest pause within the response, in milliseconds; 0 for no
 	 * limit
 	 */
-	record Timeouts(long firstByteMillis, long idleMillis) {
+	record SilenceLimits(long firstByteMillis, long idleMillis) {
+
+		/** The limits of an attempt that no other server may replace. */
+		static final SilenceLimits NONE = new SilenceLimits(0, 0);
 
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/request/AttemptListener.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/AttemptListener.java
@@ -12,20 +12,30 @@
 
 	/**
 	 * Called when the head of a credible response has arrived.
+	 * @param attempt the attempt
 	 * @param response the response, with an empty body
 	 */
-	void onResponseStart(ResponseBuffer response);
+	void onResponseStart(Attempt attempt, ResponseBuffer response);
 
 	/**
 	 * Called when complete events of a stream have arrived that the caller does not have.
+	 * @param attempt the attempt
 	 * @param events the events, at least one
 	 */
-	void onEvents(List<StreamEvent> events);
+	void onEvents(Attempt attempt, List<StreamEvent> events);
+
+	/**
+	 * Called when the server has sent nothing for longer than its limit, and again while
+	 * that lasts.
+	 * @param attempt the attempt
+	 */
+	void onSilent(Attempt attempt);
 
 	/**
 	 * Called when the attempt has ended.
+	 * @param attempt the attempt
 	 * @param end how the attempt ended
 	 */
-	void onAttemptEnd(AttemptEnd end);
+	void onAttemptEnd(Attempt attempt, AttemptEnd end);
 
 }
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -1,7 +1,6 @@
 package org.snowwind.gateway.request;
 
 import java.io.ByteArrayOutputStream;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -14,12 +13,10 @@
 import org.snowwind.gateway.backend.Admission;
 import org.snowwind.gateway.backend.Arrival;
 import org.snowwind.gateway.backend.Backend;
-import org.snowwind.gateway.backend.ServiceOutage;
 import org.snowwind.http.server.HttpExchange;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
 import org.snowwind.model.outcome.Disclosure;
-import org.snowwind.model.outcome.Problem;
 import org.snowwind.model.outcome.ProblemKind;
 
 /**
@@ -43,12 +40,6 @@
 	/** How long before its timeout a request is ended, in milliseconds. */
 	private static final long ANSWER_MARGIN_MILLIS = 25;
 
-	/**
-	 * The maximum number of sends of a request, including those that a server rejected or
-	 * that did not reach a server.
-	 */
-	private static final int MAX_SENDS = 5;
-
 	/** With less time left than this, in milliseconds, no attempt is sent. */
 	private static final long MIN_REMAINING_MILLIS = 30;
 
@@ -60,12 +51,8 @@
 
 	private final Runnable onEnded;
 
-	private final Timing timing;
-
 	private final long deadlineMillis;
 
-	private final Set<String> triedServers = new HashSet<>();
-
 	/** When the request arrived or, for a continued stream, when it broke. */
 	private long needsServerSinceMillis;
 
@@ -78,20 +65,20 @@
 
 	private Future<?> deadlineTimer;
 
-	private Attempt attempt;
-
-	private int sends;
+	private final RequestAttempts attempts;
 
-	/** The number of sends that may have reached a server. */
-	private int possibleArrivals;
-
-	/** The number of sends without proof that the request did not run. */
-	private int possibleRuns;
+	/**
+	 * The attempt that has ended last, whose response may be sent to the caller if no
+	 * other attempt answers; {@code null} before an attempt has ended.
+	 */
+	private Attempt ended;
 
 	private final EventTimes eventTimes;
 
 	private final RequestSuspicion suspicion;
 
+	private final RequestProblems problems;
+
 	private boolean finished;
 
 	/**
@@ -114,17 +101,18 @@
 		this.request = request;
 		this.exchange = exchange;
 		this.onEnded = onEnded;
-		this.timing = Timing.of(request.route());
 		this.needsServerSinceMillis = request.arrivedMillis();
 		this.deadlineMillis = request.arrivedMillis() + request.metadata().allowedMillis(request.route())
 				- ANSWER_MARGIN_MILLIS;
 		this.eventTimes = new EventTimes(request.arrivedMillis());
 		this.suspicion = new RequestSuspicion(context.suspects(), request);
+		this.problems = new RequestProblems(context, request, this.suspicion);
 		this.memory = context.sizes()
 			.recordArrival(request.service(), request.destination().engine(), request.metadata().promptTokens(),
 					request.metadata().maxOutputTokens());
 		this.serverWait = new ServerWait(context, request, this::arrival, this);
 		this.position = new StreamPosition(request.metadata().lastEventId());
+		this.attempts = new RequestAttempts(context, request, this.memory, this.position, this.suspicion, this);
 	}
 
 	void start() {
@@ -223,76 +211,35 @@
 		String part = this.suspicion.blamedPart();
 		EventLog.log(Event.BLAMED_REQUEST_REFUSED, "request", this.request.id(), (part != null) ? "part" : "digest",
 				(part != null) ? part : this.suspicion.digest(), "organisation", this.request.organisation(), "sends",
-				this.sends);
+				this.attempts.sends());
 	}
 
 	private void logRejection(Admission.Verdict.Reject reject) {
 		EventLog.log(Event.REQUEST_TURNED_AWAY, "request", this.request.id(), "closed", reject.closed(), "startMillis",
 				reject.startMillis(), "queueMillis", reject.queueMillis(), "returnMillis", reject.returnMillis(),
 				"waitedMillis", this.context.clock().nowMillis() - this.needsServerSinceMillis, "targetMillis",
-				this.request.route().targetMillis(), "sends", this.sends, "registry",
+				this.request.route().targetMillis(), "sends", this.attempts.sends(), "registry",
 				this.context.backends().revision());
 	}
 
 	private Arrival arrival() {
-		return new Arrival(this.request.service(), this.triedServers, this.timing.maxWaitingAtServer(),
-				this.request.destination().engine(), this.request.route().targetMillis(),
-				this.request.route().pauseTargetMillis(), this.needsServerSinceMillis, this.serverWait.isWaiting(),
-				this.memory);
+		return new Arrival(this.request.service(), this.attempts.triedServers(),
+				Timing.of(this.request.route()).maxWaitingAtServer(), this.request.destination().engine(),
+				this.request.route().targetMillis(), this.request.route().pauseTargetMillis(),
+				this.needsServerSinceMillis, this.serverWait.isWaiting(), this.memory);
 	}
 
 	private void sendTo(Backend backend) {
-		// While the request waited, other requests may have used up the retry budget.
-		if (!retryAllowed() || !this.suspicion.acquireTrial()) {
+		releaseEnded();
+		if (!this.attempts.send(backend, remainingMillis())) {
 			finishUnsent(ProblemKind.OVERLOADED);
-			return;
-		}
-		long remainingMillis = remainingMillis();
-		if (this.possibleArrivals > 0) {
-			this.context.budgets().recordRetry(this.request.service());
 		}
-		this.sends++;
-		this.possibleArrivals++;
-		this.suspicion.recordSend();
-		this.triedServers.add(backend.id());
-		EventLog.log(Event.REQUEST_SENT, "request", this.request.id(), "server", backend.id(), "attempt", this.sends,
-				"load", backend.load(), "group", groupOf(backend), "groupLoad", groupLoadOf(backend), "passMillis",
-				passMillisOf(backend), "slots", backend.entry().slots(), "registry", this.context.backends().revision(),
-				"remainingMillis", remainingMillis);
-		releaseAttempt();
-		this.attempt = new Attempt(this.context, this.request, backend, this.memory.tokens(), this.position, this);
-		Attempt.Timeouts timeouts = timeouts(remainingMillis);
-		this.possibleRuns++;
-		this.attempt.send(remainingMillis, timeouts);
-	}
-
-	private static String groupOf(Backend backend) {
-		return (backend.group() != null) ? backend.group().name() : "";
-	}
-
-	private static int groupLoadOf(Backend backend) {
-		return (backend.group() != null) ? backend.group().load() : 0;
-	}
-
-	private static long passMillisOf(Backend backend) {
-		return (backend.group() != null) ? Math.round(backend.group().passMillis()) : 0;
-	}
-
-	// An attempt at a server that sends nothing is aborted only if another server may
-	// still take over.
-	private Attempt.Timeouts timeouts(long remainingMillis) {
-		boolean lastAttempt = this.possibleRuns + 1 >= this.request.route().maxAttempts();
-		if (!this.request.route().repeatable() || lastAttempt) {
-			return new Attempt.Timeouts(remainingMillis, 0);
-		}
-		long firstByteMillis = Math.min(remainingMillis, this.timing.firstByteTimeoutMillis(remainingMillis));
-		return new Attempt.Timeouts(firstByteMillis, this.timing.idleTimeoutMillis());
 	}
 
 	// No attempt is in flight. The request is reported as not run only if no attempt was
 	// made without proof that it did not run.
 	private void finishUnsent(ProblemKind kind) {
-		if (this.possibleRuns > 0 || this.exchange.begun()) {
+		if (this.attempts.mayHaveRun() || this.exchange.begun()) {
 			finish(Disclosure.UNKNOWN, ProblemKind.BACKEND_FAILED);
 			return;
 		}
@@ -303,7 +250,7 @@
 	public void finish(Disclosure disclosure, ProblemKind kind) {
 		ResponseBuffer response = response();
 		if (kind == null) {
-			this.suspicion.recordAnswered(response.status() == ResponseBuffer.OK, this.attempt);
+			this.suspicion.recordAnswered(response.status() == ResponseBuffer.OK, this.ended);
 		}
 		boolean deliverable = kind != null && !this.exchange.begun() && response != null && response.isDeliverable();
 		try {
@@ -323,7 +270,7 @@
 		catch (RuntimeException | Error ex) {
 			endAfterFault(ex);
 		}
-		releaseAttempt();
+		releaseEnded();
 	}
 
 	// The caller must learn that no more will come, also if there is no memory for the
@@ -339,10 +286,8 @@
 		}
 		this.deadlineTimer.cancel(false);
 		this.serverWait.cancel();
-		if (this.attempt != null) {
-			this.attempt.abandon();
-			this.attempt.release();
-		}
+		this.attempts.abandonAll();
+		releaseEnded();
 		logFault(fault);
 	}
 
@@ -355,18 +300,19 @@
 			this.exchange.abort();
 		}
 		else {
-			ErrorResponses.send(this.exchange, this.context.dialect(), this.request.id(), problemOf(disclosure, kind));
+			ErrorResponses.send(this.exchange, this.context.dialect(), this.request.id(),
+					this.problems.describe(disclosure, kind, remainingMillis(), this.queueMillis));
 		}
 	}
 
-	private void releaseAttempt() {
-		if (this.attempt != null) {
-			this.attempt.release();
+	private void releaseEnded() {
+		if (this.ended != null) {
+			this.ended.release();
 		}
 	}
 
 	private ResponseBuffer response() {
-		return (this.attempt != null) ? this.attempt.response() : null;
+		return (this.ended != null) ? this.ended.response() : null;
 	}
 
 	private void deliver(ResponseBuffer response) {
@@ -384,63 +330,41 @@
 		this.exchange.reset();
 	}
 
-	private Problem problemOf(Disclosure disclosure, ProblemKind kind) {
-		String detail = (kind == ProblemKind.ENDS_SERVERS) ? endsServersDetail() : kind.remedy();
-		Problem problem = new Problem(kind, detail, disclosure, 0);
-		if (disclosure != Disclosure.NOT_RUN || kind == ProblemKind.TOO_MANY_TOKENS) {
-			return problem;
-		}
-		ServiceOutage outage = this.context.backends().outage(this.request.service());
-		long returnMillis = outage.millisToReturn(this.context.clock().nowMillis());
-		if (returnMillis > 0) {
-			return problem
-				.retryAfter(this.timing.retryAfterReturnMillis(remainingMillis(), returnMillis, this.context.random()));
-		}
-		return problem.retryAfter(this.timing.retryAfterMillis(remainingMillis(), outage.total(), this.queueMillis,
-				this.context.random()));
-	}
-
-	private String endsServersDetail() {
-		String part = this.suspicion.blamedPart();
-		return (part != null) ? "several servers ended while they ran requests with this part of the prompt: " + part
-				: "several servers ended while they ran this request, digest " + this.suspicion.digest();
-	}
-
 	private void close(Disclosure disclosure, String outcome) {
 		this.finished = true;
 		this.serverWait.cancel();
 		this.deadlineTimer.cancel(false);
-		if (this.attempt != null) {
-			this.attempt.abandon();
-		}
+		this.attempts.abandonAll();
 		long tookMillis = this.context.clock().nowMillis() - this.request.arrivedMillis();
 		this.context.meters().recordRequest(this.request.service(), outcome, tookMillis);
 		EventLog.log(Event.REQUEST_ENDED, "request", this.request.id(), "outcome", outcome, "ran",
-				disclosure.headerValue(), "sends", this.sends, "events", this.position.events(), "firstMillis",
-				this.eventTimes.firstMillis(), "pauseMillis", this.eventTimes.longestPauseMillis(), "tookMillis",
-				tookMillis);
+				disclosure.headerValue(), "sends", this.attempts.sends(), "events", this.position.events(),
+				"firstMillis", this.eventTimes.firstMillis(), "pauseMillis", this.eventTimes.longestPauseMillis(),
+				"tookMillis", tookMillis);
 		this.onEnded.run();
 	}
 
 	// ---- events
 
 	@Override
-	public void onResponseStart(ResponseBuffer response) {
+	public void onResponseStart(Attempt attempt, ResponseBuffer response) {
 		if (this.exchange.begun() && !(response.isStream() && response.mediaType().equals(this.mediaType))) {
-			this.attempt.abort("the response does not continue the stream");
+			attempt.abort("the response does not continue the stream");
 			return;
 		}
 		if (!response.isStream()) {
-			recordResponseStart();
+			recordResponseStart(attempt);
 		}
 	}
 
 	@Override
-	public void onEvents(List<StreamEvent> events) {
-		recordEvents();
+	public void onEvents(Attempt attempt, List<StreamEvent> events) {
+		this.attempts.keepOnly(attempt);
+		recordEvents(attempt);
 		if (!this.exchange.begun()) {
-			this.mediaType = response().mediaType();
-			this.exchange.begin(response().status(), response().headers());
+			ResponseBuffer response = attempt.response();
+			this.mediaType = response.mediaType();
+			this.exchange.begin(response.status(), response.headers());
 		}
 		for (StreamEvent event : events) {
 			this.position.recordDelivered(event);
@@ -449,6 +373,21 @@
 		adjustReading();
 	}
 
+	@Override
+	public void onSilent(Attempt attempt) {
+		if (this.finished) {
+			return;
+		}
+		try {
+			this.attempts.replaceIfPossible(attempt, () -> this.context.admission().chooseReplacement(arrival()),
+					remainingMillis() - MIN_REMAINING_MILLIS);
+		}
+		catch (RuntimeException | Error ex) {
+			// The attempt may still answer.
+			logFault(ex);
+		}
+	}
+
 	private static byte[] joined(List<StreamEvent> events) {
 		ByteArrayOutputStream joined = new ByteArrayOutputStream();
 		for (StreamEvent event : events) {
@@ -457,39 +396,46 @@
 		return joined.toByteArray();
 	}
 
-	private void recordResponseStart() {
+	private void recordResponseStart(Attempt attempt) {
 		this.context.admission()
-			.onAnswerStart(this.request.service(), this.context.clock().nowMillis() - this.attempt.sentMillis());
+			.onAnswerStart(this.request.service(), this.context.clock().nowMillis() - attempt.sentMillis());
 	}
 
-	private void recordEvents() {
+	private void recordEvents(Attempt attempt) {
 		long nowMillis = this.context.clock().nowMillis();
 		long pauseMillis = this.eventTimes.recordEvent(nowMillis);
 		if (pauseMillis == EventTimes.FIRST_EVENT) {
 			this.context.meters().recordFirstByte(this.request.service(), this.eventTimes.firstMillis());
-			recordResponseStart();
+			recordResponseStart(attempt);
 		}
 		else {
 			this.context.meters().recordPause(this.request.service(), pauseMillis);
 		}
-		recordServerPause(this.attempt.eventTimes().recordEvent(nowMillis), nowMillis);
-	}
-
-	private void recordServerPause(long pauseMillis, long nowMillis) {
-		if (pauseMillis != EventTimes.FIRST_EVENT) {
-			this.attempt.backend()
-				.onPause(pauseMillis, this.request.route().pauseTargetMillis(), this.request.destination().engine(),
-						nowMillis);
+		long serverPauseMillis = attempt.eventTimes().recordEvent(nowMillis);
+		if (serverPauseMillis != EventTimes.FIRST_EVENT) {
+			attempt.backend()
+				.onPause(serverPauseMillis, this.request.route().pauseTargetMillis(),
+						this.request.destination().engine(), nowMillis);
 		}
 	}
 
 	@Override
-	public void onAttemptEnd(AttemptEnd end) {
+	public void onAttemptEnd(Attempt attempt, AttemptEnd end) {
 		if (this.finished) {
 			return;
 		}
 		try {
-			decide(effectiveEnd(end));
+			AttemptEnd effectiveEnd = effectiveEnd(attempt, end);
+			this.attempts.recordEnd(attempt, effectiveEnd);
+			releaseEnded();
+			this.ended = attempt;
+			if (effectiveEnd == AttemptEnd.ANSWERED) {
+				this.attempts.keepOnly(attempt);
+			}
+			else if (this.attempts.anyOpen()) {
+				return;
+			}
+			decide(effectiveEnd);
 		}
 		catch (RuntimeException | Error ex) {
 			onFault(ex);
@@ -499,11 +445,11 @@
 	// A stream that ends within an event is broken. A server error does not count as the
 	// response while another server may still succeed, and neither does a status that
 	// promises without proof that the request has not run.
-	private AttemptEnd effectiveEnd(AttemptEnd end) {
+	private AttemptEnd effectiveEnd(Attempt attempt, AttemptEnd end) {
 		if (end != AttemptEnd.ANSWERED) {
 			return end;
 		}
-		ResponseBuffer response = response();
+		ResponseBuffer response = attempt.response();
 		if (response.isStream()) {
 			boolean broken = response.isIncomplete() || !this.exchange.begun();
 			return broken ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.ANSWERED;
@@ -516,29 +462,8 @@
 		return retry ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.ANSWERED;
 	}
 
-	// A send that reached no server puts no load on any, so another send is not a retry.
-	private boolean retryAllowed() {
-		return this.possibleArrivals == 0 || (this.context.budgets().allowsRetry(this.request.service())
-				&& !this.suspicion.isStronglySuspected());
-	}
-
 	private void decide(AttemptEnd end) {
-		if (end.provesNotRun()) {
-			this.possibleRuns--;
-		}
-		if (end.mayHaveRunUnanswered()) {
-			this.suspicion.recordBrokenAttempt(this.attempt,
-					this.context.clock().nowMillis() - this.attempt.sentMillis());
-		}
-		if (end == AttemptEnd.NOT_SENT) {
-			this.possibleArrivals--;
-		}
-		boolean serverLeft = this.sends < MAX_SENDS && this.context.backends().anyTakesNewWork(this.request.service());
-		RetryContext situation = new RetryContext(end, this.request.route().repeatable(),
-				this.request.route().resumable() && this.position.isExact(), this.position.bytes(), this.possibleRuns,
-				this.request.route().maxAttempts(), remainingMillis() - MIN_REMAINING_MILLIS, retryAllowed(),
-				serverLeft, this.possibleRuns > (end.provesNotRun() ? 0 : 1),
-				(end == AttemptEnd.REFUSED) ? ProblemKind.OVERLOADED : null);
+		RetryContext situation = this.attempts.stateAfter(end, remainingMillis() - MIN_REMAINING_MILLIS);
 		NextStep step = NextStepRules.decide(situation);
 		if (end != AttemptEnd.ANSWERED) {
 			recordStep(situation, step);
@@ -552,9 +477,9 @@
 		this.context.meters().countStep(this.request.service(), name, heldBytes > 0);
 		EventLog.log(Event.NEXT_STEP_DECIDED, "request", this.request.id(), "end", situation.end(), "step", name,
 				"heldBytes", heldBytes, "deliveredBytes", this.position.bytes(), "begun", this.exchange.begun(), "runs",
-				this.possibleRuns, "maxAttempts", situation.maxAttempts(), "sends", this.sends, "resumable",
-				situation.resumable(), "budgetLeft", situation.retryBudgetLeft(), "serverLeft", situation.serverLeft(),
-				"remainingMillis", situation.remainingMillis());
+				situation.attemptsUsed(), "maxAttempts", situation.maxAttempts(), "sends", this.attempts.sends(),
+				"resumable", situation.resumable(), "budgetLeft", situation.retryBudgetLeft(), "serverLeft",
+				situation.serverLeft(), "remainingMillis", situation.remainingMillis());
 	}
 
 	/**
@@ -566,7 +491,7 @@
 		if (this.finished) {
 			return;
 		}
-		if (this.possibleRuns == 0) {
+		if (!this.attempts.mayHaveRun()) {
 			finish(Disclosure.NOT_RUN, ProblemKind.DEADLINE_NOT_RUN);
 			return;
 		}
@@ -586,13 +511,13 @@
 	private void onCallerGone() {
 		if (!this.finished) {
 			close(Disclosure.UNKNOWN, "caller-gone");
-			releaseAttempt();
+			releaseEnded();
 		}
 	}
 
 	private void adjustReading() {
-		if (!this.finished && this.attempt != null) {
-			this.attempt.setReading(this.exchange.writable());
+		if (!this.finished) {
+			this.attempts.setReading(this.exchange.writable());
 		}
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Timing.java
@@ -14,14 +14,14 @@
 record Timing(boolean stream, long targetMillis) {
 
 	/**
-	 * Callers abandon a stream that sends nothing for two seconds. An attempt is aborted
+	 * Callers abandon a stream that sends nothing for two seconds. A replacement is sent
 	 * after half of that time, so that another server can still continue the stream in
 	 * time.
 	 */
-	private static final long STREAM_IDLE_TIMEOUT_MILLIS = 1000;
+	private static final long STREAM_SILENCE_MILLIS = 1000;
 
 	/**
-	 * A repeatable plain request is sent to another server after this share of its
+	 * A repeatable plain request is sent to another server, too, after this share of its
 	 * remaining time, but not before the target time.
 	 */
 	private static final double PLAIN_FIRST_BYTE_SHARE = 0.4;
@@ -68,15 +68,17 @@
 		return this.stream ? MAX_WAITING_AT_ENGINE : MAX_WAITING_AT_PLAIN;
 	}
 
-	long firstByteTimeoutMillis(long remainingMillis) {
+	/**
+	 * Returns how long a server may be silent until another one is looked for.
+	 * @param remainingMillis the time until the request's deadline, in milliseconds
+	 * @return the limits
+	 */
+	Attempt.SilenceLimits silenceLimits(long remainingMillis) {
 		if (this.stream) {
-			return STREAM_IDLE_TIMEOUT_MILLIS;
+			return new Attempt.SilenceLimits(STREAM_SILENCE_MILLIS, STREAM_SILENCE_MILLIS);
 		}
-		return Math.max(this.targetMillis, (long) (PLAIN_FIRST_BYTE_SHARE * remainingMillis));
-	}
-
-	long idleTimeoutMillis() {
-		return this.stream ? STREAM_IDLE_TIMEOUT_MILLIS : 0;
+		return new Attempt.SilenceLimits(Math.max(this.targetMillis, (long) (PLAIN_FIRST_BYTE_SHARE * remainingMillis)),
+				0);
 	}
 
 	/**
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
@@ -19,10 +19,7 @@
 
 	private static final String SIGNED = "t-signed: 1\r\nt-id: r1\r\n";
 
-	/**
-	 * Longer than a server may send nothing before its attempt is aborted if another
-	 * attempt may follow.
-	 */
+	/** Longer than the silence after which another server is looked for. */
 	private static final long LONG_SILENCE_MILLIS = 1200;
 
 	private static final String CHUNKED = "HTTP/1.1 200 OK\r\n" + SIGNED + "Transfer-Encoding: chunked\r\n\r\n";
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -166,6 +166,12 @@
 	/** An attempt did not answer its request, and it was decided what to do next. */
 	NEXT_STEP_DECIDED(4107, Level.INFO, "next step decided"),
 
+	/** An attempt has been silent for longer than its limit. */
+	ATTEMPT_SILENT(4119, Level.INFO, "attempt silent"),
+
+	/** Another attempt of the request has answered in place of this one. */
+	ATTEMPT_REPLACED(4120, Level.INFO, "attempt replaced"),
+
 	/** A server may have run a request, and broke off. */
 	ATTEMPT_BROKE(4108, Level.INFO, "attempt broke"),
 
