Do not close a group for a pause of this process

Callers got 503, and streams could not be resumed, after a gateway had not run for more than half a second: the first request that was decided before the events in the sockets were read closed each group for `no events on any stream`.

GroupLoad measures the time without events in attentive time. A pause of any length adds one step of at most 200 ms, so that 300 ms of the 500 ms are left to read what arrived. A group that is silent while the process runs is closed after 500 ms as before, also when the silence goes on after a pause.

groupIsNotClosedByAPauseOfThisProcess failed before, with a pause of 1300 ms; the other two new tests passed before as well. No process was run.

--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -394,7 +394,8 @@
 	 */
 	public void recordGroup(BackendIncarnation run, String group) {
 		find(run.id()).filter((backend) -> backend.entry().incarnation().mayEqual(run)).ifPresent((backend) -> {
-			backend.group(this.groups.computeIfAbsent(group, (name) -> new GroupLoad(name, this.groupLimit)),
+			backend.group(
+					this.groups.computeIfAbsent(group, (name) -> new GroupLoad(name, this.groupLimit, this.attentive)),
 					this.clock.nowMillis());
 			updateGroupCounts();
 		});
--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -1,5 +1,6 @@
 package org.snowwind.gateway.backend;
 
+import org.snowwind.decide.silence.AttentiveTime;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -15,7 +16,8 @@
 public final class GroupLoad {
 
 	/** The placeholder for a server that is in no group. */
-	static final GroupLoad NONE = new GroupLoad("");
+	static final GroupLoad NONE = new GroupLoad("", GroupLimit.meanPass(),
+			new AttentiveTime(0, AttentiveTime.LONGEST_STEP_MILLIS));
 
 	/** The number of successive rejections, by any ranks, that close a group. */
 	private static final int REJECTIONS_TO_CLOSE = 3;
@@ -28,9 +30,9 @@
 	private static final long PROBE_DELAY_MILLIS = 250;
 
 	/**
-	 * The time without an event on any stream after which a group counts as stalled, in
-	 * milliseconds. Each pass produces an event for each stream, and this is several
-	 * times the longest pass that is on time.
+	 * The attentive time without an event on any stream after which a group counts as
+	 * stalled, in milliseconds. Each pass produces an event for each stream, and this is
+	 * several times the longest pass that is on time.
 	 */
 	private static final long STALL_MILLIS = 500;
 
@@ -42,6 +44,8 @@
 
 	private final GroupLimit limit;
 
+	private final AttentiveTime attentive;
+
 	private final PassTime passes = new PassTime();
 
 	private int rejections;
@@ -56,13 +60,19 @@
 
 	private long lastEventMillis;
 
-	GroupLoad(String name) {
-		this(name, GroupLimit.meanPass());
-	}
+	/** The attentive time of the last event. */
+	private long lastEventAttentiveMillis;
 
-	GroupLoad(String name, GroupLimit limit) {
+	/**
+	 * Creates the load of a group without requests.
+	 * @param name the group's name
+	 * @param limit how many requests the group may have
+	 * @param attentive the time in which this process was able to read events
+	 */
+	GroupLoad(String name, GroupLimit limit, AttentiveTime attentive) {
 		this.name = name;
 		this.limit = limit;
+		this.attentive = attentive;
 	}
 
 	/**
@@ -121,7 +131,7 @@
 	 */
 	void onPause(long pauseMillis, long pauseTargetMillis, EngineProfile profile, long nowMillis) {
 		onProgress();
-		this.lastEventMillis = nowMillis;
+		recordEvent(nowMillis);
 		boolean jumped = this.passes.observe(pauseMillis, pauseTargetMillis, emptyPassMillis(profile), this.load,
 				nowMillis);
 		if (jumped) {
@@ -130,6 +140,11 @@
 		}
 	}
 
+	private void recordEvent(long nowMillis) {
+		this.lastEventMillis = nowMillis;
+		this.lastEventAttentiveMillis = this.attentive.millis(nowMillis);
+	}
+
 	private static double emptyPassMillis(EngineProfile profile) {
 		return profile.stepsPerPass() * profile.stepMillis();
 	}
@@ -183,7 +198,7 @@
 	 */
 	void streamBegan(long nowMillis) {
 		this.streams++;
-		this.lastEventMillis = nowMillis;
+		recordEvent(nowMillis);
 		onProgress();
 	}
 
@@ -194,7 +209,7 @@
 	 */
 	void addStreams(int count, long nowMillis) {
 		this.streams += count;
-		this.lastEventMillis = Math.max(this.lastEventMillis, nowMillis);
+		recordEvent(nowMillis);
 	}
 
 	/**
@@ -219,16 +234,21 @@
 		if (!this.closed) {
 			this.closed = true;
 			EventLog.log(Event.GROUP_CLOSED, "group", this.name, "reason", reason, "refusals", this.rejections,
-					"streams", this.streams, "sinceEventMillis", nowMillis - this.lastEventMillis, "load", this.load);
+					"streams", this.streams, "sinceEventMillis", nowMillis - this.lastEventMillis, "attentiveMillis",
+					attentiveSinceEventMillis(nowMillis), "load", this.load);
 		}
 	}
 
 	private void closeIfStalled(long nowMillis) {
-		if (!this.closed && this.streams > 0 && nowMillis - this.lastEventMillis > STALL_MILLIS) {
+		if (!this.closed && this.streams > 0 && attentiveSinceEventMillis(nowMillis) > STALL_MILLIS) {
 			close("no events on any stream", nowMillis);
 		}
 	}
 
+	private long attentiveSinceEventMillis(long nowMillis) {
+		return this.attentive.millis(nowMillis) - this.lastEventAttentiveMillis;
+	}
+
 	/**
 	 * Returns whether the group is closed.
 	 * @return true from successive rejections or a stall until a stream begins or has an
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.snowwind.decide.limit.AnnouncedLimit;
 import org.snowwind.decide.notice.ServerNotice;
+import org.snowwind.decide.silence.AttentiveTime;
 import org.snowwind.gateway.registry.BackendEntry;
 import org.snowwind.gateway.registry.BackendIncarnation;
 import org.snowwind.gateway.registry.Registry;
@@ -279,4 +280,54 @@
 		assertThat(server("a").admits(this.clock.nowMillis())).isTrue();
 	}
 
+	private void startStreamInGroup() {
+		register(server("a", false));
+		this.table.recordGroup(BackendIncarnation.of("a"), "g");
+		server("a").onStreamStart(this.clock.nowMillis());
+		this.table.attentive().tick(this.clock.nowMillis());
+	}
+
+	private void run(long runMillis) {
+		for (long ranMillis = 0; ranMillis < runMillis; ranMillis += AttentiveTime.TICK_MILLIS) {
+			this.clock.advance(AttentiveTime.TICK_MILLIS);
+			this.table.attentive().tick(this.clock.nowMillis());
+		}
+	}
+
+	private Optional<Backend> chooseRank() {
+		return this.table.choose(new ServerRequirements("s", NONE, 0, ENGINE, 70));
+	}
+
+	@Test
+	void groupIsNotClosedByAPauseOfThisProcess() {
+		startStreamInGroup();
+		run(200);
+		this.clock.advance(1300);
+		assertThat(chooseRank()).as("its events were not read yet").isPresent();
+		this.table.attentive().tick(this.clock.nowMillis());
+		assertThat(chooseRank()).isPresent();
+		assertThat(server("a").group().isClosed()).isFalse();
+	}
+
+	@Test
+	void groupThatIsSilentWhileThisProcessRunsIsClosed() {
+		startStreamInGroup();
+		run(500);
+		assertThat(chooseRank()).isPresent();
+		run(100);
+		assertThat(chooseRank()).isEmpty();
+		assertThat(server("a").group().isClosed()).isTrue();
+	}
+
+	@Test
+	void groupThatStaysSilentAfterAPauseOfThisProcessIsClosed() {
+		startStreamInGroup();
+		run(200);
+		this.clock.advance(1300);
+		this.table.attentive().tick(this.clock.nowMillis());
+		run(200);
+		assertThat(server("a").group().isClosed()).isFalse();
+		assertThat(chooseRank()).isEmpty();
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/GroupLoadTests.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.snowwind.decide.silence.AttentiveTime;
 import org.snowwind.gateway.table.EngineProfile;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -19,7 +20,9 @@
 
 	private static final int SLOTS = 64;
 
-	private final GroupLoad group = new GroupLoad("g");
+	private final AttentiveTime attentive = new AttentiveTime(0, AttentiveTime.LONGEST_STEP_MILLIS);
+
+	private final GroupLoad group = new GroupLoad("g", GroupLimit.meanPass(), this.attentive);
 
 	private void observePasses(int load, long passMillis, int events, long nowMillis) {
 		this.group.updateCounts(new GroupLoad.Counts(8, load, 0), 1);
