Do not take short stalls in series for the silence of peers

A gateway that stalled again and again for less than 400 ms took that time for the silence of its peers: the planner of expert maps timed out after two such stalls, and peers after four. It could then claim the planner's duty while the planner worked.

Only a check that was 400 ms late or more moved the last reports of peers. Now one that is 100 ms late does, which is the period of checks in a small fleet, so that each stall counts as one period and 100 ms at most.

shortStallsInSeriesDoNotTimeOutPlannerOrPeers failed before: after four checks that were 390 ms late each the planner had timed out. PeerTableTests passed (19 tests). No process was run for this change.

--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerTable.java
@@ -58,9 +58,12 @@
 	 * The minimum delay of a check of the peers that counts as a stall of this process,
 	 * in milliseconds. The silence of peers during a stall does not show that they are
 	 * dead. Otherwise a gateway that was frozen considers the planner dead, and the two
-	 * drop each other's maps.
+	 * drop each other's maps. Stalls in series add up, so that short ones count too.
 	 */
-	private static final long MIN_OWN_STALL_MILLIS = 400;
+	private static final long MIN_OWN_STALL_MILLIS = 100;
+
+	/** The minimum length of a stall that is logged, in milliseconds. */
+	private static final long MIN_LOGGED_STALL_MILLIS = 400;
 
 	/** The time without a report after which a peer is removed, in milliseconds. */
 	private static final long FORGET_MILLIS = 30_000;
@@ -219,7 +222,9 @@
 		if (stalledMillis < MIN_OWN_STALL_MILLIS) {
 			return;
 		}
-		EventLog.log(Event.OWN_STALL, "stalledMillis", stalledMillis, "peers", this.byAddress.size());
+		if (stalledMillis >= MIN_LOGGED_STALL_MILLIS) {
+			EventLog.log(Event.OWN_STALL, "stalledMillis", stalledMillis, "peers", this.byAddress.size());
+		}
 		this.byAddress.values()
 			.forEach((peer) -> peer.lastHeardMillis = Math.min(nowMillis, peer.lastHeardMillis + stalledMillis));
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/peer/PeerTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/PeerTableTests.java
@@ -103,6 +103,17 @@
 		assertThat(this.peers.unreportedFactor(5000)).as("a peer that never reports is dead").isEqualTo(1);
 	}
 
+	@Test
+	void shortStallsInSeriesDoNotTimeOutPlannerOrPeers() {
+		this.peers.acceptReport(report("b", "10.0.0.2:1", Map.of(), 9), 0);
+		this.peers.expireSilent(100, 100);
+		for (long nowMillis = 590; nowMillis <= 2060; nowMillis += 490) {
+			this.peers.expireSilent(nowMillis, 100);
+		}
+		assertThat(this.peers.plannerFence(2060)).as("no report could be received between the stalls").isEqualTo(9);
+		assertThat(this.peers.liveNames()).containsExactly("b");
+	}
+
 	@Test
 	void stalledProcessDoesNotTimeOutPlannerBeforeListening() {
 		this.peers.acceptReport(report("b", "10.0.0.2:1", Map.of(), 9), 0);
