Do not suspect all servers after a pause of the entry

After an entry had not run for three heartbeats it suspected every server that it observes, since it had asked none of them meanwhile, and gave up all repeatable attempts that waited for an answer. The check runs before the heartbeats that would clear the servers.

ServerTable measures the silence of agents in attentive time, which the entry's loop ticks: a pause of any length counts as 200 ms at most. The age of load reports is still measured in elapsed time.

serversAreNotSuspectedAfterAPauseOfThisProcess failed before, with a pause of 60 s after 500 ms; the two tests that a silent server is suspected passed before as well. ServerTableTests passed (3 tests). No process was run.

--- a/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
@@ -15,6 +15,7 @@
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.config.settings.EntrySettings;
 import org.snowwind.config.snapshot.SnapshotBuilder;
+import org.snowwind.decide.silence.AttentiveTime;
 import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.entry.api.BurnReading;
 import org.snowwind.entry.api.DrainOrders;
@@ -222,6 +223,7 @@
 		this.burnThread.start();
 		this.claims.start();
 		this.api.start();
+		this.loop.every(() -> this.servers.attentive().tick(this.clock.nowMillis()), AttentiveTime.TICK_MILLIS);
 		this.loop.every(() -> this.gates.liveEntries(this.membership.view().liveEntries()),
 				this.settings.heartbeatMillis());
 	}
--- a/entry/src/main/java/org/snowwind/entry/member/Server.java
+++ b/entry/src/main/java/org/snowwind/entry/member/Server.java
@@ -32,6 +32,9 @@
 
 	private long heardMillis;
 
+	/** The attentive time of the last report. */
+	private long heardAttentiveMillis;
+
 	private boolean suspected = true;
 
 	private boolean draining;
@@ -146,13 +149,15 @@
 	 * Takes note of a report.
 	 * @param next the report
 	 * @param nowMillis the time, in milliseconds
+	 * @param attentiveMillis the attentive time, in milliseconds
 	 * @return what has changed
 	 */
-	Change heard(AgentReport next, long nowMillis) {
+	Change heard(AgentReport next, long nowMillis, long attentiveMillis) {
 		boolean restarted = this.report != null && this.report.getIncarnation() != next.getIncarnation();
 		boolean trusted = this.suspected;
 		this.report = next;
 		this.heardMillis = nowMillis;
+		this.heardAttentiveMillis = attentiveMillis;
 		this.suspected = false;
 		this.draining = next.isDraining();
 		if (restarted) {
@@ -163,12 +168,12 @@
 
 	/**
 	 * Suspects the server if it has been silent for too long.
-	 * @param silentSinceMillis servers not heard of since then are suspected, in
-	 * milliseconds
+	 * @param silentSinceMillis servers not heard of since this attentive time are
+	 * suspected, in milliseconds
 	 * @return true if it is suspected from now on
 	 */
 	boolean suspectIfSilent(long silentSinceMillis) {
-		if (this.suspected || this.heardMillis >= silentSinceMillis) {
+		if (this.suspected || this.heardAttentiveMillis >= silentSinceMillis) {
 			return false;
 		}
 		this.suspected = true;
--- a/entry/src/main/java/org/snowwind/entry/member/ServerTable.java
+++ b/entry/src/main/java/org/snowwind/entry/member/ServerTable.java
@@ -18,6 +18,7 @@
 import org.snowwind.decide.choice.ServerChooser;
 import org.snowwind.decide.choice.ServerView;
 import org.snowwind.decide.choice.TwoChoices;
+import org.snowwind.decide.silence.AttentiveTime;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -43,6 +44,8 @@
 
 	private final long suspectAfterMillis;
 
+	private final AttentiveTime attentive;
+
 	private final Map<String, Server> servers = new LinkedHashMap<>();
 
 	private final Map<Choice, ServerChooser> choosers = new EnumMap<>(Choice.class);
@@ -53,17 +56,28 @@
 	 * @param clock tells the time
 	 * @param random the source of randomness
 	 * @param suspectAfterMillis a server silent for so long is suspected, in milliseconds
+	 * of attentive time
 	 */
 	public ServerTable(String dataCentre, MonotonicClock clock, RandomGenerator random, long suspectAfterMillis) {
 		this.dataCentre = dataCentre;
 		this.clock = clock;
 		this.suspectAfterMillis = suspectAfterMillis;
+		this.attentive = new AttentiveTime(clock.nowMillis(), AttentiveTime.LONGEST_STEP_MILLIS);
 		ServerChooser twoChoices = new TwoChoices(random);
 		this.choosers.put(Choice.TWO_CHOICES, twoChoices);
 		this.choosers.put(Choice.ROUND_ROBIN, new RoundRobin());
 		this.choosers.put(Choice.PREFIX_AFFINITY, new PrefixAffinity(AFFINITY_LOAD_BOUND, twoChoices));
 	}
 
+	/**
+	 * Returns the time in which the loop was able to take reports of agents. The silence
+	 * of servers is measured in this time.
+	 * @return the time, which the loop ticks
+	 */
+	public AttentiveTime attentive() {
+		return this.attentive;
+	}
+
 	/**
 	 * Takes over the servers of a configuration.
 	 * @param snapshot the configuration in force
@@ -127,7 +141,8 @@
 		if (server == null) {
 			return;
 		}
-		switch (server.heard(report, this.clock.nowMillis())) {
+		long nowMillis = this.clock.nowMillis();
+		switch (server.heard(report, nowMillis, this.attentive.millis(nowMillis))) {
 			case RESTARTED -> {
 				EventLog.log(Event.SERVER_RESTARTED, "server", name);
 				loseWaiting(server);
@@ -143,7 +158,7 @@
 	 * told.
 	 */
 	public void suspectSilent() {
-		long silentSinceMillis = this.clock.nowMillis() - this.suspectAfterMillis;
+		long silentSinceMillis = this.attentive.millis(this.clock.nowMillis()) - this.suspectAfterMillis;
 		for (Server server : List.copyOf(this.servers.values())) {
 			if (server.suspectIfSilent(silentSinceMillis)) {
 				EventLog.log(Event.SERVER_SUSPECTED, "server", server.name());
