Do not suspect or forget all entries after a pause of the entry

After a pause of three heartbeats an entry suspected all other entries, and forgot those that no setting names after a pause of a minute, before it handled the reports that had arrived. Until the next heartbeat it counted as the only entry, with the whole share of each organisation's limits, and as a relay and representative.

The entries' PeerTable measures silence in attentive time. The check ticks itself, each heartbeat; a pause counts as 1.5 heartbeats at most, so that a peer heard within the last 1.5 heartbeats before the pause stays trusted.

peersAreNeitherSuspectedNorForgottenAfterAPauseOfThisProcess failed before, with a pause of 60 s. PeerTableTests passed (8 tests). That limits were exceeded after a pause was read in the code, not measured.

--- a/entry/src/main/java/org/snowwind/entry/member/PeerTable.java
+++ b/entry/src/main/java/org/snowwind/entry/member/PeerTable.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 
 import org.snowwind.decide.choice.RendezvousHashing;
+import org.snowwind.decide.silence.AttentiveTime;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
 import org.snowwind.model.event.EventLog;
@@ -39,6 +40,8 @@
 
 	private final MonotonicClock clock;
 
+	private final AttentiveTime attentive;
+
 	private final long suspectAfterMillis;
 
 	private final long forgetAfterMillis;
@@ -55,7 +58,9 @@
 	 * @param dataCentre this entry's data centre
 	 * @param clock tells the time
 	 * @param suspectAfterMillis a peer silent for so long is suspected, in milliseconds
-	 * @param forgetAfterMillis a peer silent for so long is forgotten, in milliseconds
+	 * of attentive time
+	 * @param forgetAfterMillis a peer silent for so long is forgotten, in milliseconds of
+	 * attentive time
 	 */
 	public PeerTable(String ownName, String dataCentre, MonotonicClock clock, long suspectAfterMillis,
 			long forgetAfterMillis) {
@@ -64,6 +69,11 @@
 		this.clock = clock;
 		this.suspectAfterMillis = suspectAfterMillis;
 		this.forgetAfterMillis = forgetAfterMillis;
+		this.attentive = new AttentiveTime(clock.nowMillis(), suspectAfterMillis / 2);
+	}
+
+	private long attentiveMillis() {
+		return this.attentive.millis(this.clock.nowMillis());
 	}
 
 	/**
@@ -80,7 +90,7 @@
 	 * @param controlAddress the address
 	 */
 	public void learn(String controlAddress) {
-		this.peers.computeIfAbsent(controlAddress, (address) -> new Peer(address, this.clock.nowMillis()));
+		this.peers.computeIfAbsent(controlAddress, (address) -> new Peer(address, attentiveMillis()));
 	}
 
 	/**
@@ -97,7 +107,7 @@
 			EventLog.log(Event.PEER_TRUSTED, "entry", report.getEntryName(), "dataCentre", report.getDataCentre());
 		}
 		peer.report = report;
-		peer.heardMillis = this.clock.nowMillis();
+		peer.heardAttentiveMillis = attentiveMillis();
 		peer.live = !report.isDraining();
 		report.getKnownEntries().forEach(this::learn);
 		report.getProgress().forEach(this::mergeProgress);
@@ -114,12 +124,15 @@
 	}
 
 	/**
-	 * Suspects and forgets peers that have been silent for too long.
+	 * Suspects and forgets peers that have been silent for too long. This must be called
+	 * several times in the time after which a peer is suspected: a longer time between
+	 * two calls is a pause of this process and counts as half of that time.
 	 */
 	public void suspectSilent() {
-		long nowMillis = this.clock.nowMillis();
+		this.attentive.tick(this.clock.nowMillis());
+		long attentiveMillis = attentiveMillis();
 		for (Peer peer : List.copyOf(this.peers.values())) {
-			long silentMillis = nowMillis - peer.heardMillis;
+			long silentMillis = attentiveMillis - peer.heardAttentiveMillis;
 			if (peer.live && silentMillis > this.suspectAfterMillis) {
 				peer.live = false;
 				EventLog.log(Event.PEER_SUSPECTED, "entry", peer.report.getEntryName());
@@ -243,13 +256,13 @@
 
 		private PeerReport report;
 
-		private long heardMillis;
+		private long heardAttentiveMillis;
 
 		private boolean live;
 
-		private Peer(String address, long heardMillis) {
+		private Peer(String address, long heardAttentiveMillis) {
 			this.address = address;
-			this.heardMillis = heardMillis;
+			this.heardAttentiveMillis = heardAttentiveMillis;
 		}
 
 		private String name() {
--- a/entry/src/test/java/org/snowwind/entry/member/PeerTableTests.java
+++ b/entry/src/test/java/org/snowwind/entry/member/PeerTableTests.java
@@ -52,6 +52,21 @@
 		assertThat(table.liveEntries()).isEqualTo(1);
 	}
 
+	@Test
+	void peersAreNeitherSuspectedNorForgottenAfterAPauseOfThisProcess() {
+		PeerTable table = table("a");
+		table.suspectSilent();
+		table.heard(report("b", "casa", 2));
+		this.clock.advance(30);
+		table.suspectSilent();
+		this.clock.advance(60_000);
+		table.suspectSilent();
+		assertThat(table.liveEntries()).isEqualTo(2);
+		this.clock.advance(30);
+		table.suspectSilent();
+		assertThat(table.liveEntries()).as("the peer has been silent since the pause").isEqualTo(1);
+	}
+
 	@Test
 	void silentPeersAreForgottenButSeedsAreNot() {
 		PeerTable table = table("a");
