Let links of tests hold back answers

Link.silence loses no data either, but the end of another fault of the same link (silence, heal) ends it, so silences of all servers could not overlap with faults of single links. Holds are counted: all that was held back is delivered in order after the last one, and requests still pass.

--- a/app/src/test/java/org/snowwind/app/harness/Link.java
+++ b/app/src/test/java/org/snowwind/app/harness/Link.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -41,6 +42,8 @@
 
 	private volatile boolean twice;
 
+	private final AtomicInteger answerHolds = new AtomicInteger();
+
 	/**
 	 * Opens a link.
 	 * @param target where it leads
@@ -93,6 +96,22 @@
 		this.openConnections.forEach((silent) -> silent.set(true));
 	}
 
+	/**
+	 * Holds back what the target sends, until {@link #releaseAnswers()}; the target goes
+	 * on receiving. Holds that overlap end with the last one, whatever
+	 * {@link #silence(boolean, boolean)} and {@link #heal()} do.
+	 */
+	public void holdAnswers() {
+		this.answerHolds.incrementAndGet();
+	}
+
+	/**
+	 * Ends a hold. After the last one, all that was held back is delivered in order.
+	 */
+	public void releaseAnswers() {
+		this.answerHolds.decrementAndGet();
+	}
+
 	/**
 	 * Delays every piece of data in both directions.
 	 * @param millis by how much, in milliseconds
@@ -126,7 +145,8 @@
 				this.openConnections.add(silent);
 				daemon(() -> pump(near, far, () -> this.silentThere || silent.get(), last::nextRequest));
 				daemon(() -> {
-					pump(far, near, () -> this.silentBack || silent.get(), last::answered);
+					pump(far, near, () -> this.silentBack || this.answerHolds.get() > 0 || silent.get(),
+							last::answered);
 					this.openConnections.remove(silent);
 				});
 			}
