Let all servers of a soak go silent at once

SoakSilences holds back what all servers send, one time in four what half of them send, for 0.6 to 3 s in a series that goes on through the last stops, with configurations and SIGHUPs during silences.

SilencesCutNothingOff: a request that a server has is answered in full unless its time ends first. A silence excuses nothing; other faults of servers, a kill or a pause of the gateway and the last sixth of the grace do. Faults of the store do not.

--- a/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
@@ -25,6 +25,13 @@
 	/** The name of a planned stop in disturbances. */
 	static final String STOP = "stop";
 
+	private static final String KILL = "kill";
+
+	private static final String PAUSE = "pause";
+
+	/** The names of faults that a gateway's process does not go on with. */
+	static final Set<String> PROCESS_FAULTS = Set.of(KILL, PAUSE);
+
 	/**
 	 * Without what takes all processor time in small pieces, and without comments and
 	 * empty events, which reach callers as they are sent.
@@ -80,8 +87,8 @@
 	private static Map<String, SoakFault> all() {
 		Map<String, SoakFault> faults = new LinkedHashMap<>();
 		faults.put(STOP, SoakFaults::stop);
-		faults.put("kill", SoakFaults::kill);
-		faults.put("pause", SoakFaults::pause);
+		faults.put(KILL, SoakFaults::kill);
+		faults.put(PAUSE, SoakFaults::pause);
 		faults.put("hang-up", SoakFaults::hangUp);
 		faults.put("store", SoakFaults::storeFault);
 		faults.put("store-history", (world, random, later) -> world.store().forgetHistory());
@@ -134,7 +141,7 @@
 		SnowwindProcess stopped = gateway.process();
 		later.after(graceMillis, () -> {
 			if (stopped.running()) {
-				disturb(world, "kill", gateway.name(), BACK_MILLIS);
+				disturb(world, KILL, gateway.name(), BACK_MILLIS);
 			}
 			restart(gateway, stopped);
 		});
@@ -151,7 +158,7 @@
 	private static void kill(SoakWorld world, Random random, SoakFault.Later later) throws Exception {
 		SoakGateway gateway = anyGateway(world, random);
 		long awayMillis = between(random, 100, 1500);
-		disturb(world, "kill", gateway.name(), awayMillis + BACK_MILLIS);
+		disturb(world, KILL, gateway.name(), awayMillis + BACK_MILLIS);
 		SnowwindProcess killed = gateway.process();
 		killed.kill();
 		later.after(awayMillis, () -> restart(gateway, killed));
@@ -160,7 +167,7 @@
 	private static void pause(SoakWorld world, Random random, SoakFault.Later later) throws Exception {
 		SoakGateway gateway = anyGateway(world, random);
 		long millis = between(random, 300, 3500);
-		disturb(world, "pause", gateway.name(), millis + 1500);
+		disturb(world, PAUSE, gateway.name(), millis + 1500);
 		SnowwindProcess paused = gateway.process();
 		paused.freeze();
 		later.after(millis, paused::thaw);
--- a/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakGateway.java
@@ -42,6 +42,8 @@
 
 	private int starts;
 
+	private long startedNanos;
+
 	private int grace = GRACE_SECONDS;
 
 	private final List<String> features;
@@ -116,10 +118,19 @@
 
 	void start() throws IOException {
 		this.starts++;
+		this.startedNanos = System.nanoTime();
 		this.process = SnowwindProcess.deployedGateway(this.folder.resolve(this.name + "-" + this.starts + ".log"),
 				settings());
 	}
 
+	/**
+	 * Tells since when its process runs.
+	 * @return when it was started, by the clock of this process
+	 */
+	long startedNanos() {
+		return this.startedNanos;
+	}
+
 	void hangUp(List<String> seeds) throws IOException, InterruptedException {
 		this.grace = GRACE_SECONDS + this.starts % 2;
 		writeSettings(seeds);
--- a/app/src/test/java/org/snowwind/app/soak/SoakRules.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRules.java
@@ -11,7 +11,8 @@
 			new CrashingPartsAreKeptBack(), new RefusalsAreTrue(), new RunsWereAskedFor(), new AnswersComeInTime(),
 			new LeavingServersGetNothing(), new StopsCutNothingOff(), new FatalRequestsAreKeptBack(),
 			new LimitsAreKept(), new RetryAfterIsKept(), new AnnouncedLeavingIsKept(), new ConfigurationsComeInForce(),
-			new SeenLeavingIsKept(), new EvacuatedServersGetNothing(EvacuatedServersGetNothing.SOAK_MILLIS));
+			new SeenLeavingIsKept(), new SilencesCutNothingOff(),
+			new EvacuatedServersGetNothing(EvacuatedServersGetNothing.SOAK_MILLIS));
 
 	private SoakRules() {
 	}
--- a/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
@@ -200,6 +200,56 @@
 		assertThat(broken()).singleElement().asString().startsWith("StopsCutNothingOff");
 	}
 
+	@Test
+	void requestsThatEndEarlyWhileServersAreOnlySilentBreakTheRule() {
+		call(CallKind.STREAM, 200, Answers.event("c1", 1), false, 1200);
+		silent();
+		assertThat(broken()).as("it has not reached a server").noneMatch((line) -> line.startsWith("Silences"));
+		ran(CallKind.STREAM);
+		assertThat(broken()).singleElement().asString().startsWith("SilencesCutNothingOff");
+		this.calls.clear();
+		this.runs.clear();
+		ran(CallKind.AGAIN);
+		call(CallKind.AGAIN, 502, "", true, 1200);
+		assertThat(broken()).singleElement().asString().startsWith("SilencesCutNothingOff");
+		this.calls.clear();
+		call(CallKind.AGAIN, 504, "", true, 2975);
+		assertThat(broken()).as("its time is over").isEmpty();
+	}
+
+	@Test
+	void onlyFaultsOfServersAndOfItsProcessExcuseAGatewayDuringASilence() {
+		call(CallKind.STREAM, 200, Answers.event("c1", 1), false, 1200);
+		ran(CallKind.STREAM);
+		assertThat(broken()).as("nothing is silent").isEmpty();
+		silent();
+		disturbed("store", Disturbance.STORE);
+		disturbed("store-link", "g0");
+		assertThat(broken()).singleElement().asString().startsWith("SilencesCutNothingOff");
+		for (String where : List.of("g0", Disturbance.SERVERS)) {
+			this.disturbances.clear();
+			silent();
+			disturbed("kill", where);
+			assertThat(broken()).as("%s disturbed", where).isEmpty();
+		}
+	}
+
+	@Test
+	void silenceDuringAStopExcusesOnlyTheLastPartOfTheGrace() {
+		stopBegan();
+		silent();
+		ran(CallKind.LONG);
+		cutLong(2900, 6500);
+		assertThat(broken()).anyMatch((line) -> line.startsWith("SilencesCutNothingOff"));
+		cutLong(2900, 7300);
+		assertThat(broken()).isEmpty();
+	}
+
+	private void silent() {
+		this.disturbances.add(new Disturbance(SoakSilences.SILENCE, Disturbance.SILENT_SERVERS, START,
+				START + TimeUnit.SECONDS.toNanos(3)));
+	}
+
 	private void cutLong(long sentMillis, long endedMillis) {
 		this.calls.clear();
 		this.calls.add(new Call("c1", "c1", CallKind.LONG, "b", SoakWorld.KEY, 0, "g0",
--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -77,6 +77,9 @@
 	/** How often a server comes whose answers have no end; some are there together. */
 	private static final long ENDLESS_EVERY_MILLIS = 900;
 
+	/** How often servers go silent at once; some silences overlap. */
+	private static final long SILENT_SERVERS_EVERY_MILLIS = 2300;
+
 	/** How often a data centre is evacuated; most evacuations last longer. */
 	private static final long EVACUATE_EVERY_MILLIS = 2500;
 
@@ -134,6 +137,8 @@
 
 	private final Random endless;
 
+	private final Random silentServers;
+
 	private final SoakExtras extras;
 
 	private final SoakWorld world;
@@ -168,6 +173,7 @@
 		this.evacuations = new Random(seed + 9);
 		this.prompts = new Random(seed + 10);
 		this.endless = new Random(seed + 11);
+		this.silentServers = new Random(seed + 12);
 		this.extras = extras;
 		this.streams = new Random(seed + 2);
 		this.world = new SoakWorld(folder, GATEWAYS, new Random(seed + 1));
@@ -202,6 +208,8 @@
 				TimeUnit.MILLISECONDS);
 		var sendingWithoutEnd = this.later.scheduleWithFixedDelay(this::sendWithoutEnd, ENDLESS_EVERY_MILLIS,
 				ENDLESS_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+		var silencingServers = this.later.scheduleWithFixedDelay(this::silenceServers, 0, SILENT_SERVERS_EVERY_MILLIS,
+				TimeUnit.MILLISECONDS);
 		var evacuating = this.later.scheduleWithFixedDelay(this::evacuate, EVACUATE_EVERY_MILLIS, EVACUATE_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
 		var callingWithKeys = this.later.scheduleAtFixedRate(this::callWithKey, 0, CALL_WITH_KEY_EVERY_MILLIS,
@@ -226,6 +234,7 @@
 			SoakEvacuations.beginLast(this.world);
 		}
 		stopTogether();
+		silencingServers.cancel(false);
 		TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
 		calling.cancel(false);
 		ending.cancel(false);
@@ -272,6 +281,18 @@
 
 	private void after(long millis, SoakFault.Work work) {
 		this.pending.incrementAndGet();
+		afterUncounted(millis, () -> {
+			try {
+				work.run();
+			}
+			finally {
+				this.pending.decrementAndGet();
+			}
+		});
+	}
+
+	// Nobody waits for what goes on until the soak is over.
+	private void afterUncounted(long millis, SoakFault.Work work) {
 		this.later.schedule(() -> {
 			try {
 				work.run();
@@ -279,9 +300,6 @@
 			catch (Exception ex) {
 				this.problems.add("the soak itself failed: " + ex);
 			}
-			finally {
-				this.pending.decrementAndGet();
-			}
 		}, millis, TimeUnit.MILLISECONDS);
 	}
 
@@ -361,6 +379,12 @@
 		}
 	}
 
+	private void silenceServers() {
+		if (this.extras.silentServers()) {
+			SoakSilences.begin(this.world, this.silentServers, this::afterUncounted);
+		}
+	}
+
 	private void drill() {
 		if (this.extras.drills()) {
 			SoakFaults.drill(this.world, this.drills, this::after);
--- a/app/src/test/java/org/snowwind/app/soak/StopsCutNothingOff.java
+++ b/app/src/test/java/org/snowwind/app/soak/StopsCutNothingOff.java
@@ -47,12 +47,23 @@
 		return call.status() == 0 || (begun && !timeEnded(call) && !excused(history, call));
 	}
 
-	private static boolean timeEnded(Call call) {
+	/**
+	 * Tells whether a request's time was over when it ended.
+	 * @param call the request
+	 * @return true if its gateway may have ended it for that
+	 */
+	static boolean timeEnded(Call call) {
 		long allowedNanos = TimeUnit.MILLISECONDS.toNanos(call.kind().timeoutMillis()) - ANSWER_MARGIN_NANOS;
 		return call.endedNanos() - call.sentNanos() >= allowedNanos;
 	}
 
-	private static boolean excused(SoakHistory history, Call call) {
+	/**
+	 * Tells whether a request ended in the last part of the grace of its gateway.
+	 * @param history what was seen
+	 * @param call the request
+	 * @return true if its gateway took it in time and may have cut its answer
+	 */
+	static boolean excused(SoakHistory history, Call call) {
 		return history.disturbances()
 			.stream()
 			.filter((disturbance) -> disturbance.what().equals(SoakFaults.STOP)
