Bound the depth and the whole numbers of values that others write

Report: one odd entry (nested very deeply, or a number too large) made processes that read the list end, or stop following it.

Cause: values of other writers were parsed without any limit. Values nested more than 1000 deep could be read but not rendered: JsonNode.toString throws a RuntimeException, which neither RegistryWatcher nor TableWatcher expects, so that the whole listing was dropped again and again.

Change: the tree is built by a reader that replaces values deeper than 64 by null and reads whole numbers of more than 1000 characters as floating point. Both still count as odd wherever a field is known, and hide nothing else. No object of the platform that is read nests more than ten deep.

Not bounded: the number of values.

--- a/model/src/main/java/org/snowwind/model/Json.java
+++ b/model/src/main/java/org/snowwind/model/Json.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
@@ -24,28 +25,22 @@
 		.defaultPropertyInclusion(JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.ALWAYS))
 		.build();
 
-	/**
-	 * The deepest nesting and the longest number that are read of others; far more than
-	 * any object of the platform can hold in its megabyte.
-	 */
 	private static final int NO_LIMIT = Integer.MAX_VALUE;
 
 	/**
-	 * Reads what several writers have put into one document: what one of them nests too
-	 * deep or writes too long must not hide the rest.
+	 * Parses documents with values of several writers. A limit would reject the whole
+	 * document because of one value, so the reader bounds each value instead.
 	 */
-	private static final ObjectMapper FOREIGN = JsonMapper
-		.builder(JsonFactory.builder()
-			.streamReadConstraints(StreamReadConstraints.builder()
-				.maxNestingDepth(NO_LIMIT)
-				.maxNumberLength(NO_LIMIT)
-				.maxStringLength(NO_LIMIT)
-				.maxNameLength(NO_LIMIT)
-				.build())
-			.enable(JsonReadFeature.ALLOW_UNESCAPED_CONTROL_CHARS)
-			.enable(JsonReadFeature.ALLOW_NON_NUMERIC_NUMBERS)
-			.disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
+	private static final JsonFactory FOREIGN = JsonFactory.builder()
+		.streamReadConstraints(StreamReadConstraints.builder()
+			.maxNestingDepth(NO_LIMIT)
+			.maxNumberLength(NO_LIMIT)
+			.maxStringLength(NO_LIMIT)
+			.maxNameLength(NO_LIMIT)
 			.build())
+		.enable(JsonReadFeature.ALLOW_UNESCAPED_CONTROL_CHARS)
+		.enable(JsonReadFeature.ALLOW_NON_NUMERIC_NUMBERS)
+		.disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
 		.build();
 
 	private Json() {
@@ -53,13 +48,17 @@
 
 	/**
 	 * Reads a document that others have written. Bytes that are no text are replaced, so
-	 * that they spoil only the value that holds them.
+	 * that they spoil only the value that holds them. Values that are nested too deeply
+	 * are replaced by {@code null}, whole numbers that are too long by floating-point
+	 * numbers.
 	 * @param bytes the document, in UTF-8 as far as it is text
 	 * @return the document, a missing node for no bytes
 	 * @throws IOException if it is no JSON
 	 */
 	public static JsonNode readForeign(byte[] bytes) throws IOException {
-		return (bytes.length > 0) ? FOREIGN.readTree(new String(bytes, StandardCharsets.UTF_8)) : FOREIGN.missingNode();
+		try (JsonParser parser = FOREIGN.createParser(new String(bytes, StandardCharsets.UTF_8))) {
+			return ForeignJsonReader.read(parser);
+		}
 	}
 
 }
