Check resources whose fields are absent without an exception

An entry follows the store's resources through SnapshotBuilder, which rejects an odd resource and keeps its last good form. Three checks threw instead: a BackendServer without an address or a ModelGroup without a model (NullPointerException, as soon as a second one existed), and an ExpertMap with a null in it (NullPointerException) or named by a group with negative ranks (NegativeArraySizeException; with ranks the check allocated an array of that size). An exception leaves the watch where it was, and the same resource is listed again: by the code, the entry would follow no change of any resource until the odd one is gone.

Change: the checks compare absent fields as different, an expert map with nulls cannot be read, and used slots are counted by rank in a map.

Tests: OddResourcesTests puts 28 odd values at every place of a resource of each of the six kinds, into listings and changes, and expects a later service to come in force. 4 of 12 failed before with the exceptions named, all 12 pass now; SnapshotBuilderTests (10) and the check tests that ran (15) pass.

Not run: an entry as a process with such resources.

--- a/config/src/main/java/org/snowwind/config/check/BackendServerAddressIsUnique.java
+++ b/config/src/main/java/org/snowwind/config/check/BackendServerAddressIsUnique.java
@@ -20,8 +20,8 @@
 		}
 		for (ResourceSet.Named<BackendServerSpec> other : all.allOf(BackendServerSpec.class)) {
 			boolean earlier = other.before(resource);
-			boolean same = other.spec().address().equals(server.address())
-					|| other.spec().controlAddress().equals(server.controlAddress());
+			boolean same = isSame(other.spec().address(), server.address())
+					|| isSame(other.spec().controlAddress(), server.controlAddress());
 			if (earlier && same) {
 				return List.of(finding(resource).field("address")
 					.because("server " + other.name() + " has the same address")
@@ -31,4 +31,9 @@
 		return NO_FINDINGS;
 	}
 
+	// Another check rejects absent addresses.
+	private static boolean isSame(String address, String other) {
+		return address != null && address.equals(other);
+	}
+
 }
--- a/config/src/main/java/org/snowwind/config/check/ExpertMapPlacesEveryExpert.java
+++ b/config/src/main/java/org/snowwind/config/check/ExpertMapPlacesEveryExpert.java
@@ -1,7 +1,8 @@
 package org.snowwind.config.check;
 
-import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.snowwind.config.snapshot.Finding;
 import org.snowwind.config.snapshot.ResourceSet;
@@ -43,16 +44,16 @@
 		if (layer.size() != group.experts()) {
 			return false;
 		}
-		int[] used = new int[group.ranks()];
+		Map<Integer, Integer> usedSlots = new HashMap<>();
 		for (List<Integer> ranks : layer) {
 			boolean exist = ranks.stream().allMatch((rank) -> rank >= 0 && rank < group.ranks());
 			boolean distinct = ranks.stream().distinct().count() == ranks.size();
 			if (ranks.isEmpty() || !exist || !distinct) {
 				return false;
 			}
-			ranks.forEach((rank) -> used[rank]++);
+			ranks.forEach((rank) -> usedSlots.merge(rank, 1, Integer::sum));
 		}
-		return Arrays.stream(used).allMatch((slots) -> slots <= group.slotsPerRank());
+		return usedSlots.values().stream().allMatch((slots) -> slots <= group.slotsPerRank());
 	}
 
 }
--- a/config/src/main/java/org/snowwind/config/check/ModelIsServedByOneGroup.java
+++ b/config/src/main/java/org/snowwind/config/check/ModelIsServedByOneGroup.java
@@ -20,7 +20,7 @@
 		}
 		for (ResourceSet.Named<ModelGroupSpec> other : all.allOf(ModelGroupSpec.class)) {
 			boolean earlier = other.before(resource);
-			if (earlier && other.spec().model().equals(group.model())) {
+			if (earlier && group.model() != null && group.model().equals(other.spec().model())) {
 				return List.of(finding(resource).field("model")
 					.because("group " + other.name() + " serves the same model")
 					.remedy("put more servers behind the one group"));
--- a/model/src/main/java/org/snowwind/model/resource/ExpertMapSpec.java
+++ b/model/src/main/java/org/snowwind/model/resource/ExpertMapSpec.java
@@ -11,9 +11,11 @@
 
 	/**
 	 * Fills absent fields with their defaults.
+	 * @throws NullPointerException if a layer, a list of ranks or a rank is {@code null}
 	 */
 	public ExpertMapSpec {
-		placement = (placement != null) ? List.copyOf(placement) : List.of();
+		placement = (placement != null)
+				? placement.stream().map((layer) -> layer.stream().map(List::copyOf).toList()).toList() : List.of();
 	}
 
 }
