Compare an uncertain write with whatever another writer has put there

When the response to a write is lost, the object is read back and compared as text that is parsed again. The parser of our own documents limits nesting (1000), numbers (1000 digits) and names (50,000 characters), so an odd value of another writer in the same place threw IllegalStateException out of the write. By the code, a claim of a caller's key then is neither granted nor refused; the planner tries again a second later.

Change: it is parsed as what others write, and differs.

Tests: VerifiedWritesTests, 8; the new one failed before with "a JSON tree always parses again", all pass now. StoreWatchTests (26) pass.

--- a/store/src/main/java/org/snowwind/store/VerifiedWrites.java
+++ b/store/src/main/java/org/snowwind/store/VerifiedWrites.java
@@ -1,8 +1,9 @@
 package org.snowwind.store;
 
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.function.LongConsumer;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import org.snowwind.model.EraRevision;
 import org.snowwind.model.Json;
@@ -75,9 +76,9 @@
 
 	private static JsonNode reparsed(JsonNode value) {
 		try {
-			return Json.MAPPER.readTree(value.toString());
+			return Json.readForeign(value.toString().getBytes(StandardCharsets.UTF_8));
 		}
-		catch (JsonProcessingException ex) {
+		catch (IOException ex) {
 			throw new IllegalStateException("a JSON tree always parses again", ex);
 		}
 	}
--- a/store/src/test/java/org/snowwind/store/VerifiedWritesTests.java
+++ b/store/src/test/java/org/snowwind/store/VerifiedWritesTests.java
@@ -1,5 +1,7 @@
 package org.snowwind.store;
 
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -59,6 +61,19 @@
 			.isEqualTo(new WriteResult.Conflict(EraRevision.ofLong(9)));
 	}
 
+	@Test
+	void oddValueOfAnotherWriterFoundInPlaceOfOursIsAConflict() throws IOException {
+		String longName = "{\"" + "n".repeat(60_000) + "\":0}";
+		String nested = "[".repeat(1100) + "]".repeat(1100);
+		this.store.loseWrite = true;
+		for (String odd : List.of(longName, nested, "1e400", "9".repeat(5000))) {
+			this.store.values.put("k", new StoredObject("k", EraRevision.ofLong(9),
+					Json.readForeign(odd.getBytes(StandardCharsets.UTF_8))));
+			assertThat(this.writes.write("k", EraRevision.ofLong(0), MINE))
+				.isEqualTo(new WriteResult.Conflict(EraRevision.ofLong(9)));
+		}
+	}
+
 	@Test
 	void aLostDeletionIsFoundOut() {
 		this.store.put("k", EraRevision.ofLong(0), MINE);
