Make the test of a common silence independent of when callers start

streamsAreNotMovedBetweenServersThatAreAllSilent failed once, at a load of about 40: callers began so far apart that the first stream had been silent for its limit while another server still sent, and was rightly replaced there. All streams now begin their silence together, and requests are sent by one thread; what is required of them is unchanged.

--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestAttempts.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestAttempts.java
@@ -179,7 +179,7 @@
 	}
 
 	private void logSilence(Attempt silent, SilenceDecision decision, String replacement, long remainingMillis) {
-		if (decision.equals(this.loggedDecision)) {
+		if (!decision.replaces() && decision.equals(this.loggedDecision)) {
 			return;
 		}
 		this.loggedDecision = decision;
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelaySilenceTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelaySilenceTests.java
@@ -7,8 +7,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
@@ -35,8 +33,6 @@
 
 	private static final int CALLERS_THAT_USE_ALL_SERVERS = 9;
 
-	private final ExecutorService callers = Executors.newCachedThreadPool();
-
 	private final GatewayFixture gateway = new GatewayFixture().withRoutes();
 
 	private final CountDownLatch over = new CountDownLatch(1);
@@ -44,7 +40,6 @@
 	@AfterEach
 	void close() {
 		this.over.countDown();
-		this.callers.shutdownNow();
 		this.gateway.close();
 	}
 
@@ -142,28 +137,33 @@
 
 	@Test
 	void streamsAreNotMovedBetweenServersThatAreAllSilent() throws Exception {
+		CountDownLatch allReached = new CountDownLatch(CALLERS_THAT_USE_ALL_SERVERS);
+		CountDownLatch silenceOver = new CountDownLatch(1);
 		List<ScriptedServer> servers = new ArrayList<>();
 		for (int i = 0; i < 3; i++) {
-			servers.add(this.gateway.addServer(pausingStream(LONG_SILENCE_MILLIS)));
+			servers.add(this.gateway.addServer((request, answer) -> {
+				allReached.countDown();
+				answer.await(allReached);
+				answer.write(CHUNKED);
+				answer.writeChunk(event(1));
+				answer.await(silenceOver);
+				answer.writeChunk(event(2));
+				answer.write(LAST_CHUNK);
+			}));
 		}
-		List<CompletableFuture<String>> answers = new ArrayList<>();
+		List<Socket> callers = new ArrayList<>();
 		for (int i = 0; i < CALLERS_THAT_USE_ALL_SERVERS; i++) {
-			answers.add(CompletableFuture.supplyAsync(() -> callUnchecked("/steady/a"), this.callers));
-		}
-		for (CompletableFuture<String> answer : answers) {
-			assertComplete(answer.get(10, TimeUnit.SECONDS));
+			callers.add(this.gateway.send("/steady/a"));
 		}
+		assertThat(allReached.await(5, TimeUnit.SECONDS)).isTrue();
+		TimeUnit.MILLISECONDS.sleep(LONG_SILENCE_MILLIS);
 		assertThat(servers.stream().map((server) -> server.received().size())).doesNotContain(0);
 		assertThat(servers.stream().mapToInt((server) -> server.received().size()).sum())
 			.isEqualTo(CALLERS_THAT_USE_ALL_SERVERS);
-	}
-
-	private String callUnchecked(String path) {
-		try {
-			return this.gateway.call(path);
-		}
-		catch (IOException ex) {
-			return ex.toString();
+		silenceOver.countDown();
+		for (Socket caller : callers) {
+			assertComplete(new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8));
+			caller.close();
 		}
 	}
 
