Do not retire entries for a pause of the agent

An agent that had not run for two minutes, such as on a suspended VM, could retire the incarnation of every entry when it ran again, before their next heartbeats were handled. Retired incarnations are not accepted again, so that it refused all requests until the entries started anew.

That all entries have heard of a stop is still decided by elapsed time.

entryIsNotRetiredForAPauseOfThisProcess failed before, with a pause of 200 s. AttemptLedgerTests passed (9 tests and one property), AgentStopTests (3) and BackendConnectionTests (9). No process was paused for two minutes.

--- a/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
@@ -16,6 +16,7 @@
 import org.snowwind.config.settings.Addresses;
 import org.snowwind.config.settings.AgentSettings;
 import org.snowwind.decide.ledger.AttemptLedger;
+import org.snowwind.decide.silence.AttentiveTime;
 import org.snowwind.decide.stop.StopSchedule;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.admin.AdminServer;
@@ -62,6 +63,9 @@
 
 	private final MonotonicClock clock = MonotonicClock.system();
 
+	private final AttentiveTime attentive = new AttentiveTime(this.clock.nowMillis(),
+			AttentiveTime.LONGEST_STEP_MILLIS);
+
 	private final DataLoop loop = new DataLoop("agent-loop");
 
 	// Back ends name no request in their answers. On a connection that is used again, an
@@ -86,7 +90,7 @@
 	public AgentDaemon(AgentSettings settings) {
 		this.settings = settings;
 		long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
-		AttemptLedger ledger = new AttemptLedger(MAX_REMEMBERED_PER_ENTRY, MAX_RETIRED_ENTRIES);
+		AttemptLedger ledger = new AttemptLedger(MAX_REMEMBERED_PER_ENTRY, MAX_RETIRED_ENTRIES, this.attentive);
 		AgentState.Weights weights = new AgentState.Weights();
 		this.state = new AgentState(settings.name(), incarnation, ledger, lanes(ledger, weights), weights);
 		AttemptHandler handler = new AttemptHandler(this.state, this.clock, settings.fleetCredential());
@@ -141,7 +145,8 @@
 		InetSocketAddress adminAddress = this.admin.start(this.settings.admin());
 		this.loop.every(this.state::pump, PUMP_MILLIS);
 		this.loop.every(this.state::forgetIdle, RETIRE_CHECK_MILLIS);
-		this.loop.every(() -> this.state.ledger().retireSilent(this.clock.nowMillis() - RETIRE_AFTER_MILLIS),
+		this.loop.every(() -> this.attentive.tick(this.clock.nowMillis()), AttentiveTime.TICK_MILLIS);
+		this.loop.every(() -> this.state.ledger().retireSilent(this.clock.nowMillis(), RETIRE_AFTER_MILLIS),
 				RETIRE_CHECK_MILLIS);
 		InetSocketAddress controlAddress = new InetSocketAddress(this.settings.control().getAddress(),
 				this.control.port());
--- a/decide/src/main/java/org/snowwind/decide/ledger/AttemptLedger.java
+++ b/decide/src/main/java/org/snowwind/decide/ledger/AttemptLedger.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.snowwind.decide.silence.AttentiveTime;
+
 /**
  * Records which attempts have begun and which are revoked and must never begin.
  *
@@ -22,6 +24,8 @@
 
 	private final int maxRetired;
 
+	private final AttentiveTime attentive;
+
 	private final Map<Long, EntryRecord> entries = new HashMap<>();
 
 	private final LinkedHashSet<Long> retired = new LinkedHashSet<>();
@@ -32,10 +36,12 @@
 	 * entry
 	 * @param maxRetired the maximum number of retired incarnations that are kept; the
 	 * oldest are dropped first
+	 * @param attentive the time in which this process was able to receive heartbeats
 	 */
-	public AttemptLedger(int maxAttemptsPerEntry, int maxRetired) {
+	public AttemptLedger(int maxAttemptsPerEntry, int maxRetired, AttentiveTime attentive) {
 		this.maxAttemptsPerEntry = maxAttemptsPerEntry;
 		this.maxRetired = maxRetired;
+		this.attentive = attentive;
 	}
 
 	/**
@@ -51,6 +57,7 @@
 		}
 		EntryRecord entry = this.entries.computeIfAbsent(entryIncarnation, (key) -> new EntryRecord());
 		entry.lastHeartbeatMillis = nowMillis;
+		entry.lastHeartbeatAttentiveMillis = this.attentive.millis(nowMillis);
 		entry.raiseFloor(sequenceFloor);
 	}
 
@@ -111,12 +118,14 @@
 
 	/**
 	 * Removes the entries that have been silent for long and retires their incarnations.
-	 * @param heardSinceMillis entries without a heartbeat since this time are retired, in
-	 * milliseconds
+	 * @param nowMillis the time, in milliseconds
+	 * @param retireAfterMillis entries without a heartbeat for longer are retired, in
+	 * milliseconds of attentive time
 	 */
-	public void retireSilent(long heardSinceMillis) {
+	public void retireSilent(long nowMillis, long retireAfterMillis) {
+		long attentiveMillis = this.attentive.millis(nowMillis);
 		this.entries.entrySet().removeIf((entry) -> {
-			boolean silent = entry.getValue().lastHeartbeatMillis < heardSinceMillis;
+			boolean silent = attentiveMillis - entry.getValue().lastHeartbeatAttentiveMillis > retireAfterMillis;
 			if (silent) {
 				retire(entry.getKey());
 			}
@@ -199,6 +208,8 @@
 
 		private long lastHeartbeatMillis;
 
+		private long lastHeartbeatAttentiveMillis;
+
 		private int size() {
 			return this.begun.size() + this.revoked.size();
 		}
