Do not give up a stream for a pause of the entry

An entry that had not run for stream_stall_millis gave up the streams of servers that had kept sending: the timer is due before what arrived is read.

The timer of an attempt asks for the attentive time since the last byte, and waits for the rest of the timeout if the process has paused. The time until the head of an answer is still measured in elapsed time, since it is a share of the caller's budget.

--- a/entry/src/main/java/org/snowwind/entry/request/Attempt.java
+++ b/entry/src/main/java/org/snowwind/entry/request/Attempt.java
@@ -48,6 +48,9 @@
 
 	private boolean headArrived;
 
+	/** The attentive time of the last byte of the answer. */
+	private long heardAttentiveMillis;
+
 	private boolean over;
 
 	private String cause = "none";
@@ -231,10 +234,25 @@
 	private void restartStallTimer(boolean running) {
 		this.timer.cancel(false);
 		if (running && !this.over) {
-			this.timer = this.context.loop().later(() -> fail("silent"), this.context.streamStallMillis());
+			this.heardAttentiveMillis = attentiveMillis();
+			this.timer = this.context.loop().later(this::failIfSilent, this.context.streamStallMillis());
 		}
 	}
 
+	// The timer is also due after a pause of this process in which nothing was read.
+	private void failIfSilent() {
+		long leftMillis = this.context.streamStallMillis() - (attentiveMillis() - this.heardAttentiveMillis);
+		if (leftMillis <= 0) {
+			fail("silent");
+			return;
+		}
+		this.timer = this.context.loop().later(this::failIfSilent, leftMillis);
+	}
+
+	private long attentiveMillis() {
+		return this.context.servers().attentive().millis(this.context.clock().nowMillis());
+	}
+
 	private void finish(AttemptEnd end) {
 		if (this.over) {
 			return;
--- a/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
+++ b/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
@@ -75,6 +75,8 @@
 
 	private final ConfigHolder config = new ConfigHolder("test");
 
+	private final ServerTable servers = new ServerTable("casa", this.clock, new Random(1), 60_000);
+
 	private final CallerHandler handler;
 
 	private final HttpServer server;
@@ -86,9 +88,8 @@
 	}
 
 	EntryFixture(MeterRegistry meters) {
-		ServerTable servers = new ServerTable("casa", this.clock, new Random(1), 60_000);
-		RequestContext context = new RequestContext(this.loop, this.client, servers, new OrganisationGates(this.clock),
-				new AttemptSequence(7),
+		RequestContext context = new RequestContext(this.loop, this.client, this.servers,
+				new OrganisationGates(this.clock), new AttemptSequence(7),
 				(control, incarnation, id, whenKnown) -> whenKnown.accept(AttemptEnd.LOST_FOR_GOOD),
 				new RequestMeters(meters), new BurnCounter(() -> 0), this.clock, new Random(1), "fleet", 2000);
 		this.handler = new CallerHandler(context, this.config, this.claims);
@@ -98,8 +99,8 @@
 		Snapshot snapshot = snapshot();
 		this.config.offer(snapshot);
 		onLoop(() -> {
-			servers.use(snapshot);
-			snapshot.servers().forEach((listed) -> servers.heard(listed.name(), report(listed.name())));
+			this.servers.use(snapshot);
+			snapshot.servers().forEach((listed) -> this.servers.heard(listed.name(), report(listed.name())));
 		});
 	}
 
@@ -139,6 +140,11 @@
 		return this.agent;
 	}
 
+	/** Ticks once: the time that follows is a pause of the entry. */
+	void beginPause() {
+		onLoop(() -> this.servers.attentive().tick(this.clock.nowMillis()));
+	}
+
 	CallerHandler handler() {
 		return this.handler;
 	}
