Do not take a pause of this process for a long pass

After a gateway had not run for some hundred milliseconds, each of its streams of a group reported one long pause between events. The mean time of passes rose at once, which lowers the limit of the group, and counted as a jump, for which the planner reads the counts of all ranks.

GroupLoad does not observe a pause between events that includes a pause of this process. AttentiveTime knows pauses of more than the longest step, 200 ms; shorter ones are observed as before. Pauses above three times the target were ignored already.

pauseOfThisProcessIsNotTakenForALongPass failed before: with 20 streams and a pause of 300 ms the mean rose from 60 to 194 ms. The other new test of BackendTable passed before as well.

--- a/decide/src/main/java/org/snowwind/decide/silence/AttentiveTime.java
+++ b/decide/src/main/java/org/snowwind/decide/silence/AttentiveTime.java
@@ -25,6 +25,8 @@
 
 	private boolean ticking;
 
+	private long lastPauseEndMillis = Long.MIN_VALUE;
+
 	/**
 	 * Creates a measurement that starts at zero.
 	 * @param startMillis the current time, in milliseconds
@@ -41,11 +43,28 @@
 	 * @param nowMillis the current time, in milliseconds
 	 */
 	public void tick(long nowMillis) {
+		if (isPaused(nowMillis)) {
+			this.lastPauseEndMillis = nowMillis;
+		}
 		this.sumMillis = millis(nowMillis);
 		this.countedUntilMillis = Math.max(this.countedUntilMillis, nowMillis);
 		this.ticking = true;
 	}
 
+	private boolean isPaused(long nowMillis) {
+		return this.ticking && nowMillis - this.countedUntilMillis > this.longestStepMillis;
+	}
+
+	/**
+	 * Returns whether this process paused for more than the longest step.
+	 * @param sinceMillis the start of the time in question, in milliseconds
+	 * @param nowMillis the current time, in milliseconds
+	 * @return true if a pause ended after the start or has not ended
+	 */
+	public boolean hasPausedSince(long sinceMillis, long nowMillis) {
+		return this.lastPauseEndMillis > sinceMillis || isPaused(nowMillis);
+	}
+
 	/**
 	 * Returns the time in which this process was able to observe others.
 	 * @param nowMillis the current time, in milliseconds
--- a/decide/src/test/java/org/snowwind/decide/silence/AttentiveTimeTests.java
+++ b/decide/src/test/java/org/snowwind/decide/silence/AttentiveTimeTests.java
@@ -72,4 +72,19 @@
 		}
 	}
 
+	@Test
+	void pauseIsKnownBeforeAndAfterTheTickThatEndsIt() {
+		this.time.tick(START_MILLIS);
+		assertThat(this.time.hasPausedSince(START_MILLIS, START_MILLIS + 200)).isFalse();
+		assertThat(this.time.hasPausedSince(START_MILLIS, START_MILLIS + 300)).isTrue();
+		this.time.tick(START_MILLIS + 300);
+		assertThat(this.time.hasPausedSince(START_MILLIS + 290, START_MILLIS + 310)).isTrue();
+		assertThat(this.time.hasPausedSince(START_MILLIS + 300, START_MILLIS + 310)).isFalse();
+	}
+
+	@Test
+	void noPauseIsKnownBeforeTheFirstTick() {
+		assertThat(this.time.hasPausedSince(START_MILLIS, START_MILLIS + 5000)).isFalse();
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/GroupLoad.java
@@ -132,6 +132,10 @@
 	void onPause(long pauseMillis, long pauseTargetMillis, EngineProfile profile, long nowMillis) {
 		onProgress();
 		recordEvent(nowMillis);
+		// Events that arrived during a pause of this process are read late.
+		if (this.attentive.hasPausedSince(nowMillis - pauseMillis, nowMillis)) {
+			return;
+		}
 		boolean jumped = this.passes.observe(pauseMillis, pauseTargetMillis, emptyPassMillis(profile), this.load,
 				nowMillis);
 		if (jumped) {
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -330,4 +330,39 @@
 		assertThat(chooseRank()).isEmpty();
 	}
 
+	private void pass(int streams, long passMillis) {
+		for (int i = 0; i < streams; i++) {
+			server("a").onPause(passMillis, 120, ENGINE, this.clock.nowMillis());
+		}
+	}
+
+	@Test
+	void pauseOfThisProcessIsNotTakenForALongPass() {
+		startStreamInGroup();
+		for (int i = 0; i < 20; i++) {
+			this.clock.advance(60);
+			pass(20, 60);
+			this.table.attentive().tick(this.clock.nowMillis());
+		}
+		double passMillis = server("a").group().passMillis();
+		this.clock.advance(300);
+		pass(20, 300);
+		this.table.attentive().tick(this.clock.nowMillis());
+		assertThat(server("a").group().passMillis()).isEqualTo(passMillis);
+		assertThat(this.table.lastPassJumps()).containsEntry("g", Long.MIN_VALUE);
+	}
+
+	@Test
+	void longPassWhileThisProcessRunsIsObserved() {
+		startStreamInGroup();
+		for (int i = 0; i < 20; i++) {
+			this.clock.advance(60);
+			pass(20, 60);
+			this.table.attentive().tick(this.clock.nowMillis());
+		}
+		run(300);
+		pass(20, 300);
+		assertThat(server("a").group().passMillis()).isGreaterThan(100);
+	}
+
 }
