--- a/app/src/test/java/org/snowwind/app/soak/FleetUnderLoad.java
+++ b/app/src/test/java/org/snowwind/app/soak/FleetUnderLoad.java
@@ -93,6 +93,10 @@
 		return refusing;
 	}
 
+	CompletableFuture<Call> send(SoakGateway gateway, CallKind kind) {
+		return this.caller.send(gateway, kind, SoakWorld.KEY);
+	}
+
 	List<Call> callsSince(long sinceNanos) {
 		return this.caller.calls().stream().filter((call) -> call.sentNanos() > sinceNanos).toList();
 	}
