Fail a 200 without a length that is closed right after its head

A response with neither a length nor chunks lasts until its connection is closed. A server that stopped right after such a head was taken for one without content: the caller of a plain request got 200 with content-length 0, and a stream that another server continued ended as if it was whole. A 200 without a length now fails if its connection is closed before any content. Another server repeats or continues it; else the caller gets 502, or a stream that is visibly broken off.

No response that is cut within its head was passed on as a 200.

Other statuses without content are passed on as before. A server that answers 200 without content and without a length now fails.

--- a/http/src/main/java/org/snowwind/http/client/UpstreamCall.java
+++ b/http/src/main/java/org/snowwind/http/client/UpstreamCall.java
@@ -18,6 +18,8 @@
  */
 public final class UpstreamCall implements AsyncHandler<Void> {
 
+	private static final int OK = 200;
+
 	private final DataLoop loop;
 
 	private final UpstreamClient.Answers answers;
@@ -41,6 +43,11 @@
 
 	private int status;
 
+	/** {@code null} before the head. */
+	private ResponseFraming framing;
+
+	private boolean hasContent;
+
 	UpstreamCall(DataLoop loop, UpstreamClient.Answers answers, String method, UpstreamListener listener) {
 		this.loop = loop;
 		this.answers = answers;
@@ -147,12 +154,12 @@
 		if (this.over) {
 			return State.ABORT;
 		}
-		ResponseFraming framing = ResponseFraming.of(this.method, this.status, headers);
-		if (!framing.isDelimited() && this.answers == UpstreamClient.Answers.FRAMED) {
+		this.framing = ResponseFraming.of(this.method, this.status, headers);
+		if (!this.framing.isDelimited() && this.answers == UpstreamClient.Answers.FRAMED) {
 			fail(new IOException("the answer has neither a length nor chunks, so its end cannot be checked"));
 			return State.ABORT;
 		}
-		this.listener.onFraming(framing);
+		this.listener.onFraming(this.framing);
 		this.listener.onHead(this.status, EndToEndHeaders.of(headers));
 		return this.over ? State.ABORT : State.CONTINUE;
 	}
@@ -163,6 +170,7 @@
 			return State.ABORT;
 		}
 		if (bodyPart.length() > 0) {
+			this.hasContent = true;
 			this.unusedBytes.content(bodyPart.length());
 			this.received.writeBytes(bodyPart.getBodyPartBytes());
 			if (!this.withinRead) {
@@ -175,6 +183,10 @@
 	@Override
 	public Void onCompleted() {
 		this.loop.run(() -> {
+			if (isHeadAlone()) {
+				fail(new IOException("the connection was closed after the head of an answer without a length"));
+				return;
+			}
 			handOver();
 			if (!this.over) {
 				this.over = true;
@@ -184,6 +196,12 @@
 		return null;
 	}
 
+	// A server that stops after the head looks the same as one that has no content, and a
+	// success without content is rare.
+	private boolean isHeadAlone() {
+		return this.status == OK && this.framing == ResponseFraming.CONNECTION_END && !this.hasContent;
+	}
+
 	@Override
 	public void onThrowable(Throwable cause) {
 		this.loop.run(() -> fail(cause));
