Read a configuration from a peer like one from the store

A gateway passes the configuration on as the store holds it, unknown fields included. A peer parsed it with the limits of our own documents and dropped it for a name of more than 50,000 characters, a number of more than 1000 digits or a value nested more than 1000 deep. By the code, a gateway that cannot reach the store then stayed on the version before, and asked again every 30 s.

Change: the same reader as for the store.

StoreClaimsTests (9) pass.

--- a/gateway/src/main/java/org/snowwind/gateway/peer/PeerDocuments.java
+++ b/gateway/src/main/java/org/snowwind/gateway/peer/PeerDocuments.java
@@ -93,7 +93,7 @@
 		}
 		try {
 			if (kind == GatewayDocument.TABLE) {
-				this.tableReader.offer(Json.MAPPER.readTree(document.getDocument()), "peer " + peer);
+				this.tableReader.offer(Json.readForeign(document.getDocument()), "peer " + peer);
 				return;
 			}
 			Registry registry = Json.MAPPER.readValue(document.getDocument(), Registry.class);
