Let soaks by hand play with more gateways and servers

-Dsnowwind.soak.size=N plays with 4N gateways and 8N servers at the usual rate of requests; in the last series all gateways but one stop.

--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -34,11 +34,6 @@
 	/** One stream in so many continues one that its caller has in part. */
 	private static final int CONTINUED_ONE_IN = 3;
 
-	/**
-	 * How many gateways stop in overlapping series, so that callers still come to them.
-	 */
-	private static final int STOPPED_TOGETHER = GATEWAYS - 1;
-
 	private static final long BREAK_STREAMS_EVERY_MILLIS = 1200;
 
 	private static final long MOST_BETWEEN_STOPS_MILLIS = 700;
@@ -159,10 +154,11 @@
 	 * Starts everything that a soak needs.
 	 * @param seed decides on faults and load
 	 * @param extras what is played beside the usual faults
+	 * @param size the numbers of gateways and servers, as a multiple of the usual ones
 	 * @param folder takes settings and logs
 	 * @throws IOException if something cannot be started
 	 */
-	SoakRun(long seed, SoakExtras extras, Path folder) throws IOException {
+	SoakRun(long seed, SoakExtras extras, int size, Path folder) throws IOException {
 		this.random = new Random(seed);
 		this.fatal = new Random(seed + 3);
 		this.limits = new Random(seed + 4);
@@ -176,7 +172,7 @@
 		this.silentServers = new Random(seed + 12);
 		this.extras = extras;
 		this.streams = new Random(seed + 2);
-		this.world = new SoakWorld(folder, GATEWAYS, new Random(seed + 1));
+		this.world = new SoakWorld(folder, size * GATEWAYS, size, new Random(seed + 1));
 	}
 
 	/**
@@ -261,7 +257,8 @@
 		TimeUnit.MILLISECONDS.sleep(QUIET_MILLIS);
 		List<SoakGateway> order = new ArrayList<>(this.world.gateways());
 		Collections.shuffle(order, this.random);
-		for (SoakGateway gateway : order.subList(0, STOPPED_TOGETHER)) {
+		// All but one, so that callers still come to those that stop.
+		for (SoakGateway gateway : order.subList(0, order.size() - 1)) {
 			SoakFaults.stop(this.world, gateway, this::after);
 			TimeUnit.MILLISECONDS.sleep(this.random.nextLong(MOST_BETWEEN_STOPS_MILLIS));
 		}
@@ -322,7 +319,7 @@
 	}
 
 	private void call(Random load) {
-		SoakGateway gateway = this.world.gateways().get(load.nextInt(GATEWAYS));
+		SoakGateway gateway = this.world.gateways().get(load.nextInt(this.world.gateways().size()));
 		boolean isLong = load.nextInt(LONG_ONE_IN) == 0;
 		CallKind kind = isLong ? CallKind.LONG : KINDS.get(load.nextInt(KINDS.size()));
 		boolean continued = kind == CallKind.STREAM && load.nextInt(CONTINUED_ONE_IN) == 0;
@@ -331,7 +328,7 @@
 
 	private void callFatal() {
 		if (this.extras.fatal()) {
-			SoakGateway gateway = this.world.gateways().get(this.fatal.nextInt(GATEWAYS));
+			SoakGateway gateway = this.world.gateways().get(this.fatal.nextInt(this.world.gateways().size()));
 			this.caller.sendAgain(gateway, CallKind.FATAL, SoakWorld.KEY, "fatal");
 		}
 	}
@@ -351,7 +348,7 @@
 	}
 
 	private CompletableFuture<Call> send(List<String> sharedParts) {
-		SoakGateway gateway = this.world.gateways().get(this.prompts.nextInt(GATEWAYS));
+		SoakGateway gateway = this.world.gateways().get(this.prompts.nextInt(this.world.gateways().size()));
 		return this.caller.sendPrompt(gateway, CallKind.STREAM, SoakWorld.KEY, sharedParts);
 	}
 
@@ -402,7 +399,7 @@
 		if (this.extras.silentStore()) {
 			List<WrittenConfiguration> written = this.world.configurations();
 			int back = 1 + this.keys.nextInt(Math.min(written.size(), 2));
-			SoakGateway gateway = this.world.gateways().get(this.keys.nextInt(GATEWAYS));
+			SoakGateway gateway = this.world.gateways().get(this.keys.nextInt(this.world.gateways().size()));
 			this.caller.send(gateway, CallKind.AGAIN, written.get(written.size() - back).key());
 		}
 	}
--- a/app/src/test/java/org/snowwind/app/soak/SoakTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakTests.java
@@ -31,8 +31,12 @@
 	private static final Path FOLDER = Path.of(System.getProperty("snowwind.root"), "app/target/soak");
 
 	private static List<String> play(long seed, SoakExtras extras, long millis) throws Exception {
+		return play(seed, extras, 1, millis);
+	}
+
+	private static List<String> play(long seed, SoakExtras extras, int size, long millis) throws Exception {
 		Path folder = emptyFolder(seed);
-		try (SoakRun run = new SoakRun(seed, extras, folder)) {
+		try (SoakRun run = new SoakRun(seed, extras, size, folder)) {
 			List<String> broken = run.play(millis);
 			List<String> lines = new ArrayList<>();
 			lines.add("seed " + seed + ": " + run.summary() + ", " + broken.size() + " broken");
@@ -147,8 +151,9 @@
 	void soaksByHandBreakNoPromise() throws Exception {
 		long from = Long.getLong("snowwind.soak.from", 1000);
 		long seeds = Long.getLong("snowwind.soak.seeds", 0);
+		int size = Integer.getInteger("snowwind.soak.size", 1);
 		List<Callable<List<String>>> runs = LongStream.range(from, from + seeds)
-			.mapToObj((seed) -> (Callable<List<String>>) () -> play(seed, SoakExtras.of(seed), LONG_MILLIS))
+			.mapToObj((seed) -> (Callable<List<String>>) () -> play(seed, SoakExtras.of(seed), size, LONG_MILLIS))
 			.toList();
 		ExecutorService pool = Executors.newFixedThreadPool(Integer.getInteger("snowwind.soak.parallel", 3));
 		List<String> broken = new ArrayList<>();
--- a/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -101,7 +101,19 @@
 	private int serverRuns;
 
 	SoakWorld(Path folder, int gatewayCount, Random random) throws IOException {
-		this(folder, Collections.nCopies(gatewayCount, List.of("places")), random);
+		this(folder, gatewayCount, 1, random);
+	}
+
+	/**
+	 * Starts a world.
+	 * @param folder takes settings and logs
+	 * @param gatewayCount the number of gateways
+	 * @param size the number of servers, as a multiple of the usual one
+	 * @param random decides what the store does
+	 * @throws IOException if something cannot be started
+	 */
+	SoakWorld(Path folder, int gatewayCount, int size, Random random) throws IOException {
+		this(folder, Collections.nCopies(gatewayCount, List.of("places")), size, random);
 	}
 
 	/**
@@ -112,6 +124,10 @@
 	 * @throws IOException if something cannot be started
 	 */
 	SoakWorld(Path folder, List<List<String>> features, Random random) throws IOException {
+		this(folder, features, 1, random);
+	}
+
+	private SoakWorld(Path folder, List<List<String>> features, int size, Random random) throws IOException {
 		this.store = new StoreStandIn(this.loop, random);
 		InetSocketAddress storeAddress = this.store.start();
 		this.services.put(CallKind.ONCE, Set.of("desk"));
@@ -122,7 +138,7 @@
 		this.services.put(CallKind.MOVING, new HashSet<>());
 		configure();
 		for (Map.Entry<String, Integer> service : SERVERS.entrySet()) {
-			for (int i = 0; i < service.getValue(); i++) {
+			for (int i = 0; i < size * service.getValue(); i++) {
 				addServer(service.getKey());
 			}
 		}
