Count the wait for an error response in the price of silence

The body of an error response counted as an event, so that the time until a caller was told was near 0 for each 502 and 504. Second tries after a silence that began while their first try was left before it are no longer counted.

--- a/app/src/test/java/org/snowwind/app/soak/SilencePriceTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SilencePriceTests.java
@@ -63,7 +63,10 @@
 			}
 			TimeUnit.NANOSECONDS.sleep(beganNanos + TimeUnit.MILLISECONDS.toNanos(LOAD_MILLIS) - System.nanoTime());
 			world.stopCallers();
-			List<StreamCall> calls = world.calls().stream().filter((call) -> call.endedNanos() > beganNanos).toList();
+			List<StreamCall> calls = world.calls()
+				.stream()
+				.filter((call) -> (call.secondTry() ? call.sentNanos() : call.endedNanos()) > beganNanos)
+				.toList();
 			String line = cell + ": " + describe(calls, world.arrivals());
 			System.out.println("price of silence: " + line);
 			Files.writeString(FOLDER.resolve("summary.txt"), line + "\n", StandardOpenOption.CREATE,
--- a/app/src/test/java/org/snowwind/app/soak/StreamCaller.java
+++ b/app/src/test/java/org/snowwind/app/soak/StreamCaller.java
@@ -226,10 +226,13 @@
 		}
 
 		private void append(String text) {
+			this.body.append(text);
+			if (this.status != OK) {
+				return;
+			}
 			long nowNanos = System.nanoTime();
 			this.pauseNanos = Math.max(this.pauseNanos, nowNanos - this.lastEventNanos);
 			this.lastEventNanos = nowNanos;
-			this.body.append(text);
 			this.events = this.stream ? (int) this.body.toString().lines().filter(String::isEmpty).count() : 0;
 		}
 
@@ -241,8 +244,8 @@
 		private StreamCall ended(int gateway, StreamCall.Ending ending) {
 			long nowNanos = System.nanoTime();
 			return new StreamCall(this.id, this.stream, this.secondTry, gateway, this.sentNanos, this.lastEventNanos,
-					nowNanos, this.status, (this.status == OK) ? this.events : 0,
-					Math.max(this.pauseNanos, nowNanos - this.lastEventNanos), ending);
+					nowNanos, this.status, this.events, Math.max(this.pauseNanos, nowNanos - this.lastEventNanos),
+					ending);
 		}
 
 		private static String readBytes(InputStream in, int count) throws IOException {
