Keep a silent attempt of an entry unless another server takes over

An entry gave up an attempt after timing.stream_stall_millis of silence within its answer, after its share of the time without a head, or as soon as its server was suspected, and only then asked whether the work could be sent again. Callers of work that must run at most once, of plain answers that had begun, and of last attempts got 502 or an answer that was broken off, although the server went on a moment later.

Otherwise it is kept, and the question is asked again each 100 ms until the deadline. An answer that is whole ends as before.

--- a/entry/src/main/java/org/snowwind/entry/request/Attempt.java
+++ b/entry/src/main/java/org/snowwind/entry/request/Attempt.java
@@ -24,6 +24,9 @@
 
 	private static final int MIN_BUDGET_MILLIS = 1;
 
+	/** After how long it is asked again whether another server can take over. */
+	private static final long RECHECK_MILLIS = 100;
+
 	private static final int CLIENT_ERROR = 400;
 
 	private static final int SERVER_ERROR = 500;
@@ -63,7 +66,7 @@
 		this.observer = observer;
 		this.id = context.sequence().begin();
 		this.agentIncarnation = server.incarnation();
-		this.whenLost = request.repeatable() ? () -> fail("server suspected") : this::waitOn;
+		this.whenLost = request.repeatable() ? () -> giveUpIfAllowed("server suspected") : this::waitOn;
 	}
 
 	/**
@@ -75,7 +78,7 @@
 	void send(long budgetMillis, long headWithinMillis, int resumeAt) {
 		this.server.sent(this.whenLost);
 		this.server.breaker().recordSent();
-		this.timer = this.context.loop().later(() -> fail("no answer in time"), headWithinMillis);
+		this.timer = this.context.loop().later(() -> giveUpIfAllowed("no answer in time"), headWithinMillis);
 		Map<String, String> headers = new HashMap<>(this.request.headers());
 		headers.put(AttemptHeaders.ATTEMPT, this.id.toString());
 		headers.put(AttemptHeaders.INCARNATION, Long.toHexString(this.agentIncarnation));
@@ -207,7 +210,7 @@
 			finish(AttemptEnd.NOT_SENT);
 			return;
 		}
-		finish(this.headArrived ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.SENT_THEN_LOST);
+		finish(brokenEnd());
 	}
 
 	// Work that may not be repeated is not given up because its server falls silent: the
@@ -224,14 +227,32 @@
 		if (!this.over) {
 			this.cause = reason;
 			cancelCall();
-			finish(this.headArrived ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.SENT_THEN_LOST);
+			finish(brokenEnd());
+		}
+	}
+
+	// A server that is silent may still answer, so its attempt is kept until another
+	// server is certain to take over.
+	private void giveUpIfAllowed(String reason) {
+		if (this.over) {
+			return;
 		}
+		if (this.observer.mayGiveUp(brokenEnd())) {
+			fail(reason);
+			return;
+		}
+		this.timer.cancel(false);
+		this.timer = this.context.loop().later(() -> giveUpIfAllowed(reason), RECHECK_MILLIS);
+	}
+
+	private AttemptEnd brokenEnd() {
+		return this.headArrived ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.SENT_THEN_LOST;
 	}
 
 	private void restartStallTimer(boolean running) {
 		this.timer.cancel(false);
 		if (running && !this.over) {
-			this.timer = this.context.loop().later(() -> fail("silent"), this.context.streamStallMillis());
+			this.timer = this.context.loop().later(() -> giveUpIfAllowed("silent"), this.context.streamStallMillis());
 		}
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/request/AttemptObserver.java
+++ b/entry/src/main/java/org/snowwind/entry/request/AttemptObserver.java
@@ -22,6 +22,13 @@
 	 */
 	void answerBytes(byte[] bytes);
 
+	/**
+	 * Returns whether the attempt may be given up now because its server is silent.
+	 * @param end how the attempt would end
+	 * @return false if that would end the request without a whole answer
+	 */
+	boolean mayGiveUp(AttemptEnd end);
+
 	/**
 	 * The attempt is over.
 	 * @param end how it ended
--- a/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
@@ -11,6 +11,7 @@
 import org.snowwind.decide.outcome.NextStep;
 import org.snowwind.decide.outcome.NextStepRules;
 import org.snowwind.decide.outcome.RetryContext;
+import org.snowwind.decide.outcome.SilentAttempt;
 import org.snowwind.entry.burn.BurnCounter;
 import org.snowwind.entry.member.Server;
 import org.snowwind.http.server.HttpExchange;
@@ -393,15 +394,30 @@
 		return end;
 	}
 
+	@Override
+	public boolean mayGiveUp(AttemptEnd end) {
+		return SilentAttempt.mayGiveUp(situation(trueEnd(end)), otherServerIsHealthy());
+	}
+
+	private boolean otherServerIsHealthy() {
+		long nowMillis = this.context.clock().nowMillis();
+		return chooseServer()
+			.filter((server) -> !server.name().equals(this.attempt.server().name()) && server.healthy(nowMillis))
+			.isPresent();
+	}
+
+	private RetryContext situation(AttemptEnd end) {
+		boolean serverLeft = this.context.servers().anyLeft(this.request.target(), this.refusedBy);
+		return new RetryContext(end, this.request.repeatable(), this.tracker.resumable(), this.bytesDelivered,
+				this.attemptsUsed, this.request.policy().maxAttempts(), remainingMillis(), retryBudget().allows(),
+				serverLeft, this.mayHaveRun, this.attempt.refusal());
+	}
+
 	private void decide(AttemptEnd end) {
 		if (end == AttemptEnd.REFUSED) {
 			this.refusedBy.add(this.attempt.server().name());
 		}
-		boolean serverLeft = this.context.servers().anyLeft(this.request.target(), this.refusedBy);
-		RetryContext situation = new RetryContext(end, this.request.repeatable(), this.tracker.resumable(),
-				this.bytesDelivered, this.attemptsUsed, this.request.policy().maxAttempts(), remainingMillis(),
-				retryBudget().allows(), serverLeft, this.mayHaveRun, this.attempt.refusal());
-		NextStep next = NextStepRules.decide(situation);
+		NextStep next = NextStepRules.decide(situation(end));
 		logDecision(end, next);
 		// Whoever is asked about a lost attempt may still prove that it did not run.
 		this.mayHaveRun |= end.mayHaveRunUnanswered() && next != NextStep.REVOKE;
--- a/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
+++ b/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
@@ -75,6 +75,9 @@
 
 	private final ConfigHolder config = new ConfigHolder("test");
 
+	/** Suspects each server that was not heard of within the last millisecond. */
+	private final ServerTable servers = new ServerTable("casa", this.clock, new Random(1), 0);
+
 	private final CallerHandler handler;
 
 	private final HttpServer server;
@@ -86,9 +89,8 @@
 	}
 
 	EntryFixture(MeterRegistry meters) {
-		ServerTable servers = new ServerTable("casa", this.clock, new Random(1), 60_000);
-		RequestContext context = new RequestContext(this.loop, this.client, servers, new OrganisationGates(this.clock),
-				new AttemptSequence(7),
+		RequestContext context = new RequestContext(this.loop, this.client, this.servers,
+				new OrganisationGates(this.clock), new AttemptSequence(7),
 				(control, incarnation, id, whenKnown) -> whenKnown.accept(AttemptEnd.LOST_FOR_GOOD),
 				new RequestMeters(meters), new BurnCounter(() -> 0), this.clock, new Random(1), "fleet", 2000);
 		this.handler = new CallerHandler(context, this.config, this.claims);
@@ -98,8 +100,8 @@
 		Snapshot snapshot = snapshot();
 		this.config.offer(snapshot);
 		onLoop(() -> {
-			servers.use(snapshot);
-			snapshot.servers().forEach((listed) -> servers.heard(listed.name(), report(listed.name())));
+			this.servers.use(snapshot);
+			snapshot.servers().forEach((listed) -> this.servers.heard(listed.name(), report(listed.name())));
 		});
 	}
 
@@ -135,6 +137,11 @@
 		return this;
 	}
 
+	/** Suspects all servers, as after a pause of this entry. */
+	void suspectAll() {
+		onLoop(this.servers::suspectSilent);
+	}
+
 	ScriptedPeer agent() {
 		return this.agent;
 	}
