Suspect all silent servers before their attempts are told

After a pause of an entry itself all servers have been silent for too long. They were suspected one by one, and the attempts at each were told before the next server was suspected. So a request was sent from one silent server to the next until it had no attempts left: the caller got 502 although the first server answered. All silent servers are now suspected first, and an attempt is kept if no server is left that looks healthy.

attemptIsNotGivenUpIfAllServersAreSuspected failed before (502), also with silent attempts kept, and passes now, with SilentAttempt*Tests, RequestFlow*Tests, KeptConnectionTests and BackPressureTests (47 tests, none failed).

--- a/entry/src/main/java/org/snowwind/entry/member/ServerTable.java
+++ b/entry/src/main/java/org/snowwind/entry/member/ServerTable.java
@@ -144,12 +144,15 @@
 	 */
 	public void suspectSilent() {
 		long silentSinceMillis = this.clock.nowMillis() - this.suspectAfterMillis;
-		for (Server server : List.copyOf(this.servers.values())) {
+		List<Server> suspected = new ArrayList<>();
+		for (Server server : this.servers.values()) {
 			if (server.suspectIfSilent(silentSinceMillis)) {
 				EventLog.log(Event.SERVER_SUSPECTED, "server", server.name());
-				loseWaiting(server);
+				suspected.add(server);
 			}
 		}
+		// Only then is it known which servers are left.
+		suspected.forEach(ServerTable::loseWaiting);
 	}
 
 	private static void loseWaiting(Server server) {
--- a/entry/src/test/java/org/snowwind/entry/request/SilentAttemptFlowTests.java
+++ b/entry/src/test/java/org/snowwind/entry/request/SilentAttemptFlowTests.java
@@ -115,6 +115,13 @@
 		};
 	}
 
+	@Test
+	void attemptIsNotGivenUpIfAllServersAreSuspected() throws IOException {
+		this.entry.meets(suspectedBeforeItsHead()).meets(Scripts.always("", "second"));
+		assertWhole(this.entry.get("/lookup"), "first");
+		assertThat(this.entry.agent().received()).hasSize(1);
+	}
+
 	@Test
 	void lastAttemptIsNotGivenUpIfItsServerIsSuspected() throws IOException {
 		for (int i = 0; i < 2; i++) {
