--- a/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
+++ b/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
@@ -75,7 +75,8 @@
 
 	private final ConfigHolder config = new ConfigHolder("test");
 
-	private final ServerTable servers = new ServerTable("casa", this.clock, new Random(1), 60_000);
+	/** Suspects each server that was not heard of within the last millisecond. */
+	private final ServerTable servers = new ServerTable("casa", this.clock, new Random(1), 0);
 
 	private final CallerHandler handler;
 
@@ -136,6 +137,11 @@
 		return this;
 	}
 
+	/** Suspects all servers, as after a pause of this entry. */
+	void suspectAll() {
+		onLoop(this.servers::suspectSilent);
+	}
+
 	ScriptedPeer agent() {
 		return this.agent;
 	}
