Describe the stall time of entries as it is now

After a pause this long another server continues an answer if one can; otherwise the attempt is kept. Comments only.

--- a/config/src/main/java/org/snowwind/config/settings/EntrySettings.java
+++ b/config/src/main/java/org/snowwind/config/settings/EntrySettings.java
@@ -21,7 +21,8 @@
  * @param graceMillis how long requests are still taken at a stop, while readiness already
  * tells the balancer to go elsewhere, in milliseconds
  * @param drainMillis how long running requests may take at a stop, in milliseconds
- * @param streamStallMillis an answer that pauses so long is broken, in milliseconds
+ * @param streamStallMillis the pause after which another server continues an answer if
+ * one can, in milliseconds
  * @param burnWriteMillis how often counts of good and bad requests are written to the
  * platform, in milliseconds
  * @param maxConnections how many connections of callers may be open
--- a/entry/src/main/java/org/snowwind/entry/request/RequestContext.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestContext.java
@@ -24,7 +24,8 @@
  * @param clock tells the time
  * @param random spreads the times to come back
  * @param fleetCredential shared by all processes of the fleet
- * @param streamStallMillis an answer that pauses so long is broken, in milliseconds
+ * @param streamStallMillis the pause after which another server continues an answer if
+ * one can, in milliseconds
  */
 public record RequestContext(DataLoop loop, UpstreamClient client, ServerTable servers, OrganisationGates gates,
 		AttemptSequence sequence, Revoker revoker, RequestMeters meters, BurnCounter burn, MonotonicClock clock,
