Do not end a silent attempt for a comment or an empty end of its replacement

What callers saw: a stream whose server paused for more than a second was cut, or ended as complete after a part of its events, although its server went on.

Cause: any complete event ended the other attempts, also a comment, which a server sends while it has nothing to answer; and a replacement that ended without an event counted as the end of the stream. Only an event or a whole answer may end a silent attempt.

The comment before the end of a connection without a length and the end after a silence were added with the change.

Change: comments of an attempt beside others are dropped, and a stream that has delivered nothing does not end the request while another attempt is open. A stream that delivered its events and ends after a silence is still complete at once. Besides, found by reading: an attempt whose send throws is no longer awaited until the deadline, and an error response is kept until the next attempt was sent, as it was before attempts could be silent. No test covers these two.

Not run: real processes, other tests.

--- a/gateway/src/main/java/org/snowwind/gateway/request/EventTimes.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/EventTimes.java
@@ -46,6 +46,14 @@
 		return pauseMillis;
 	}
 
+	/**
+	 * Returns whether an event was recorded.
+	 * @return true from the first event on
+	 */
+	boolean started() {
+		return this.started;
+	}
+
 	/**
 	 * Returns the time from the start of the measurement to the first event.
 	 * @return the time, in milliseconds; 0 before the first event
--- a/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/Relay.java
@@ -229,11 +229,15 @@
 				this.needsServerSinceMillis, this.serverWait.isWaiting(), this.memory);
 	}
 
+	// The error of the last attempt is still passed on if nothing is sent.
 	private void sendTo(Backend backend) {
-		releaseEnded();
+		Attempt before = this.ended;
 		if (!this.attempts.send(backend, remainingMillis())) {
 			finishUnsent(ProblemKind.OVERLOADED);
 		}
+		else if (before != null) {
+			before.release();
+		}
 	}
 
 	// No attempt is in flight. The request is reported as not run only if no attempt was
@@ -359,6 +363,10 @@
 
 	@Override
 	public void onEvents(Attempt attempt, List<StreamEvent> events) {
+		// A comment does not show that the server can go on with the stream.
+		if (this.attempts.anyOpenBeside(attempt) && events.stream().noneMatch(StreamEvent::answers)) {
+			return;
+		}
 		this.attempts.keepOnly(attempt);
 		recordEvents(attempt);
 		if (!this.exchange.begun()) {
@@ -442,16 +450,18 @@
 		}
 	}
 
-	// A stream that ends within an event is broken. A server error does not count as the
-	// response while another server may still succeed, and neither does a status that
-	// promises without proof that the request has not run.
+	// A stream that ends within an event is broken, and so is one that ends without an
+	// event while another attempt of the request may still go on. A server error does not
+	// count as the response while another server may still succeed, and neither does a
+	// status that promises without proof that the request has not run.
 	private AttemptEnd effectiveEnd(Attempt attempt, AttemptEnd end) {
 		if (end != AttemptEnd.ANSWERED) {
 			return end;
 		}
 		ResponseBuffer response = attempt.response();
 		if (response.isStream()) {
-			boolean broken = response.isIncomplete() || !this.exchange.begun();
+			boolean endsInPlaceOfAnother = !attempt.eventTimes().started() && this.attempts.anyOpenBeside(attempt);
+			boolean broken = response.isIncomplete() || !this.exchange.begun() || endsInPlaceOfAnother;
 			return broken ? AttemptEnd.BEGAN_THEN_BROKE : AttemptEnd.ANSWERED;
 		}
 		if (NOT_RUN_STATUSES.contains(response.status())) {
--- a/gateway/src/main/java/org/snowwind/gateway/request/RequestAttempts.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/RequestAttempts.java
@@ -108,6 +108,15 @@
 		return !this.open.isEmpty();
 	}
 
+	/**
+	 * Returns whether another attempt is open.
+	 * @param attempt the attempt that is not counted
+	 * @return true if at least one other attempt may still answer
+	 */
+	boolean anyOpenBeside(Attempt attempt) {
+		return this.open.stream().anyMatch((other) -> other != attempt);
+	}
+
 	/**
 	 * Sends the request to a server.
 	 * @param backend the server
@@ -133,7 +142,15 @@
 		this.open.add(attempt);
 		Attempt.SilenceLimits limits = silenceLimits(remainingMillis);
 		this.possibleRuns++;
-		attempt.send(remainingMillis, limits);
+		try {
+			attempt.send(remainingMillis, limits);
+		}
+		catch (RuntimeException | Error ex) {
+			// An attempt that is never answered must not be awaited.
+			this.open.remove(attempt);
+			attempt.abandon("not sent for an error in this process");
+			throw ex;
+		}
 		return true;
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/request/StreamEvent.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/StreamEvent.java
@@ -11,4 +11,12 @@
  */
 record StreamEvent(String id, boolean hasData, byte[] bytes) {
 
+	/**
+	 * Returns whether the event advances the stream.
+	 * @return false for a comment
+	 */
+	boolean answers() {
+		return this.hasData || this.id != null;
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelaySilenceTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelaySilenceTests.java
@@ -189,6 +189,53 @@
 		assertComplete(this.gateway.call("/steady/a"));
 	}
 
+	@Test
+	void commentOfAReplacementThatThenFailsDoesNotEndThePausingStream() throws IOException {
+		this.gateway.addServer(pausingStream(LONG_SILENCE_MILLIS));
+		ScriptedServer other = this.gateway.addServer((request, answer) -> {
+			answer.write(CHUNKED);
+			answer.writeChunk(": ping\n\n");
+		});
+		assertComplete(this.gateway.call("/steady/a"));
+		assertThat(other.received()).hasSize(1);
+	}
+
+	@Test
+	void pausingStreamIsNotCompleteBecauseItsReplacementEndsWithItsConnectionAfterTheHead() throws IOException {
+		this.gateway.addServer(pausingStream(LONG_SILENCE_MILLIS));
+		this.gateway.addServer((request, answer) -> answer.write("HTTP/1.1 200 OK\r\n" + SIGNED + "\r\n"));
+		assertComplete(this.gateway.call("/steady/a"));
+	}
+
+	@Test
+	void pausingStreamIsNotCompleteBecauseItsReplacementClosesAfterAComment() throws IOException {
+		this.gateway.addServer(pausingStream(LONG_SILENCE_MILLIS));
+		this.gateway.addServer((request, answer) -> answer.write("HTTP/1.1 200 OK\r\n" + SIGNED + "\r\n: ping\n\n"));
+		assertComplete(this.gateway.call("/steady/a"));
+	}
+
+	@Test
+	void streamThatEndsAfterASilenceIsCompleteWithoutItsReplacement() throws IOException {
+		this.gateway.addServer((request, answer) -> {
+			answer.write(CHUNKED);
+			answer.writeChunk(event(1) + event(2));
+			answer.await(new CountDownLatch(1), LONG_SILENCE_MILLIS);
+			answer.write(LAST_CHUNK);
+		});
+		this.gateway.addServer(silent(new CountDownLatch(1)));
+		assertComplete(this.gateway.call("/steady/a", "t-patience: 4000"));
+	}
+
+	@Test
+	void pausingStreamIsNotCompleteBecauseItsReplacementEndsWithoutEvents() throws IOException {
+		this.gateway.addServer(pausingStream(LONG_SILENCE_MILLIS));
+		this.gateway.addServer((request, answer) -> {
+			answer.write(CHUNKED);
+			answer.write(LAST_CHUNK);
+		});
+		assertComplete(this.gateway.call("/steady/a"));
+	}
+
 	@Test
 	void silentReplacementIsEndedWhenThePausingStreamGoesOn() throws Exception {
 		CompletableFuture<Boolean> closed = new CompletableFuture<>();
