Prefer other servers only to one whose streams all pause

A plain server sends nothing while it works, so more than 500 ms of work before its first answer made it silent.

Change: new requests avoid a silent server only if it has begun streams, which send events all the time. Replacements still go only to servers that are not silent.

--- a/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/Backend.java
@@ -284,6 +284,17 @@
 		return this.inFlight > 0 && this.silence.exceeds(attentiveMillis, longestSilenceMillis());
 	}
 
+	/**
+	 * Returns whether the server has begun streams and is silent. A server that only
+	 * works on plain requests sends nothing meanwhile.
+	 * @param attentiveMillis the time during which this process could observe servers, in
+	 * milliseconds
+	 * @return true if all its streams pause
+	 */
+	boolean isStalled(long attentiveMillis) {
+		return this.streams > 0 && isSilent(attentiveMillis);
+	}
+
 	/**
 	 * Returns whether the server has sent something lately.
 	 * @param attentiveMillis the time during which this process could observe servers, in
--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -335,15 +336,16 @@
 	}
 
 	/**
-	 * Chooses a server that has room. One that is not silent is preferred.
+	 * Chooses a server that has room. One whose streams do not all pause is preferred.
 	 * @param requirements the requirements
 	 * @return a server with room, empty if none has room
 	 */
 	public Optional<Backend> choose(ServerRequirements requirements) {
 		List<Candidate> trusted = candidates(requirements, true);
 		List<Candidate> candidates = trusted.isEmpty() ? candidates(requirements, false) : trusted;
-		List<Candidate> notSilent = notSilent(candidates);
-		return pick(requirements, notSilent.isEmpty() ? candidates : notSilent);
+		long attentiveMillis = attentiveMillis();
+		List<Candidate> notStalled = without(candidates, (backend) -> backend.isStalled(attentiveMillis));
+		return pick(requirements, notStalled.isEmpty() ? candidates : notStalled);
 	}
 
 	/**
@@ -352,16 +354,17 @@
 	 * @return the server, empty if there is none
 	 */
 	Optional<Backend> chooseHeard(ServerRequirements requirements) {
-		return pick(requirements, notSilent(candidates(requirements, true)));
+		long attentiveMillis = attentiveMillis();
+		return pick(requirements,
+				without(candidates(requirements, true), (backend) -> backend.isSilent(attentiveMillis)));
 	}
 
 	private Optional<Backend> pick(ServerRequirements requirements, List<Candidate> candidates) {
 		return strategyFor(requirements).pick(candidates, this.random);
 	}
 
-	private List<Candidate> notSilent(List<Candidate> candidates) {
-		long attentiveMillis = attentiveMillis();
-		return candidates.stream().filter((candidate) -> !candidate.backend().isSilent(attentiveMillis)).toList();
+	private static List<Candidate> without(List<Candidate> candidates, Predicate<Backend> excluded) {
+		return candidates.stream().filter((candidate) -> !excluded.test(candidate.backend())).toList();
 	}
 
 	private List<Candidate> candidates(ServerRequirements requirements, boolean trustedOnly) {
--- a/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/backend/BackendTableTests.java
@@ -65,6 +65,34 @@
 		assertThat(choose(NONE)).isEqualTo("a");
 	}
 
+	@Test
+	void slowPlainServerWithAFreePlaceIsNotPassedOverForAServerWithAQueue() {
+		register(server("a", false), server("b", false));
+		server("a").onSending(this.table.attentiveMillis());
+		server("a").onSent(this.clock.nowMillis());
+		for (int i = 0; i < 4; i++) {
+			server("b").onSent(this.clock.nowMillis());
+		}
+		this.clock.advance(600);
+		server("b").onHeard(this.table.attentiveMillis());
+		assertThat(this.table.choose(new ServerRequirements("s", NONE, 6, null, 0)).orElseThrow().id()).isEqualTo("a");
+	}
+
+	@Test
+	void serverWhoseStreamsAllPauseGetsNoNewRequestWhileAnotherHasRoom() {
+		register(server("a", false), server("b", false));
+		for (String id : List.of("a", "b", "b")) {
+			server(id).onSending(this.table.attentiveMillis());
+			server(id).onSent(this.clock.nowMillis());
+			server(id).onStreamStart(this.clock.nowMillis());
+		}
+		this.clock.advance(600);
+		server("b").onHeard(this.table.attentiveMillis());
+		assertThat(choose(NONE)).isEqualTo("b");
+		server("a").onHeard(this.table.attentiveMillis());
+		assertThat(choose(NONE)).isEqualTo("a");
+	}
+
 	@Test
 	void fullServerIsNotChosen() {
 		register(server("a", false));
