Draw as often as before when no trusted server has room

Cause: the choice of a server among none drew a random number before and did not since silent servers are avoided, so that all later draws of the model differed.

The choice is made as before, among the candidates whose streams do not all pause.

ClosedGroupLoadTests 5, BackendTableTests 25, GroupLoadTests 11, RelaySilenceTests 17 passed.

--- a/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/backend/BackendTable.java
@@ -341,8 +341,11 @@
 	 * @return a server with room, empty if none has room
 	 */
 	public Optional<Backend> choose(ServerRequirements requirements) {
-		List<Candidate> trusted = candidates(requirements, true);
-		List<Candidate> candidates = trusted.isEmpty() ? candidates(requirements, false) : trusted;
+		Optional<Backend> trusted = pickNotStalled(requirements, candidates(requirements, true));
+		return trusted.isPresent() ? trusted : pickNotStalled(requirements, candidates(requirements, false));
+	}
+
+	private Optional<Backend> pickNotStalled(ServerRequirements requirements, List<Candidate> candidates) {
 		long attentiveMillis = attentiveMillis();
 		List<Candidate> notStalled = without(candidates, (backend) -> backend.isStalled(attentiveMillis));
 		return pick(requirements, notStalled.isEmpty() ? candidates : notStalled);
