--- a/app/src/test/java/org/snowwind/app/soak/SilentServersTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SilentServersTests.java
@@ -75,7 +75,7 @@
 		TimeUnit.MILLISECONDS.sleep(STOP_BEFORE_SILENCE_MILLIS);
 	}
 
-	private boolean mayEnd(StreamCall call) {
+	private boolean isAllowedEnd(StreamCall call) {
 		long tookMillis = TimeUnit.NANOSECONDS.toMillis(call.endedNanos() - call.sentNanos());
 		return tookMillis >= SilenceWorld.TIMEOUT_MILLIS - DEADLINE_MARGIN_MILLIS
 				|| this.stops.stream().anyMatch((stop) -> stop.allowsCut(call));
@@ -89,7 +89,7 @@
 					(call) -> (call.stream() ? "stream " : "plain ") + call.status() + " " + call.ending(),
 					TreeMap::new, Collectors.counting()));
 		List<String> lost = calls.stream()
-			.filter((call) -> !call.isComplete() && passedOn.contains(call.id()) && !mayEnd(call))
+			.filter((call) -> !call.isComplete() && passedOn.contains(call.id()) && !isAllowedEnd(call))
 			.map((call) -> call.describe() + stopped(call))
 			.toList();
 		Files.writeString(FOLDER.resolve("summary.txt"), summary + ": " + endings + ", lost " + lost.size() + "\n",
--- a/decide/src/main/java/org/snowwind/decide/outcome/SilentAttempt.java
+++ b/decide/src/main/java/org/snowwind/decide/outcome/SilentAttempt.java
@@ -19,7 +19,7 @@
 	 * and to one that looks healthy
 	 * @return true if another server takes over, or if the answer is whole already
 	 */
-	public static boolean mayGiveUp(RetryContext afterBreak, boolean otherServerIsHealthy) {
+	public static boolean isReplaceable(RetryContext afterBreak, boolean otherServerIsHealthy) {
 		if (afterBreak.end() == AttemptEnd.ANSWERED) {
 			return true;
 		}
--- a/decide/src/test/java/org/snowwind/decide/outcome/SilentAttemptTests.java
+++ b/decide/src/test/java/org/snowwind/decide/outcome/SilentAttemptTests.java
@@ -6,8 +6,8 @@
 
 class SilentAttemptTests {
 
-	private static boolean mayGiveUp(RetryContext afterBreak) {
-		return SilentAttempt.mayGiveUp(afterBreak, true);
+	private static boolean isReplaceable(RetryContext afterBreak) {
+		return SilentAttempt.isReplaceable(afterBreak, true);
 	}
 
 	private static RetryContext limited(boolean retryBudgetLeft, boolean serverLeft) {
@@ -17,51 +17,53 @@
 
 	@Test
 	void repeatableAttemptIsReplacedByAnotherServer() {
-		assertThat(mayGiveUp(RetryContexts.after(AttemptEnd.SENT_THEN_LOST, true))).isTrue();
-		assertThat(mayGiveUp(RetryContexts.after(AttemptEnd.BEGAN_THEN_BROKE, true))).isTrue();
+		assertThat(isReplaceable(RetryContexts.after(AttemptEnd.SENT_THEN_LOST, true))).isTrue();
+		assertThat(isReplaceable(RetryContexts.after(AttemptEnd.BEGAN_THEN_BROKE, true))).isTrue();
 	}
 
 	@Test
 	void resumableAnswerIsReplacedByAnotherServer() {
-		assertThat(mayGiveUp(RetryContexts.delivered(AttemptEnd.BEGAN_THEN_BROKE, true, true))).isTrue();
+		assertThat(isReplaceable(RetryContexts.delivered(AttemptEnd.BEGAN_THEN_BROKE, true, true))).isTrue();
 	}
 
 	@Test
 	void attemptIsNotGivenUpIfNoOtherHealthyServerIsChosen() {
-		assertThat(SilentAttempt.mayGiveUp(RetryContexts.after(AttemptEnd.BEGAN_THEN_BROKE, true), false)).isFalse();
+		assertThat(SilentAttempt.isReplaceable(RetryContexts.after(AttemptEnd.BEGAN_THEN_BROKE, true), false))
+			.isFalse();
 	}
 
 	@Test
 	void attemptThatMustNotBeRepeatedIsNotGivenUp() {
-		assertThat(mayGiveUp(RetryContexts.after(AttemptEnd.SENT_THEN_LOST, false))).isFalse();
-		assertThat(mayGiveUp(RetryContexts.after(AttemptEnd.BEGAN_THEN_BROKE, false))).isFalse();
+		assertThat(isReplaceable(RetryContexts.after(AttemptEnd.SENT_THEN_LOST, false))).isFalse();
+		assertThat(isReplaceable(RetryContexts.after(AttemptEnd.BEGAN_THEN_BROKE, false))).isFalse();
 	}
 
 	@Test
 	void answerThatCannotBeResumedIsNotGivenUp() {
-		assertThat(mayGiveUp(RetryContexts.delivered(AttemptEnd.BEGAN_THEN_BROKE, true, false))).isFalse();
+		assertThat(isReplaceable(RetryContexts.delivered(AttemptEnd.BEGAN_THEN_BROKE, true, false))).isFalse();
 	}
 
 	@Test
 	void lastAttemptIsNotGivenUp() {
-		assertThat(mayGiveUp(RetryContexts.spent(AttemptEnd.SENT_THEN_LOST, true, 1000, null))).isFalse();
-		assertThat(mayGiveUp(RetryContexts.spent(AttemptEnd.BEGAN_THEN_BROKE, true, 1000, null))).isFalse();
+		assertThat(isReplaceable(RetryContexts.spent(AttemptEnd.SENT_THEN_LOST, true, 1000, null))).isFalse();
+		assertThat(isReplaceable(RetryContexts.spent(AttemptEnd.BEGAN_THEN_BROKE, true, 1000, null))).isFalse();
 	}
 
 	@Test
 	void attemptIsNotGivenUpIfTheRetryBudgetIsSpent() {
-		assertThat(mayGiveUp(limited(true, true))).isTrue();
-		assertThat(mayGiveUp(limited(false, true))).isFalse();
+		assertThat(isReplaceable(limited(true, true))).isTrue();
+		assertThat(isReplaceable(limited(false, true))).isFalse();
 	}
 
 	@Test
 	void answerThatIsWholeEndsThoughItsServerIsSilent() {
-		assertThat(SilentAttempt.mayGiveUp(RetryContexts.delivered(AttemptEnd.ANSWERED, false, false), false)).isTrue();
+		assertThat(SilentAttempt.isReplaceable(RetryContexts.delivered(AttemptEnd.ANSWERED, false, false), false))
+			.isTrue();
 	}
 
 	@Test
 	void attemptIsNotGivenUpIfNoServerIsLeft() {
-		assertThat(mayGiveUp(limited(true, false))).isFalse();
+		assertThat(isReplaceable(limited(true, false))).isFalse();
 	}
 
 }
--- a/entry/src/main/java/org/snowwind/entry/request/Attempt.java
+++ b/entry/src/main/java/org/snowwind/entry/request/Attempt.java
@@ -240,7 +240,7 @@
 		if (this.over) {
 			return;
 		}
-		if (this.observer.mayGiveUp(brokenEnd())) {
+		if (this.observer.isReplaceable(brokenEnd())) {
 			fail(reason);
 			return;
 		}
--- a/entry/src/main/java/org/snowwind/entry/request/AttemptObserver.java
+++ b/entry/src/main/java/org/snowwind/entry/request/AttemptObserver.java
@@ -27,7 +27,7 @@
 	 * @param end how the attempt would end
 	 * @return false if that would end the request without a whole answer
 	 */
-	boolean mayGiveUp(AttemptEnd end);
+	boolean isReplaceable(AttemptEnd end);
 
 	/**
 	 * The attempt is over.
--- a/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/snowwind/entry/request/RequestFlow.java
@@ -395,8 +395,8 @@
 	}
 
 	@Override
-	public boolean mayGiveUp(AttemptEnd end) {
-		return SilentAttempt.mayGiveUp(situation(trueEnd(end)), otherServerIsHealthy());
+	public boolean isReplaceable(AttemptEnd end) {
+		return SilentAttempt.isReplaceable(situation(trueEnd(end)), otherServerIsHealthy());
 	}
 
 	private boolean otherServerIsHealthy() {
