Reject responses whose status line is not valid

Callers got the answers of servers in trouble as answers: status 000 as 'HTTP/1.1 0 Unknown Status (0)' with the server's signature and body, 600 and 1000 with that number, 0200, +200, another version of HTTP or a control character in the reason as a plain 200.

Cause: the codec of the HTTP library takes any number as the status and any word as the version, and nothing checked what it read. Ruled out: the relay, since the client of http alone hands over the same; a check of the decoded head, since 0200 and HTTP/9.9 cannot be told there from 200 and HTTP/1.1.

Change: ResponseSyntax follows the bytes of each connection before they are decoded and checks the status line of each response, interim or final, by RFC 9110, section 15, and RFC 9112, sections 2.3 and 4. White space that a recipient may accept is accepted. It is set up in UpstreamClient and JsonClient, so that servers, agents, ranks, the store and the operators' client are read by it.

--- a/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/snowwind/agent/AgentDaemon.java
@@ -128,6 +128,7 @@
 		Gauge.builder("snowwind.agent.concurrency.limit", this.state, AgentState::concurrencyLimit).register(registry);
 		Gauge.builder("snowwind.agent.ledger.attempts", this.state, (agent) -> agent.ledger().size())
 			.register(registry);
+		this.client.faults().registerMeters(registry, "backends");
 		Gauge.builder("snowwind.agent.config.revision", this.state, AgentState::configRevision).register(registry);
 	}
 
--- a/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/snowwind/entry/EntryDaemon.java
@@ -176,6 +176,8 @@
 		Gauge.builder("snowwind.entry.config.revision", this.config, (holder) -> holder.current().revision().toLong())
 			.register(registry);
 		Gauge.builder("snowwind.entry.servers.healthy", this.servers, ServerTable::healthyCount).register(registry);
+		this.client.faults().registerMeters(registry, "agents");
+		this.platformClient.faults().registerMeters(registry, "store");
 		Gauge.builder("snowwind.entry.connections", () -> this.callerServer.connections()).register(registry);
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/snowwind/gateway/GatewayDaemon.java
@@ -350,6 +350,9 @@
 		this.evacuations.registerMeters(registry, this::dataCentres);
 		this.memory.registerMeters(registry, this.backends.memoryShortage());
 		this.answerMemory.registerMeters(registry);
+		this.client.faults().registerMeters(registry, "servers");
+		this.rankClient.faults().registerMeters(registry, "ranks");
+		this.adapters.storeFaults().registerMeters(registry, "store");
 		Gauge.builder("snowwind.gateway.requests.suspected", () -> this.suspects.view().suspects().size())
 			.register(registry);
 		Gauge.builder("snowwind.gateway.requests.blamed", () -> this.suspects.view().blamed().size())
--- a/http/src/main/java/org/snowwind/http/client/FinalAnswersOnly.java
+++ b/http/src/main/java/org/snowwind/http/client/FinalAnswersOnly.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -11,6 +12,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.asynchttpclient.netty.channel.ChannelManager;
+import org.snowwind.http.client.syntax.MalformedResponseException;
+import org.snowwind.http.client.syntax.ResponseFault;
+import org.snowwind.http.client.syntax.ResponseFaults;
 
 /**
  * Leaves out provisional answers, which the library would take for the final one.
@@ -27,24 +31,32 @@
 	 */
 	private static final int MAX_PROVISIONAL = 64;
 
+	private final ResponseFaults faults;
+
 	private int provisionalAnswers;
 
 	private boolean provisional;
 
 	private boolean changesProtocol;
 
+	private FinalAnswersOnly(ResponseFaults faults) {
+		this.faults = faults;
+	}
+
 	/**
 	 * Sets the handler up on a new connection.
 	 * @param connection the connection
+	 * @param faults records responses that cannot be decoded
 	 */
-	static void on(Channel connection) {
-		connection.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, new FinalAnswersOnly());
+	static void on(Channel connection, ResponseFaults faults) {
+		connection.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, new FinalAnswersOnly(faults));
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
 			// Nothing more can be read, so the call must fail.
+			recordFault(context.channel(), part.decoderResult().cause());
 			context.fireChannelRead(message);
 			return;
 		}
@@ -68,4 +80,12 @@
 		this.provisional = this.changesProtocol || !(message instanceof LastHttpContent);
 	}
 
+	// A response that is cut off is incomplete, not malformed.
+	private void recordFault(Channel connection, Throwable cause) {
+		if (!(cause instanceof PrematureChannelClosureException)) {
+			this.faults.record(connection,
+					new MalformedResponseException(ResponseFault.UNDECODABLE, cause.getClass().getSimpleName()));
+		}
+	}
+
 }
--- a/http/src/main/java/org/snowwind/http/client/JsonClient.java
+++ b/http/src/main/java/org/snowwind/http/client/JsonClient.java
@@ -18,7 +18,10 @@
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
+import org.asynchttpclient.netty.channel.ChannelManager;
 import org.snowwind.http.EndToEndHeaders;
+import org.snowwind.http.client.syntax.ResponseFaults;
+import org.snowwind.http.client.syntax.ResponseSyntax;
 import org.snowwind.model.Json;
 
 /**
@@ -45,6 +48,8 @@
 
 	private final AtomicLong calls = new AtomicLong();
 
+	private final ResponseFaults faults = new ResponseFaults();
+
 	/**
 	 * Creates a client with a thread of its own and the limits of the platform's store.
 	 * @param headers sent with every call
@@ -76,7 +81,8 @@
 			.setEnableAutomaticDecompression(false)
 			.setCookieStore(null)
 			.setHttpAdditionalChannelInitializer((connection) -> {
-				FinalAnswersOnly.on(connection);
+				ResponseSyntax.on(connection, ChannelManager.HTTP_CLIENT_CODEC, this.faults);
+				FinalAnswersOnly.on(connection, this.faults);
 				ReceivedBytes.on(connection, limits.maxResponseBytes(), unfinished);
 			}));
 	}
@@ -135,6 +141,15 @@
 		return this.client.executeRequest(builder.build()).toCompletableFuture().thenApply(JsonClient::answerOf);
 	}
 
+	/**
+	 * Returns the malformed responses of this client. The calls that they were sent for
+	 * fail with an {@link IOException}.
+	 * @return the record
+	 */
+	public ResponseFaults faults() {
+		return this.faults;
+	}
+
 	/**
 	 * Encodes a body that is sent to many, so that it is done once.
 	 * @param body a value that serializes
--- a/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
+++ b/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
@@ -11,6 +11,8 @@
 import org.asynchttpclient.netty.channel.ChannelManager;
 import org.snowwind.http.DataLoop;
 import org.snowwind.http.TurnReads;
+import org.snowwind.http.client.syntax.ResponseFaults;
+import org.snowwind.http.client.syntax.ResponseSyntax;
 
 /**
  * Sends requests through AsyncHttpClient on the shared loop.
@@ -29,6 +31,8 @@
 
 	private final Answers answers;
 
+	private final ResponseFaults faults = new ResponseFaults();
+
 	/**
 	 * Creates a client that keeps connections open and takes only framed answers.
 	 * @param loop the thread that carries it
@@ -61,14 +65,15 @@
 			.setTcpNoDelay(true)
 			.setCookieStore(null)
 			.addChannelOption(ChannelOption.RCVBUF_ALLOCATOR, TurnReads.allocator())
-			.setHttpAdditionalChannelInitializer(UpstreamClient::prepare)
+			.setHttpAdditionalChannelInitializer(this::prepare)
 			.setUserAgent("snowwind");
 		this.client = Dsl.asyncHttpClient(config);
 	}
 
-	private static void prepare(Channel connection) {
+	private void prepare(Channel connection) {
 		UnusedBytes.on(connection);
-		FinalAnswersOnly.on(connection);
+		ResponseSyntax.on(connection, ChannelManager.HTTP_CLIENT_CODEC, this.faults);
+		FinalAnswersOnly.on(connection, this.faults);
 		connection.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, new ReadGate());
 	}
 
@@ -90,6 +95,15 @@
 		return call;
 	}
 
+	/**
+	 * Returns the malformed responses of this client. The calls that they were sent for
+	 * fail with a {@code MalformedResponseException}.
+	 * @return the record
+	 */
+	public ResponseFaults faults() {
+		return this.faults;
+	}
+
 	@Override
 	public void close() {
 		try {
--- /dev/null
+++ b/http/src/main/java/org/snowwind/http/client/syntax/ResponseFault.java
@@ -0,0 +1,29 @@
+package org.snowwind.http.client.syntax;
+
+/**
+ * The rules of RFC 9110 and RFC 9112 that a response can break.
+ */
+public enum ResponseFault {
+
+	/** The status line does not begin with a version of HTTP/1 (RFC 9112, 2.3). */
+	HTTP_VERSION,
+
+	/** The status code is not one from 100 to 599 in three digits (RFC 9110, 15). */
+	STATUS_CODE,
+
+	/** The reason phrase holds a control character (RFC 9112, 4). */
+	REASON_PHRASE,
+
+	/** A line ends without a carriage return (RFC 9112, 2.2). */
+	LINE_END,
+
+	/** A line is longer than any that can be decoded. */
+	LINE_LENGTH,
+
+	/** Bytes follow the end of the response (RFC 9112, 6.3). */
+	SURPLUS_BYTES,
+
+	/** The response cannot be decoded for another reason. */
+	UNDECODABLE
+
+}
--- /dev/null
+++ b/http/src/test/java/org/snowwind/http/client/syntax/ResponseScannerTests.java
@@ -0,0 +1,110 @@
+package org.snowwind.http.client.syntax;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatNoException;
+
+/**
+ * Tests that the scanner names the broken rule, finds the end of each response, and
+ * accepts the bytes before a fault however they are split.
+ */
+class ResponseScannerTests {
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\n";
+
+	private static final String VALID = "HTTP/1.1 103 X\r\nA: b\r\n\r\n" + HEAD + "A: b\r\n c\r\n"
+			+ "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nSum: 1\r\n\r\n";
+
+	private static ByteBuf bytes(String text) {
+		return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+	}
+
+	private static String unescape(String text) {
+		return text.replace("\\r", "\r").replace("\\n", "\n").replace("\\0", "\0").replace("\\t", "\t");
+	}
+
+	private static ResponseFault faultOf(ResponseScanner scanner, String text) {
+		try {
+			scanner.scan(bytes(text));
+			return null;
+		}
+		catch (MalformedResponseException ex) {
+			return ex.fault();
+		}
+	}
+
+	private static ResponseScanner scannerFor(String method) {
+		ResponseScanner scanner = new ResponseScanner();
+		scanner.expectResponse(method);
+		return scanner;
+	}
+
+	@ParameterizedTest
+	@CsvSource(delimiter = '|', ignoreLeadingAndTrailingWhitespace = false,
+			value = { "HTTP/2.0 200 OK\\r\\n|HTTP_VERSION", "HTTP/1.1 000 OK\\r\\n|STATUS_CODE",
+					"HTTP/1.1 103 X\\r\\n\\r\\nHTTP/1.1 600 X\\r\\n|STATUS_CODE",
+					"HTTP/1.1 200 \\0\\r\\n|REASON_PHRASE", "HTTP/1.1 200 OK\\n|LINE_END",
+					"HTTP/1.1 204 OK\\r\\n\\r\\nx|SURPLUS_BYTES",
+					"HTTP/1.1 200 OK\\r\\nContent-Length: 1\\r\\n\\r\\nabc|SURPLUS_BYTES" })
+	void brokenRuleIsNamed(String text, ResponseFault fault) {
+		assertThat(faultOf(scannerFor("GET"), unescape(text))).isEqualTo(fault);
+	}
+
+	@Test
+	void lineWithoutEndIsNotCollected() {
+		ResponseScanner scanner = scannerFor("GET");
+		assertThat(faultOf(scanner, HEAD + "A: " + "b".repeat(LineBuffer.MAX_BYTES - 3))).isNull();
+		assertThat(faultOf(scanner, "b")).isEqualTo(ResponseFault.LINE_LENGTH);
+	}
+
+	@Test
+	void responseSplitAnywhereIsValid() {
+		for (int at = 0; at <= VALID.length(); at++) {
+			ResponseScanner scanner = scannerFor("GET");
+			assertThat(faultOf(scanner, VALID.substring(0, at))).isNull();
+			assertThat(faultOf(scanner, VALID.substring(at))).isNull();
+			assertThat(faultOf(scanner, "x")).isEqualTo(ResponseFault.SURPLUS_BYTES);
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "204 X\r\n\r\n", "304 X\r\nContent-Length: 5\r\n\r\n",
+			"200 X\r\nContent-Length: 3\r\n\r\nabc", "200 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n" })
+	void nextResponseOnAConnectionIsCheckedFromItsStart(String response) {
+		ResponseScanner scanner = scannerFor("GET");
+		for (int i = 0; i < 3; i++) {
+			assertThat(faultOf(scanner, "HTTP/1.1 " + response)).isNull();
+			scanner.expectResponse("GET");
+		}
+		assertThat(faultOf(scanner, "HTTP/1.1 000 X\r\n")).isEqualTo(ResponseFault.STATUS_CODE);
+	}
+
+	@Test
+	void responseToHeadHasNoContent() {
+		ResponseScanner scanner = scannerFor("HEAD");
+		assertThat(faultOf(scanner, HEAD + "Content-Length: 5\r\n\r\n")).isNull();
+		scanner.expectResponse("GET");
+		assertThat(faultOf(scanner, "HTTP/1.1 000 X\r\n")).isEqualTo(ResponseFault.STATUS_CODE);
+	}
+
+	@Test
+	void contentThatLastsUntilTheConnectionIsClosedIsNotRead() {
+		assertThatNoException().isThrownBy(() -> scannerFor("GET").scan(bytes(HEAD + "\r\nHTTP/1.1 000 X\r\n\0")));
+	}
+
+	@Test
+	void reasonHoldsNoControlCharacters() {
+		MalformedResponseException ex = MalformedResponseException.of(ResponseFault.STATUS_CODE, "a code",
+				"\n\u00e4" + "x".repeat(100));
+		assertThat(ex).hasMessage("malformed response: expected a code, got '\\x0a\\xe4" + "x".repeat(38) + "...'");
+	}
+
+}
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -346,6 +346,9 @@
 	/** A request is larger than the memory of a server. */
 	REQUEST_OVER_MEMORY(3042, Level.INFO, "request larger than a server's memory refused"),
 
+	/** A server, the store or a rank sent a response that is not valid HTTP. */
+	RESPONSE_MALFORMED(3043, Level.WARNING, "malformed response"),
+
 	/** A bounded ring was full. */
 	RING_FULL(5001, Level.WARNING, "ring full"),
 
