Reject responses with a field name or value that is not valid

Callers got answers in whose head a field name held a blank: 'X Bad: v' as 'x: v', 'Content Length: 7' as another field, so that the body ended with the connection. The same in interim responses and trailers, and with a control character in a folded value.

Cause: the codec cuts the name of a response's field at its first blank; for requests, which come from callers, it does not. Ruled out: control characters in names and in values that are not folded, names without a colon and a blank before the first field failed already; they are told by kind now.

Change: FieldLine checks each line of heads and trailers by RFC 9112, section 5. A name must be a token with the colon right behind it. Section 5.1 lets proxies remove a blank there; it is rejected, since callers reported it and the framing would depend on a name that others read differently. Folded values stay accepted (section 5.2).

--- a/gateway/src/test/java/org/snowwind/gateway/request/MalformedResponseTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/MalformedResponseTests.java
@@ -66,4 +66,43 @@
 		assertRepeated(stream(statusLine, ""), "/stream/a", EVENT);
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "X Bad: v\r\n", "X-Bad : v\r\n", "X\tBad: v\r\n", "X-\u0001Bad: v\r\n" })
+	void malformedFieldNameDoesNotReachCallers(String field) throws IOException {
+		assertError(plain("HTTP/1.1 200 OK", field));
+		assertRepeated(plain("HTTP/1.1 200 OK", field), "/many/a", "other");
+		assertRepeated(stream("HTTP/1.1 200 OK", field), "/stream/a", EVENT);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 103 X\r\nX Bad: v\r\n\r\n" })
+	void malformedInterimResponseFailsTheAttempt(String interim) throws IOException {
+		assertError(interim + plain("HTTP/1.1 200 OK", ""));
+		assertRepeated(interim + plain("HTTP/1.1 200 OK", ""), "/many/a", "other");
+		assertRepeated(interim + stream("HTTP/1.1 200 OK", ""), "/stream/a", EVENT);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Bad: v\r\n" })
+	void malformedContinuationLeavesTheStreamBrokenOff(String head) throws IOException {
+		try (GatewayFixture gateway = new GatewayFixture().withRoutes()) {
+			ScriptedServer.Script script = (request, answer) -> {
+				if (request.headers().containsKey("t-last")) {
+					answer.write(head + SIGNED + "Transfer-Encoding: chunked\r\n\r\n");
+					answer.writeChunk("id: 2\ndata: text\n\n");
+					answer.write(LAST_CHUNK);
+					return;
+				}
+				answer.write("HTTP/1.1 200 OK\r\n" + SIGNED + "Transfer-Encoding: chunked\r\n\r\n");
+				answer.writeChunk(EVENT);
+				answer.reset();
+			};
+			gateway.addServer(script);
+			gateway.addServer(script);
+			String answer = gateway.call("/stream/a");
+			assertThat(answer).startsWith("HTTP/1.1 200").doesNotEndWith(LAST_CHUNK);
+			assertThat(GatewayFixture.bodyOf(answer)).isEqualTo(EVENT);
+		}
+	}
+
 }
--- a/http/src/main/java/org/snowwind/http/client/syntax/ResponseFault.java
+++ b/http/src/main/java/org/snowwind/http/client/syntax/ResponseFault.java
@@ -14,6 +14,15 @@
 	/** The reason phrase holds a control character (RFC 9112, 4). */
 	REASON_PHRASE,
 
+	/** White space precedes the first field (RFC 9112, 2.2). */
+	LEADING_WHITE_SPACE,
+
+	/** A field name is not a token, or no colon follows it (RFC 9112, 5 and 5.1). */
+	FIELD_NAME,
+
+	/** A field value holds a control character (RFC 9110, 5.5). */
+	FIELD_VALUE,
+
 	/** A line ends without a carriage return (RFC 9112, 2.2). */
 	LINE_END,
 
--- a/http/src/main/java/org/snowwind/http/client/syntax/ResponseScanner.java
+++ b/http/src/main/java/org/snowwind/http/client/syntax/ResponseScanner.java
@@ -28,6 +28,8 @@
 
 	private FramingFields framing = new FramingFields();
 
+	private boolean hasFields;
+
 	private long contentLeftBytes;
 
 	private int acceptedIndex;
@@ -112,11 +114,23 @@
 		}
 		this.statusLine = StatusLine.parse(this.line);
 		this.framing = new FramingFields();
+		this.hasFields = false;
 		return Phase.FIELDS;
 	}
 
-	private Phase afterField() {
-		this.framing.add(this.line);
+	private Phase afterField() throws MalformedResponseException {
+		if (!FieldLine.isFolded(this.line)) {
+			FieldLine.check(this.line);
+			this.framing.add(this.line);
+		}
+		else if (this.hasFields) {
+			FieldLine.checkValue(this.line, 0);
+		}
+		else {
+			throw new MalformedResponseException(ResponseFault.LEADING_WHITE_SPACE,
+					"expected no white space before the first field");
+		}
+		this.hasFields = true;
 		return this.phase;
 	}
 
@@ -147,6 +161,7 @@
 		if (this.contentLeftBytes > 0) {
 			return Phase.CHUNK_CONTENT;
 		}
+		this.hasFields = false;
 		return Phase.TRAILERS;
 	}
 
--- a/http/src/test/java/org/snowwind/http/client/MalformedResponses.java
+++ b/http/src/test/java/org/snowwind/http/client/MalformedResponses.java
@@ -70,16 +70,58 @@
 				withStatusLine("HTTP/1.1 200 O\u007fK"));
 	}
 
+	/** Returns responses with a field name that is no token. */
+	static List<String> fieldNames() {
+		List<String> responses = new ArrayList<>();
+		for (String line : List.of("X Bad: v", "X\tBad: v", "X-Bad : v", "X-Bad\t: v", "X-\u0001Bad: v", "X-Bad\0: v",
+				"X-\u007fBad: v", ": v", "X-Bad", "X(Bad): v", "X-B\u00e4d: v", "X\u000bBad: v", "X\rBad: v")) {
+			responses.add(withFields("X-Seal: s\r\n" + line + "\r\n"));
+		}
+		for (String line : List.of("Content-Length : 7", "Content Length: 7", "Content-Length\t: 7")) {
+			responses.add(withFraming(line + "\r\n"));
+		}
+		for (String line : List.of("Transfer-Encoding : chunked", "Transfer Encoding: chunked",
+				"Transfer-Encoding\u0001: chunked")) {
+			responses.add(withCoding(line + "\r\n"));
+		}
+		return responses;
+	}
+
+	/** Returns responses that have a blank before the first field. */
+	static List<String> leadingBlanks() {
+		return List.of(withFields(" X-Bad: v\r\n"), withFields("\tX-Bad: v\r\n"), withFraming(" Content-Length: 7\r\n"),
+				withFields(" \r\n"));
+	}
+
+	/** Returns responses with a field value that holds a control character. */
+	static List<String> fieldValues() {
+		return List.of(withFields("X-Bad: a\0b\r\n"), withFields("X-Bad: a\u0001b\r\n"),
+				withFields("X-Bad: a\u007fb\r\n"), withFields("X-Bad: a\rb\r\n"), withFields("X-Bad: a\r\n \0b\r\n"));
+	}
+
 	/** Returns responses with line ends that are not valid. */
 	static List<String> lineEnds() {
 		return List.of("HTTP/1.1 200 OK\n" + LENGTH + "\r\n" + CONTENT, STATUS + "Content-Length: 7\n\r\n" + CONTENT,
 				STATUS + LENGTH + "\n" + CONTENT);
 	}
 
+	/** Returns responses with a trailer that is not valid. */
+	static List<String> trailers() {
+		List<String> responses = new ArrayList<>();
+		for (String line : List.of("X Sum: 1", "X-Sum : 1", "X-\u0001Sum: 1", "X-Sum", ": 1", " X-Sum: 1",
+				"X-Sum: \0")) {
+			responses.add(CHUNKED + CHUNK + "0\r\n" + line + "\r\n\r\n");
+		}
+		responses.add(CHUNKED + CHUNK + "0\r\nX-Sum: 1\n\r\n");
+		return responses;
+	}
+
 	/** Returns valid responses behind an interim response that is not. */
 	static List<String> interim() {
 		List<String> responses = new ArrayList<>();
-		for (String head : List.of("HTTP/1.1 000 X\r\n", "HTTP/1.1 0103 X\r\n", "HTTP/9.9 103 X\r\n")) {
+		for (String head : List.of("HTTP/1.1 000 X\r\n", "HTTP/1.1 0103 X\r\n", "HTTP/9.9 103 X\r\n",
+				"HTTP/1.1 103 X\r\nX Bad: v\r\n", "HTTP/1.1 103 X\r\nX-\u0001Bad: v\r\n",
+				"HTTP/1.1 103 X\r\n X-Bad: v\r\n")) {
 			responses.add(head + "\r\n" + withFields(""));
 		}
 		return responses;
@@ -88,7 +130,8 @@
 	/** Returns all responses that are not valid. */
 	static List<String> all() {
 		List<String> responses = new ArrayList<>();
-		for (List<String> some : List.of(statusCodes(), versions(), reasonPhrases(), lineEnds(), interim())) {
+		for (List<String> some : List.of(statusCodes(), versions(), reasonPhrases(), fieldNames(), leadingBlanks(),
+				fieldValues(), lineEnds(), trailers(), interim())) {
 			responses.addAll(some);
 		}
 		return responses;
--- a/http/src/test/java/org/snowwind/http/client/syntax/ResponseScannerTests.java
+++ b/http/src/test/java/org/snowwind/http/client/syntax/ResponseScannerTests.java
@@ -1,6 +1,7 @@
 package org.snowwind.http.client.syntax;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Random;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -51,7 +52,11 @@
 	@CsvSource(delimiter = '|', ignoreLeadingAndTrailingWhitespace = false,
 			value = { "HTTP/2.0 200 OK\\r\\n|HTTP_VERSION", "HTTP/1.1 000 OK\\r\\n|STATUS_CODE",
 					"HTTP/1.1 103 X\\r\\n\\r\\nHTTP/1.1 600 X\\r\\n|STATUS_CODE",
-					"HTTP/1.1 200 \\0\\r\\n|REASON_PHRASE", "HTTP/1.1 200 OK\\n|LINE_END",
+					"HTTP/1.1 200 \\0\\r\\n|REASON_PHRASE", "HTTP/1.1 200 OK\\r\\n A: b\\r\\n|LEADING_WHITE_SPACE",
+					"HTTP/1.1 200 OK\\r\\nA B: c\\r\\n|FIELD_NAME", "HTTP/1.1 200 OK\\r\\nA : c\\r\\n|FIELD_NAME",
+					"HTTP/1.1 200 OK\\r\\nA\\0: c\\r\\n|FIELD_NAME", "HTTP/1.1 200 OK\\r\\nA: \\0\\r\\n|FIELD_VALUE",
+					"HTTP/1.1 200 OK\\n|LINE_END",
+					"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\nA B: c\\r\\n|FIELD_NAME",
 					"HTTP/1.1 204 OK\\r\\n\\r\\nx|SURPLUS_BYTES",
 					"HTTP/1.1 200 OK\\r\\nContent-Length: 1\\r\\n\\r\\nabc|SURPLUS_BYTES" })
 	void brokenRuleIsNamed(String text, ResponseFault fault) {
@@ -100,6 +105,22 @@
 		assertThatNoException().isThrownBy(() -> scannerFor("GET").scan(bytes(HEAD + "\r\nHTTP/1.1 000 X\r\n\0")));
 	}
 
+	@Test
+	void faultIsFoundHoweverTheBytesAreSplit() {
+		Random random = new Random(1);
+		String text = VALID.replace("Sum", "S um");
+		for (int play = 0; play < 200; play++) {
+			ResponseScanner scanner = scannerFor("GET");
+			ResponseFault fault = null;
+			for (int from = 0; from < text.length() && fault == null;) {
+				int until = Math.min(text.length(), from + 1 + random.nextInt(9));
+				fault = faultOf(scanner, text.substring(from, until));
+				from = until;
+			}
+			assertThat(fault).isEqualTo(ResponseFault.FIELD_NAME);
+		}
+	}
+
 	@Test
 	void reasonHoldsNoControlCharacters() {
 		MalformedResponseException ex = MalformedResponseException.of(ResponseFault.STATUS_CODE, "a code",
