Reject responses with chunks that are not valid

Callers of plain routes got a 200 for a chunk size like '8 8', or '8' and a NUL.

Cause: the codec reads the first digits of the line and ignores what follows.

Change: ChunkSizeLine takes a size, blanks behind it, and an extension without control characters (RFC 9112, section 7.1). Content of chunks before the fault is kept, as with a stream that breaks off.

--- a/gateway/src/test/java/org/snowwind/gateway/request/MalformedResponseTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/MalformedResponseTests.java
@@ -83,6 +83,15 @@
 		assertRepeated(response, "/many/a", "other");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "7 7\r\n" + CONTENT + "\r\n" + LAST_CHUNK, "7\0\r\n" + CONTENT + "\r\n" + LAST_CHUNK,
+			"7\r\n" + CONTENT + "\r\n0\r\nX Sum: 1\r\n\r\n", "7\r\n" + CONTENT + "\r\n0\r\nX-Sum\u0001: 1\r\n\r\n" })
+	void malformedChunksDoNotReachCallers(String chunks) throws IOException {
+		String response = "HTTP/1.1 200 OK\r\n" + SIGNED + "Transfer-Encoding: chunked\r\n\r\n" + chunks;
+		assertError(response);
+		assertRepeated(response, "/many/a", "other");
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 103 X\r\nX Bad: v\r\n\r\n" })
 	void malformedInterimResponseFailsTheAttempt(String interim) throws IOException {
--- a/http/src/main/java/org/snowwind/http/client/syntax/ChunkSizeLine.java
+++ b/http/src/main/java/org/snowwind/http/client/syntax/ChunkSizeLine.java
@@ -2,11 +2,16 @@
 
 /**
  * The line before the content of a chunk.
+ *
+ * <p>
+ * Blanks after the size are ignored, since some servers pad it.
  */
 final class ChunkSizeLine {
 
 	private static final int HEX = 16;
 
+	private static final int BITS_PER_DIGIT = 4;
+
 	private ChunkSizeLine() {
 	}
 
@@ -14,17 +19,48 @@
 	 * Parses a line.
 	 * @param line the complete line
 	 * @return the size of the chunk, in bytes; 0 for the last chunk
+	 * @throws MalformedResponseException if the line is not valid
 	 */
-	static long parse(LineBuffer line) {
+	static long parse(LineBuffer line) throws MalformedResponseException {
 		long sizeBytes = 0;
-		for (int i = 0; i < line.length(); i++) {
-			int digit = Character.digit((char) line.at(i), HEX);
-			if (digit < 0) {
-				return sizeBytes;
+		int index = 0;
+		while (index < line.length() && digit(line, index) >= 0) {
+			if (sizeBytes > Long.MAX_VALUE >> BITS_PER_DIGIT) {
+				throw fault(line);
 			}
-			sizeBytes = HEX * sizeBytes + digit;
+			sizeBytes = (sizeBytes << BITS_PER_DIGIT) + digit(line, index);
+			index++;
+		}
+		if (index == 0) {
+			throw fault(line);
 		}
+		checkExtension(line, index);
 		return sizeBytes;
 	}
 
+	private static int digit(LineBuffer line, int index) {
+		// Characters above 0x7f are no digits of ISO 8859-1.
+		return Character.digit((char) line.at(index), HEX);
+	}
+
+	private static void checkExtension(LineBuffer line, int from) throws MalformedResponseException {
+		int index = from;
+		while (index < line.length() && Octets.isBlank(line.at(index))) {
+			index++;
+		}
+		if (index < line.length() && line.at(index) != ';') {
+			throw fault(line);
+		}
+		for (; index < line.length(); index++) {
+			if (!Octets.isText(line.at(index))) {
+				throw fault(line);
+			}
+		}
+	}
+
+	private static MalformedResponseException fault(LineBuffer line) {
+		return MalformedResponseException.of(ResponseFault.CHUNK_SIZE, "the size of a chunk",
+				line.text(0, line.length()));
+	}
+
 }
--- a/http/src/main/java/org/snowwind/http/client/syntax/ResponseFault.java
+++ b/http/src/main/java/org/snowwind/http/client/syntax/ResponseFault.java
@@ -35,6 +35,12 @@
 	/** The transfer coding is not just chunked (RFC 9112, 6.1 and 7). */
 	TRANSFER_CODING,
 
+	/** The size or an extension of a chunk is not valid (RFC 9112, 7.1). */
+	CHUNK_SIZE,
+
+	/** A chunk does not end after its size (RFC 9112, 7.1). */
+	CHUNK_END,
+
 	/** Bytes follow the end of the response (RFC 9112, 6.3). */
 	SURPLUS_BYTES,
 
--- a/http/src/main/java/org/snowwind/http/client/syntax/ResponseScanner.java
+++ b/http/src/main/java/org/snowwind/http/client/syntax/ResponseScanner.java
@@ -102,7 +102,7 @@
 			case STATUS_LINE -> afterStatusLine();
 			case FIELDS -> (this.line.length() == 0) ? afterHead() : afterField();
 			case CHUNK_SIZE -> afterChunkSize();
-			case CHUNK_END -> Phase.CHUNK_SIZE;
+			case CHUNK_END -> afterChunk();
 			default -> (this.line.length() == 0) ? Phase.COMPLETE : afterField();
 		};
 	}
@@ -156,7 +156,7 @@
 		return (contentBytes == 0) ? Phase.COMPLETE : Phase.CONTENT;
 	}
 
-	private Phase afterChunkSize() {
+	private Phase afterChunkSize() throws MalformedResponseException {
 		this.contentLeftBytes = ChunkSizeLine.parse(this.line);
 		if (this.contentLeftBytes > 0) {
 			return Phase.CHUNK_CONTENT;
@@ -165,6 +165,13 @@
 		return Phase.TRAILERS;
 	}
 
+	private Phase afterChunk() throws MalformedResponseException {
+		if (this.line.length() > 0) {
+			throw new MalformedResponseException(ResponseFault.CHUNK_END, "expected the end of a chunk after its size");
+		}
+		return Phase.CHUNK_SIZE;
+	}
+
 	private enum Phase {
 
 		STATUS_LINE, FIELDS, CONTENT, CHUNK_SIZE, CHUNK_CONTENT, CHUNK_END, TRAILERS, UNTIL_CLOSE, COMPLETE
--- a/http/src/test/java/org/snowwind/http/client/MalformedResponses.java
+++ b/http/src/test/java/org/snowwind/http/client/MalformedResponses.java
@@ -132,6 +132,24 @@
 		return responses;
 	}
 
+	/** Returns responses with a chunk whose size cannot be told. */
+	static List<String> chunkSizes() {
+		List<String> responses = new ArrayList<>();
+		for (String line : List.of("7 7", "7\0", "+7", "-7", "0x7", "", "g", " 7", "7\u0001", "7;a=\0", "7,",
+				"10000000000000007")) {
+			responses.add(CHUNKED + line + "\r\n" + CONTENT + "\r\n" + LAST_CHUNK);
+		}
+		responses.add(CHUNKED + CHUNK + "0 0\r\n\r\n");
+		responses.add(CHUNKED + "7\n" + CONTENT + "\r\n" + LAST_CHUNK);
+		return responses;
+	}
+
+	/** Returns responses with content that goes on where its chunk ends. */
+	static List<String> chunkEnds() {
+		return List.of(CHUNKED + "7\r\n" + CONTENT + LAST_CHUNK, CHUNKED + "6\r\n" + CONTENT + "\r\n" + LAST_CHUNK,
+				CHUNKED + "7\r\n" + CONTENT + "\n" + LAST_CHUNK, CHUNKED + "7\r\n" + CONTENT + "\rx" + LAST_CHUNK);
+	}
+
 	/** Returns responses with a trailer that is not valid. */
 	static List<String> trailers() {
 		List<String> responses = new ArrayList<>();
@@ -158,7 +176,8 @@
 	static List<String> all() {
 		List<String> responses = new ArrayList<>();
 		for (List<String> some : List.of(statusCodes(), versions(), reasonPhrases(), fieldNames(), leadingBlanks(),
-				fieldValues(), lineEnds(), contentLengths(), transferCodings(), trailers(), interim())) {
+				fieldValues(), lineEnds(), contentLengths(), transferCodings(), chunkSizes(), chunkEnds(), trailers(),
+				interim())) {
 			responses.addAll(some);
 		}
 		return responses;
--- a/http/src/test/java/org/snowwind/http/client/syntax/ResponseScannerTests.java
+++ b/http/src/test/java/org/snowwind/http/client/syntax/ResponseScannerTests.java
@@ -21,6 +21,8 @@
 
 	private static final String HEAD = "HTTP/1.1 200 OK\r\n";
 
+	private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
+
 	private static final String VALID = "HTTP/1.1 103 X\r\nA: b\r\n\r\n" + HEAD + "A: b\r\n c\r\n"
 			+ "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nSum: 1\r\n\r\n";
 
@@ -57,6 +59,8 @@
 					"HTTP/1.1 200 OK\\r\\nA\\0: c\\r\\n|FIELD_NAME", "HTTP/1.1 200 OK\\r\\nA: \\0\\r\\n|FIELD_VALUE",
 					"HTTP/1.1 200 OK\\n|LINE_END", "HTTP/1.1 200 OK\\r\\nContent-Length: +1\\r\\n\\r\\n|CONTENT_LENGTH",
 					"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: gzip\\r\\n\\r\\n|TRANSFER_CODING",
+					"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n1 1\\r\\n|CHUNK_SIZE",
+					"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n1\\r\\nab\\r\\n|CHUNK_END",
 					"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\nA B: c\\r\\n|FIELD_NAME",
 					"HTTP/1.1 204 OK\\r\\n\\r\\nx|SURPLUS_BYTES",
 					"HTTP/1.1 200 OK\\r\\nContent-Length: 1\\r\\n\\r\\nabc|SURPLUS_BYTES" })
@@ -106,6 +110,14 @@
 		assertThatNoException().isThrownBy(() -> scannerFor("GET").scan(bytes(HEAD + "\r\nHTTP/1.1 000 X\r\n\0")));
 	}
 
+	@Test
+	void contentBeforeAFaultIsAccepted() {
+		String valid = CHUNKED + "3\r\nabc\r\n";
+		ResponseScanner scanner = scannerFor("GET");
+		assertThat(faultOf(scanner, valid + "1 1\r\nd\r\n")).isEqualTo(ResponseFault.CHUNK_SIZE);
+		assertThat(scanner.acceptedIndex()).isEqualTo(valid.length());
+	}
+
 	@Test
 	void faultIsFoundHoweverTheBytesAreSplit() {
 		Random random = new Random(1);
