--- a/gateway/src/test/java/org/snowwind/gateway/expert/RankCallsTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/expert/RankCallsTests.java
@@ -199,6 +199,18 @@
 				this.socket.getLocalPort(), "dc", 8, false)));
 	}
 
+	@Test
+	void malformedResponseIsNeitherReportNorResultOfAnOrder() {
+		for (String statusLine : List.of("HTTP/1.1 000 X", "HTTP/1.1 0200 X", "HTTP/1.1 200 X\r\nX Bad: v")) {
+			this.answers.add(answer(200, "{\"step\":1}").replace("HTTP/1.1 200 Scripted", statusLine));
+			assertThat(reports()).isEmpty();
+			this.answers.add(answer(200, "").replace("HTTP/1.1 200 Scripted", statusLine));
+			this.answers.add(answer(200, "").replace("HTTP/1.1 200 Scripted", statusLine));
+			assertThat(order(SERVER, new MapOrder.Hold(5))).isEqualTo(OrderResult.UNKNOWN);
+			this.answers.clear();
+		}
+	}
+
 	private static String rejection() {
 		return "HTTP/1.1 503 Scripted\r\nt-retry-after: 60000\r\nContent-Length: 4\r\n\r\nbusy";
 	}
