Let a server of the soak send any faulty answer

EndlessServer becomes FaultyServer and asks a FaultyAnswer what to send; an answer without a part to repeat ends with its connection.

--- a/app/src/test/java/org/snowwind/app/soak/EndlessAnswer.java
+++ b/app/src/test/java/org/snowwind/app/soak/EndlessAnswer.java
@@ -10,7 +10,7 @@
  * Where in an answer a server in trouble begins to send bytes without end, until its
  * caller closes the connection.
  */
-enum EndlessAnswer {
+enum EndlessAnswer implements FaultyAnswer {
 
 	/** The reason in the status line. */
 	STATUS_LINE("HTTP/1.1 200 ", "x".repeat(1000)),
@@ -83,14 +83,8 @@
 		this.repeated = repeated;
 	}
 
-	/**
-	 * Returns how the answer begins.
-	 * @param requestId the request's id
-	 * @param signature the server's signature
-	 * @param stream whether the answer says that it is a stream
-	 * @return the bytes that come first
-	 */
-	byte[] start(String requestId, String signature, boolean stream) {
+	@Override
+	public byte[] start(String requestId, String signature, boolean stream) {
 		String whole = stream ? Answers.stream(requestId) : Answers.plain(requestId);
 		return this.start.replace("{start}", AnswerHead.start(requestId))
 			.replace("{head}", AnswerHead.signed(requestId, signature, TYPES.get(stream)))
@@ -99,11 +93,8 @@
 			.getBytes(StandardCharsets.ISO_8859_1);
 	}
 
-	/**
-	 * Returns what comes again and again.
-	 * @return the bytes
-	 */
-	byte[] repeated() {
+	@Override
+	public byte[] repeated() {
 		return this.repeated.getBytes(StandardCharsets.ISO_8859_1);
 	}
 
--- a/app/src/test/java/org/snowwind/app/soak/EndlessAnswerTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/EndlessAnswerTests.java
@@ -166,13 +166,13 @@
 	private void assertOnlyRequestsAtTheServerSuffer(EndlessAnswer answer, String service) throws Exception {
 		String id = "endless-run-" + this.servers++;
 		var load = this.calling.scheduleAtFixedRate(this::call, 0, CALL_EVERY_MILLIS, TimeUnit.MILLISECONDS);
-		EndlessServer server = new EndlessServer(this.world.store(), service, id, answer);
+		FaultyServer server = new FaultyServer(this.world.store(), service, id, answer);
 		try (server) {
 			TimeUnit.MILLISECONDS.sleep(TROUBLE_MILLIS);
 			load.cancel(false);
 			awaitAnswers();
 		}
-		Set<String> atServer = server.sent().stream().map(EndlessServer.Sent::requestId).collect(Collectors.toSet());
+		Set<String> atServer = server.sent().stream().map(FaultyServer.Sent::requestId).collect(Collectors.toSet());
 		report(answer, service, server, atServer);
 		assertThat(atServer).as("requests at the server").isNotEmpty();
 		assertThat(this.caller.open()).as("requests without an end").isZero();
@@ -213,8 +213,8 @@
 			.toList();
 	}
 
-	private static long mostBytes(EndlessServer server) {
-		return server.sent().stream().mapToLong(EndlessServer.Sent::bytes).max().orElse(0);
+	private static long mostBytes(FaultyServer server) {
+		return server.sent().stream().mapToLong(FaultyServer.Sent::bytes).max().orElse(0);
 	}
 
 	private double servedShare(Set<String> atServer) {
@@ -222,7 +222,7 @@
 		return others.stream().filter(Call::served).count() / (double) others.size();
 	}
 
-	private void report(EndlessAnswer answer, String service, EndlessServer server, Set<String> atServer)
+	private void report(EndlessAnswer answer, String service, FaultyServer server, Set<String> atServer)
 			throws Exception {
 		Map<String, Long> outcomes = this.caller.calls()
 			.stream()
@@ -230,7 +230,7 @@
 					(call) -> (atServer.contains(call.id()) ? "there " : "elsewhere ") + call.gateway() + " "
 							+ call.kind() + " " + call.status() + (call.whole() ? "" : " torn"),
 					TreeMap::new, Collectors.counting()));
-		long longestMillis = server.sent().stream().mapToLong(EndlessServer.Sent::nanos).max().orElse(0) / 1_000_000;
+		long longestMillis = server.sent().stream().mapToLong(FaultyServer.Sent::nanos).max().orElse(0) / 1_000_000;
 		Files.writeString(FOLDER.resolve("summary.txt"),
 				answer + " " + service + ": " + server.sent().size() + " answers, most " + mostBytes(server)
 						+ " bytes, longest " + longestMillis + " ms, served elsewhere " + servedShare(atServer) + ", "
--- a/app/src/test/java/org/snowwind/app/soak/EndlessServer.java
+++ b/app/src/test/java/org/snowwind/app/soak/FaultyServer.java
@@ -26,9 +26,9 @@
 
 /**
  * A server in trouble: its answers have no end, and it sends until its caller closes the
- * connection.
+ * connection, or they are not valid.
  */
-final class EndlessServer implements AutoCloseable {
+final class FaultyServer implements AutoCloseable {
 
 	private static final int REPEATS = 64;
 
@@ -53,7 +53,7 @@
 
 	private final String id;
 
-	private final EndlessAnswer answer;
+	private final FaultyAnswer answer;
 
 	/**
 	 * Starts a server and registers it in the store.
@@ -63,12 +63,12 @@
 	 * @param answer how it answers
 	 * @throws IOException if no port is free
 	 */
-	EndlessServer(StoreStandIn store, String service, String id, EndlessAnswer answer) throws IOException {
+	FaultyServer(StoreStandIn store, String service, String id, FaultyAnswer answer) throws IOException {
 		this.store = store;
 		this.service = service;
 		this.id = id;
 		this.answer = answer;
-		daemon("endless-accept", this::accept);
+		daemon("faulty-accept", this::accept);
 		store.put(RegistryEntry.KIND, id,
 				RegistryEntry.of(service, "127.0.0.1:" + this.listener.getLocalPort(), "dc", SLOTS, "ready"));
 	}
@@ -94,7 +94,7 @@
 			try {
 				Socket connection = this.listener.accept();
 				this.connections.add(connection);
-				daemon("endless-answer", () -> serve(connection));
+				daemon("faulty-answer", () -> serve(connection));
 			}
 			catch (IOException ex) {
 				return;
@@ -114,7 +114,7 @@
 			out.write(this.answer.start(requestId, Answers.signature(this.id, requestId),
 					run.target().contains("/stream")));
 			byte[] more = repeated();
-			while (true) {
+			while (more.length > 0) {
 				awaitLink(more.length);
 				out.write(more);
 				bytes += more.length;
--- a/app/src/test/java/org/snowwind/app/soak/MemoryPressureTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/MemoryPressureTests.java
@@ -275,8 +275,7 @@
 		Set<String> atEndless;
 		int answered;
 		try (LargeAnswerServer large = addLargeServer(gateway);
-				EndlessServer endless = new EndlessServer(this.world.store(), "desk", "endless",
-						EndlessAnswer.CHUNKS)) {
+				FaultyServer endless = new FaultyServer(this.world.store(), "desk", "endless", EndlessAnswer.CHUNKS)) {
 			for (int i = 0; i < SLOW_READERS; i++) {
 				this.callers.execute(() -> readSlowly(gateway));
 			}
@@ -291,7 +290,7 @@
 			this.loading = false;
 			awaitAnswers();
 			answered = large.sent();
-			atEndless = endless.sent().stream().map(EndlessServer.Sent::requestId).collect(Collectors.toSet());
+			atEndless = endless.sent().stream().map(FaultyServer.Sent::requestId).collect(Collectors.toSet());
 		}
 		Map<String, Long> outcomes = this.small.calls()
 			.stream()
--- a/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
@@ -305,9 +305,9 @@
 		EndlessAnswer answer = ENDLESS_ANSWERS.get(random.nextInt(ENDLESS_ANSWERS.size()));
 		String service = random.nextBoolean() ? SoakWorld.STREAMING : "desk";
 		long millis = between(random, 500, 2000);
-		disturb(world, "server-without-end", Disturbance.SERVERS, millis + 3000);
+		disturb(world, "faulty-server", Disturbance.SERVERS, millis + 3000);
 		later.after(0, () -> {
-			EndlessServer server = world.addEndless(service, answer);
+			FaultyServer server = world.addFaulty(service, answer);
 			later.after(millis, server::close);
 		});
 	}
--- a/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -61,7 +61,7 @@
 
 	private final List<SoakServer> servers = new CopyOnWriteArrayList<>();
 
-	private final List<EndlessServer> endless = new CopyOnWriteArrayList<>();
+	private final List<FaultyServer> faulty = new CopyOnWriteArrayList<>();
 
 	private final Queue<Run> pastRuns = new ConcurrentLinkedQueue<>();
 
@@ -261,16 +261,15 @@
 	}
 
 	/**
-	 * Adds a server whose answers have no end.
+	 * Adds a server in trouble.
 	 * @param service its service
 	 * @param answer how it answers
 	 * @return the server
 	 * @throws IOException if no port is free
 	 */
-	synchronized EndlessServer addEndless(String service, EndlessAnswer answer) throws IOException {
-		EndlessServer server = new EndlessServer(this.store, service, service + "-endless-" + this.serverRuns++,
-				answer);
-		this.endless.add(server);
+	synchronized FaultyServer addFaulty(String service, FaultyAnswer answer) throws IOException {
+		FaultyServer server = new FaultyServer(this.store, service, service + "-faulty-" + this.serverRuns++, answer);
+		this.faulty.add(server);
 		return server;
 	}
 
@@ -341,7 +340,7 @@
 		List<LimitChange> limits = new ArrayList<>(this.pastLimits);
 		List<BackoffRequest> backoffs = new ArrayList<>(this.pastBackoffs);
 		List<Departure> departures = new ArrayList<>(this.pastDepartures);
-		this.endless.forEach((server) -> runs.addAll(server.runs()));
+		this.faulty.forEach((server) -> runs.addAll(server.runs()));
 		this.servers.forEach((server) -> {
 			runs.addAll(server.server().runs());
 			arrivals.addAll(server.server().arrivals());
@@ -363,7 +362,7 @@
 			server.link().close();
 			server.server().close();
 		}
-		for (EndlessServer server : this.endless) {
+		for (FaultyServer server : this.faulty) {
 			server.close();
 		}
 		this.store.close();
