--- a/app/src/test/java/org/snowwind/app/soak/SoakCaller.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakCaller.java
@@ -1,6 +1,7 @@
 package org.snowwind.app.soak;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,7 @@
 import org.snowwind.http.client.UpstreamClient;
 import org.snowwind.http.client.UpstreamListener;
 import org.snowwind.http.client.UpstreamRequest;
+import org.snowwind.http.client.syntax.ResponseFault;
 import org.snowwind.platform.standin.CallerHeaders;
 
 /**
@@ -43,6 +45,17 @@
 		return List.copyOf(this.calls);
 	}
 
+	/**
+	 * Lists what gateways sent that is not valid HTTP.
+	 * @return one line a fault, empty if all was valid
+	 */
+	List<String> malformedResponses() {
+		return Arrays.stream(ResponseFault.values())
+			.filter((fault) -> this.client.faults().count(fault) > 0)
+			.map((fault) -> fault + " " + this.client.faults().count(fault) + " times")
+			.toList();
+	}
+
 	long open() {
 		return this.sent.get() - this.calls.size();
 	}
--- a/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakFaults.java
@@ -40,6 +40,8 @@
 		.copyOf(EnumSet.complementOf(EnumSet.of(EndlessAnswer.SMALL_CHUNKS, EndlessAnswer.SHORT_EXTENSIONS,
 				EndlessAnswer.COMMENTS, EndlessAnswer.EMPTY_EVENTS)));
 
+	private static final List<MalformedAnswer> MALFORMED_ANSWERS = List.of(MalformedAnswer.values());
+
 	/** What servers name, in requests per second; each fourth names none any more. */
 	private static final List<Double> LIMITS = List.of(0.0, 0.3, 1.0, 3.0, 10.0, 50.0, LimitChange.NONE,
 			LimitChange.NONE);
@@ -302,7 +304,20 @@
 	 * @param later ends it
 	 */
 	static void sendWithoutEnd(SoakWorld world, Random random, SoakFault.Later later) {
-		EndlessAnswer answer = ENDLESS_ANSWERS.get(random.nextInt(ENDLESS_ANSWERS.size()));
+		addFaulty(world, ENDLESS_ANSWERS.get(random.nextInt(ENDLESS_ANSWERS.size())), random, later);
+	}
+
+	/**
+	 * Adds a server whose answers are not valid HTTP, and ends it soon after.
+	 * @param world holds the servers
+	 * @param random decides on its service, what is not valid and how long it lives
+	 * @param later ends it
+	 */
+	static void sendMalformed(SoakWorld world, Random random, SoakFault.Later later) {
+		addFaulty(world, MALFORMED_ANSWERS.get(random.nextInt(MALFORMED_ANSWERS.size())), random, later);
+	}
+
+	private static void addFaulty(SoakWorld world, FaultyAnswer answer, Random random, SoakFault.Later later) {
 		String service = random.nextBoolean() ? SoakWorld.STREAMING : "desk";
 		long millis = between(random, 500, 2000);
 		disturb(world, "faulty-server", Disturbance.SERVERS, millis + 3000);
--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -72,6 +72,9 @@
 	/** How often a server comes whose answers have no end; some are there together. */
 	private static final long ENDLESS_EVERY_MILLIS = 900;
 
+	/** How often a server comes whose answers are not valid; some are there together. */
+	private static final long MALFORMED_EVERY_MILLIS = 700;
+
 	/** How often servers go silent at once; some silences overlap. */
 	private static final long SILENT_SERVERS_EVERY_MILLIS = 2300;
 
@@ -134,6 +137,8 @@
 
 	private final Random silentServers;
 
+	private final Random malformed;
+
 	private final SoakExtras extras;
 
 	private final SoakWorld world;
@@ -170,6 +175,7 @@
 		this.prompts = new Random(seed + 10);
 		this.endless = new Random(seed + 11);
 		this.silentServers = new Random(seed + 12);
+		this.malformed = new Random(seed + 13);
 		this.extras = extras;
 		this.streams = new Random(seed + 2);
 		this.world = new SoakWorld(folder, size * GATEWAYS, size, new Random(seed + 1));
@@ -204,6 +210,8 @@
 				TimeUnit.MILLISECONDS);
 		var sendingWithoutEnd = this.later.scheduleWithFixedDelay(this::sendWithoutEnd, ENDLESS_EVERY_MILLIS,
 				ENDLESS_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+		var sendingMalformed = this.later.scheduleWithFixedDelay(this::sendMalformed, MALFORMED_EVERY_MILLIS,
+				MALFORMED_EVERY_MILLIS, TimeUnit.MILLISECONDS);
 		var silencingServers = this.later.scheduleWithFixedDelay(this::silenceServers, 0, SILENT_SERVERS_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
 		var evacuating = this.later.scheduleWithFixedDelay(this::evacuate, EVACUATE_EVERY_MILLIS, EVACUATE_EVERY_MILLIS,
@@ -223,6 +231,7 @@
 		noticing.cancel(false);
 		drilling.cancel(false);
 		sendingWithoutEnd.cancel(false);
+		sendingMalformed.cancel(false);
 		evacuating.cancel(false);
 		this.world.servers().forEach((server) -> server.server().limit(LimitChange.NONE));
 		awaitPending();
@@ -241,6 +250,7 @@
 		checkComeBack();
 		checkInForce();
 		List<String> broken = new ArrayList<>(this.problems);
+		this.caller.malformedResponses().forEach((line) -> broken.add("responses of gateways are not valid: " + line));
 		broken.addAll(SoakRules.broken(this.world.history(this.caller.calls())));
 		return broken;
 	}
@@ -376,6 +386,12 @@
 		}
 	}
 
+	private void sendMalformed() {
+		if (this.extras.malformed()) {
+			SoakFaults.sendMalformed(this.world, this.malformed, this::after);
+		}
+	}
+
 	private void silenceServers() {
 		if (this.extras.silentServers()) {
 			SoakSilences.begin(this.world, this.silentServers, this::afterUncounted);
