Call responses before the final one interim, as RFC 9110 does

FinalAnswersOnly becomes InterimResponseFilter; its message and the test of it say 'interim responses'.

--- a/http/src/main/java/org/snowwind/http/client/FinalAnswersOnly.java
+++ b/http/src/main/java/org/snowwind/http/client/InterimResponseFilter.java
@@ -17,29 +17,29 @@
 import org.snowwind.http.client.syntax.ResponseFaults;
 
 /**
- * Leaves out provisional answers, which the library would take for the final one.
+ * Drops interim responses, which the library would take for the final one.
  *
  * <p>
  * No request of ours asks for one: bodies are sent without waiting, and no protocol is
  * changed. So a server that sends one says nothing that anybody waits for.
  */
-final class FinalAnswersOnly extends ChannelInboundHandlerAdapter {
+final class InterimResponseFilter extends ChannelInboundHandlerAdapter {
 
 	/**
-	 * How many provisional answers one connection may bring. A server that sends them
+	 * How many interim responses one connection may bring. A server that sends them
 	 * without end would take all of the loop's time.
 	 */
-	private static final int MAX_PROVISIONAL = 64;
+	private static final int MAX_INTERIM = 64;
 
 	private final ResponseFaults faults;
 
-	private int provisionalAnswers;
+	private int interimResponses;
 
-	private boolean provisional;
+	private boolean interim;
 
 	private boolean changesProtocol;
 
-	private FinalAnswersOnly(ResponseFaults faults) {
+	private InterimResponseFilter(ResponseFaults faults) {
 		this.faults = faults;
 	}
 
@@ -49,7 +49,7 @@
 	 * @param faults records responses that cannot be decoded
 	 */
 	static void on(Channel connection, ResponseFaults faults) {
-		connection.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, new FinalAnswersOnly(faults));
+		connection.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, new InterimResponseFilter(faults));
 	}
 
 	@Override
@@ -61,23 +61,23 @@
 			return;
 		}
 		if (message instanceof HttpResponse response) {
-			this.provisional = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-			this.provisionalAnswers = this.provisional ? this.provisionalAnswers + 1 : 0;
+			this.interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+			this.interimResponses = this.interim ? this.interimResponses + 1 : 0;
 			// No answer in HTTP can follow; whoever waits for one must learn that.
 			this.changesProtocol = HttpResponseStatus.SWITCHING_PROTOCOLS.equals(response.status());
 			if (this.changesProtocol) {
 				context.close();
 			}
 		}
-		if (!this.provisional) {
+		if (!this.interim) {
 			context.fireChannelRead(message);
 			return;
 		}
 		ReferenceCountUtil.release(message);
-		if (message instanceof HttpResponse && this.provisionalAnswers == MAX_PROVISIONAL + 1) {
-			throw new TooLongFrameException("more than " + MAX_PROVISIONAL + " provisional answers");
+		if (message instanceof HttpResponse && this.interimResponses == MAX_INTERIM + 1) {
+			throw new TooLongFrameException("more than " + MAX_INTERIM + " interim responses");
 		}
-		this.provisional = this.changesProtocol || !(message instanceof LastHttpContent);
+		this.interim = this.changesProtocol || !(message instanceof LastHttpContent);
 	}
 
 	// A response that is cut off is incomplete, not malformed.
--- a/http/src/main/java/org/snowwind/http/client/JsonClient.java
+++ b/http/src/main/java/org/snowwind/http/client/JsonClient.java
@@ -82,7 +82,7 @@
 			.setCookieStore(null)
 			.setHttpAdditionalChannelInitializer((connection) -> {
 				ResponseSyntax.on(connection, ChannelManager.HTTP_CLIENT_CODEC, this.faults);
-				FinalAnswersOnly.on(connection, this.faults);
+				InterimResponseFilter.on(connection, this.faults);
 				ReceivedBytes.on(connection, limits.maxResponseBytes(), unfinished);
 			}));
 	}
--- a/http/src/main/java/org/snowwind/http/client/ResponseLimits.java
+++ b/http/src/main/java/org/snowwind/http/client/ResponseLimits.java
@@ -4,8 +4,8 @@
  * Limits how many bytes of responses a client holds.
  *
  * <p>
- * The limits count what is received, with heads, provisional responses and framing. They
- * do not count what parsed documents take.
+ * The limits count what is received, with heads, interim responses and framing. They do
+ * not count what parsed documents take.
  *
  * @param maxResponseBytes the largest response, in bytes
  * @param maxTotalBytes the sum of all unfinished responses, in bytes
--- a/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
+++ b/http/src/main/java/org/snowwind/http/client/UpstreamClient.java
@@ -73,7 +73,7 @@
 	private void prepare(Channel connection) {
 		UnusedBytes.on(connection);
 		ResponseSyntax.on(connection, ChannelManager.HTTP_CLIENT_CODEC, this.faults);
-		FinalAnswersOnly.on(connection, this.faults);
+		InterimResponseFilter.on(connection, this.faults);
 		connection.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, new ReadGate());
 	}
 
--- a/http/src/test/java/org/snowwind/http/client/JsonClientLimitsTests.java
+++ b/http/src/test/java/org/snowwind/http/client/JsonClientLimitsTests.java
@@ -95,9 +95,9 @@
 	}
 
 	@Test
-	void provisionalResponsesWithoutEndAreNotRead() throws Exception {
+	void interimResponsesWithoutEndAreNotRead() throws Exception {
 		serveEndlessly("", "HTTP/1.1 103 Early Hints\r\n\r\n");
-		assertCallFailsAndCloses("more than 64 provisional answers");
+		assertCallFailsAndCloses("more than 64 interim responses");
 	}
 
 	@Test
--- a/http/src/test/java/org/snowwind/http/client/UpstreamClientTests.java
+++ b/http/src/test/java/org/snowwind/http/client/UpstreamClientTests.java
@@ -194,7 +194,7 @@
 	}
 
 	@Test
-	void provisionalAnswersWithoutEndAreAFailure() throws Exception {
+	void interimResponsesWithoutEndAreAFailure() throws Exception {
 		answerWithoutEnd("", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
 		assertThat(get().events).containsExactly("failure");
 	}
