Let a faulty server of the soak close connections that end meanwhile

By reading: reset() asked whether a connection was closed and then set an option of it, while the thread of the connection may close it in between; malformed answers, which end at once, make that likelier. The exception now ends the reset.

The race was not provoked.

--- a/app/src/test/java/org/snowwind/app/soak/FaultyServer.java
+++ b/app/src/test/java/org/snowwind/app/soak/FaultyServer.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -175,10 +176,13 @@
 
 	// An answer without a length that ends with its connection would be complete.
 	private static void reset(Socket connection) throws IOException {
-		if (!connection.isClosed()) {
+		try {
 			connection.setSoLinger(true, 0);
 			connection.close();
 		}
+		catch (SocketException ex) {
+			// The answer has ended, which closes its connection.
+		}
 	}
 
 	@Override
