--- a/gateway/src/test/java/org/snowwind/gateway/request/MalformedResponseTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/MalformedResponseTests.java
@@ -40,9 +40,11 @@
 
 	private static void assertError(String response) throws IOException {
 		try (GatewayFixture gateway = new GatewayFixture().withRoutes()) {
-			gateway.addServer((request, answer) -> answer.write(response));
-			gateway.addServer((request, answer) -> writeValid(answer, "other"));
+			ScriptedServer malformed = gateway.addServer((request, answer) -> answer.write(response));
+			ScriptedServer other = gateway.addServer((request, answer) -> writeValid(answer, "other"));
 			assertThat(gateway.call("/once/a")).startsWith("HTTP/1.1 502").doesNotContain("t-signed", CONTENT);
+			assertThat(malformed.received()).hasSize(1);
+			assertThat(other.received()).as("work that may have run is not repeated").isEmpty();
 		}
 	}
 
--- a/http/src/main/java/org/snowwind/http/client/InterimResponseFilter.java
+++ b/http/src/main/java/org/snowwind/http/client/InterimResponseFilter.java
@@ -63,7 +63,7 @@
 		if (message instanceof HttpResponse response) {
 			this.interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 			this.interimResponses = this.interim ? this.interimResponses + 1 : 0;
-			// No answer in HTTP can follow; whoever waits for one must learn that.
+			// No HTTP response can follow, so the call fails with its connection.
 			this.changesProtocol = HttpResponseStatus.SWITCHING_PROTOCOLS.equals(response.status());
 			if (this.changesProtocol) {
 				context.close();
