--- a/review/stand-ins-2/Server.java
+++ b/review/stand-ins-2/Server.java
@@ -20,6 +20,11 @@
 
 	private static final int QUEUE = 6;
 
+	/** Requests for these paths are answered with a stream of events. */
+	private static final String STREAMS = "/draft/";
+
+	private static final int EVENTS = 10;
+
 	final String id;
 
 	private final ServerSocket listener;
@@ -68,7 +73,7 @@
 			OutputStream out = caller.getOutputStream();
 			while (true) {
 				Http.Message request = Http.read(in, false);
-				out.write(answer(request));
+				out.write(answer(request, out));
 				out.flush();
 			}
 		}
@@ -77,7 +82,8 @@
 		}
 	}
 
-	private byte[] answer(Http.Message request) throws InterruptedException {
+	// Returns what is left to be written: the whole answer, or the end of a stream.
+	private byte[] answer(Http.Message request, OutputStream out) throws IOException, InterruptedException {
 		Map<String, String> headers = new LinkedHashMap<>();
 		headers.put("X-Instance-Id", this.id);
 		if (request.word(1).equals("/health")) {
@@ -108,6 +114,9 @@
 			this.record.line("server " + this.id + " runs " + attempt + " " + request.word(0) + " " + request.word(1)
 					+ " tenant " + request.header("X-Tenant"));
 			this.whenRun.accept(attempt, request.header("X-Tenant"));
+			if (request.word(1).startsWith(STREAMS)) {
+				return stream(headers, attempt, out);
+			}
 			Thread.sleep(this.workMillis);
 		}
 		finally {
@@ -120,4 +129,25 @@
 				("run " + attempt + " at " + this.id).getBytes(StandardCharsets.UTF_8));
 	}
 
+	private byte[] stream(Map<String, String> headers, String attempt, OutputStream out)
+			throws IOException, InterruptedException {
+		headers.put("X-Weight-Versions", String.valueOf(this.weights));
+		headers.put("X-Server-Seal", "seal." + this.id + "." + attempt);
+		headers.put("Content-Type", "text/event-stream");
+		headers.put("Transfer-Encoding", "chunked");
+		out.write(Http.message("HTTP/1.1 200 OK", headers, null));
+		for (int event = 1; event <= EVENTS; event++) {
+			Thread.sleep(this.workMillis);
+			String text = "id: " + event + "\ndata: piece " + event + " of " + attempt + "\n\n";
+			out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.UTF_8));
+			out.flush();
+		}
+		return "0\r\n\r\n".getBytes(StandardCharsets.UTF_8);
+	}
+
+	/** Stops taking connections. Requests that it has are still answered. */
+	void leave() throws IOException {
+		this.listener.close();
+	}
+
 }
