Require a key under a configuration whose organisations have no keys

Cause: RouteTable kept the holders of keys only, and requiresKeys() was !keys.isEmpty(). Organisations without keys and no organisations became the same table.

Change: a table is built with CallerAccess, either OpenAccess (no field for organisations) or KeyedAccess, which requires a key however many there are. The same cause in RequestPriorities: without keys requests counted as those of open access, and the priority of an organisation without keys was neither counted nor checked. Both now follow the configured organisations.

--- a/app/src/test/java/org/snowwind/app/soak/SilenceWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SilenceWorld.java
@@ -79,7 +79,7 @@
 		InetSocketAddress storeAddress = this.store.start();
 		this.store.put("config", "main",
 				Configurations.of(1, List.of(route(STREAMS, "stream"), route(PLAIN, "idempotent")), List.of(SERVICE),
-						"atlas-forme", List.of(KEY)));
+						List.of(new Configurations.OrganisationSpec("atlas-forme", List.of(KEY)))));
 		for (int i = 0; i < SERVERS; i++) {
 			this.servers.add(new PausableServer(this.store, SERVICE, SERVICE + "-" + i));
 		}
--- a/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRulesTests.java
@@ -472,8 +472,8 @@
 	}
 
 	private void written(long version, String movingTo, long afterMillis) {
-		this.configurations.add(new WrittenConfiguration(version, "key-" + version, movingTo,
-				START + TimeUnit.MILLISECONDS.toNanos(afterMillis)));
+		this.configurations.add(new WrittenConfiguration(version, "key-" + version,
+				Set.of(SoakWorld.KEY, "key-" + version), movingTo, START + TimeUnit.MILLISECONDS.toNanos(afterMillis)));
 	}
 
 	private void keyCall(String key, CallKind kind, long sentMillis, int status) {
--- a/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -98,6 +98,9 @@
 
 	private String movingTo = "desk";
 
+	/** Whether no organisation has a key. */
+	private boolean keysWithdrawn;
+
 	private int serverRuns;
 
 	SoakWorld(Path folder, int gatewayCount, Random random) throws IOException {
@@ -196,6 +199,16 @@
 		configure();
 	}
 
+	/**
+	 * Writes a new configuration in which no organisation has a key, or one in which all
+	 * have theirs again.
+	 * @param withdrawn whether the keys are taken away
+	 */
+	synchronized void withdrawKeys(boolean withdrawn) {
+		this.keysWithdrawn = withdrawn;
+		reconfigure();
+	}
+
 	private void configure() {
 		String passingKey = "a-key-that-passes-" + this.version;
 		synchronized (this.services) {
@@ -205,10 +218,12 @@
 				route(CallKind.AGAIN, "desk", "idempotent", 3), route(CallKind.STREAM, STREAMING, "stream", 3),
 				route(CallKind.LONG, STREAMING, "stream", 3), route(CallKind.MOVING, this.movingTo, "idempotent", 2),
 				route(CallKind.FATAL, "desk", "idempotent", 2));
+		List<String> keys = this.keysWithdrawn ? List.of() : List.of(KEY, passingKey);
 		long writtenNanos = System.nanoTime();
 		this.store.put("config", "main", Configurations.of(this.version, routes, List.copyOf(SERVERS.keySet()),
-				ORGANISATION, List.of(KEY, passingKey)));
-		this.configurations.add(new WrittenConfiguration(this.version, passingKey, this.movingTo, writtenNanos));
+				List.of(new Configurations.OrganisationSpec(ORGANISATION, keys))));
+		this.configurations
+			.add(new WrittenConfiguration(this.version, passingKey, Set.copyOf(keys), this.movingTo, writtenNanos));
 	}
 
 	private static Configurations.RouteSpec route(CallKind kind, String service, String repeat, int attempts) {
--- /dev/null
+++ b/gateway/src/main/java/org/snowwind/gateway/table/Organisation.java
@@ -0,0 +1,20 @@
+package org.snowwind.gateway.table;
+
+import java.util.List;
+
+/**
+ * A configured organisation.
+ *
+ * @param holder its name and priority
+ * @param keys its API keys, empty if it may not send requests
+ */
+public record Organisation(KeyHolder holder, List<String> keys) {
+
+	/**
+	 * Copies the keys.
+	 */
+	public Organisation {
+		keys = List.copyOf(keys);
+	}
+
+}
--- a/gateway/src/main/java/org/snowwind/gateway/table/RequestPriorities.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/RequestPriorities.java
@@ -50,14 +50,13 @@
 	/**
 	 * Reads the priorities of a configuration.
 	 * @param routes all routes
-	 * @param holders the holders of all API keys; empty if requests need none
+	 * @param access who may send requests
 	 * @return the priorities
 	 */
-	static RequestPriorities of(Collection<Route> routes, Collection<KeyHolder> holders) {
-		Set<Integer> ofHolders = holders.stream().map(KeyHolder::priority).collect(Collectors.toSet());
+	static RequestPriorities of(Collection<Route> routes, CallerAccess access) {
 		Map<String, Set<Integer>> possible = new HashMap<>();
 		for (Route route : routes) {
-			Set<Integer> ofRoute = possible(route, ofHolders);
+			Set<Integer> ofRoute = possible(route, access);
 			route.shares()
 				.forEach((share) -> possible.computeIfAbsent(share.service(), (name) -> new HashSet<>())
 					.addAll(ofRoute));
@@ -69,19 +68,24 @@
 			.collect(Collectors.toUnmodifiableSet());
 		List<String> outOfRange = Stream
 			.concat(routes.stream().filter((route) -> isOutOfRange(route.priority())).map(Route::name),
-					holders.stream().filter((holder) -> isOutOfRange(holder.priority())).map(KeyHolder::organisation))
+					access.organisations()
+						.stream()
+						.filter((holder) -> isOutOfRange(holder.priority()))
+						.map(KeyHolder::organisation))
 			.distinct()
 			.sorted()
 			.toList();
 		return new RequestPriorities(services, outOfRange);
 	}
 
-	private static Set<Integer> possible(Route route, Set<Integer> ofHolders) {
+	// Organisations without keys count too, so that the removal of a key does not change
+	// the priorities of the others' requests.
+	private static Set<Integer> possible(Route route, CallerAccess access) {
 		Set<Integer> priorities = new HashSet<>();
-		if (ofHolders.isEmpty() || route.open()) {
+		if (!access.requiresKey() || route.open()) {
 			priorities.add(effective(route.priority(), NONE));
 		}
-		ofHolders.forEach((ofHolder) -> priorities.add(effective(route.priority(), ofHolder)));
+		access.organisations().forEach((holder) -> priorities.add(effective(route.priority(), holder.priority())));
 		return priorities;
 	}
 
--- a/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
@@ -19,7 +19,8 @@
 	private static final RequestLimits INITIAL_LIMITS = new RequestLimits(1 << 20, 15_000);
 
 	/** The empty table that is in force until the first version is known. */
-	public static final RouteTable NONE = new RouteTable(0, List.of(), Map.of(), Map.of(), INITIAL_LIMITS, new byte[0]);
+	public static final RouteTable NONE = new RouteTable(0, List.of(), Map.of(), new KeyedAccess(List.of()),
+			INITIAL_LIMITS, new byte[0]);
 
 	private final long version;
 
@@ -27,7 +28,7 @@
 
 	private final Map<String, ServiceEntry> services;
 
-	private final Map<String, KeyHolder> keys;
+	private final CallerAccess access;
 
 	private final RequestPriorities priorities;
 
@@ -40,19 +41,19 @@
 	 * @param version the version that the operator assigned
 	 * @param routes all routes
 	 * @param services the services by name
-	 * @param keys the holder of each API key; empty if requests need none
+	 * @param access who may send requests
 	 * @param limits the limits on requests and connections of callers
 	 * @param document the table as the platform stores it, to be relayed to peers
 	 */
-	public RouteTable(long version, List<Route> routes, Map<String, ServiceEntry> services, Map<String, KeyHolder> keys,
+	public RouteTable(long version, List<Route> routes, Map<String, ServiceEntry> services, CallerAccess access,
 			RequestLimits limits, byte[] document) {
 		this.version = version;
 		this.routesByHost = routes.stream()
 			.sorted(LONGEST_PREFIX_FIRST)
 			.collect(Collectors.groupingBy(Route::host, Collectors.toUnmodifiableList()));
 		this.services = Map.copyOf(services);
-		this.keys = Map.copyOf(keys);
-		this.priorities = RequestPriorities.of(routes, keys.values());
+		this.access = access;
+		this.priorities = RequestPriorities.of(routes, access);
 		this.limits = limits;
 		this.document = document.clone();
 	}
@@ -87,11 +88,11 @@
 	}
 
 	/**
-	 * Returns whether requests need an API key.
-	 * @return true if organisations are configured
+	 * Returns whether requests need an API key, except on open routes.
+	 * @return true if organisations are configured, even if none of them has a key
 	 */
 	public boolean requiresKeys() {
-		return !this.keys.isEmpty();
+		return this.access.requiresKey();
 	}
 
 	/**
@@ -100,7 +101,7 @@
 	 * @return the organisation, empty if the key belongs to none
 	 */
 	public Optional<KeyHolder> holderOf(String key) {
-		return Optional.ofNullable(this.keys.get(key));
+		return this.access.holderOf(key);
 	}
 
 	/**
--- a/gateway/src/test/java/org/snowwind/gateway/peer/PeerDocumentsTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/peer/PeerDocumentsTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.snowwind.gateway.registry.RegistryHolder;
+import org.snowwind.gateway.table.OpenAccess;
 import org.snowwind.gateway.table.RequestLimits;
 import org.snowwind.gateway.table.RouteTable;
 import org.snowwind.gateway.table.TableDecoder;
@@ -69,7 +70,7 @@
 
 		@Override
 		public RouteTable decode(JsonNode document) {
-			return new RouteTable(document.path("version").asLong(), List.of(), Map.of(), Map.of(),
+			return new RouteTable(document.path("version").asLong(), List.of(), Map.of(), OpenAccess.INSTANCE,
 					new RequestLimits(1, 1), document.toString().getBytes(StandardCharsets.UTF_8));
 		}
 
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -33,8 +33,11 @@
 import org.snowwind.gateway.suspect.SuspectPart;
 import org.snowwind.gateway.suspect.SuspectView;
 import org.snowwind.gateway.suspect.Suspects;
+import org.snowwind.gateway.table.CallerAccess;
 import org.snowwind.gateway.table.EngineProfile;
 import org.snowwind.gateway.table.KeyHolder;
+import org.snowwind.gateway.table.KeyedAccess;
+import org.snowwind.gateway.table.Organisation;
 import org.snowwind.gateway.table.RepeatPolicy;
 import org.snowwind.gateway.table.RequestLimits;
 import org.snowwind.gateway.table.Route;
@@ -155,14 +158,13 @@
 	 * {@code /steady/} and {@code /again/}.
 	 */
 	GatewayFixture withRoutes() {
-		return withRoutes(Map.of(), Map.of("secret", new KeyHolder("org", 1)));
+		return withRoutes(Map.of(), access("org", 1, "secret"));
 	}
 
 	/** Installs the same routes to a service whose servers are ranks of one group. */
 	GatewayFixture withRoutesToRanks() {
 		EngineProfile engine = new EngineProfile(8, 300_000, 6, 5, 0.5, 0.01, 70_000, 6, 64, 11, 4, 1700, 92_000, 0.85);
-		return withRoutes(Map.of("service", new ServiceEntry("service", engine, 0)),
-				Map.of("secret", new KeyHolder("org", 1)));
+		return withRoutes(Map.of("service", new ServiceEntry("service", engine, 0)), access("org", 1, "secret"));
 	}
 
 	/**
@@ -170,10 +172,24 @@
 	 * {@code urgent} and {@code digest}.
 	 */
 	GatewayFixture withPriorities() {
-		return withRoutes(Map.of(), Map.of("urgent", new KeyHolder("urgent", 0), "digest", new KeyHolder("digest", 2)));
+		return withRoutes(Map.of(),
+				new KeyedAccess(List.of(organisation("urgent", 0, "urgent"), organisation("digest", 2, "digest"))));
 	}
 
-	private GatewayFixture withRoutes(Map<String, ServiceEntry> services, Map<String, KeyHolder> keys) {
+	/** Installs the same routes for an organisation without a key. */
+	GatewayFixture withoutKeys() {
+		return withRoutes(Map.of(), new KeyedAccess(List.of(new Organisation(new KeyHolder("org", 1), List.of()))));
+	}
+
+	private static CallerAccess access(String name, int priority, String key) {
+		return new KeyedAccess(List.of(organisation(name, priority, key)));
+	}
+
+	private static Organisation organisation(String name, int priority, String key) {
+		return new Organisation(new KeyHolder(name, priority), List.of(key));
+	}
+
+	private GatewayFixture withRoutes(Map<String, ServiceEntry> services, CallerAccess access) {
 		List<Route> routes = List.of(route("once", RepeatPolicy.AT_MOST_ONCE, 1, false),
 				route("many", RepeatPolicy.IDEMPOTENT, 2, false), route("stream", RepeatPolicy.STREAM, 2, true),
 				route("frail", RepeatPolicy.STREAM, 1, false),
@@ -181,7 +197,7 @@
 				route("patient", RepeatPolicy.STREAM, 60_000, 60_000, 2, true),
 				route("steady", RepeatPolicy.STREAM, 10_000, 400, 2, true),
 				route("again", RepeatPolicy.IDEMPOTENT, 10_000, 400, 2, false));
-		this.tables.offer(new RouteTable(1, routes, services, keys, new RequestLimits(100_000, 15_000), new byte[0]),
+		this.tables.offer(new RouteTable(1, routes, services, access, new RequestLimits(100_000, 15_000), new byte[0]),
 				"test");
 		return this;
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/RelayTests.java
@@ -479,6 +479,16 @@
 		assertThat(server.received()).isEmpty();
 	}
 
+	@Test
+	void organisationWithoutAKeyDoesNotOpenAccess() throws IOException {
+		try (GatewayFixture fresh = new GatewayFixture().withoutKeys()) {
+			ScriptedServer server = fresh.addServer(ok("x"));
+			assertThat(fresh.call("/once/a")).startsWith("HTTP/1.1 401");
+			assertThat(fresh.call("/once/a", "t-key: wrong")).startsWith("HTTP/1.1 401");
+			assertThat(server.received()).isEmpty();
+		}
+	}
+
 	@Test
 	void requestBeforeAnyConfigurationIsRejectedWithRetryAfter() throws IOException {
 		try (GatewayFixture fresh = new GatewayFixture()) {
--- a/gateway/src/test/java/org/snowwind/gateway/table/RequestPrioritiesTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/RequestPrioritiesTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +20,12 @@
 
 	private static RequestPriorities ofRoutes(int... priorities) {
 		return RequestPriorities.of(IntStream.of(priorities).mapToObj((priority) -> route(priority, false)).toList(),
-				List.of());
+				OpenAccess.INSTANCE);
+	}
+
+	private static CallerAccess access(KeyHolder... holders) {
+		return new KeyedAccess(
+				Stream.of(holders).map((holder) -> new Organisation(holder, List.of(holder.organisation()))).toList());
 	}
 
 	private static KeyHolder holder(int priority) {
@@ -47,10 +53,33 @@
 	@Test
 	void routesThatEveryOrganisationOverridesMakeNoDifference() {
 		List<Route> routes = List.of(route(0, false), route(2, false));
-		assertThat(RequestPriorities.of(routes, List.of(holder(1))).areDistinct("s")).isFalse();
-		assertThat(RequestPriorities.of(routes, List.of(holder(1), holder(-1))).areDistinct("s")).isTrue();
-		assertThat(RequestPriorities.of(routes, List.of(holder(1), holder(3))).areDistinct("s")).isTrue();
-		assertThat(RequestPriorities.of(List.of(route(0, true)), List.of(holder(1))).areDistinct("s")).isTrue();
+		assertThat(RequestPriorities.of(routes, access(holder(1))).areDistinct("s")).isFalse();
+		assertThat(RequestPriorities.of(routes, access(holder(1), holder(-1))).areDistinct("s")).isTrue();
+		assertThat(RequestPriorities.of(routes, access(holder(1), holder(3))).areDistinct("s")).isTrue();
+		assertThat(RequestPriorities.of(List.of(route(0, true)), access(holder(1))).areDistinct("s")).isTrue();
+	}
+
+	@Test
+	void removalOfAKeyChangesNoPriorityOfOthers() {
+		List<Route> routes = List.of(route(2, false));
+		CallerAccess withoutKey = new KeyedAccess(List.of(new Organisation(holder(1), List.of()),
+				new Organisation(holder(RequestPriorities.NONE), List.of("k"))));
+		assertThat(RequestPriorities.of(routes, withoutKey).areDistinct("s")).isTrue();
+	}
+
+	@Test
+	void organisationWithoutAKeyIsNotTakenForOpenAccess() {
+		CallerAccess withoutKeys = new KeyedAccess(List.of(new Organisation(holder(1), List.of())));
+		assertThat(RequestPriorities.of(List.of(route(0, false), route(2, false)), withoutKeys).areDistinct("s"))
+			.isFalse();
+		assertThat(RequestPriorities.of(List.of(route(0, false)), new KeyedAccess(List.of())).areDistinct("s"))
+			.isFalse();
+	}
+
+	@Test
+	void priorityOutOfRangeIsReportedWithoutAKey() {
+		CallerAccess withoutKeys = new KeyedAccess(List.of(new Organisation(holder(70), List.of())));
+		assertThat(RequestPriorities.of(List.of(), withoutKeys).outOfRange()).containsExactly("org70");
 	}
 
 	@Test
@@ -64,7 +93,7 @@
 	void valuesOutOfRangeAreBoundedAndReported() {
 		RequestPriorities priorities = RequestPriorities.of(
 				List.of(route(RequestPriorities.INVALID, false), route(70, false), route(0, false)),
-				List.of(holder(RequestPriorities.INVALID)));
+				access(holder(RequestPriorities.INVALID)));
 		assertThat(priorities.outOfRange()).containsExactly("org-2", "route-2", "route70");
 		assertThat(priorities.of(route(70, false), "s", holder(RequestPriorities.INVALID))).isEqualTo(9);
 		assertThat(priorities.of(route(RequestPriorities.INVALID, false), "s", null))
@@ -75,7 +104,7 @@
 	void prioritiesOfRequestsToDifferentServicesMakeNoDifference() {
 		Route other = new Route("other", "h", "/", RepeatPolicy.STREAM, 1000, 400, 100, 0, 1, false, false,
 				List.of(new Route.Share("t", 1)));
-		RequestPriorities priorities = RequestPriorities.of(List.of(other, route(2, false)), List.of());
+		RequestPriorities priorities = RequestPriorities.of(List.of(other, route(2, false)), OpenAccess.INSTANCE);
 		assertThat(priorities.areDistinct("s")).isFalse();
 		assertThat(priorities.of(other, "t", null)).isEqualTo(RequestPriorities.NONE);
 	}
--- a/gateway/src/test/java/org/snowwind/gateway/table/RouteTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/RouteTableTests.java
@@ -18,8 +18,8 @@
 				List.of(shares));
 	}
 
-	private static RouteTable table(long version, Map<String, KeyHolder> keys, Route... routes) {
-		return new RouteTable(version, List.of(routes), Map.of(), keys, new RequestLimits(1, 1), new byte[0]);
+	private static RouteTable table(long version, CallerAccess access, Route... routes) {
+		return new RouteTable(version, List.of(routes), Map.of(), access, new RequestLimits(1, 1), new byte[0]);
 	}
 
 	private static String routeName(RouteTable table, String host, String path) {
@@ -28,8 +28,8 @@
 
 	@Test
 	void longestPrefixOfHostIsChosen() {
-		RouteTable table = table(1, Map.of(), route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"),
-				route("other", "b.example", "/x/y/z/"));
+		RouteTable table = table(1, OpenAccess.INSTANCE, route("short", "a.example", "/x/"),
+				route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/y/z/"));
 		assertThat(routeName(table, "a.example", "/x/y/z/1")).isEqualTo("long");
 		assertThat(routeName(table, "a.example", "/x/z")).isEqualTo("short");
 		assertThat(routeName(table, "b.example", "/x/z")).isEqualTo("none");
@@ -38,7 +38,7 @@
 
 	@Test
 	void hostIsComparedWithoutPortAndCase() {
-		RouteTable table = table(1, Map.of(), route("r", "a.example", "/"));
+		RouteTable table = table(1, OpenAccess.INSTANCE, route("r", "a.example", "/"));
 		assertThat(routeName(table, "A.Example:8080", "/q")).isEqualTo("r");
 		assertThat(routeName(table, null, "/q")).isEqualTo("none");
 	}
@@ -46,8 +46,9 @@
 	@Test
 	void keysAreRequiredOnlyIfOrganisationsAreConfigured() {
 		KeyHolder holder = new KeyHolder("org", 1);
-		assertThat(table(1, Map.of(), route("r", "h", "/")).requiresKeys()).isFalse();
-		RouteTable keyed = table(1, Map.of("k", holder), route("r", "h", "/"));
+		assertThat(table(1, OpenAccess.INSTANCE, route("r", "h", "/")).requiresKeys()).isFalse();
+		RouteTable keyed = table(1, new KeyedAccess(List.of(new Organisation(holder, List.of("k")))),
+				route("r", "h", "/"));
 		assertThat(keyed.requiresKeys()).isTrue();
 		assertThat(keyed.holderOf("k")).contains(holder);
 		assertThat(keyed.holderOf("K")).isEmpty();
@@ -69,11 +70,11 @@
 	@Test
 	void olderTableIsRejected() {
 		TableHolder holder = new TableHolder();
-		assertThat(holder.offer(table(5, Map.of()), "test")).isTrue();
-		assertThat(holder.offer(table(4, Map.of()), "test")).isFalse();
-		assertThat(holder.offer(table(5, Map.of()), "test")).isFalse();
+		assertThat(holder.offer(table(5, OpenAccess.INSTANCE), "test")).isTrue();
+		assertThat(holder.offer(table(4, OpenAccess.INSTANCE), "test")).isFalse();
+		assertThat(holder.offer(table(5, OpenAccess.INSTANCE), "test")).isFalse();
 		assertThat(holder.current().version()).isEqualTo(5);
-		assertThat(holder.offer(table(9, Map.of()), "test")).isTrue();
+		assertThat(holder.offer(table(9, OpenAccess.INSTANCE), "test")).isTrue();
 	}
 
 	@Test
--- a/gateway/src/test/java/org/snowwind/gateway/table/TableFreshnessTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/TableFreshnessTests.java
@@ -33,9 +33,8 @@
 	}
 
 	private void applyTable(long version) {
-		this.tables.offer(
-				new RouteTable(version, List.of(), Map.of(), Map.of(), new RequestLimits(1000, 1000), new byte[0]),
-				"test");
+		this.tables.offer(new RouteTable(version, List.of(), Map.of(), OpenAccess.INSTANCE,
+				new RequestLimits(1000, 1000), new byte[0]), "test");
 	}
 
 	@Test
