Move UnreadableEntries to the package of the tables

Tables will report organisations that cannot be served in the same way as the registry reports server entries. The name of the field in the log line becomes a parameter; behaviour is unchanged.

--- a/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
+++ b/gateway/src/main/java/org/snowwind/gateway/registry/RegistryWatcher.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.snowwind.gateway.table.DocumentException;
+import org.snowwind.gateway.table.UnreadableEntries;
 import org.snowwind.model.EraRevision;
 import org.snowwind.model.MonotonicClock;
 import org.snowwind.model.event.Event;
@@ -28,9 +29,10 @@
 
 	private final MonotonicClock clock;
 
-	private final UnreadableEntries unreadableEntries = new UnreadableEntries(Event.SERVER_UNREADABLE);
+	private final UnreadableEntries unreadableEntries = new UnreadableEntries(Event.SERVER_UNREADABLE, "server");
 
-	private final UnreadableEntries unreadableColdTimes = new UnreadableEntries(Event.SERVER_COLD_TIME_UNREADABLE);
+	private final UnreadableEntries unreadableColdTimes = new UnreadableEntries(Event.SERVER_COLD_TIME_UNREADABLE,
+			"server");
 
 	/**
 	 * Creates the watcher.
--- a/gateway/src/main/java/org/snowwind/gateway/registry/UnreadableEntries.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/UnreadableEntries.java
@@ -1,4 +1,4 @@
-package org.snowwind.gateway.registry;
+package org.snowwind.gateway.table;
 
 import java.util.Collection;
 import java.util.Map;
@@ -13,7 +13,7 @@
  * however often it is written. Only one thread may change it; any thread may call
  * {@link #count()}.
  */
-final class UnreadableEntries {
+public final class UnreadableEntries {
 
 	/**
 	 * The maximum number of entries that are remembered. Further ones are neither
@@ -30,14 +30,18 @@
 
 	private final Event event;
 
+	private final String nameField;
+
 	private final Map<String, String> reasonsByEntry = new ConcurrentHashMap<>();
 
 	/**
 	 * Creates an instance that remembers no entries.
 	 * @param event logged for each entry and reason
+	 * @param nameField the field of the log line that has the name of the entry
 	 */
-	UnreadableEntries(Event event) {
+	public UnreadableEntries(Event event, String nameField) {
 		this.event = event;
+		this.nameField = nameField;
 	}
 
 	/**
@@ -45,12 +49,12 @@
 	 * @param name the name of the entry
 	 * @param reason why it cannot be decoded
 	 */
-	void recordUnreadable(String name, String reason) {
+	public void recordUnreadable(String name, String reason) {
 		String key = truncate(name);
 		String loggedReason = truncate(reason);
 		boolean hasCapacity = this.reasonsByEntry.containsKey(key) || this.reasonsByEntry.size() < MAX_ENTRIES;
 		if (hasCapacity && !loggedReason.equals(this.reasonsByEntry.put(key, loggedReason))) {
-			EventLog.log(this.event, "server", key, "reason", loggedReason);
+			EventLog.log(this.event, this.nameField, key, "reason", loggedReason);
 		}
 	}
 
@@ -58,7 +62,7 @@
 	 * Removes an entry that can be decoded again or no longer exists.
 	 * @param name the name of the entry
 	 */
-	void clear(String name) {
+	public void clear(String name) {
 		this.reasonsByEntry.remove(truncate(name));
 	}
 
@@ -66,7 +70,7 @@
 	 * Removes the entries that no longer exist.
 	 * @param names the names of all existing entries
 	 */
-	void retainOnly(Collection<String> names) {
+	public void retainOnly(Collection<String> names) {
 		this.reasonsByEntry.keySet()
 			.retainAll(names.stream().map(UnreadableEntries::truncate).collect(Collectors.toSet()));
 	}
@@ -75,7 +79,7 @@
 	 * Returns the number of remembered entries.
 	 * @return the number of entries that cannot be decoded, at most {@value #MAX_ENTRIES}
 	 */
-	int count() {
+	public int count() {
 		return this.reasonsByEntry.size();
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/registry/UnreadableEntriesTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/UnreadableEntriesTests.java
@@ -1,4 +1,4 @@
-package org.snowwind.gateway.registry;
+package org.snowwind.gateway.table;
 
 import java.util.List;
 
@@ -12,7 +12,7 @@
  */
 class UnreadableEntriesTests {
 
-	private final UnreadableEntries entries = new UnreadableEntries(Event.SERVER_UNREADABLE);
+	private final UnreadableEntries entries = new UnreadableEntries(Event.SERVER_UNREADABLE, "server");
 
 	@Test
 	void entryIsCountedUntilItCanBeRead() {
