Escape control characters in log lines

What on call saw: a name with a carriage return, an escape sequence or a line separator was logged as it was. Only line feeds and quotation marks were replaced, so whoever chooses names could start log lines or control the terminal that shows them.

Cause: EventLog.quoted named two of the characters that matter. Control and format characters, line and paragraph separators and lone surrogates are now written as \uXXXX; other text, also beyond ASCII, is unchanged.

--- a/model/src/main/java/org/snowwind/model/event/EventLog.java
+++ b/model/src/main/java/org/snowwind/model/event/EventLog.java
@@ -41,8 +41,32 @@
 
 	private static String quoted(Object value) {
 		String text = String.valueOf(value);
-		boolean plain = !text.isEmpty() && text.chars().noneMatch((c) -> c <= ' ' || c == '"' || c == '=');
-		return plain ? text : '"' + text.replace("\"", "'").replace('\n', ' ') + '"';
+		boolean plain = !text.isEmpty()
+				&& text.codePoints().noneMatch((c) -> c <= ' ' || c == '"' || c == '=' || isEscaped(c));
+		return plain ? text : '"' + escaped(text.replace('"', '\'')) + '"';
+	}
+
+	private static String escaped(String text) {
+		StringBuilder line = new StringBuilder();
+		text.codePoints().forEach((c) -> {
+			if (isEscaped(c)) {
+				line.append(String.format("\\u%04x", c));
+			}
+			else {
+				line.appendCodePoint(c);
+			}
+		});
+		return line.toString();
+	}
+
+	// Names come from others: a value must neither start a line nor control a terminal.
+	private static boolean isEscaped(int codePoint) {
+		return switch (Character.getType(codePoint)) {
+			case Character.CONTROL, Character.FORMAT, Character.SURROGATE, Character.LINE_SEPARATOR,
+					Character.PARAGRAPH_SEPARATOR ->
+				true;
+			default -> false;
+		};
 	}
 
 }
