--- a/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
+++ b/gateway/src/main/java/org/snowwind/gateway/StoreCopies.java
@@ -213,6 +213,8 @@
 	void registerMeters(MeterRegistry registry) {
 		Gauge.builder("snowwind.gateway.table.version", this.tables, (holder) -> holder.current().version())
 			.register(registry);
+		Gauge.builder("snowwind.gateway.organisations.unusable", this.tables, TableHolder::unusableOrganisationCount)
+			.register(registry);
 		Gauge
 			.builder("snowwind.gateway.table.unconfirmed.millis", this.tableFreshness,
 					(freshness) -> freshness.state().unconfirmedMillis())
--- a/gateway/src/main/java/org/snowwind/gateway/table/CallerAccess.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/CallerAccess.java
@@ -26,9 +26,15 @@
 	Optional<KeyHolder> holderOf(String key);
 
 	/**
-	 * Returns the configured organisations, with and without keys.
+	 * Returns the organisations that may send requests, with and without keys.
 	 * @return the organisations in the order of the configuration
 	 */
 	List<KeyHolder> organisations();
 
+	/**
+	 * Returns which organisations cannot send requests, or not with all their keys.
+	 * @return at most one fault for each organisation
+	 */
+	List<AccessFault> faults();
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/table/KeyedAccess.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/KeyedAccess.java
@@ -15,17 +15,21 @@
 
 	private final Map<String, KeyHolder> holdersByKey;
 
+	private final List<AccessFault> faults;
+
 	/**
 	 * Creates the access of organisations.
-	 * @param organisations the configured organisations; empty if nobody may send
-	 * requests
+	 * @param organisations the organisations that may send requests; empty if nobody may
+	 * @param faults why others may not, or not with all their keys
 	 */
-	public KeyedAccess(List<Organisation> organisations) {
+	public KeyedAccess(List<Organisation> organisations, List<AccessFault> faults) {
 		this.organisations = organisations.stream().map(Organisation::holder).toList();
+		this.faults = List.copyOf(faults);
 		Map<String, KeyHolder> holders = new HashMap<>();
 		for (Organisation organisation : organisations) {
 			organisation.keys().forEach((key) -> holders.put(key, organisation.holder()));
 		}
+		faults.forEach((fault) -> holders.keySet().removeAll(fault.withheldKeys()));
 		this.holdersByKey = Map.copyOf(holders);
 	}
 
@@ -44,4 +48,9 @@
 		return this.organisations;
 	}
 
+	@Override
+	public List<AccessFault> faults() {
+		return this.faults;
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/table/OpenAccess.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/OpenAccess.java
@@ -29,4 +29,9 @@
 		return List.of();
 	}
 
+	@Override
+	public List<AccessFault> faults() {
+		return List.of();
+	}
+
 }
--- a/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
@@ -19,7 +19,7 @@
 	private static final RequestLimits INITIAL_LIMITS = new RequestLimits(1 << 20, 15_000);
 
 	/** The empty table that is in force until the first version is known. */
-	public static final RouteTable NONE = new RouteTable(0, List.of(), Map.of(), new KeyedAccess(List.of()),
+	public static final RouteTable NONE = new RouteTable(0, List.of(), Map.of(), new KeyedAccess(List.of(), List.of()),
 			INITIAL_LIMITS, new byte[0]);
 
 	private final long version;
@@ -87,6 +87,14 @@
 		return name.toLowerCase(Locale.ROOT);
 	}
 
+	/**
+	 * Returns which organisations cannot send requests, or not with all their keys.
+	 * @return at most one fault for each organisation
+	 */
+	public List<AccessFault> accessFaults() {
+		return this.access.faults();
+	}
+
 	/**
 	 * Returns whether requests need an API key, except on open routes.
 	 * @return true if organisations are configured, even if none of them has a key
--- a/gateway/src/main/java/org/snowwind/gateway/table/TableHolder.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/TableHolder.java
@@ -14,6 +14,9 @@
 
 	private final List<Consumer<RouteTable>> listeners = new CopyOnWriteArrayList<>();
 
+	private final UnreadableEntries unusableOrganisations = new UnreadableEntries(Event.ORGANISATION_UNUSABLE,
+			"organisation");
+
 	private volatile RouteTable current = RouteTable.NONE;
 
 	/**
@@ -51,8 +54,23 @@
 			EventLog.log(Event.PRIORITIES_OUT_OF_RANGE, "version", table.version(), "count", outOfRange.size(), "first",
 					outOfRange.get(0));
 		}
+		report(table.accessFaults());
 		this.listeners.forEach((listener) -> listener.accept(table));
 		return true;
 	}
 
+	private void report(List<AccessFault> faults) {
+		this.unusableOrganisations.retainOnly(faults.stream().map(AccessFault::organisation).toList());
+		faults.forEach((fault) -> this.unusableOrganisations.recordUnreadable(fault.organisation(), fault.reason()));
+	}
+
+	/**
+	 * Returns how many organisations of the table in force cannot send requests, or not
+	 * with all their keys.
+	 * @return the number of organisations, at most {@value UnreadableEntries#MAX_ENTRIES}
+	 */
+	public int unusableOrganisationCount() {
+		return this.unusableOrganisations.count();
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/GatewayFixture.java
@@ -172,17 +172,18 @@
 	 * {@code urgent} and {@code digest}.
 	 */
 	GatewayFixture withPriorities() {
-		return withRoutes(Map.of(),
-				new KeyedAccess(List.of(organisation("urgent", 0, "urgent"), organisation("digest", 2, "digest"))));
+		return withRoutes(Map.of(), new KeyedAccess(
+				List.of(organisation("urgent", 0, "urgent"), organisation("digest", 2, "digest")), List.of()));
 	}
 
 	/** Installs the same routes for an organisation without a key. */
 	GatewayFixture withoutKeys() {
-		return withRoutes(Map.of(), new KeyedAccess(List.of(new Organisation(new KeyHolder("org", 1), List.of()))));
+		return withRoutes(Map.of(),
+				new KeyedAccess(List.of(new Organisation(new KeyHolder("org", 1), List.of())), List.of()));
 	}
 
 	private static CallerAccess access(String name, int priority, String key) {
-		return new KeyedAccess(List.of(organisation(name, priority, key)));
+		return new KeyedAccess(List.of(organisation(name, priority, key)), List.of());
 	}
 
 	private static Organisation organisation(String name, int priority, String key) {
--- a/gateway/src/test/java/org/snowwind/gateway/table/KeyedAccessTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/KeyedAccessTests.java
@@ -17,15 +17,15 @@
 
 	@Test
 	void keyIsRequiredHoweverManyKeysThereAre() {
-		assertThat(new KeyedAccess(List.of()).requiresKey()).isTrue();
-		assertThat(new KeyedAccess(List.of(organisation("a"))).requiresKey()).isTrue();
-		assertThat(new KeyedAccess(List.of(organisation("a", "k"))).requiresKey()).isTrue();
+		assertThat(new KeyedAccess(List.of(), List.of()).requiresKey()).isTrue();
+		assertThat(new KeyedAccess(List.of(organisation("a")), List.of()).requiresKey()).isTrue();
+		assertThat(new KeyedAccess(List.of(organisation("a", "k")), List.of()).requiresKey()).isTrue();
 		assertThat(OpenAccess.INSTANCE.requiresKey()).isFalse();
 	}
 
 	@Test
 	void keyBelongsToItsOrganisationOnly() {
-		KeyedAccess access = new KeyedAccess(List.of(organisation("a", "k", "l"), organisation("b", "m")));
+		KeyedAccess access = new KeyedAccess(List.of(organisation("a", "k", "l"), organisation("b", "m")), List.of());
 		assertThat(access.holderOf("l").orElseThrow().organisation()).isEqualTo("a");
 		assertThat(access.holderOf("m").orElseThrow().organisation()).isEqualTo("b");
 		assertThat(access.holderOf("n")).isEmpty();
@@ -34,7 +34,7 @@
 
 	@Test
 	void organisationWithoutAKeyIsListed() {
-		KeyedAccess access = new KeyedAccess(List.of(organisation("a"), organisation("b", "k")));
+		KeyedAccess access = new KeyedAccess(List.of(organisation("a"), organisation("b", "k")), List.of());
 		assertThat(access.organisations()).extracting(KeyHolder::organisation).containsExactly("a", "b");
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/table/RequestPrioritiesTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/RequestPrioritiesTests.java
@@ -25,7 +25,8 @@
 
 	private static CallerAccess access(KeyHolder... holders) {
 		return new KeyedAccess(
-				Stream.of(holders).map((holder) -> new Organisation(holder, List.of(holder.organisation()))).toList());
+				Stream.of(holders).map((holder) -> new Organisation(holder, List.of(holder.organisation()))).toList(),
+				List.of());
 	}
 
 	private static KeyHolder holder(int priority) {
@@ -63,22 +64,23 @@
 	void removalOfAKeyChangesNoPriorityOfOthers() {
 		List<Route> routes = List.of(route(2, false));
 		CallerAccess withoutKey = new KeyedAccess(List.of(new Organisation(holder(1), List.of()),
-				new Organisation(holder(RequestPriorities.NONE), List.of("k"))));
+				new Organisation(holder(RequestPriorities.NONE), List.of("k"))), List.of());
 		assertThat(RequestPriorities.of(routes, withoutKey).areDistinct("s")).isTrue();
 	}
 
 	@Test
 	void organisationWithoutAKeyIsNotTakenForOpenAccess() {
-		CallerAccess withoutKeys = new KeyedAccess(List.of(new Organisation(holder(1), List.of())));
+		CallerAccess withoutKeys = new KeyedAccess(List.of(new Organisation(holder(1), List.of())), List.of());
 		assertThat(RequestPriorities.of(List.of(route(0, false), route(2, false)), withoutKeys).areDistinct("s"))
 			.isFalse();
-		assertThat(RequestPriorities.of(List.of(route(0, false)), new KeyedAccess(List.of())).areDistinct("s"))
+		assertThat(
+				RequestPriorities.of(List.of(route(0, false)), new KeyedAccess(List.of(), List.of())).areDistinct("s"))
 			.isFalse();
 	}
 
 	@Test
 	void priorityOutOfRangeIsReportedWithoutAKey() {
-		CallerAccess withoutKeys = new KeyedAccess(List.of(new Organisation(holder(70), List.of())));
+		CallerAccess withoutKeys = new KeyedAccess(List.of(new Organisation(holder(70), List.of())), List.of());
 		assertThat(RequestPriorities.of(List.of(), withoutKeys).outOfRange()).containsExactly("org70");
 	}
 
--- a/gateway/src/test/java/org/snowwind/gateway/table/RouteTableTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/RouteTableTests.java
@@ -47,7 +47,7 @@
 	void keysAreRequiredOnlyIfOrganisationsAreConfigured() {
 		KeyHolder holder = new KeyHolder("org", 1);
 		assertThat(table(1, OpenAccess.INSTANCE, route("r", "h", "/")).requiresKeys()).isFalse();
-		RouteTable keyed = table(1, new KeyedAccess(List.of(new Organisation(holder, List.of("k")))),
+		RouteTable keyed = table(1, new KeyedAccess(List.of(new Organisation(holder, List.of("k"))), List.of()),
 				route("r", "h", "/"));
 		assertThat(keyed.requiresKeys()).isTrue();
 		assertThat(keyed.holderOf("k")).contains(holder);
--- a/model/src/main/java/org/snowwind/model/event/Event.java
+++ b/model/src/main/java/org/snowwind/model/event/Event.java
@@ -49,6 +49,9 @@
 	/** A peer has had a newer route table for some time. */
 	TABLE_BEHIND(2006, Level.WARNING, "route table older than a peer's"),
 
+	/** An organisation cannot send requests, or not with all its keys. */
+	ORGANISATION_UNUSABLE(2008, Level.WARNING, "organisation or key unusable"),
+
 	/** The platform did not answer. */
 	PLATFORM_AWAY(2101, Level.WARNING, "platform away, serving from memory"),
 
--- a/model/src/test/java/org/snowwind/model/event/EventLogTests.java
+++ b/model/src/test/java/org/snowwind/model/event/EventLogTests.java
@@ -18,8 +18,8 @@
 	@ParameterizedTest
 	@ValueSource(ints = { '\n', '\r', '\t', '\0', 0x1b, 0x7f, 0x85, 0x9b, 0x2028, 0x2029, 0xd83d, 0xde00, 0x202e })
 	void valueCannotStartALineOrControlATerminal(int character) {
-		assertThat(render("a" + (char) character + "b")).isEqualTo(
-				"SW-2001 configuration applied key=" + String.format("\"a\\u%04xb\"", character));
+		assertThat(render("a" + (char) character + "b"))
+			.isEqualTo("SW-2001 configuration applied key=" + String.format("\"a\\u%04xb\"", character));
 	}
 
 	@ParameterizedTest
