--- a/gateway/src/main/java/org/snowwind/gateway/table/Organisation.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/Organisation.java
@@ -17,4 +17,8 @@
 		keys = List.copyOf(keys);
 	}
 
+	String name() {
+		return this.holder.organisation();
+	}
+
 }
--- a/gateway/src/test/java/org/snowwind/gateway/table/KeyedAccessTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/table/KeyedAccessTests.java
@@ -38,4 +38,30 @@
 		assertThat(access.organisations()).extracting(KeyHolder::organisation).containsExactly("a", "b");
 	}
 
+	@Test
+	void keyOfTwoOrganisationsIsValidForNeither() {
+		KeyedAccess access = new KeyedAccess(
+				List.of(organisation("a", "k", "l"), organisation("b", "m", "k"), organisation("c", "n")), List.of());
+		assertThat(access.holderOf("k")).isEmpty();
+		assertThat(access.holderOf("l").orElseThrow().organisation()).isEqualTo("a");
+		assertThat(access.holderOf("m").orElseThrow().organisation()).isEqualTo("b");
+		assertThat(access.faults()).extracting(AccessFault::organisation).containsExactly("a", "b");
+	}
+
+	@Test
+	void keyThatIsListedTwiceForOneNameIsValid() {
+		KeyedAccess access = new KeyedAccess(List.of(organisation("a", "k", "k"), organisation("a", "k")), List.of());
+		assertThat(access.holderOf("k").orElseThrow().organisation()).isEqualTo("a");
+		assertThat(access.faults()).isEmpty();
+	}
+
+	@Test
+	void keyOfAnOrganisationThatIsLeftOutIsNotTakenForAnother() {
+		KeyedAccess access = new KeyedAccess(List.of(organisation("a", "k", "l")),
+				List.of(new AccessFault("b", "a reason", List.of("k"))));
+		assertThat(access.holderOf("k")).isEmpty();
+		assertThat(access.holderOf("l").orElseThrow().organisation()).isEqualTo("a");
+		assertThat(access.faults()).extracting(AccessFault::organisation).containsExactly("b");
+	}
+
 }
