--- a/app/src/test/java/org/snowwind/app/soak/RunsWereAskedFor.java
+++ b/app/src/test/java/org/snowwind/app/soak/RunsWereAskedFor.java
@@ -30,8 +30,8 @@
 
 	private static boolean sameAs(Call call, Run run) {
 		return run.method().equals(call.kind().method()) && run.target().equals(call.kind().target(call.work()))
-				&& run.body().equals(call.body()) && SoakWorld.ORGANISATION.equals(run.organisation())
-				&& !run.keyPassedOn();
+				&& run.body().equals(call.body()) && SoakOrganisations.nameOf(call.key()) != null
+				&& SoakOrganisations.nameOf(call.key()).equals(run.organisation()) && !run.keyPassedOn();
 	}
 
 }
--- /dev/null
+++ b/app/src/test/java/org/snowwind/app/soak/SoakOrganisations.java
@@ -0,0 +1,68 @@
+package org.snowwind.app.soak;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.snowwind.platform.standin.Configurations.OrganisationSpec;
+
+/**
+ * Organisations whose names are easily confused on the way to servers. Some cannot be
+ * sent, so that their keys are not valid.
+ */
+final class SoakOrganisations {
+
+	private static final Map<String, String> NAMES_BY_KEY = new LinkedHashMap<>();
+
+	static {
+		NAMES_BY_KEY.put("key-sharic", "pekara-\u0160ari\u0107");
+		NAMES_BY_KEY.put("key-zharic", "pekara-\u017dari\u0107");
+		NAMES_BY_KEY.put("key-question-marks", "pekara-?ari?");
+		NAMES_BY_KEY.put("key-smile", "\ud83d\ude00");
+		NAMES_BY_KEY.put("key-grin", "\ud83d\ude01");
+		NAMES_BY_KEY.put("key-latin", "caf\u00e9");
+		NAMES_BY_KEY.put("key-octets", "caf\u00c3\u00a9");
+		NAMES_BY_KEY.put("key-percent", "caf%C3%A9");
+	}
+
+	/**
+	 * The names that cannot be sent; three end as another one after white space is cut.
+	 */
+	private static final Map<String, String> UNUSABLE_NAMES_BY_KEY = Map.of("key-blank", "pekara-?ari? ", "key-tab",
+			"pekara-?ari?\t", "key-leading", " caf%C3%A9", "key-lines", "a\r\nX-Other: pekara-?ari?", "key-nul", "a\0",
+			"key-empty", "", "key-replaced", "\ufffd");
+
+	private SoakOrganisations() {
+	}
+
+	/** Returns the organisations for a configuration. */
+	static List<OrganisationSpec> all() {
+		return Stream.concat(NAMES_BY_KEY.entrySet().stream(), UNUSABLE_NAMES_BY_KEY.entrySet().stream())
+			.map((entry) -> new OrganisationSpec(entry.getValue(), List.of(entry.getKey())))
+			.toList();
+	}
+
+	static Set<String> validKeys() {
+		return NAMES_BY_KEY.keySet();
+	}
+
+	static List<String> allKeys() {
+		return Stream.concat(NAMES_BY_KEY.keySet().stream(), UNUSABLE_NAMES_BY_KEY.keySet().stream())
+			.sorted()
+			.collect(Collectors.toList());
+	}
+
+	/**
+	 * Returns the organisation as which a request must run.
+	 * @param key the key of its caller
+	 * @return the name, {@code null} if no request with this key may run
+	 */
+	static String nameOf(String key) {
+		boolean special = NAMES_BY_KEY.containsKey(key) || UNUSABLE_NAMES_BY_KEY.containsKey(key);
+		return special ? NAMES_BY_KEY.get(key) : SoakWorld.ORGANISATION;
+	}
+
+}
--- a/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakWorld.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import org.snowwind.app.harness.Link;
 import org.snowwind.http.DataLoop;
@@ -24,6 +25,7 @@
 import org.snowwind.platform.standin.BackendStandIn;
 import org.snowwind.platform.standin.BackoffRequest;
 import org.snowwind.platform.standin.Configurations;
+import org.snowwind.platform.standin.Configurations.OrganisationSpec;
 import org.snowwind.platform.standin.Departure;
 import org.snowwind.platform.standin.LimitChange;
 import org.snowwind.platform.standin.Run;
@@ -98,6 +100,9 @@
 
 	private String movingTo = "desk";
 
+	/** Whether organisations with names that are easily confused are configured, too. */
+	private boolean manyOrganisations;
+
 	/** Whether no organisation has a key. */
 	private boolean keysWithdrawn;
 
@@ -209,6 +214,14 @@
 		reconfigure();
 	}
 
+	/**
+	 * Writes a new configuration with the organisations of {@link SoakOrganisations}.
+	 */
+	synchronized void addOrganisations() {
+		this.manyOrganisations = true;
+		reconfigure();
+	}
+
 	private void configure() {
 		String passingKey = "a-key-that-passes-" + this.version;
 		synchronized (this.services) {
@@ -218,12 +231,31 @@
 				route(CallKind.AGAIN, "desk", "idempotent", 3), route(CallKind.STREAM, STREAMING, "stream", 3),
 				route(CallKind.LONG, STREAMING, "stream", 3), route(CallKind.MOVING, this.movingTo, "idempotent", 2),
 				route(CallKind.FATAL, "desk", "idempotent", 2));
-		List<String> keys = this.keysWithdrawn ? List.of() : List.of(KEY, passingKey);
+		List<OrganisationSpec> organisations = organisations(passingKey);
 		long writtenNanos = System.nanoTime();
-		this.store.put("config", "main", Configurations.of(this.version, routes, List.copyOf(SERVERS.keySet()),
-				List.of(new Configurations.OrganisationSpec(ORGANISATION, keys))));
-		this.configurations
-			.add(new WrittenConfiguration(this.version, passingKey, Set.copyOf(keys), this.movingTo, writtenNanos));
+		this.store.put("config", "main",
+				Configurations.of(this.version, routes, List.copyOf(SERVERS.keySet()), organisations));
+		this.configurations.add(new WrittenConfiguration(this.version, passingKey, validKeys(organisations),
+				this.movingTo, writtenNanos));
+	}
+
+	private List<OrganisationSpec> organisations(String passingKey) {
+		List<OrganisationSpec> organisations = new ArrayList<>();
+		organisations.add(new OrganisationSpec(ORGANISATION, List.of(KEY, passingKey)));
+		if (this.manyOrganisations) {
+			organisations.addAll(SoakOrganisations.all());
+		}
+		if (this.keysWithdrawn) {
+			organisations.replaceAll((organisation) -> new OrganisationSpec(organisation.name(), List.of()));
+		}
+		return organisations;
+	}
+
+	private static Set<String> validKeys(List<OrganisationSpec> organisations) {
+		return organisations.stream()
+			.flatMap((organisation) -> organisation.keys().stream())
+			.filter((key) -> SoakOrganisations.nameOf(key) != null)
+			.collect(Collectors.toUnmodifiableSet());
 	}
 
 	private static Configurations.RouteSpec route(CallKind kind, String service, String repeat, int attempts) {
