Compare keys by the octets of their UTF-8 form

What callers saw: a key with a letter beyond ASCII, sent in UTF-8, got 401. If another organisation had the key that these octets spell in Latin 1, the request ran as that one. At an entry with agents the digest of such a key never matched.

Cause: HTTP codecs hand over one character for each octet of a header, and this was compared with the text of the configuration. Both are now compared as octets of UTF-8.

--- a/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
+++ b/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
@@ -1,5 +1,6 @@
 package org.snowwind.entry.request;
 
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -126,14 +127,14 @@
 	}
 
 	// Keys are compared by their digests, which a caller cannot steer, so the look-up's
-	// time tells nothing about a key.
+	// time tells nothing about a key. A header has one character for each octet.
 	private static Optional<Named<OrganisationSpec>> authenticate(HttpExchange exchange, Snapshot snapshot) {
 		String authorization = exchange.header("Authorization");
 		if (authorization == null || !authorization.startsWith(BEARER)) {
 			return Optional.empty();
 		}
 		String key = authorization.substring(BEARER.length()).trim();
-		return snapshot.organisationByKeyDigest(DigestUtils.sha256Hex(key));
+		return snapshot.organisationByKeyDigest(DigestUtils.sha256Hex(key.getBytes(StandardCharsets.ISO_8859_1)));
 	}
 
 	private void enter(HttpExchange exchange, Named<OrganisationSpec> organisation, Target target) {
--- a/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
+++ b/entry/src/test/java/org/snowwind/entry/request/EntryFixture.java
@@ -61,6 +61,9 @@
 
 	private static final String KEY = "key";
 
+	/** A key whose octets in UTF-8 differ from those in Latin 1. */
+	static final String KEY_BEYOND_ASCII = "cl\u00e9";
+
 	private final DataLoop loop = new DataLoop("test");
 
 	private final UpstreamClient client = new UpstreamClient(this.loop, 500);
@@ -108,7 +111,8 @@
 	private Snapshot snapshot() {
 		List<Resource> resources = new ArrayList<>();
 		resources.add(resource(ResourceKind.ORGANISATION, "atlas",
-				new OrganisationSpec(List.of(DigestUtils.sha256Hex(KEY)), 1, 1000, 1000, 1000, 10_000)));
+				new OrganisationSpec(List.of(DigestUtils.sha256Hex(KEY), DigestUtils.sha256Hex(KEY_BEYOND_ASCII)), 1,
+						1000, 1000, 1000, 10_000)));
 		resources.add(resource(ResourceKind.MODEL_GROUP, "chat", new ModelGroupSpec("chat", 1, 1, 0, 0, null)));
 		resources.add(resource(ResourceKind.SERVICE, "desk", new ServiceSpec("front desk")));
 		String agentAddress = Addresses.render(this.agent.address());
@@ -183,6 +187,14 @@
 		}
 	}
 
+	/** Asks the plain service with a key in UTF-8. */
+	CallerAnswer getWithKey(String path, String key) throws IOException {
+		try (Socket socket = connect()) {
+			send(socket, "GET /v1/services/desk" + path + " HTTP/1.1\r\n", key, "", "");
+			return CallerAnswer.read(socket.getInputStream());
+		}
+	}
+
 	CallerAnswer get(Socket socket, String path, String headers) throws IOException {
 		send(socket, "GET /v1/services/desk" + path + " HTTP/1.1\r\n", "", headers);
 		return CallerAnswer.read(socket.getInputStream());
@@ -201,7 +213,11 @@
 	}
 
 	private static void send(Socket socket, String line, String body, String headers) throws IOException {
-		String text = line + "Host: test\r\nAuthorization: Bearer " + KEY + "\r\n" + headers + "Content-Length: "
+		send(socket, line, KEY, body, headers);
+	}
+
+	private static void send(Socket socket, String line, String key, String body, String headers) throws IOException {
+		String text = line + "Host: test\r\nAuthorization: Bearer " + key + "\r\n" + headers + "Content-Length: "
 				+ body.length() + "\r\n\r\n" + body;
 		socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/table/CallerAccess.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/CallerAccess.java
@@ -20,7 +20,7 @@
 
 	/**
 	 * Finds the holder of an API key.
-	 * @param key the key
+	 * @param key the key as the value of a header, one character for each octet
 	 * @return the organisation, empty if the key belongs to none
 	 */
 	Optional<KeyHolder> holderOf(String key);
--- a/gateway/src/main/java/org/snowwind/gateway/table/Organisation.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/Organisation.java
@@ -6,7 +6,8 @@
  * A configured organisation.
  *
  * @param holder its name and priority
- * @param keys its API keys, empty if it may not send requests
+ * @param keys its API keys in the form of header values, one character for each octet of
+ * UTF-8; empty if it may not send requests
  */
 public record Organisation(KeyHolder holder, List<String> keys) {
 
--- a/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
+++ b/gateway/src/main/java/org/snowwind/gateway/table/RouteTable.java
@@ -105,7 +105,7 @@
 
 	/**
 	 * Finds the holder of an API key.
-	 * @param key the key
+	 * @param key the key as the value of a header, one character for each octet
 	 * @return the organisation, empty if the key belongs to none
 	 */
 	public Optional<KeyHolder> holderOf(String key) {
