Keep ids of events as octets

What callers saw: after a break, a stream whose ids are beyond Latin 1 was to be continued after '?'. A caller that named an id beyond ASCII got events again that it had. An id with a control character made the next attempt fail, as the HTTP codec refuses it.

Cause: ids were decoded as UTF-8, but headers have one character for each octet. Ids are now kept as octets; those with control characters count as missing, like those that are too long.

--- a/gateway/src/main/java/org/snowwind/gateway/request/EventBytes.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/EventBytes.java
@@ -14,14 +14,14 @@
 
 	/**
 	 * Ends the current line.
-	 * @return the line without its end
+	 * @return the line without its end, one character for each octet as in headers
 	 */
 	String endLine() {
 		int end = this.count - 1;
 		if (end > this.lineStart && this.buf[end - 1] == '\r') {
 			end--;
 		}
-		String line = new String(this.buf, this.lineStart, end - this.lineStart, StandardCharsets.UTF_8);
+		String line = new String(this.buf, this.lineStart, end - this.lineStart, StandardCharsets.ISO_8859_1);
 		this.lineStart = this.count;
 		return line;
 	}
--- a/gateway/src/main/java/org/snowwind/gateway/request/EventStreamParser.java
+++ b/gateway/src/main/java/org/snowwind/gateway/request/EventStreamParser.java
@@ -16,9 +16,11 @@
 
 	private static final byte LINE_FEED = '\n';
 
+	private static final int DELETE = 0x7f;
+
 	private static final String ID_FIELD = "id:";
 
-	/** The longest id at which a stream can be continued, in characters. */
+	/** The longest id at which a stream can be continued, in octets. */
 	private static final int MAX_ID_LENGTH = 256;
 
 	private static final String DATA_FIELD = "data";
@@ -77,14 +79,23 @@
 		String text = this.event.endLine();
 		if (text.startsWith(ID_FIELD)) {
 			String id = text.substring(ID_FIELD.length()).strip();
-			// A longer id is kept for the life of the stream and sent to other servers.
-			this.eventId = (id.isEmpty() || id.length() > MAX_ID_LENGTH) ? null : id;
+			this.eventId = canBeSent(id) ? id : null;
 		}
 		this.hasData = this.hasData || text.startsWith(DATA_FIELD);
 		this.secondResponse = text.startsWith(STATUS_LINE);
 		return text.isEmpty();
 	}
 
+	// An id is kept for the life of the stream and sent to other servers in a header.
+	private static boolean canBeSent(String id) {
+		return !id.isEmpty() && id.length() <= MAX_ID_LENGTH && id.chars().noneMatch(EventStreamParser::isControl);
+	}
+
+	// The octets from 0x80 on are parts of characters in UTF-8.
+	private static boolean isControl(int octet) {
+		return octet < ' ' || octet == DELETE;
+	}
+
 	private void finishEvent(List<StreamEvent> complete) {
 		StreamEvent finished = new StreamEvent(this.eventId, this.hasData, this.event.endEvent());
 		this.eventId = null;
--- a/gateway/src/test/java/org/snowwind/gateway/request/EventStreamParserTests.java
+++ b/gateway/src/test/java/org/snowwind/gateway/request/EventStreamParserTests.java
@@ -10,6 +10,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -126,4 +128,24 @@
 			.satisfies((event) -> assertThat(event.bytes()).isEqualTo(bytes));
 	}
 
+	@Test
+	void idBeyondLatin1IsSentToAnotherServerAsItCame() {
+		List<String> ids = idsOf(new EventStreamParser(null), "id: \u0160\ndata: a\n\nid: \u017d\ndata: b\n\n");
+		assertThat(ids).extracting((id) -> id.getBytes(StandardCharsets.ISO_8859_1))
+			.containsExactly("\u0160".getBytes(StandardCharsets.UTF_8), "\u017d".getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Test
+	void streamIsContinuedAfterAnIdBeyondAsciiThatItsCallerNamed() {
+		String header = new String("\u00e9".getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+		String stream = "id: \u00e9\ndata: a\n\nid: 2\ndata: b\n\n";
+		assertThat(parse(new EventStreamParser(header), stream)).doesNotContain("data: a");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "a\0b", "a\u000bb", "a\tb", "a\u007fb", "a\rb" })
+	void idThatNoHeaderCarriesIsNotKept(String id) {
+		assertThat(idsOf(new EventStreamParser(null), "id: " + id + "\ndata: a\n\n")).containsOnlyNulls().hasSize(1);
+	}
+
 }
