Let the soak take away all keys and play names that are easily confused

Callers of 15 organisations, seven of which have names that cannot be sent, send requests with each key, and all keys are taken away for up to seven seconds beside the other faults. RunsWereAskedFor judges each run by the organisation of its caller's key, ConfigurationsComeInForce by the keys that are valid.

--- a/app/src/test/java/org/snowwind/app/soak/SoakOrganisations.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakOrganisations.java
@@ -3,8 +3,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.snowwind.platform.standin.Configurations.OrganisationSpec;
@@ -45,14 +43,16 @@
 			.toList();
 	}
 
-	static Set<String> validKeys() {
-		return NAMES_BY_KEY.keySet();
+	static List<String> validKeys() {
+		return List.copyOf(NAMES_BY_KEY.keySet());
+	}
+
+	static List<String> unusableKeys() {
+		return UNUSABLE_NAMES_BY_KEY.keySet().stream().sorted().toList();
 	}
 
 	static List<String> allKeys() {
-		return Stream.concat(NAMES_BY_KEY.keySet().stream(), UNUSABLE_NAMES_BY_KEY.keySet().stream())
-			.sorted()
-			.collect(Collectors.toList());
+		return Stream.concat(validKeys().stream(), unusableKeys().stream()).toList();
 	}
 
 	/**
--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -28,6 +28,8 @@
 	private static final List<CallKind> KINDS = List.of(CallKind.ONCE, CallKind.AGAIN, CallKind.STREAM,
 			CallKind.MOVING);
 
+	private static final List<CallKind> ANY_ORGANISATION = List.of(CallKind.ONCE, CallKind.AGAIN, CallKind.STREAM);
+
 	/** One request in so many is answered with a long stream. */
 	private static final int LONG_ONE_IN = 30;
 
@@ -83,6 +85,19 @@
 
 	private static final long CALL_WITH_KEY_EVERY_MILLIS = 40;
 
+	/** How often a caller of an organisation with an unusual name sends a request. */
+	private static final long CALL_AS_ORGANISATION_EVERY_MILLIS = 40;
+
+	/** How often all keys are taken away; longer than they are away. */
+	private static final long WITHDRAW_EVERY_MILLIS = 8000;
+
+	private static final long LEAST_WITHDRAWN_MILLIS = 300;
+
+	/** Longer than a configuration needs to come into force. */
+	private static final long MOST_WITHDRAWN_MILLIS = 7000;
+
+	private static final long WITHDRAW_FIRST_MILLIS = 1000;
+
 	/** How often a caller sends the request again that ends servers. */
 	private static final long FATAL_EVERY_MILLIS = 700;
 
@@ -139,6 +154,8 @@
 
 	private final Random malformed;
 
+	private final Random organisations;
+
 	private final SoakExtras extras;
 
 	private final SoakWorld world;
@@ -176,9 +193,13 @@
 		this.endless = new Random(seed + 11);
 		this.silentServers = new Random(seed + 12);
 		this.malformed = new Random(seed + 13);
+		this.organisations = new Random(seed + 14);
 		this.extras = extras;
 		this.streams = new Random(seed + 2);
 		this.world = new SoakWorld(folder, size * GATEWAYS, size, new Random(seed + 1));
+		if (extras.organisations()) {
+			this.world.addOrganisations();
+		}
 	}
 
 	/**
@@ -218,6 +239,10 @@
 				TimeUnit.MILLISECONDS);
 		var callingWithKeys = this.later.scheduleAtFixedRate(this::callWithKey, 0, CALL_WITH_KEY_EVERY_MILLIS,
 				TimeUnit.MILLISECONDS);
+		var callingAsOrganisations = this.later.scheduleAtFixedRate(this::callAsOrganisation, 0,
+				CALL_AS_ORGANISATION_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+		var withdrawing = this.later.scheduleAtFixedRate(this::withdrawKeys, WITHDRAW_FIRST_MILLIS,
+				WITHDRAW_EVERY_MILLIS, TimeUnit.MILLISECONDS);
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faultMillis);
 		while (System.nanoTime() < endNanos) {
 			TimeUnit.MILLISECONDS.sleep(LEAST_BETWEEN_FAULTS_MILLIS
@@ -233,6 +258,7 @@
 		sendingWithoutEnd.cancel(false);
 		sendingMalformed.cancel(false);
 		evacuating.cancel(false);
+		withdrawing.cancel(false);
 		this.world.servers().forEach((server) -> server.server().limit(LimitChange.NONE));
 		awaitPending();
 		if (this.extras.evacuations()) {
@@ -246,6 +272,7 @@
 		crashing.cancel(false);
 		silencing.cancel(false);
 		callingWithKeys.cancel(false);
+		callingAsOrganisations.cancel(false);
 		awaitAnswers();
 		checkComeBack();
 		checkInForce();
@@ -420,6 +447,26 @@
 		}
 	}
 
+	private void callAsOrganisation() {
+		if (this.extras.organisations()) {
+			SoakGateway gateway = this.world.gateways().get(this.organisations.nextInt(this.world.gateways().size()));
+			this.caller.send(gateway, ANY_ORGANISATION.get(this.organisations.nextInt(ANY_ORGANISATION.size())),
+					randomOf(SoakOrganisations.allKeys()));
+		}
+	}
+
+	private String randomOf(List<String> organisationKeys) {
+		return organisationKeys.get(this.organisations.nextInt(organisationKeys.size()));
+	}
+
+	private void withdrawKeys() {
+		if (this.extras.organisations()) {
+			this.world.withdrawKeys(true);
+			after(LEAST_WITHDRAWN_MILLIS + this.organisations.nextLong(MOST_WITHDRAWN_MILLIS - LEAST_WITHDRAWN_MILLIS),
+					() -> this.world.withdrawKeys(false));
+		}
+	}
+
 	// ---- after the last fault
 
 	private void checkComeBack() throws Exception {
@@ -431,6 +478,16 @@
 		if (this.extras.crashingParts()) {
 			checkHarmlessPrompts();
 		}
+		if (this.extras.organisations()) {
+			checkOrganisations();
+		}
+	}
+
+	private void checkOrganisations() throws Exception {
+		for (SoakGateway gateway : this.world.gateways()) {
+			expect(gateway, CallKind.AGAIN, randomOf(SoakOrganisations.validKeys()), 200, "of an unusual name");
+			expect(gateway, CallKind.AGAIN, randomOf(SoakOrganisations.unusableKeys()), 401, "of an unusable name");
+		}
 	}
 
 	private void checkHarmlessPrompts() throws Exception {
--- a/app/src/test/java/org/snowwind/app/soak/SoakTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakTests.java
@@ -65,47 +65,52 @@
 	@ParameterizedTest
 	@ValueSource(longs = 11)
 	void aShortSoakWithARequestThatEndsServersBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(true, false, false, false, false, false, false, false, false, false),
-				SHORT_MILLIS))
+		assertThat(
+				play(seed, new SoakExtras(true, false, false, false, false, false, false, false, false, false, false),
+						SHORT_MILLIS))
 			.isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 13)
 	void aShortSoakWithServersThatNameLimitsBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, true, false, false, false, false, false, false, false, false),
-				SHORT_MILLIS))
+		assertThat(
+				play(seed, new SoakExtras(false, true, false, false, false, false, false, false, false, false, false),
+						SHORT_MILLIS))
 			.isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 17)
 	void aShortSoakWithServersThatBackOffAndLeaveBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, false, true, false, false, false, false, false, false, false),
-				SHORT_MILLIS))
+		assertThat(
+				play(seed, new SoakExtras(false, false, true, false, false, false, false, false, false, false, false),
+						SHORT_MILLIS))
 			.isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 19)
 	void aShortSoakWithSilentStoreConnectionsBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, false, false, true, false, false, false, false, false, false),
-				SHORT_MILLIS))
+		assertThat(
+				play(seed, new SoakExtras(false, false, false, true, false, false, false, false, false, false, false),
+						SHORT_MILLIS))
 			.isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 23)
 	void aShortSoakWithStoreDrillsBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, false, false, false, true, false, false, false, false, false),
-				SHORT_MILLIS))
+		assertThat(
+				play(seed, new SoakExtras(false, false, false, false, true, false, false, false, false, false, false),
+						SHORT_MILLIS))
 			.isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 29)
 	void aShortSoakWithEvacuationsAndStoreDrillsBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, false, false, false, true, true, false, false, false, false),
+		assertThat(play(seed, new SoakExtras(false, false, false, false, true, true, false, false, false, false, false),
 				SHORT_MILLIS))
 			.isEmpty();
 	}
@@ -113,32 +118,45 @@
 	@ParameterizedTest
 	@ValueSource(longs = 31)
 	void aShortSoakWithPromptPartsThatCrashServersBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, false, false, false, false, false, true, false, false, false),
-				SHORT_MILLIS))
+		assertThat(
+				play(seed, new SoakExtras(false, false, false, false, false, false, true, false, false, false, false),
+						SHORT_MILLIS))
 			.isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 37)
 	void aShortSoakWithServersThatSendWithoutEndBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, false, false, false, false, false, false, true, false, false),
-				SHORT_MILLIS))
+		assertThat(
+				play(seed, new SoakExtras(false, false, false, false, false, false, false, true, false, false, false),
+						SHORT_MILLIS))
 			.isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 41)
 	void aShortSoakWithSilentServersBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, false, false, false, false, false, false, false, true, false),
-				SHORT_MILLIS))
+		assertThat(
+				play(seed, new SoakExtras(false, false, false, false, false, false, false, false, true, false, false),
+						SHORT_MILLIS))
 			.isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 43)
 	void aShortSoakWithServersThatSendMalformedAnswersBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, false, false, false, false, false, false, false, false, true),
-				SHORT_MILLIS))
+		assertThat(
+				play(seed, new SoakExtras(false, false, false, false, false, false, false, false, false, true, false),
+						SHORT_MILLIS))
+			.isEmpty();
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = 47)
+	void aShortSoakWithConfusableNamesAndKeysThatAreTakenAwayBreaksNoPromise(long seed) throws Exception {
+		assertThat(
+				play(seed, new SoakExtras(false, false, false, false, false, false, false, false, false, false, true),
+						SHORT_MILLIS))
 			.isEmpty();
 	}
 
