--- a/app/src/test/java/org/snowwind/app/soak/SoakRun.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakRun.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
@@ -156,7 +157,7 @@
 
 	private final Random organisations;
 
-	private final SoakExtras extras;
+	private final Set<SoakExtra> extras;
 
 	private final SoakWorld world;
 
@@ -180,7 +181,7 @@
 	 * @param folder takes settings and logs
 	 * @throws IOException if something cannot be started
 	 */
-	SoakRun(long seed, SoakExtras extras, int size, Path folder) throws IOException {
+	SoakRun(long seed, Set<SoakExtra> extras, int size, Path folder) throws IOException {
 		this.random = new Random(seed);
 		this.fatal = new Random(seed + 3);
 		this.limits = new Random(seed + 4);
@@ -194,10 +195,10 @@
 		this.silentServers = new Random(seed + 12);
 		this.malformed = new Random(seed + 13);
 		this.organisations = new Random(seed + 14);
-		this.extras = extras;
+		this.extras = Set.copyOf(extras);
 		this.streams = new Random(seed + 2);
 		this.world = new SoakWorld(folder, size * GATEWAYS, size, new Random(seed + 1));
-		if (extras.organisations()) {
+		if (extras.contains(SoakExtra.ORGANISATIONS)) {
 			this.world.addOrganisations();
 		}
 	}
@@ -261,7 +262,7 @@
 		withdrawing.cancel(false);
 		this.world.servers().forEach((server) -> server.server().limit(LimitChange.NONE));
 		awaitPending();
-		if (this.extras.evacuations()) {
+		if (this.extras.contains(SoakExtra.EVACUATIONS)) {
 			SoakEvacuations.beginLast(this.world);
 		}
 		stopTogether();
@@ -364,21 +365,21 @@
 	}
 
 	private void callFatal() {
-		if (this.extras.fatal()) {
+		if (this.extras.contains(SoakExtra.FATAL)) {
 			SoakGateway gateway = this.world.gateways().get(this.fatal.nextInt(this.world.gateways().size()));
 			this.caller.sendAgain(gateway, CallKind.FATAL, SoakWorld.KEY, "fatal");
 		}
 	}
 
 	private void beginCrashing(long oneStopsMillis) {
-		if (this.extras.crashingParts()) {
+		if (this.extras.contains(SoakExtra.CRASHING_PARTS)) {
 			CRASHING.forEach(this.world::crashOn);
 			after(oneStopsMillis, () -> this.world.stopCrashingOn(CRASHING.get(CRASHING.size() - 1)));
 		}
 	}
 
 	private void callCrashing() {
-		if (this.extras.crashingParts()) {
+		if (this.extras.contains(SoakExtra.CRASHING_PARTS)) {
 			send(List.of(COMMON_PART, CRASHING.get(this.prompts.nextInt(CRASHING.size()))));
 			send(List.of(COMMON_PART, "5e55" + this.prompts.nextInt(SESSIONS)));
 		}
@@ -390,56 +391,56 @@
 	}
 
 	private void changeLimit() {
-		if (this.extras.limits()) {
+		if (this.extras.contains(SoakExtra.LIMITS)) {
 			SoakFaults.changeLimit(this.world, this.limits);
 		}
 	}
 
 	private void announce() {
-		if (this.extras.notices()) {
+		if (this.extras.contains(SoakExtra.NOTICES)) {
 			SoakFaults.announce(this.world, this.notices, this::after);
 		}
 	}
 
 	private void silenceStore() {
-		if (this.extras.silentStore()) {
+		if (this.extras.contains(SoakExtra.SILENT_STORE)) {
 			SoakFaults.silenceStore(this.world, this.silences, this::after);
 		}
 	}
 
 	private void sendWithoutEnd() {
-		if (this.extras.endless()) {
+		if (this.extras.contains(SoakExtra.ENDLESS)) {
 			SoakFaults.sendWithoutEnd(this.world, this.endless, this::after);
 		}
 	}
 
 	private void sendMalformed() {
-		if (this.extras.malformed()) {
+		if (this.extras.contains(SoakExtra.MALFORMED)) {
 			SoakFaults.sendMalformed(this.world, this.malformed, this::after);
 		}
 	}
 
 	private void silenceServers() {
-		if (this.extras.silentServers()) {
+		if (this.extras.contains(SoakExtra.SILENT_SERVERS)) {
 			SoakSilences.begin(this.world, this.silentServers, this::afterUncounted);
 		}
 	}
 
 	private void drill() {
-		if (this.extras.drills()) {
+		if (this.extras.contains(SoakExtra.DRILLS)) {
 			SoakFaults.drill(this.world, this.drills, this::after);
 		}
 	}
 
 	private void evacuate() {
-		if (this.extras.evacuations()) {
+		if (this.extras.contains(SoakExtra.EVACUATIONS)) {
 			SoakEvacuations.begin(this.world, this.evacuations, this::after);
 		}
 	}
 
 	// With the newest key, or with the one that it has replaced.
 	private void callWithKey() {
-		if (this.extras.silentStore()) {
+		if (this.extras.contains(SoakExtra.SILENT_STORE)) {
 			List<WrittenConfiguration> written = this.world.configurations();
 			int back = 1 + this.keys.nextInt(Math.min(written.size(), 2));
 			SoakGateway gateway = this.world.gateways().get(this.keys.nextInt(this.world.gateways().size()));
@@ -448,7 +449,7 @@
 	}
 
 	private void callAsOrganisation() {
-		if (this.extras.organisations()) {
+		if (this.extras.contains(SoakExtra.ORGANISATIONS)) {
 			SoakGateway gateway = this.world.gateways().get(this.organisations.nextInt(this.world.gateways().size()));
 			this.caller.send(gateway, ANY_ORGANISATION.get(this.organisations.nextInt(ANY_ORGANISATION.size())),
 					randomOf(SoakOrganisations.allKeys()));
@@ -460,25 +461,23 @@
 	}
 
 	private void withdrawKeys() {
-		if (this.extras.organisations()) {
+		if (this.extras.contains(SoakExtra.ORGANISATIONS)) {
 			this.world.withdrawKeys(true);
 			after(LEAST_WITHDRAWN_MILLIS + this.organisations.nextLong(MOST_WITHDRAWN_MILLIS - LEAST_WITHDRAWN_MILLIS),
 					() -> this.world.withdrawKeys(false));
 		}
 	}
 
-	// ---- after the last fault
-
 	private void checkComeBack() throws Exception {
 		for (SoakGateway gateway : this.world.gateways()) {
 			for (CallKind kind : KINDS) {
 				expect(gateway, kind, SoakWorld.KEY, 200, "after all faults");
 			}
 		}
-		if (this.extras.crashingParts()) {
+		if (this.extras.contains(SoakExtra.CRASHING_PARTS)) {
 			checkHarmlessPrompts();
 		}
-		if (this.extras.organisations()) {
+		if (this.extras.contains(SoakExtra.ORGANISATIONS)) {
 			checkOrganisations();
 		}
 	}
@@ -506,7 +505,7 @@
 	}
 
 	private void checkInForce() throws Exception {
-		if (this.extras.silentStore()) {
+		if (this.extras.contains(SoakExtra.SILENT_STORE)) {
 			// All watches begin again after a change, so that a silent one stays silent
 			// longest.
 			this.world.reconfigure();
--- a/app/src/test/java/org/snowwind/app/soak/SoakTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakTests.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -30,11 +31,11 @@
 
 	private static final Path FOLDER = Path.of(System.getProperty("snowwind.root"), "app/target/soak");
 
-	private static List<String> play(long seed, SoakExtras extras, long millis) throws Exception {
+	private static List<String> play(long seed, Set<SoakExtra> extras, long millis) throws Exception {
 		return play(seed, extras, 1, millis);
 	}
 
-	private static List<String> play(long seed, SoakExtras extras, int size, long millis) throws Exception {
+	private static List<String> play(long seed, Set<SoakExtra> extras, int size, long millis) throws Exception {
 		Path folder = emptyFolder(seed);
 		try (SoakRun run = new SoakRun(seed, extras, size, folder)) {
 			List<String> broken = run.play(millis);
@@ -59,105 +60,73 @@
 	@ParameterizedTest
 	@ValueSource(longs = 7)
 	void aShortSoakBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, SoakExtras.NONE, SHORT_MILLIS)).isEmpty();
+		assertThat(play(seed, Set.of(), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 11)
 	void aShortSoakWithARequestThatEndsServersBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(true, false, false, false, false, false, false, false, false, false, false),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.FATAL), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 13)
 	void aShortSoakWithServersThatNameLimitsBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(false, true, false, false, false, false, false, false, false, false, false),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.LIMITS), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 17)
 	void aShortSoakWithServersThatBackOffAndLeaveBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(false, false, true, false, false, false, false, false, false, false, false),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.NOTICES), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 19)
 	void aShortSoakWithSilentStoreConnectionsBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(false, false, false, true, false, false, false, false, false, false, false),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.SILENT_STORE), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 23)
 	void aShortSoakWithStoreDrillsBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(false, false, false, false, true, false, false, false, false, false, false),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.DRILLS), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 29)
 	void aShortSoakWithEvacuationsAndStoreDrillsBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, new SoakExtras(false, false, false, false, true, true, false, false, false, false, false),
-				SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.DRILLS, SoakExtra.EVACUATIONS), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 31)
 	void aShortSoakWithPromptPartsThatCrashServersBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(false, false, false, false, false, false, true, false, false, false, false),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.CRASHING_PARTS), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 37)
 	void aShortSoakWithServersThatSendWithoutEndBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(false, false, false, false, false, false, false, true, false, false, false),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.ENDLESS), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 41)
 	void aShortSoakWithSilentServersBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(false, false, false, false, false, false, false, false, true, false, false),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.SILENT_SERVERS), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 43)
 	void aShortSoakWithServersThatSendMalformedAnswersBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(false, false, false, false, false, false, false, false, false, true, false),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.MALFORMED), SHORT_MILLIS)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = 47)
 	void aShortSoakWithConfusableNamesAndKeysThatAreTakenAwayBreaksNoPromise(long seed) throws Exception {
-		assertThat(
-				play(seed, new SoakExtras(false, false, false, false, false, false, false, false, false, false, true),
-						SHORT_MILLIS))
-			.isEmpty();
+		assertThat(play(seed, Set.of(SoakExtra.ORGANISATIONS), SHORT_MILLIS)).isEmpty();
 	}
 
 	// 105: a gateway's port was taken between choice and use; ports now lie below those
@@ -170,7 +139,7 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 105, 2009, 3002 })
 	void aSoakThatOnceFailedBreaksNoPromise(long seed) throws Exception {
-		assertThat(play(seed, SoakExtras.NONE, SHORT_MILLIS)).isEmpty();
+		assertThat(play(seed, Set.of(), SHORT_MILLIS)).isEmpty();
 	}
 
 	@Test
@@ -179,7 +148,7 @@
 		long seeds = Long.getLong("snowwind.soak.seeds", 0);
 		int size = Integer.getInteger("snowwind.soak.size", 1);
 		List<Callable<List<String>>> runs = LongStream.range(from, from + seeds)
-			.mapToObj((seed) -> (Callable<List<String>>) () -> play(seed, SoakExtras.of(seed), size, LONG_MILLIS))
+			.mapToObj((seed) -> (Callable<List<String>>) () -> play(seed, SoakExtra.of(seed), size, LONG_MILLIS))
 			.toList();
 		ExecutorService pool = Executors.newFixedThreadPool(Integer.getInteger("snowwind.soak.parallel", 3));
 		List<String> broken = new ArrayList<>();
