--- a/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
+++ b/entry/src/main/java/org/snowwind/entry/request/CallerHandler.java
@@ -105,23 +105,23 @@
 			exchange.closeAfterAnswer();
 		}
 		if (this.closed || snapshot.revision().isNone()) {
-			turnAway(exchange, takesNothing());
+			rejectRequest(exchange, notReady());
 			return;
 		}
 		Optional<Named<OrganisationSpec>> organisation = authenticate(exchange, snapshot);
 		if (organisation.isEmpty()) {
-			turnAway(exchange, Problem.notRun(ProblemKind.UNKNOWN_ORGANISATION, "no organisation has this key"));
+			rejectRequest(exchange, Problem.notRun(ProblemKind.UNKNOWN_ORGANISATION, "no organisation has this key"));
 			return;
 		}
 		RequestReader.Read<Target> target = RequestReader.target(exchange, snapshot);
 		if (target.problem() != null) {
-			turnAway(exchange, target.problem());
+			rejectRequest(exchange, target.problem());
 			return;
 		}
 		enter(exchange, organisation.get(), target.value());
 	}
 
-	private Problem takesNothing() {
+	private Problem notReady() {
 		return Problem.notRun(ProblemKind.NOT_READY, "this entry does not take the request now")
 			.retryAfter(ELSEWHERE_RETRY_MILLIS + this.context.random().nextLong(ELSEWHERE_SPREAD_MILLIS));
 	}
@@ -140,7 +140,7 @@
 	private void enter(HttpExchange exchange, Named<OrganisationSpec> organisation, Target target) {
 		Problem refused = this.context.gates().enter(organisation.name(), organisation.spec());
 		if (refused != null) {
-			turnAway(exchange, refused);
+			rejectRequest(exchange, refused);
 			return;
 		}
 		OpenRequest open = new OpenRequest(exchange, organisation.name(), organisation.spec().serviceLevel(),
@@ -163,11 +163,11 @@
 				open.serviceLevel, this.config.current().policy(target.name()), body);
 		if (read.problem() != null) {
 			open.leave();
-			turnAway(exchange, read.problem());
+			rejectRequest(exchange, read.problem());
 			return;
 		}
 		if (!takes(read.value(), open)) {
-			giveUp(open, takesNothing());
+			abort(open, notReady());
 			return;
 		}
 		String key = exchange.header(IDEMPOTENCY_KEY);
@@ -178,7 +178,8 @@
 		}
 		if (key.isBlank() || key.length() > MAX_KEY_CHARS) {
 			open.leave();
-			turnAway(exchange, Problem.notRun(ProblemKind.BAD_HEADER, IDEMPOTENCY_KEY + " takes 1 to 200 characters"));
+			rejectRequest(exchange,
+					Problem.notRun(ProblemKind.BAD_HEADER, IDEMPOTENCY_KEY + " takes 1 to 200 characters"));
 			return;
 		}
 		claim(read.value(), key, open);
@@ -210,7 +211,7 @@
 	private void claim(CallerRequest request, String key, OpenRequest open) {
 		String digest = DigestUtils.sha256Hex(request.method() + ' ' + request.pathAndQuery() + '\n')
 				+ DigestUtils.sha256Hex(request.body());
-		Future<?> deadline = this.context.loop().later(() -> giveUpClaiming(open), leftMillis(request, open));
+		Future<?> deadline = this.context.loop().later(() -> abortClaim(open), leftMillis(request, open));
 		this.claims.claim(request.organisation(), key, digest, new ClaimDuty.Decision() {
 			@Override
 			public void granted(ClaimDuty.Claim claim) {
@@ -224,28 +225,28 @@
 			public void refused(Problem problem) {
 				CallerHandler.this.context.loop().run(() -> {
 					deadline.cancel(false);
-					giveUp(open, problem);
+					abort(open, problem);
 				});
 			}
 		});
 	}
 
 	// The claim may still be granted; then it is given back, for the request has not run.
-	private void giveUpClaiming(OpenRequest open) {
-		giveUp(open, Problem.notRun(ProblemKind.DEADLINE_NOT_RUN, "its time ran out while its key was being claimed")
+	private void abortClaim(OpenRequest open) {
+		abort(open, Problem.notRun(ProblemKind.DEADLINE_NOT_RUN, "its time ran out while its key was being claimed")
 			.retryAfter(CLAIM_RETRY_MILLIS));
 	}
 
-	private void giveUp(OpenRequest open, Problem problem) {
+	private void abort(OpenRequest open, Problem problem) {
 		if (!open.left) {
 			open.leave();
-			turnAway(open.exchange, problem);
+			rejectRequest(open.exchange, problem);
 		}
 	}
 
 	private void runClaimed(CallerRequest request, ClaimDuty.Claim claim, OpenRequest open) {
 		if (!open.left && !takes(request, open)) {
-			giveUp(open, takesNothing());
+			abort(open, notReady());
 		}
 		if (open.left) {
 			this.claims.settle(claim, Disclosure.NOT_RUN);
@@ -265,7 +266,7 @@
 		}
 	}
 
-	private void turnAway(HttpExchange exchange, Problem problem) {
+	private void rejectRequest(HttpExchange exchange, Problem problem) {
 		this.context.meters().turnedAway(problem.kind());
 		Responses.problem(exchange, problem);
 	}
@@ -302,7 +303,7 @@
 			}
 			CallerHandler.this.context.loop().later(() -> {
 				if (this.flow == null) {
-					giveUp(this, takesNothing());
+					abort(this, notReady());
 				}
 			}, millis);
 		}
