--- a/app/src/test/java/org/snowwind/app/soak/OrganisationNamesFleetTests.java
+++ b/app/src/test/java/org/snowwind/app/soak/OrganisationNamesFleetTests.java
@@ -29,6 +29,9 @@
 
 	private static final long START_MILLIS = 30_000;
 
+	/** Keeps the requests to all gateways from exceeding the places of the servers. */
+	private static final long BETWEEN_GATEWAYS_MILLIS = 500;
+
 	private final DataLoop callerLoop = new DataLoop("name-callers");
 
 	private final SoakCaller caller = new SoakCaller(this.callerLoop);
@@ -63,7 +66,7 @@
 			for (CallKind kind : List.of(CallKind.ONCE, CallKind.AGAIN, CallKind.STREAM)) {
 				keys.forEach((key) -> sent.add(this.caller.send(gateway, kind, key)));
 			}
-			TimeUnit.MILLISECONDS.sleep(500);
+			TimeUnit.MILLISECONDS.sleep(BETWEEN_GATEWAYS_MILLIS);
 		}
 		List<Call> calls = new ArrayList<>();
 		for (CompletableFuture<Call> call : sent) {
--- a/app/src/test/java/org/snowwind/app/soak/SoakOrganisations.java
+++ b/app/src/test/java/org/snowwind/app/soak/SoakOrganisations.java
@@ -16,9 +16,9 @@
 	private static final Map<String, String> NAMES_BY_KEY = new LinkedHashMap<>();
 
 	static {
-		NAMES_BY_KEY.put("key-sharic", "pekara-\u0160ari\u0107");
-		NAMES_BY_KEY.put("key-zharic", "pekara-\u017dari\u0107");
-		NAMES_BY_KEY.put("key-question-marks", "pekara-?ari?");
+		NAMES_BY_KEY.put("key-alpha", "north-\u03b1");
+		NAMES_BY_KEY.put("key-beta", "north-\u03b2");
+		NAMES_BY_KEY.put("key-question-mark", "north-?");
 		NAMES_BY_KEY.put("key-smile", "\ud83d\ude00");
 		NAMES_BY_KEY.put("key-grin", "\ud83d\ude01");
 		NAMES_BY_KEY.put("key-latin", "caf\u00e9");
@@ -26,11 +26,9 @@
 		NAMES_BY_KEY.put("key-percent", "caf%C3%A9");
 	}
 
-	/**
-	 * The names that cannot be sent; three end as another one after white space is cut.
-	 */
-	private static final Map<String, String> UNUSABLE_NAMES_BY_KEY = Map.of("key-blank", "pekara-?ari? ", "key-tab",
-			"pekara-?ari?\t", "key-leading", " caf%C3%A9", "key-lines", "a\r\nX-Other: pekara-?ari?", "key-nul", "a\0",
+	/** Names that cannot be sent; without white space some equal a usable one. */
+	private static final Map<String, String> UNUSABLE_NAMES_BY_KEY = Map.of("key-blank", "north-? ", "key-tab",
+			"north-?\t", "key-leading", " caf%C3%A9", "key-lines", "a\r\nX-Other: north-?", "key-nul", "a\0",
 			"key-empty", "", "key-replaced", "\ufffd");
 
 	private SoakOrganisations() {
--- a/http/src/main/java/org/snowwind/http/FieldText.java
+++ b/http/src/main/java/org/snowwind/http/FieldText.java
@@ -64,7 +64,8 @@
 				: Optional.empty();
 	}
 
-	// Only blanks and tabs are no part of a value, but recipients trim other white space.
+	// By RFC 9110 only blanks and tabs around a value are no part of it, but some
+	// recipients trim other white space as well.
 	private static boolean isBlank(int codePoint) {
 		return Character.isWhitespace(codePoint) || Character.isSpaceChar(codePoint) || codePoint == BYTE_ORDER_MARK;
 	}
--- a/http/src/test/java/org/snowwind/http/FieldTextTests.java
+++ b/http/src/test/java/org/snowwind/http/FieldTextTests.java
@@ -59,7 +59,7 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(strings = { "a", "pekara-\u0160ari\u0107", "a b", "é", "?", "%C3%A9", "\ud83d\ude00", "a\u200db" })
+	@ValueSource(strings = { "a", "north-\u03b1", "a b", "é", "?", "%C3%A9", "\ud83d\ude00", "a\u200db" })
 	void ordinaryNamesAreFit(String text) {
 		assertThat(FieldText.fault(text, MAX_OCTETS)).isEmpty();
 	}
